--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent beside one backend server.
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load generation, replay and reports.
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command.
--- /dev/null
+++ b/crates/core/src/prelude.rs
@@ -0,0 +1,10 @@
+//! The types that nearly every crate uses.
+
+pub use crate::{
+    ids::{
+        AttemptId, BlockKey, FencingNumber, Generation, Incarnation, InstanceName, ModelName,
+        RequestId, SetName, TeamName, WeightsVersion,
+    },
+    rendezvous,
+    time::MonoTime,
+};
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,89 @@
+//! Monotonic time as a plain value, so that decisions never read a clock.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Microseconds since an origin that only this process knows.
+///
+/// Values of two processes are never compared.
+///
+/// ```
+/// use samphirespread_core::prelude::*;
+///
+/// let start = MonoTime::from_ms(5);
+/// assert_eq!(start.plus_ms(10).ms_since(start), 10);
+/// ```
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct MonoTime {
+    us: u64,
+}
+
+impl MonoTime {
+    /// The origin.
+    pub const ZERO: Self = Self { us: 0 };
+
+    /// An instant that many microseconds after the origin.
+    pub const fn from_us(us: u64) -> Self {
+        Self { us }
+    }
+
+    /// An instant that many milliseconds after the origin.
+    pub const fn from_ms(ms: u64) -> Self {
+        Self { us: ms.saturating_mul(1_000) }
+    }
+
+    /// Microseconds since the origin.
+    pub const fn as_us(self) -> u64 {
+        self.us
+    }
+
+    /// Whole milliseconds since the origin.
+    pub const fn as_ms(self) -> u64 {
+        self.us / 1_000
+    }
+
+    /// The instant that many milliseconds later.
+    #[must_use]
+    pub const fn plus_ms(self, ms: u64) -> Self {
+        Self { us: self.us.saturating_add(ms.saturating_mul(1_000)) }
+    }
+
+    /// The instant that many microseconds later.
+    #[must_use]
+    pub const fn plus_us(self, us: u64) -> Self {
+        Self { us: self.us.saturating_add(us) }
+    }
+
+    /// Microseconds since `earlier`, or zero if `earlier` is later.
+    pub const fn us_since(self, earlier: Self) -> u64 {
+        self.us.saturating_sub(earlier.us)
+    }
+
+    /// Whole milliseconds since `earlier`, or zero if `earlier` is later.
+    pub const fn ms_since(self, earlier: Self) -> u64 {
+        self.us_since(earlier) / 1_000
+    }
+}
+
+/// The clock of a daemon. Decision crates take [`MonoTime`] values instead.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: std::time::Instant,
+}
+
+impl Clock {
+    /// A clock whose origin is now.
+    pub fn start() -> Self {
+        Self { origin: std::time::Instant::now() }
+    }
+
+    /// The current instant.
+    pub fn now(&self) -> MonoTime {
+        let elapsed: Duration = self.origin.elapsed();
+        MonoTime::from_us(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Life cycle of a request and its attempts.
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,18 @@
+//! The interface of a model engine: message types and (feature by feature) a client.
+//!
+//! Every call is HTTP with JSON bodies. Answers that stream are JSON lines.
+//!
+//! | call | meaning |
+//! | --- | --- |
+//! | `POST /v1/streams` with [`StartStream`](api::StartStream) | starts a stream and answers with [`StreamLine`](api::StreamLine)s |
+//! | `GET /v1/streams/{id}?from=N` | answers with the lines from sequence number `N` on; `404` when unknown |
+//! | `DELETE /v1/streams/{id}` | cancels the stream |
+//! | `GET /v1/load` | the last [`LoadReport`](api::LoadReport), which lags |
+//! | `GET /v1/events?from=N` | answers with [`CacheEvent`](api::CacheEvent) lines, late and with gaps |
+//! | `GET /v1/blocks` | a [`BlockList`](api::BlockList): what is cached now |
+//! | `POST /v1/blocks/export`, `POST /v1/blocks/import` | moves blocks as [`BlockTransfer`](api::BlockTransfer) |
+//! | `POST /v1/weights` with [`LoadWeights`](api::LoadWeights) | loads a version of a model's weights |
+//!
+//! An order with an old fencing number is answered `409` by engines that check it.
+
+pub mod api;
--- /dev/null
+++ b/crates/fairness/src/lib.rs
@@ -0,0 +1,1 @@
+//! Per-team queue in front of one engine.
--- /dev/null
+++ b/crates/limits/src/lib.rs
@@ -0,0 +1,1 @@
+//! Team limits over all routers: conserved shares and borrowing.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Live list, peers, incarnations and the contact rule.
--- /dev/null
+++ b/crates/prefix/src/lib.rs
@@ -0,0 +1,1 @@
+//! Prefix blocks: hashing, residency and placement.
--- /dev/null
+++ b/crates/router/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router: caller API, admission, placement and relay.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checked INI process settings.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, engines and plain services.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,3 @@
+//! Messages, codec and framed connections between the system's processes.
+
+pub mod message;
