--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Starts the real daemons as processes beside stand-ins, for tests.
