--- /dev/null
+++ b/crates/limits/tests/mechanisms.rs
@@ -0,0 +1,142 @@
+//! Each mechanism against the failure that it is for: off first, then on.
+
+mod common;
+
+use common::{Weather, World, checker, team_limit};
+use samphirespread_limits::{Limiter, LimitsConfig, Mechanisms};
+
+const RATE: u64 = 40_000;
+const BURST: u64 = 12_000;
+const REACH: u64 = 8_000;
+const OWN_AND_ONE_LUMP: u64 = 6_000;
+const MS: u64 = 1_000;
+
+fn full_fleet(seed: u64, mechanisms: Mechanisms) -> World<Limiter> {
+    let config = LimitsConfig::new()
+        .slots(1)
+        .revoke_wait_ms(2_500)
+        .poll_ms(400)
+        .call_timeout_ms(500)
+        .silence_timeout_ms(900)
+        .mechanisms(mechanisms);
+    let limits = vec![team_limit("team", RATE, BURST)];
+    let mut world = World::new(seed, 3, config, limits);
+    world.run_until(8_000 * MS);
+    world
+}
+
+fn advance(world: &mut World<Limiter>, by_us: u64) {
+    let until_us = world.now_us + by_us;
+    world.run_until(until_us);
+}
+
+/// Takes all that can be had at every router, at once.
+fn drain(world: &mut World<Limiter>) {
+    for node in world.alive() {
+        for _ in 0..150 {
+            world.offer(node, 0, 100, 0, 60_000 * MS);
+        }
+    }
+    advance(world, 100 * MS);
+}
+
+fn exceeds(world: &World<Limiter>) -> bool {
+    checker::check(&world.admitted, &world.limits, 0).is_err()
+}
+
+/// One router keeps unspent lumps while both lenders restart.
+fn lenders_restart(mechanisms: Mechanisms) -> World<Limiter> {
+    let mut world = full_fleet(1, mechanisms);
+    // Both lenders give what is missing, and one of the two lumps stays unspent.
+    world.offer(0, 0, OWN_AND_ONE_LUMP, 0, 60_000 * MS);
+    advance(&mut world, 15 * MS);
+    world.crash(1, Some(0));
+    world.crash(2, Some(0));
+    advance(&mut world, 700 * MS);
+    drain(&mut world);
+    world
+}
+
+/// A router is frozen while the others take over its share.
+fn frozen_holder(mechanisms: Mechanisms) -> World<Limiter> {
+    let mut world = full_fleet(2, mechanisms);
+    world.pause(0, 12_000 * MS);
+    advance(&mut world, 12_000 * MS);
+    drain(&mut world);
+    world
+}
+
+/// Lumps arrive nearly a lifetime after they were asked for.
+fn slow_lumps(mechanisms: Mechanisms) -> World<Limiter> {
+    let mut world = full_fleet(3, mechanisms);
+    world.weather.one_way_us = (450 * MS, 450 * MS);
+    world.offer(0, 0, REACH, 0, 5 * MS);
+    advance(&mut world, 950 * MS);
+    world.weather = Weather::calm();
+    advance(&mut world, 850 * MS);
+    drain(&mut world);
+    world
+}
+
+/// A hand-over sent by an earlier run of a router takes effect after its restart.
+fn late_hand_over(mechanisms: Mechanisms) -> World<Limiter> {
+    let mut world = full_fleet(4, mechanisms);
+    world.weather.late_write_per_mille = 1_000;
+    world.weather.late_write_us = 30_000 * MS;
+    world.leave(0);
+    advance(&mut world, 900 * MS);
+    world.weather = Weather::calm();
+    world.crash(0, Some(0));
+    let name = format!("\"{}\"", world.holder(0).address);
+    for _ in 0..3_000 {
+        let holds = world.object(0).is_some_and(|text| {
+            text.split("\"holder\"")
+                .skip(1)
+                .any(|s| s.split('}').next().unwrap_or("").contains(&name))
+        });
+        if !holds {
+            break;
+        }
+        advance(&mut world, 10 * MS);
+    }
+    world.pause(0, 1_900 * MS);
+    advance(&mut world, 1_900 * MS);
+    drain(&mut world);
+    world
+}
+
+#[test]
+fn restart_reserves_for_lumps_of_the_earlier_run() {
+    let naive = lenders_restart(Mechanisms { start_reserve: false, ..Mechanisms::ALL });
+    let whole = lenders_restart(Mechanisms::ALL);
+
+    assert!(exceeds(&naive));
+    assert!(!exceeds(&whole));
+}
+
+#[test]
+fn thawed_holder_admits_nothing_from_a_share_that_was_taken() {
+    let naive = frozen_holder(Mechanisms { contact_rule: false, ..Mechanisms::ALL });
+    let whole = frozen_holder(Mechanisms::ALL);
+
+    assert!(exceeds(&naive));
+    assert!(!exceeds(&whole));
+}
+
+#[test]
+fn lump_lifetime_counts_from_the_request() {
+    let naive = slow_lumps(Mechanisms { expiry_from_request: false, ..Mechanisms::ALL });
+    let whole = slow_lumps(Mechanisms::ALL);
+
+    assert!(exceeds(&naive));
+    assert!(!exceeds(&whole));
+}
+
+#[test]
+fn claim_defeats_a_late_write_of_the_earlier_run() {
+    let naive = late_hand_over(Mechanisms { claim_write: false, ..Mechanisms::ALL });
+    let whole = late_hand_over(Mechanisms::ALL);
+
+    assert!(exceeds(&naive));
+    assert!(!exceeds(&whole));
+}
