--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,1 +1,72 @@
 //! Checked INI process settings.
+//!
+//! ```
+//! use samphirespread_settings::RouterSettings;
+//!
+//! let text = "
+//! [instance]
+//! name = r1
+//! region = khomas
+//! failure_domain = khomas-1
+//!
+//! [platform]
+//! address = 127.0.0.1:7000
+//!
+//! [security]
+//! peer_secret = an-example-of-a-secret
+//! ";
+//!
+//! let settings = RouterSettings::parse(text).unwrap();
+//!
+//! assert_eq!(settings.instance.name.as_ref(), "r1");
+//! assert_eq!(settings.peers.heartbeat_ms, 500);
+//! ```
+//!
+//! Every key has a type, a unit, an allowed range and, unless it is required, a default.
+//! [`RouterSettings::example`] and [`AgentSettings::example`] print all of them as a file that
+//! parses. An unknown section or key is refused, and so is a repeated key, so that a misspelt
+//! key never leaves its default in force unnoticed.
+//!
+//! # Errors
+//!
+//! One parse reports every fault of the text. Each names the line, the section and the key,
+//! and says what is allowed:
+//!
+//! ```
+//! use samphirespread_settings::RouterSettings;
+//!
+//! let text = "[peers]\nheartbeat_ms = fast\nhartbeat_ms = 5\n";
+//!
+//! let errors = RouterSettings::parse(text).unwrap_err().to_string();
+//!
+//! assert!(errors.contains("line 2: [peers] heartbeat_ms"));
+//! assert!(errors.contains("line 3: [peers] has no key hartbeat_ms"));
+//! assert!(errors.contains("[instance] name is missing"));
+//! ```
+//!
+//! # Limits
+//!
+//! Values are single lines. Quotes and backslashes stand for themselves. A comment takes a
+//! line of its own and begins with `;` or `#`. Addresses are `IP:port`; names are not resolved.
+
+mod agent;
+mod check;
+mod common;
+mod error;
+mod example;
+mod router;
+mod schema;
+
+pub use crate::{
+    agent::AgentPeers,
+    agent::{AgentListen, AgentSettings, BackendKind, BackendSettings, QueueSettings},
+    common::{
+        DrainSettings, InstanceSettings, LogFormat, LogLevel, LogSettings, Secret,
+        SecuritySettings, TlsSettings,
+    },
+    error::{SettingsError, SettingsErrors},
+    router::{
+        LimitsSettings, PlatformSettings, RequestSettings, RouterListen, RouterPeers,
+        RouterSettings,
+    },
+};
--- /dev/null
+++ b/crates/settings/tests/parse.rs
@@ -0,0 +1,371 @@
+//! Parsing of whole files, good and broken.
+
+use expect_test::{Expect, expect};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, TestRng, TestRunner},
+};
+use samphirespread_settings::{
+    AgentSettings, BackendKind, LogFormat, LogLevel, RouterSettings, SettingsError,
+};
+
+const SECRET: &str = "an-example-of-a-secret";
+
+fn router_text(extra: &str) -> String {
+    format!(
+        "[instance]\nname = r1\nregion = khomas\nfailure_domain = khomas-1\n\
+         [platform]\naddress = 127.0.0.1:7000\n[security]\npeer_secret = {SECRET}\n{extra}"
+    )
+}
+
+fn check_router(text: &str, expected: &Expect) {
+    let errors = RouterSettings::parse(text).unwrap_err();
+
+    expected.assert_eq(&errors.to_string());
+}
+
+#[test]
+fn defaults_fill_what_the_file_leaves_out() {
+    let text = router_text("[log]\nformat = terminal\n");
+
+    let settings = RouterSettings::parse(&text).unwrap();
+
+    assert_eq!(settings.log.format, LogFormat::Terminal);
+    assert_eq!(settings.log.level, LogLevel::Info);
+    assert_eq!(settings.listen.callers.port(), 8080);
+    assert_eq!(settings.limits.lump_lifetime_ms, 2_000);
+    assert_eq!(settings.tls, None);
+}
+
+#[test]
+fn values_of_the_file_are_in_force() {
+    let text = router_text(
+        "# a comment\r\n[request]\r\nmax_attempts=7\r\n; another\r\n[tls]\r\n\
+         certificate = c.pem\r\nkey = /etc/k=1;2.pem\r\n",
+    );
+
+    let settings = RouterSettings::parse(&text).unwrap();
+
+    assert_eq!(settings.request.max_attempts, 7);
+    let tls = settings.tls.unwrap();
+    assert_eq!(tls.key.to_str(), Some("/etc/k=1;2.pem"));
+    assert_eq!(tls.reread_ms, 5_000);
+}
+
+#[test]
+fn all_errors_are_reported_at_once() {
+    let text = "[instance]\nname = r 1\nregoin = x\n\n[request]\nmax_attempts = 0\n\
+                max_body_bytes = 8MB\nmax_attempts = 3\n[platfrom]\naddress = 1.2.3.4:5\n\
+                [listen]\ncallers = localhost:80\n[log]\nlevel = loud\n";
+
+    check_router(
+        text,
+        &expect![[r#"
+            line 2: [instance] name = r 1: allowed is 1 to 128 letters, digits, dots, underscores or hyphens
+            line 3: [instance] has no key regoin; allowed are name, region, failure_domain
+            line 6: [request] max_attempts = 0: allowed is a whole number of attempts from 1 to 100
+            line 7: [request] max_body_bytes = 8MB: allowed is a whole number of bytes from 1024 to 1073741824
+            line 8: [request] max_attempts was set before on line 6; allowed is one value
+            line 9: there is no section [platfrom]; allowed are instance, listen, platform, tls, security, log, request, limits, peers, drain
+            line 12: [listen] callers = localhost:80: allowed is an address as IP:port
+            line 14: [log] level = loud: allowed is one of error, warning, info, debug
+            [instance] region is missing; allowed is 1 to 128 letters, digits, dots, underscores or hyphens
+            [instance] failure_domain is missing; allowed is 1 to 128 letters, digits, dots, underscores or hyphens
+            [platform] address is missing; allowed is an address as IP:port, the port not 0
+            [security] peer_secret is missing; allowed is at least 16 characters"#]],
+    );
+}
+
+#[test]
+fn broken_ini_names_the_line() {
+    let text = router_text("[request\nmax_attempts = 3\njust words\n= 5\n");
+
+    check_router(
+        &text,
+        &expect![[r#"
+            line 9: expected [section], key = value or a comment
+            line 11: expected [section], key = value or a comment
+            line 12: expected [section], key = value or a comment"#]],
+    );
+}
+
+#[test]
+fn a_key_before_the_first_section_is_refused() {
+    let text = format!("name = r1\n{}", router_text(""));
+
+    check_router(&text, &expect![[r#"line 1: expected a [section] before the first key"#]]);
+}
+
+#[test]
+fn a_section_that_opens_twice_still_takes_each_key_once() {
+    let text = router_text("[log]\nlevel = debug\n[request]\n[log]\nlevel = info\n");
+
+    check_router(
+        &text,
+        &expect!["line 13: [log] level was set before on line 10; allowed is one value"],
+    );
+}
+
+#[test]
+fn keys_that_contradict_each_other_are_refused() {
+    let text = router_text(
+        "[limits]\nlump_lifetime_ms = 5000\nrevoke_wait_ms = 5000\n\
+         [peers]\nheartbeat_ms = 3000\n",
+    );
+
+    check_router(
+        &text,
+        &expect![[r#"
+        [limits] revoke_wait_ms = 5000: allowed is more than [limits] lump_lifetime_ms, which is 5000
+        [peers] silence_timeout_ms = 2000: allowed is more than [peers] heartbeat_ms, which is 3000"#]],
+    );
+}
+
+#[test]
+fn an_optional_section_needs_all_its_required_keys() {
+    let text = router_text("[tls]\ncertificate = c.pem\n");
+
+    check_router(&text, &expect!["[tls] key is missing; allowed is the path of a file"]);
+}
+
+#[test]
+fn secrets_are_never_shown() {
+    let good = RouterSettings::parse(&router_text("")).unwrap();
+    let bad = router_text("").replace(SECRET, "tooshort");
+
+    let errors = RouterSettings::parse(&bad).unwrap_err();
+
+    assert!(!format!("{good:?}").contains(SECRET));
+    assert!(!format!("{errors:?}{errors}").contains("tooshort"));
+    assert_eq!(good.security.peer_secret.expose(), SECRET);
+}
+
+#[test]
+fn a_secret_on_a_line_without_a_key_is_not_shown() {
+    let text = format!("{}{SECRET}\n", router_text(""));
+
+    let errors = RouterSettings::parse(&text).unwrap_err();
+
+    assert!(!errors.to_string().contains(SECRET));
+}
+
+#[test]
+fn agent_settings_parse() {
+    let text = "[instance]\nname = a1\nregion = norte\nfailure_domain = norte-2\n\
+                [backend]\nkind = service\naddress = 127.0.0.1:8000\nset = filing\n\
+                [security]\npeer_secret = an-example-of-a-secret\n[queue]\nconcurrency = 2\n";
+
+    let settings = AgentSettings::parse(text).unwrap();
+
+    assert_eq!(settings.backend.kind, BackendKind::Service);
+    assert_eq!(settings.backend.set.as_ref(), "filing");
+    assert_eq!(settings.queue.concurrency, 2);
+}
+
+#[test]
+fn router_example_is_complete() {
+    let example = RouterSettings::example();
+
+    let parsed = RouterSettings::parse(&example);
+    let with_tls = RouterSettings::parse(&without_marks(&example));
+
+    assert!(parsed.unwrap().tls.is_none());
+    assert!(with_tls.unwrap().tls.is_some());
+    expect![[r#"
+        ; Who and where this process is.
+        [instance]
+        ; Unique in the fleet, as in the platform's live list. Allowed: 1 to 128 letters, digits, dots, underscores or hyphens. Required, for example:
+        name = r1
+        ; The region of the instance. Allowed: 1 to 128 letters, digits, dots, underscores or hyphens. Required, for example:
+        region = khomas
+        ; The failure domain of the instance. Allowed: 1 to 128 letters, digits, dots, underscores or hyphens. Required, for example:
+        failure_domain = khomas-1
+
+        ; Where the process takes connections. Port 0 lets the kernel choose.
+        [listen]
+        ; For callers, HTTP. Allowed: an address as IP:port. Default:
+        callers = 0.0.0.0:8080
+        ; For the system's other processes. Allowed: an address as IP:port. Default:
+        peers = 0.0.0.0:7300
+        ; For operators: health, metrics, dump. Allowed: an address as IP:port. Default:
+        admin = 127.0.0.1:9300
+
+        ; The platform's object API and live list.
+        [platform]
+        ; Where the API is. Allowed: an address as IP:port, the port not 0. Required, for example:
+        address = 10.0.0.10:7000
+        ; A call without an answer fails after this. Allowed: a whole number of milliseconds from 10 to 60000. Default:
+        timeout_ms = 2000
+        ; Time between two reads of the live list. Allowed: a whole number of milliseconds from 50 to 60000. Default:
+        poll_ms = 1000
+
+        ; TLS towards callers. Optional.
+        ;[tls]
+        ; PEM file of the chain, the server's own first. Allowed: the path of a file. Required, for example:
+        ;certificate = callers.pem
+        ; PEM file of the private key. Allowed: the path of a file. Required, for example:
+        ;key = callers.key
+        ; Time between two looks at the files. Allowed: a whole number of milliseconds from 100 to 86400000. Default:
+        ;reread_ms = 5000
+
+        ; How the system's own processes prove themselves to each other.
+        [security]
+        ; The same in all processes of the fleet. Allowed: at least 16 characters. Required, for example:
+        peer_secret = replace-this-with-your-own-secret
+
+        ; Logging to standard error.
+        [log]
+        ; The form of a line. Allowed: one of json, terminal. Default:
+        format = json
+        ; Lines below this level are dropped. Allowed: one of error, warning, info, debug. Default:
+        level = info
+
+        ; Bounds of one request.
+        [request]
+        ; Larger is refused. Allowed: a whole number of bytes from 1024 to 1073741824. Default:
+        max_body_bytes = 8388608
+        ; Larger is refused. Allowed: a whole number of bytes from 1024 to 1048576. Default:
+        max_header_bytes = 16384
+        ; Longer is refused. Allowed: a whole number of tokens from 1 to 1073741824. Default:
+        max_prompt_tokens = 262144
+        ; Slower headers are refused. Allowed: a whole number of milliseconds from 10 to 86400000. Default:
+        header_timeout_ms = 10000
+        ; Time at most in an agent's queue. Allowed: a whole number of milliseconds from 1 to 86400000. Default:
+        queue_limit_ms = 5000
+        ; Attempts at most. Allowed: a whole number of attempts from 1 to 100. Default:
+        max_attempts = 4
+        ; Time at most to the end of the answer. Allowed: a whole number of milliseconds from 100 to 86400000. Default:
+        deadline_ms = 600000
+
+        ; Shares of the teams' rates. The same in all routers.
+        [limits]
+        ; A borrowed lump can be spent so long. Allowed: a whole number of milliseconds from 100 to 60000. Default:
+        lump_lifetime_ms = 2000
+        ; Wait before a silent holder's share is handed on; more than lump_lifetime_ms. Allowed: a whole number of milliseconds from 200 to 600000. Default:
+        revoke_wait_ms = 5000
+        ; How much before that wait a holder without contact stops admitting. Allowed: a whole number of milliseconds from 1 to 60000. Default:
+        clock_margin_ms = 250
+
+        ; Connections to other processes.
+        [peers]
+        ; Time between two heartbeats. Allowed: a whole number of milliseconds from 10 to 60000. Default:
+        heartbeat_ms = 500
+        ; A connection silent for longer is dropped; more than heartbeat_ms. Allowed: a whole number of milliseconds from 20 to 600000. Default:
+        silence_timeout_ms = 2000
+        ; Without word on the configuration for longer, it may be stale. Allowed: a whole number of milliseconds from 100 to 600000. Default:
+        stale_config_ms = 3000
+
+        ; Leaving on SIGTERM.
+        [drain]
+        ; Requests that still run after this are cut; no less than deadline_ms cuts none. Allowed: a whole number of milliseconds from 0 to 86400000. Default:
+        timeout_ms = 660000
+    "#]].assert_eq(&example);
+}
+
+#[test]
+fn agent_example_is_complete() {
+    let example = AgentSettings::example();
+
+    assert!(AgentSettings::parse(&example).is_ok());
+    expect![[r#"
+        ; Who and where this process is.
+        [instance]
+        ; Unique in the fleet, as in the platform's live list. Allowed: 1 to 128 letters, digits, dots, underscores or hyphens. Required, for example:
+        name = r1
+        ; The region of the instance. Allowed: 1 to 128 letters, digits, dots, underscores or hyphens. Required, for example:
+        region = khomas
+        ; The failure domain of the instance. Allowed: 1 to 128 letters, digits, dots, underscores or hyphens. Required, for example:
+        failure_domain = khomas-1
+
+        ; Where the process takes connections. Port 0 lets the kernel choose.
+        [listen]
+        ; For the system's other processes. Allowed: an address as IP:port. Default:
+        peers = 0.0.0.0:7400
+        ; For operators: health, metrics, dump. Allowed: an address as IP:port. Default:
+        admin = 127.0.0.1:9400
+
+        ; The backend server beside the agent.
+        [backend]
+        ; What runs there. Allowed: one of model, service. Required, for example:
+        kind = model
+        ; Where it takes requests. Allowed: an address as IP:port, the port not 0. Required, for example:
+        address = 127.0.0.1:8000
+        ; The set that it belongs to, as in the configuration. Allowed: 1 to 128 letters, digits, dots, underscores or hyphens. Required, for example:
+        set = drafting
+
+        ; How the system's own processes prove themselves to each other.
+        [security]
+        ; The same in all processes of the fleet. Allowed: at least 16 characters. Required, for example:
+        peer_secret = replace-this-with-your-own-secret
+
+        ; Logging to standard error.
+        [log]
+        ; The form of a line. Allowed: one of json, terminal. Default:
+        format = json
+        ; Lines below this level are dropped. Allowed: one of error, warning, info, debug. Default:
+        level = info
+
+        ; The queue before the backend server.
+        [queue]
+        ; After this wait the request is not run. Allowed: a whole number of milliseconds from 1 to 86400000. Default:
+        max_wait_ms = 5000
+        ; Requests that may wait. Allowed: a whole number of requests from 1 to 1000000. Default:
+        max_requests = 1024
+        ; Requests that run at once. Allowed: a whole number of requests from 1 to 100000. Default:
+        concurrency = 64
+
+        ; Connections from other processes.
+        [peers]
+        ; A connection silent for longer is dropped. Allowed: a whole number of milliseconds from 20 to 600000. Default:
+        silence_timeout_ms = 2000
+        ; Requests of a router whose configuration lags for longer are refused. Allowed: a whole number of milliseconds from 100 to 600000. Default:
+        stale_config_ms = 3000
+
+        ; Leaving on SIGTERM.
+        [drain]
+        ; Requests that still run after this are cut. Allowed: a whole number of milliseconds from 0 to 86400000. Default:
+        timeout_ms = 660000
+    "#]].assert_eq(&example);
+}
+
+/// Takes the comment marks off the lines of optional sections.
+fn without_marks(example: &str) -> String {
+    let uncomment = |line: &str| match line.strip_prefix(';') {
+        Some(rest) if !rest.starts_with(' ') => rest.to_owned(),
+        _ => line.to_owned(),
+    };
+    example.lines().map(uncomment).collect::<Vec<_>>().join("\n")
+}
+
+#[test]
+fn any_text_is_parsed_or_refused_with_lines_that_exist() {
+    let pieces = prop::collection::vec(
+        prop_oneof![
+            Just("[instance]".to_owned()),
+            Just("[log]".to_owned()),
+            Just("level = info".to_owned()),
+            Just("name = r1".to_owned()),
+            "[ -~]{0,20}",
+            ".{0,6}",
+        ],
+        0..12,
+    );
+    let rng = TestRng::from_seed(proptest::test_runner::RngAlgorithm::ChaCha, &[7; 32]);
+    let config = Config { cases: 512, failure_persistence: None, ..Config::default() };
+
+    let result = TestRunner::new_with_rng(config, rng).run(&pieces, |pieces| {
+        let text = pieces.join("\n");
+        let errors = RouterSettings::parse(&text).unwrap_err();
+        let last = text.lines().count().max(1);
+        for error in errors.iter() {
+            if let SettingsError::Invalid { line, .. } | SettingsError::UnknownKey { line, .. } =
+                error
+            {
+                prop_assert!((1..=last).contains(line), "{error}");
+            }
+        }
+        Ok(())
+    });
+
+    result.unwrap();
+}
