Connect processes: framed h2 exchanges with mutual proof and silence detection

Cause: routers and agents need one long-lived connection a pair, on which a lost or doubled frame, a stranger and a dead path are each noticed. Ruled out: the secret as a request header (a false agent would learn it); heartbeats on idle connections (a router that knows 6,700 agents would spend its control budget on them), so they run only while exchanges are open. Conclusion: an error that is_unsent() says so with certainty; all others mean that the peer may have got the request.

--- /dev/null
+++ b/crates/wire/src/client.rs
@@ -0,0 +1,404 @@
+//! The asking end of a connection.
+
+use std::{
+    future::Future,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use h2::{RecvStream, SendStream, client};
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    time::{MissedTickBehavior, interval, timeout},
+};
+use tokio_util::sync::{CancellationToken, DropGuard};
+
+use crate::{
+    HelloSource, WireConfig, WireError,
+    codec::{self, Decoder},
+    message::{Reply, Request},
+    proof::{self, NONCE_BYTES, Nonces, PROOF_BYTES, Side},
+    server::{EXCHANGE_PATH, PROOF_PATH, send_bytes},
+};
+
+const STREAM_WINDOW_BYTES: u32 = 1024 * 1024;
+const CONNECTION_WINDOW_BYTES: u32 = 16 * 1024 * 1024;
+
+/// One h2 connection to a peer that has proved itself. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Connection {
+    sender: client::SendRequest<Bytes>,
+    shared: Arc<Shared>,
+    // The driver and the heartbeat end with the last clone and the last open exchange.
+    _guard: Arc<DropGuard>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    config: WireConfig,
+    started: Instant,
+    last_arrival_ms: AtomicU64,
+    open_exchanges: AtomicUsize,
+    gone_away: AtomicBool,
+    silent: AtomicBool,
+    closed: CancellationToken,
+}
+
+impl Shared {
+    fn note_arrival(&self) {
+        self.last_arrival_ms.store(self.elapsed_ms(), Ordering::Relaxed);
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn closing_error(&self) -> WireError {
+        if self.silent.load(Ordering::Relaxed) {
+            return WireError::Silent { silence_ms: self.config.silence_timeout_ms };
+        }
+        WireError::Http { message: "the connection has ended".to_owned() }
+    }
+
+    fn silent_ms(&self) -> u64 {
+        self.elapsed_ms().saturating_sub(self.last_arrival_ms.load(Ordering::Relaxed))
+    }
+}
+
+impl Connection {
+    /// Connects to a peer and proves the secret both ways.
+    ///
+    /// # Errors
+    ///
+    /// [`WireError::Connect`] if there is no connection in time, [`WireError::Unproven`] if either
+    /// end does not accept the other's proof.
+    pub async fn dial<H: HelloSource>(
+        address: &str,
+        config: &WireConfig,
+        hello: H,
+    ) -> Result<Self, WireError> {
+        let limit = Duration::from_millis(config.connect_timeout_ms);
+        let failed = |message: String| WireError::Connect { address: address.to_owned(), message };
+        let dialled = async {
+            let socket =
+                TcpStream::connect(address).await.map_err(|error| failed(error.to_string()))?;
+            socket.set_nodelay(true).map_err(|error| failed(error.to_string()))?;
+            Self::over(socket, address, config, hello).await
+        };
+        timeout(limit, dialled)
+            .await
+            .unwrap_or_else(|_| Err(failed(format!("no answer within {} ms", limit.as_millis()))))
+    }
+
+    /// Sets up a connection over a byte stream and proves the secret both ways.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::dial`].
+    pub async fn over<S, H>(
+        io: S,
+        address: &str,
+        config: &WireConfig,
+        hello: H,
+    ) -> Result<Self, WireError>
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        H: HelloSource,
+    {
+        let (sender, driver) = client::Builder::new()
+            .initial_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .handshake::<_, Bytes>(io)
+            .await?;
+        let closed = CancellationToken::new();
+        let connection = Self {
+            sender,
+            shared: Arc::new(Shared {
+                config: config.clone(),
+                started: Instant::now(),
+                last_arrival_ms: AtomicU64::new(0),
+                open_exchanges: AtomicUsize::new(0),
+                gone_away: AtomicBool::new(false),
+                silent: AtomicBool::new(false),
+                closed: closed.clone(),
+            }),
+            _guard: Arc::new(closed.clone().drop_guard()),
+        };
+        let driver_closed = closed.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = driver => {}
+                () = driver_closed.cancelled() => {}
+            }
+            driver_closed.cancel();
+        });
+        connection.prove(address).await?;
+        tokio::spawn(beat(connection.sender.clone(), Arc::clone(&connection.shared), hello));
+        Ok(connection)
+    }
+
+    /// Whether the connection is known to be of no further use.
+    pub fn is_closed(&self) -> bool {
+        self.shared.closed.is_cancelled() || self.shared.gone_away.load(Ordering::Relaxed)
+    }
+
+    /// Exchanges that are open on this connection.
+    pub fn open_exchanges(&self) -> usize {
+        self.shared.open_exchanges.load(Ordering::Relaxed)
+    }
+
+    /// Sends a request and returns the stream of its replies.
+    ///
+    /// # Errors
+    ///
+    /// Any [`WireError`]. The peer may have got the request unless [`WireError::is_unsent`] says
+    /// otherwise.
+    pub async fn open(&self, request: &Request) -> Result<ReplyStream, WireError> {
+        let frame = codec::encode(0, request)?;
+        let max_bytes = self.shared.config.max_frame_bytes;
+        if frame.len() - codec::LENGTH_BYTES > max_bytes {
+            return Err(WireError::FrameTooLong { bytes: frame.len(), max_bytes });
+        }
+        let exchange = OpenExchange::new(self);
+        let response = exchange
+            .unless_closed(send_exchange(self.sender.clone(), EXCHANGE_PATH, frame))
+            .await?
+            .inspect_err(|error| self.note_failed_open(error))?;
+        Ok(ReplyStream {
+            response: Some(response),
+            body: None,
+            decoder: Decoder::new(max_bytes),
+            exchange,
+        })
+    }
+
+    /// Sends a request that has one reply.
+    ///
+    /// # Errors
+    ///
+    /// Any [`WireError`]; [`WireError::Truncated`] if the peer ended without a reply.
+    pub async fn call(&self, request: &Request) -> Result<Reply, WireError> {
+        let mut replies = self.open(request).await?;
+        replies.next().await?.ok_or(WireError::Truncated)
+    }
+
+    // A peer that drains keeps its open exchanges, so the connection itself lives on.
+    fn note_failed_open(&self, error: &WireError) {
+        if *error == WireError::GoneAway {
+            self.shared.gone_away.store(true, Ordering::Relaxed);
+        }
+    }
+
+    async fn prove(&self, address: &str) -> Result<(), WireError> {
+        let unproven = || WireError::Unproven { address: address.to_owned() };
+        let client_nonce = proof::fresh_nonce();
+        let challenge = Bytes::copy_from_slice(&client_nonce);
+        let answer = self.raw_call(challenge).await?.ok_or_else(unproven)?;
+        if answer.len() != NONCE_BYTES + PROOF_BYTES {
+            return Err(unproven());
+        }
+        let (server_nonce, server_proof) = answer.split_at(NONCE_BYTES);
+        let server: [u8; NONCE_BYTES] = server_nonce.try_into().map_err(|_| unproven())?;
+        let nonces = Nonces { client: client_nonce, server };
+        let secret = &self.shared.config.secret;
+        if !proof::verify(secret, Side::Server, &nonces, server_proof) {
+            return Err(unproven());
+        }
+        let own = proof::prove(secret, Side::Client, &nonces);
+        self.raw_call(Bytes::copy_from_slice(&own)).await?.ok_or_else(unproven)?;
+        self.shared.note_arrival();
+        Ok(())
+    }
+
+    // Returns `None` when the peer refuses.
+    async fn raw_call(&self, body: Bytes) -> Result<Option<Bytes>, WireError> {
+        let response = send_exchange(self.sender.clone(), PROOF_PATH, body).await?;
+        let response = response.await?;
+        if response.status() != http::StatusCode::OK {
+            return Ok(None);
+        }
+        let mut body = response.into_body();
+        let mut collected = Vec::new();
+        while let Some(data) = body.data().await {
+            let data = data?;
+            body.flow_control().release_capacity(data.len())?;
+            collected.extend_from_slice(&data);
+            if collected.len() > NONCE_BYTES + PROOF_BYTES {
+                return Ok(None);
+            }
+        }
+        Ok(Some(collected.into()))
+    }
+}
+
+async fn send_exchange(
+    sender: client::SendRequest<Bytes>,
+    path: &str,
+    body: Bytes,
+) -> Result<client::ResponseFuture, WireError> {
+    let mut sender = sender.ready().await.map_err(|_| WireError::GoneAway)?;
+    let request = http::Request::post(format!("http://peer{path}"))
+        .body(())
+        .map_err(|error| WireError::Http { message: error.to_string() })?;
+    let (response, mut stream): (_, SendStream<Bytes>) = sender.send_request(request, false)?;
+    send_bytes(&mut stream, body, true).await?;
+    Ok(response)
+}
+
+/// Sends heartbeats while exchanges are open, and closes the connection when nothing arrives.
+async fn beat<H: HelloSource>(sender: client::SendRequest<Bytes>, shared: Arc<Shared>, hello: H) {
+    let period = Duration::from_millis(shared.config.heartbeat_interval_ms.max(1));
+    let mut ticks = interval(period);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut pending = None;
+    loop {
+        tokio::select! {
+            () = shared.closed.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        if shared.open_exchanges.load(Ordering::Relaxed) == 0 {
+            shared.note_arrival();
+            continue;
+        }
+        if shared.silent_ms() >= shared.config.silence_timeout_ms {
+            shared.silent.store(true, Ordering::Relaxed);
+            shared.closed.cancel();
+            return;
+        }
+        let quiet = shared.silent_ms() >= shared.config.heartbeat_interval_ms;
+        let answered =
+            pending.as_ref().is_none_or(|task: &tokio::task::JoinHandle<()>| task.is_finished());
+        if quiet && answered {
+            pending =
+                Some(tokio::spawn(heartbeat(sender.clone(), Arc::clone(&shared), hello.clone())));
+        }
+    }
+}
+
+async fn heartbeat<H: HelloSource>(
+    sender: client::SendRequest<Bytes>,
+    shared: Arc<Shared>,
+    hello: H,
+) {
+    let exchange = async {
+        let frame = codec::encode(0, &Request::Heartbeat(hello.hello()))?;
+        let response = send_exchange(sender, EXCHANGE_PATH, frame).await?;
+        let mut body = response.await?.into_body();
+        let mut decoder = Decoder::new(shared.config.max_frame_bytes);
+        while let Some(data) = body.data().await {
+            let data = data?;
+            body.flow_control().release_capacity(data.len())?;
+            decoder.extend(&data);
+            if let Some(Reply::Heartbeat(peer)) = decoder.next_message()? {
+                shared.note_arrival();
+                hello.heard(&peer);
+            }
+        }
+        Ok::<(), WireError>(())
+    };
+    tokio::select! {
+        // A failed heartbeat shows as silence.
+        _ = exchange => {}
+        () = shared.closed.cancelled() => {}
+    }
+}
+
+/// Counts one exchange as open for as long as it lives.
+#[derive(Debug)]
+struct OpenExchange {
+    shared: Arc<Shared>,
+    _guard: Arc<DropGuard>,
+}
+
+impl OpenExchange {
+    fn new(connection: &Connection) -> Self {
+        let shared = Arc::clone(&connection.shared);
+        if shared.open_exchanges.fetch_add(1, Ordering::Relaxed) == 0 {
+            shared.note_arrival();
+        }
+        Self { shared, _guard: Arc::clone(&connection._guard) }
+    }
+
+    async fn unless_closed<F: Future>(&self, work: F) -> Result<F::Output, WireError> {
+        // Work goes first: a peer that closes after its last reply has sent a whole answer.
+        let output = tokio::select! {
+            biased;
+            output = work => output,
+            () = self.shared.closed.cancelled() => return Err(self.shared.closing_error()),
+        };
+        if self.shared.silent.load(Ordering::Relaxed) {
+            return Err(self.shared.closing_error());
+        }
+        Ok(output)
+    }
+}
+
+impl Drop for OpenExchange {
+    fn drop(&mut self) {
+        self.shared.open_exchanges.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// The replies to one request. Dropping it cancels the exchange.
+#[derive(Debug)]
+pub struct ReplyStream {
+    response: Option<client::ResponseFuture>,
+    body: Option<RecvStream>,
+    decoder: Decoder,
+    exchange: OpenExchange,
+}
+
+impl ReplyStream {
+    /// The next reply, or `None` once the peer has ended the stream.
+    ///
+    /// # Errors
+    ///
+    /// Any [`WireError`]; the stream is of no further use then.
+    pub async fn next(&mut self) -> Result<Option<Reply>, WireError> {
+        loop {
+            if let Some(reply) = self.decoder.next_message()? {
+                return Ok(Some(reply));
+            }
+            let Some(data) = self.arrival().await? else {
+                return if self.decoder.is_empty() { Ok(None) } else { Err(WireError::Truncated) };
+            };
+            self.decoder.extend(&data);
+        }
+    }
+
+    /// A reply that has already arrived, without waiting.
+    ///
+    /// # Errors
+    ///
+    /// As [`ReplyStream::next`].
+    pub fn next_arrived(&mut self) -> Result<Option<Reply>, WireError> {
+        self.decoder.next_message()
+    }
+
+    async fn arrival(&mut self) -> Result<Option<Bytes>, WireError> {
+        if let Some(response) = self.response.take() {
+            let response = self.exchange.unless_closed(response).await??;
+            if response.status() != http::StatusCode::OK {
+                let message = format!("peer answered {}", response.status());
+                return Err(WireError::Http { message });
+            }
+            self.exchange.shared.note_arrival();
+            self.body = Some(response.into_body());
+        }
+        let Some(body) = self.body.as_mut() else {
+            return Ok(None);
+        };
+        let Some(data) = self.exchange.unless_closed(body.data()).await? else {
+            return Ok(None);
+        };
+        let data = data?;
+        self.exchange.shared.note_arrival();
+        body.flow_control().release_capacity(data.len())?;
+        Ok(Some(data))
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/connection.rs
@@ -0,0 +1,166 @@
+//! Connections between two processes, with both ends in this one.
+
+mod support;
+
+use samphirespread_wire::{
+    Connection, Pool, WireError,
+    codec::{self, Decoder},
+    message::{Reply, Request},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt, copy_bidirectional},
+    net::{TcpListener, TcpStream},
+};
+
+use crate::support::{Named, config, resume, served};
+
+const SECRET: &str = "a secret of the deployment";
+
+#[tokio::test]
+async fn replies_arrive_whole_and_in_order() {
+    let (address, _, _shutdown) = served(SECRET).await;
+    let connection = Connection::dial(&address, &config(SECRET), Named("r1")).await.unwrap();
+
+    let mut replies = connection.open(&resume(500)).await.unwrap();
+    let mut text = String::new();
+    let mut finished = false;
+    while let Some(reply) = replies.next().await.unwrap() {
+        match reply {
+            Reply::Output(line) => text.push_str(&line.text),
+            Reply::Finished(_) => finished = true,
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+
+    let expected: String = (0..500).map(|seq| format!("word{seq} ")).collect();
+    assert_eq!(text, expected);
+    assert!(finished);
+}
+
+#[tokio::test]
+async fn a_peer_with_another_secret_gets_nothing() {
+    let (address, recorder, _shutdown) = served(SECRET).await;
+
+    let refused = Connection::dial(&address, &config("a guess"), Named("r1")).await;
+
+    assert_eq!(refused.unwrap_err(), WireError::Unproven { address });
+    assert!(recorder.requests.lock().unwrap().is_empty());
+}
+
+#[tokio::test]
+async fn an_exchange_without_proof_is_refused() {
+    let (address, recorder, _shutdown) = served(SECRET).await;
+    let socket = TcpStream::connect(&address).await.unwrap();
+    let (sender, driver) = h2::client::handshake(socket).await.unwrap();
+    tokio::spawn(driver);
+
+    let request = http::Request::post("http://peer/exchange").body(()).unwrap();
+    let (response, mut body) = sender.ready().await.unwrap().send_request(request, false).unwrap();
+    // The refusal may come before the body is taken.
+    let _ = body.send_data(codec::encode(0, &Request::Cancel(attempt())).unwrap(), true);
+    let answer = response.await;
+
+    assert!(answer.is_err() || answer.unwrap().status() == 401);
+    assert!(recorder.requests.lock().unwrap().is_empty());
+}
+
+#[tokio::test]
+async fn bytes_that_are_no_protocol_leave_the_server_serving() {
+    let (address, _, _shutdown) = served(SECRET).await;
+    let mut socket = TcpStream::connect(&address).await.unwrap();
+
+    socket.write_all(b"GET / HTTP/1.1\r\n\r\n").await.unwrap();
+    let mut rest = Vec::new();
+    // The server may close or reset; either ends the read.
+    let _ = socket.read_to_end(&mut rest).await;
+    let connection = Connection::dial(&address, &config(SECRET), Named("r1")).await.unwrap();
+
+    assert_eq!(connection.call(&Request::Cancel(attempt())).await, Ok(Reply::Done));
+}
+
+#[tokio::test]
+async fn a_connection_gone_silent_ends_its_exchanges_while_new_ones_work() {
+    let (address, _, _shutdown) = served(SECRET).await;
+    let (relay, cut) = relay_that_goes_silent(address).await;
+    let pool = Pool::new(config(SECRET), Named("r1"));
+    let connection = pool.get(&relay).await.unwrap();
+    cut.cancel();
+
+    let lost = connection.call(&resume(1)).await;
+    let again = pool.get(&relay).await.unwrap().call(&Request::Cancel(attempt())).await;
+
+    assert!(matches!(lost, Err(WireError::Silent { .. })), "{lost:?}");
+    assert_eq!(again, Ok(Reply::Done));
+}
+
+#[tokio::test]
+async fn a_draining_peer_is_redialled() {
+    let (address, _, shutdown) = served(SECRET).await;
+    let pool = Pool::new(config(SECRET), Named("r1"));
+    let connection = pool.get(&address).await.unwrap();
+    connection.call(&resume(1)).await.unwrap();
+    shutdown.cancel();
+
+    let refused = loop {
+        if let Err(error) = connection.call(&resume(1)).await {
+            break error;
+        }
+    };
+
+    assert!(connection.is_closed(), "{refused:?}");
+    assert!(pool.get(&address).await.is_err());
+}
+
+#[test]
+fn a_repeated_frame_is_seen() {
+    let frame = codec::encode(0, &Reply::Done).unwrap();
+    let mut decoder = Decoder::new(1024);
+    decoder.extend(&frame);
+    decoder.extend(&frame);
+
+    let first = decoder.next_message::<Reply>();
+    let second = decoder.next_message::<Reply>();
+
+    assert_eq!(first, Ok(Some(Reply::Done)));
+    assert_eq!(second, Err(WireError::OutOfOrder { got: 0, expected: 1 }));
+}
+
+#[test]
+fn a_frame_past_the_limit_is_refused_before_it_arrives() {
+    let mut decoder = Decoder::new(16);
+    decoder.extend(&17_u32.to_le_bytes());
+
+    let refused = decoder.next_message::<Reply>();
+
+    assert_eq!(refused, Err(WireError::FrameTooLong { bytes: 17, max_bytes: 16 }));
+}
+
+fn attempt() -> samphirespread_core::ids::AttemptId {
+    let Request::Resume(resume) = resume(0) else { unreachable!() };
+    resume.attempt
+}
+
+/// Relays connections; after the cancel, those that exist go silent and new ones work.
+async fn relay_that_goes_silent(target: String) -> (String, tokio_util::sync::CancellationToken) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let cut = tokio_util::sync::CancellationToken::new();
+    let silent = cut.clone();
+    tokio::spawn(async move {
+        loop {
+            let (mut near, _) = listener.accept().await.unwrap();
+            let mut far = TcpStream::connect(&target).await.unwrap();
+            let silent = silent.clone();
+            let was_cut = silent.is_cancelled();
+            tokio::spawn(async move {
+                tokio::select! {
+                    _ = copy_bidirectional(&mut near, &mut far) => return,
+                    () = silent.cancelled(), if !was_cut => {}
+                }
+                // Both sockets stay open and nothing passes any more.
+                std::future::pending::<()>().await;
+            });
+        }
+    });
+    (address, cut)
+}
