Build, check, print and index configurations

Operators build teams, keys, routes and sets with chained builders and print one canonical document for each object. Parsing checks the shape of every document first, so that each fault names its object and field; serde alone stops at the first and doesn't name the field of a wrong type. Validation checks ranges, names and references and reports all faults.

A withdrawn key changes one section.

The head gets the ids of recent submissions (additive, with a default).

--- /dev/null
+++ b/crates/config/src/document/mod.rs
@@ -0,0 +1,218 @@
+//! One JSON document for each object, in canonical form.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::{
+    error::{ConfigError, ConfigErrors},
+    model::{BackendSet, Config, Key, Route, Team},
+    shape,
+};
+
+/// One object of a configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Document {
+    /// A customer.
+    Team(Team),
+    /// A caller's key.
+    Key(Key),
+    /// What callers may ask for.
+    Route(Route),
+    /// Backend servers.
+    Set(BackendSet),
+}
+
+/// What kind of object a document describes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ObjectKind {
+    /// A customer.
+    Team,
+    /// A caller's key.
+    Key,
+    /// What callers may ask for.
+    Route,
+    /// Backend servers.
+    Set,
+}
+
+impl ObjectKind {
+    /// All kinds, in the order of documents.
+    pub const ALL: [Self; 4] = [Self::Team, Self::Key, Self::Route, Self::Set];
+
+    /// The word in documents and on the command line.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Team => "team",
+            Self::Key => "key",
+            Self::Route => "route",
+            Self::Set => "set",
+        }
+    }
+}
+
+/// Names one object of a configuration, in text form `team/desk`.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ObjectName {
+    /// The kind of the object.
+    pub kind: ObjectKind,
+    /// Its name among the objects of its kind.
+    pub name: String,
+}
+
+impl ObjectName {
+    /// Parses `kind/name`.
+    ///
+    /// ```
+    /// use samphirespread_config::{ObjectKind, ObjectName};
+    ///
+    /// let name = ObjectName::parse("key/desk-1").unwrap();
+    ///
+    /// assert_eq!(name.kind, ObjectKind::Key);
+    /// assert_eq!(name.to_string(), "key/desk-1");
+    /// ```
+    pub fn parse(text: &str) -> Option<Self> {
+        let (kind, name) = text.split_once('/')?;
+        let kind = ObjectKind::ALL.into_iter().find(|known| known.as_str() == kind)?;
+        (!name.is_empty()).then(|| Self { kind, name: name.to_owned() })
+    }
+}
+
+impl fmt::Display for ObjectName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind.as_str(), self.name)
+    }
+}
+
+impl Document {
+    /// The name of the object.
+    pub fn name(&self) -> ObjectName {
+        let (kind, name) = match self {
+            Self::Team(team) => (ObjectKind::Team, team.name.as_str()),
+            Self::Key(key) => (ObjectKind::Key, key.id.as_str()),
+            Self::Route(route) => (ObjectKind::Route, route.name.as_str()),
+            Self::Set(set) => (ObjectKind::Set, set.name.as_str()),
+        };
+        ObjectName { kind, name: name.to_owned() }
+    }
+
+    /// The document on one line, without a line end: sorted fields, no spaces.
+    ///
+    /// # Panics
+    ///
+    /// Never: documents have text keys.
+    pub fn to_text(&self) -> String {
+        let value = serde_json::to_value(self).expect("documents have text keys");
+        let mut text = String::new();
+        write_canonical(&value, &mut text);
+        text
+    }
+}
+
+fn write_canonical(value: &Value, text: &mut String) {
+    match value {
+        Value::Object(fields) => {
+            let mut names: Vec<&String> = fields.keys().collect();
+            names.sort();
+            text.push('{');
+            for (index, name) in names.into_iter().enumerate() {
+                if index > 0 {
+                    text.push(',');
+                }
+                text.push_str(&Value::from(name.as_str()).to_string());
+                text.push(':');
+                write_canonical(&fields[name], text);
+            }
+            text.push('}');
+        }
+        Value::Array(items) => {
+            text.push('[');
+            for (index, item) in items.iter().enumerate() {
+                if index > 0 {
+                    text.push(',');
+                }
+                write_canonical(item, text);
+            }
+            text.push(']');
+        }
+        scalar => text.push_str(&scalar.to_string()),
+    }
+}
+
+/// Parses documents that stand one after the other, on one line each or on several.
+///
+/// # Errors
+///
+/// All faults of all documents, each with object, field and what is allowed. After a fault of
+/// the JSON syntax the rest of the text is not read. References between objects are checked by
+/// [`Config::validate`].
+pub fn parse_documents(origin: &str, text: &str) -> Result<Vec<Document>, ConfigErrors> {
+    let mut documents = Vec::new();
+    let mut errors = Vec::new();
+    let values = serde_json::Deserializer::from_str(text).into_iter::<Value>();
+    for (index, value) in values.enumerate() {
+        let syntax = |message: String| ConfigError::Syntax {
+            origin: origin.to_owned(),
+            number: index + 1,
+            message,
+        };
+        let value = match value {
+            Ok(value) => value,
+            Err(error) => {
+                errors.push(syntax(error.to_string()));
+                break;
+            }
+        };
+        let before = errors.len();
+        shape::check(origin, index + 1, &value, &mut errors);
+        if errors.len() > before {
+            continue;
+        }
+        match serde_json::from_value(value) {
+            Ok(document) => documents.push(document),
+            Err(error) => errors.push(syntax(error.to_string())),
+        }
+    }
+    ConfigErrors::check(errors).map(|()| documents)
+}
+
+impl Config {
+    /// The objects in canonical order: by kind, then by name.
+    pub fn documents(&self) -> Vec<Document> {
+        let teams = self.teams.iter().cloned().map(Document::Team);
+        let keys = self.keys.iter().cloned().map(Document::Key);
+        let routes = self.routes.iter().cloned().map(Document::Route);
+        let sets = self.sets.iter().cloned().map(Document::Set);
+        let mut documents: Vec<Document> = teams.chain(keys).chain(routes).chain(sets).collect();
+        documents.sort_by_key(Document::name);
+        documents
+    }
+
+    /// A configuration of these objects, in canonical order.
+    pub fn from_documents(documents: impl IntoIterator<Item = Document>) -> Self {
+        let mut documents: Vec<Document> = documents.into_iter().collect();
+        documents.sort_by_key(Document::name);
+        let mut config = Self::default();
+        for document in documents {
+            match document {
+                Document::Team(team) => config.teams.push(team),
+                Document::Key(key) => config.keys.push(key),
+                Document::Route(route) => config.routes.push(route),
+                Document::Set(set) => config.sets.push(set),
+            }
+        }
+        config
+    }
+
+    /// All documents, one a line.
+    pub fn to_text(&self) -> String {
+        let mut text = String::new();
+        for document in self.documents() {
+            text.push_str(&document.to_text());
+            text.push('\n');
+        }
+        text
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,3 +1,68 @@
 //! Teams, keys, rates, routes and engine sets: the operators' documents.
+//!
+//! ```
+//! use samphirespread_config::{ConfigBuilder, RouteBuilder, SetBuilder, TeamBuilder};
+//!
+//! let config = ConfigBuilder::new()
+//!     .team(TeamBuilder::new("desk").rate_tokens_per_s(20_000).burst_tokens(200_000))
+//!     .set(SetBuilder::new("drafting"))
+//!     .route(RouteBuilder::model("drafts", "ledger", "2026-11").team("desk").set("drafting"))
+//!     .build()
+//!     .unwrap();
+//!
+//! print!("{}", config.to_text());
+//! ```
+//!
+//! An operator's program builds a [`Config`] and prints it as documents, one a line, in
+//! canonical form: sorted objects, sorted fields, no spaces. Equal configurations have equal
+//! texts. The command line checks the documents and submits the difference to the configuration
+//! in force.
+//!
+//! # Storage
+//!
+//! The platform holds a configuration as one [`Head`] with a rising generation and immutable
+//! [sections](sections) named by their SHA-256. Keys and teams are spread over many sections by
+//! hash, so that one withdrawn key changes one small section and the head.
+//!
+//! # Submitting
+//!
+//! A [`Submission`] decides how a change gets into the head by compare-and-swap while other
+//! operators submit theirs and answers get lost. It has no sockets: whoever drives it carries
+//! its [`Action`]s out and reports the [`Event`]s.
+//!
+//! # Serving
+//!
+//! A router assembles a [`Snapshot`] from a head and its sections. Looking up a key, a team, a
+//! route or a set takes constant time, or time in the depth of a path. Assembling parses and
+//! validates all documents again.
+//!
+//! # Limits
+//!
+//! A section is at most [`MAX_SECTION_BYTES`] long. Old sections are never deleted.
 
+mod apply;
+mod build;
+mod change;
+mod document;
+mod error;
+mod key;
 pub mod model;
+mod section;
+mod shape;
+mod snapshot;
+mod validate;
+
+pub use crate::{
+    apply::{Action, Applied, ApplyError, Event, RECENT_SUBMISSIONS, StoredHead, Submission},
+    build::{ConfigBuilder, KeyBuilder, RouteBuilder, SetBuilder, TeamBuilder},
+    change::{Change, Changes},
+    document::{Document, ObjectKind, ObjectName, parse_documents},
+    error::{ConfigError, ConfigErrors},
+    key::{KeyText, key_digest},
+    model::{Access, BackendSet, Config, Head, Key, Route, RouteTarget, Team},
+    section::{MAX_SECTION_BYTES, section_hash, section_object, sections},
+    snapshot::{Snapshot, SnapshotError},
+};
+
+/// The key of the object that holds the [`Head`].
+pub const HEAD_OBJECT: &str = "config/head";
--- a/crates/config/src/model/mod.rs
+++ b/crates/config/src/model/mod.rs
@@ -12,6 +12,12 @@
     pub generation: Generation,
     /// The id of the submission that wrote this head, for finding a lost answer.
     pub submission: String,
+    /// The ids of the last submissions, by the generation that each one wrote.
+    ///
+    /// An operator whose answer was lost finds its own submission here also when another
+    /// operator has written a later head in between.
+    #[serde(default)]
+    pub recent: BTreeMap<Generation, String>,
     /// The SHA-256 in hex of each section's text, by section name.
     pub sections: BTreeMap<String, String>,
 }
@@ -104,6 +110,23 @@
     Keyed(Vec<TeamName>),
 }
 
+impl Route {
+    /// Whether a caller may use the route. `None` is a caller without a key.
+    pub fn admits(&self, caller: Option<&TeamName>) -> bool {
+        self.charged_team(caller).is_some()
+    }
+
+    /// The team that the request runs for, or `None` if the caller may not use the route.
+    pub fn charged_team<'a>(&'a self, caller: Option<&'a TeamName>) -> Option<&'a TeamName> {
+        match &self.access {
+            Access::Open(team) => Some(team),
+            Access::Keyed(teams) => {
+                caller.filter(|caller| teams.is_empty() || teams.contains(caller))
+            }
+        }
+    }
+}
+
 /// Backend servers that run the same thing.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendSet {
