Run a request through attempts by a state machine that never lies about running

Cause: a router must tell apart "never ran", "ran" and "may have run" through lost connections, late and crossed answers and agents that restart. Ruled out: taking a restarted agent's ignorance for "not run"; a resume now names the run of the agent that got the order. Connections now know the peer's run from a heartbeat when they are made.

--- /dev/null
+++ b/crates/dispatch/src/machine.rs
@@ -0,0 +1,468 @@
+//! The state machine of one request.
+
+use std::fmt;
+
+use samphirespread_core::prelude::*;
+use statig::{blocking::StateMachine, prelude::*};
+
+use crate::spec::{GiveUpReason, RequestSpec};
+
+const FALLBACK_RETRY_AFTER_MS: u32 = 1_000;
+
+/// What happened to a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// The request was admitted.
+    Start,
+    /// Placement chose an agent.
+    Chosen {
+        /// The agent.
+        agent: InstanceName,
+    },
+    /// Placement found no agent.
+    NoneLeft {
+        /// When an agent may be free.
+        retry_after_ms: u32,
+    },
+    /// It is certain that the agent did not get the run order.
+    Unsent {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The agent has taken the attempt in.
+    Accepted {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The agent says that the attempt did not run and never will.
+    NotRun {
+        /// The attempt.
+        attempt: AttemptId,
+        /// When to come back to this agent.
+        retry_after_ms: u32,
+    },
+    /// A line of output arrived.
+    Line {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Counts the lines of the attempt from zero.
+        seq: u64,
+    },
+    /// The answer is complete.
+    Finished {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Lines in the whole answer of the attempt.
+        lines: u64,
+    },
+    /// The attempt ended without a complete answer.
+    Failed {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Whether the backend server may have begun to run it.
+        may_have_run: bool,
+    },
+    /// The connection that carried the attempt is gone.
+    Lost {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The caller is gone.
+    CallerGone,
+    /// The request's deadline has passed.
+    DeadlinePassed,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Choose an agent among those not in [`RequestMachine::tried`].
+    Choose,
+    /// Send the run order.
+    Run {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The agent.
+        agent: InstanceName,
+        /// Lines that the caller has from earlier attempts; the run continues after them.
+        delivered_lines: u64,
+    },
+    /// Ask the agent for the rest of the attempt's answer.
+    Resume {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The agent.
+        agent: InstanceName,
+        /// The first line still missing.
+        from_seq: u64,
+        /// Counts the resumes since the last line from one.
+        try_number: u32,
+    },
+    /// Pass the line just reported to the caller.
+    Deliver,
+    /// Tell the agent that nobody waits for the attempt.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The agent.
+        agent: InstanceName,
+    },
+    /// Give the caller the final answer.
+    End(Outcome),
+}
+
+/// How a request ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The caller has the whole answer.
+    Complete,
+    /// The request has not run and will not.
+    NotRun {
+        /// Why.
+        reason: GiveUpReason,
+        /// When to come back.
+        retry_after_ms: u32,
+    },
+    /// The request is not idempotent and may have run.
+    Unknown,
+    /// The request is idempotent, may have run, and has no complete answer.
+    Interrupted {
+        /// Why.
+        reason: GiveUpReason,
+        /// When to come back.
+        retry_after_ms: u32,
+    },
+    /// The caller left.
+    Abandoned,
+}
+
+/// The life of one request.
+pub struct RequestMachine {
+    machine: StateMachine<Life>,
+    actions: Vec<Action>,
+}
+
+impl fmt::Debug for RequestMachine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("RequestMachine")
+            .field("life", self.machine.inner())
+            .field("state", self.machine.state())
+            .finish_non_exhaustive()
+    }
+}
+
+impl RequestMachine {
+    /// A request that waits for [`Event::Start`].
+    pub fn new(spec: RequestSpec) -> Self {
+        Self { machine: Life::new(spec).state_machine(), actions: Vec::new() }
+    }
+
+    /// Takes in an event and returns what to do, in order.
+    ///
+    /// # Panics
+    ///
+    /// If the machine breaks one of its own guarantees.
+    pub fn handle(&mut self, event: &Event) -> &[Action] {
+        self.actions.clear();
+        self.machine.handle_with_context(event, &mut self.actions);
+        &self.actions
+    }
+
+    /// Agents that were tried and failed.
+    pub fn tried(&self) -> &[InstanceName] {
+        &self.machine.inner().tried
+    }
+
+    /// Lines that the caller has.
+    pub fn delivered_lines(&self) -> u64 {
+        self.machine.inner().delivered_lines
+    }
+
+    /// The current attempt.
+    pub fn attempt(&self) -> AttemptId {
+        self.machine.inner().attempt()
+    }
+
+    /// Whether the final answer was given.
+    pub fn has_ended(&self) -> bool {
+        self.machine.inner().ended
+    }
+}
+
+#[derive(Debug)]
+struct Life {
+    spec: RequestSpec,
+    number: u32,
+    agent: Option<InstanceName>,
+    tried: Vec<InstanceName>,
+    delivered_lines: u64,
+    // Lines of the current attempt, which follow those of earlier attempts.
+    attempt_lines: u64,
+    resumes: u32,
+    // Set by the first attempt whose fate is not known to be "never ran".
+    may_have_run: bool,
+    retry_after_ms: Option<u32>,
+    ended: bool,
+}
+
+type Actions = Vec<Action>;
+
+#[state_machine(
+    initial = "State::waiting()",
+    state(derive(Debug)),
+    superstate(derive(Debug)),
+    visibility = "pub(crate)"
+)]
+impl Life {
+    #[state(superstate = "open")]
+    fn waiting(context: &mut Actions, event: &Event) -> statig::Outcome<State> {
+        match event {
+            Event::Start => {
+                context.push(Action::Choose);
+                Transition(State::choosing())
+            }
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "open")]
+    fn choosing(&mut self, context: &mut Actions, event: &Event) -> statig::Outcome<State> {
+        match event {
+            Event::Chosen { agent } => {
+                self.begin_attempt(agent, context);
+                Transition(State::sent())
+            }
+            Event::NoneLeft { retry_after_ms } => {
+                let reason = if self.tried.is_empty() {
+                    GiveUpReason::NoBackend
+                } else {
+                    GiveUpReason::Busy
+                };
+                self.note_retry_after(*retry_after_ms);
+                self.give_up(reason, context)
+            }
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "attempted")]
+    fn sent(&mut self, context: &mut Actions, event: &Event) -> statig::Outcome<State> {
+        match event {
+            Event::Unsent { attempt } if *attempt == self.attempt() => {
+                self.next_attempt(false, context)
+            }
+            Event::Accepted { attempt } if *attempt == self.attempt() => {
+                Transition(State::running())
+            }
+            _ => Super,
+        }
+    }
+
+    #[state(superstate = "attempted")]
+    fn running() -> statig::Outcome<State> {
+        Super
+    }
+
+    #[state(superstate = "attempted")]
+    fn resuming(&mut self, context: &mut Actions, event: &Event) -> statig::Outcome<State> {
+        match event {
+            // The resume did not reach the agent. The run order may have, long before.
+            Event::Unsent { attempt } if *attempt == self.attempt() => self.resume(context),
+            Event::Accepted { attempt } if *attempt == self.attempt() => {
+                Transition(State::running())
+            }
+            _ => Super,
+        }
+    }
+
+    #[superstate(superstate = "open")]
+    fn attempted(&mut self, context: &mut Actions, event: &Event) -> statig::Outcome<State> {
+        if event.attempt().is_some_and(|attempt| attempt != self.attempt()) {
+            return Handled;
+        }
+        match event {
+            Event::NotRun { retry_after_ms, .. } => {
+                self.note_retry_after(*retry_after_ms);
+                // The output that arrived outweighs what the agent says.
+                self.next_attempt(self.attempt_lines > 0, context)
+            }
+            Event::Line { seq, .. } => self.line(*seq, context),
+            Event::Finished { lines, .. } if *lines == self.attempt_lines => {
+                self.end(Outcome::Complete, context)
+            }
+            // The end came before some lines did.
+            Event::Finished { .. } | Event::Lost { .. } => self.resume(context),
+            Event::Failed { may_have_run, .. } => {
+                let ran = *may_have_run || self.attempt_lines > 0;
+                self.next_attempt(ran, context)
+            }
+            _ => Super,
+        }
+    }
+
+    #[superstate]
+    fn open(&mut self, context: &mut Actions, event: &Event) -> statig::Outcome<State> {
+        match event {
+            Event::CallerGone => {
+                self.cancel(context);
+                self.end(Outcome::Abandoned, context)
+            }
+            Event::DeadlinePassed => {
+                if self.agent.is_some() {
+                    self.may_have_run = true;
+                }
+                self.cancel(context);
+                self.give_up(GiveUpReason::Deadline, context)
+            }
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn ended() -> statig::Outcome<State> {
+        Handled
+    }
+}
+
+impl Life {
+    fn new(spec: RequestSpec) -> Self {
+        Self {
+            spec,
+            number: 0,
+            agent: None,
+            tried: Vec::new(),
+            delivered_lines: 0,
+            attempt_lines: 0,
+            resumes: 0,
+            may_have_run: false,
+            retry_after_ms: None,
+            ended: false,
+        }
+    }
+
+    fn attempt(&self) -> AttemptId {
+        AttemptId { request: self.spec.request, number: self.number }
+    }
+
+    fn begin_attempt(&mut self, agent: &InstanceName, actions: &mut Actions) {
+        assert!(
+            self.spec.idempotent || !self.may_have_run,
+            "a second run of a request that is not idempotent"
+        );
+        self.agent = Some(agent.clone());
+        self.attempt_lines = 0;
+        self.resumes = 0;
+        actions.push(Action::Run {
+            attempt: self.attempt(),
+            agent: agent.clone(),
+            delivered_lines: self.delivered_lines,
+        });
+    }
+
+    fn line(&mut self, seq: u64, actions: &mut Actions) -> statig::Outcome<State> {
+        if seq < self.attempt_lines {
+            return Handled;
+        }
+        if seq > self.attempt_lines {
+            return self.resume(actions);
+        }
+        self.attempt_lines += 1;
+        self.delivered_lines += 1;
+        self.resumes = 0;
+        actions.push(Action::Deliver);
+        Transition(State::running())
+    }
+
+    fn resume(&mut self, actions: &mut Actions) -> statig::Outcome<State> {
+        let Some(agent) = self.agent.clone() else { return Handled };
+        if self.resumes >= self.spec.max_resumes {
+            return self.next_attempt(true, actions);
+        }
+        self.resumes += 1;
+        actions.push(Action::Resume {
+            attempt: self.attempt(),
+            agent,
+            from_seq: self.attempt_lines,
+            try_number: self.resumes,
+        });
+        Transition(State::resuming())
+    }
+
+    fn next_attempt(
+        &mut self,
+        may_have_run: bool,
+        actions: &mut Actions,
+    ) -> statig::Outcome<State> {
+        self.may_have_run |= may_have_run;
+        if may_have_run {
+            // The agent may still be running it; the answer can't reach the caller any more.
+            self.cancel(actions);
+        }
+        if let Some(agent) = self.agent.take() {
+            self.tried.push(agent);
+        }
+        if self.may_have_run && !self.spec.idempotent {
+            return self.give_up(GiveUpReason::NoBackend, actions);
+        }
+        let stuck = self.delivered_lines > 0 && !self.spec.continues;
+        if stuck || self.number + 1 >= self.spec.max_attempts {
+            return self.give_up(GiveUpReason::Busy, actions);
+        }
+        self.number += 1;
+        actions.push(Action::Choose);
+        Transition(State::choosing())
+    }
+
+    fn give_up(&mut self, reason: GiveUpReason, actions: &mut Actions) -> statig::Outcome<State> {
+        let retry_after_ms = self.retry_after_ms.unwrap_or(FALLBACK_RETRY_AFTER_MS);
+        let outcome = match (self.may_have_run, self.spec.idempotent) {
+            (false, _) => Outcome::NotRun { reason, retry_after_ms },
+            (true, false) => Outcome::Unknown,
+            (true, true) => Outcome::Interrupted { reason, retry_after_ms },
+        };
+        self.end(outcome, actions)
+    }
+
+    fn end(&mut self, outcome: Outcome, actions: &mut Actions) -> statig::Outcome<State> {
+        assert!(!self.ended, "a request ended twice");
+        if let Outcome::NotRun { .. } = outcome {
+            assert!(!self.may_have_run, "a request that may have run is called not run");
+            assert!(self.delivered_lines == 0, "a request with output is called not run");
+        }
+        self.ended = true;
+        self.agent = None;
+        actions.push(Action::End(outcome));
+        Transition(State::ended())
+    }
+
+    fn cancel(&mut self, actions: &mut Actions) {
+        if let Some(agent) = self.agent.clone() {
+            actions.push(Action::Cancel { attempt: self.attempt(), agent });
+        }
+    }
+
+    // The soonest agent to be free is when to come back.
+    fn note_retry_after(&mut self, retry_after_ms: u32) {
+        let soonest = self.retry_after_ms.map_or(retry_after_ms, |ms| ms.min(retry_after_ms));
+        self.retry_after_ms = Some(soonest);
+    }
+}
+
+impl Event {
+    fn attempt(&self) -> Option<AttemptId> {
+        match self {
+            Self::Unsent { attempt }
+            | Self::Accepted { attempt }
+            | Self::NotRun { attempt, .. }
+            | Self::Line { attempt, .. }
+            | Self::Finished { attempt, .. }
+            | Self::Failed { attempt, .. }
+            | Self::Lost { attempt } => Some(*attempt),
+            Self::Start
+            | Self::Chosen { .. }
+            | Self::NoneLeft { .. }
+            | Self::CallerGone
+            | Self::DeadlinePassed => None,
+        }
+    }
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -21,7 +21,7 @@
 use crate::{
     HelloSource, WireConfig, WireError,
     codec::{self, Decoder},
-    message::{Reply, Request},
+    message::{Hello, Reply, Request},
     proof::{self, NONCE_BYTES, Nonces, PROOF_BYTES, Side},
     server::{EXCHANGE_PATH, PROOF_PATH, send_bytes},
 };
@@ -34,6 +34,7 @@
 pub struct Connection {
     sender: client::SendRequest<Bytes>,
     shared: Arc<Shared>,
+    peer: Arc<Hello>,
     // The driver and the heartbeat end with the last clone and the last open exchange.
     _guard: Arc<DropGuard>,
 }
@@ -116,8 +117,9 @@
             .handshake::<_, Bytes>(io)
             .await?;
         let closed = CancellationToken::new();
-        let connection = Self {
+        let mut connection = Self {
             sender,
+            peer: Arc::new(hello.hello()),
             shared: Arc::new(Shared {
                 config: config.clone(),
                 started: Instant::now(),
@@ -138,10 +140,16 @@
             driver_closed.cancel();
         });
         connection.prove(address).await?;
+        connection.peer = Arc::new(connection.greet(&hello).await?);
         tokio::spawn(beat(connection.sender.clone(), Arc::clone(&connection.shared), hello));
         Ok(connection)
     }
 
+    /// What the peer said of itself when the connection was made.
+    pub fn peer(&self) -> &Hello {
+        &self.peer
+    }
+
     /// Whether the connection is known to be of no further use.
     pub fn is_closed(&self) -> bool {
         self.shared.closed.is_cancelled() || self.shared.gone_away.load(Ordering::Relaxed)
@@ -215,6 +223,16 @@
         Ok(())
     }
 
+    async fn greet<H: HelloSource>(&self, hello: &H) -> Result<Hello, WireError> {
+        match self.call(&Request::Heartbeat(hello.hello())).await? {
+            Reply::Heartbeat(peer) => {
+                hello.heard(&peer);
+                Ok(peer)
+            }
+            other => Err(WireError::Malformed { message: format!("{other:?} to a heartbeat") }),
+        }
+    }
+
     // Returns `None` when the peer refuses.
     async fn raw_call(&self, body: Bytes) -> Result<Option<Bytes>, WireError> {
         let response = send_exchange(self.sender.clone(), PROOF_PATH, body).await?;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,10 +2,10 @@
 //!
 //! ```
 //! use samphirespread_core::prelude::*;
-//! use samphirespread_wire::{codec, message::{Request, Resume}};
+//! use samphirespread_wire::{codec, message::Request};
 //!
 //! let attempt = AttemptId { request: RequestId { origin: 7, serial: 1 }, number: 0 };
-//! let request = Request::Resume(Resume { attempt, from_seq: 3 });
+//! let request = Request::Cancel(attempt);
 //! let bytes = codec::encode(0, &request)?;
 //! let decoded: samphirespread_wire::message::Frame<Request> = codec::decode(&bytes[4..])?;
 //! assert_eq!(decoded.message, request);
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -206,7 +206,11 @@
 pub struct Resume {
     /// The attempt.
     pub attempt: AttemptId,
-    /// The first output line still missing.
+    /// The run of the agent that was asked to run the attempt. Another run knows nothing of the attempt, so
+    /// it must answer [`Failed`] with `may_have_run`, never [`NotRun`].
+    pub incarnation: Incarnation,
+    /// The first output line still missing. In the answer of a plain service the head is line
+    /// zero and each piece of the body is one line.
     pub from_seq: u64,
 }
 
--- a/crates/wire/tests/support/mod.rs
+++ b/crates/wire/tests/support/mod.rs
@@ -19,6 +19,10 @@
 
 impl Handler for Recorder {
     async fn handle(&self, request: Request, mut replies: ReplySender) {
+        if let Request::Heartbeat(_) = request {
+            replies.send(&Reply::Heartbeat(Named("a1").hello())).await.unwrap();
+            return;
+        }
         self.requests.lock().unwrap().push(request.clone());
         let Request::Resume(resume) = request else {
             replies.send(&Reply::Done).await.unwrap();
@@ -54,7 +58,11 @@
 
 pub(crate) fn resume(lines: u64) -> Request {
     let request = RequestId { origin: 1, serial: 2 };
-    Request::Resume(Resume { attempt: AttemptId { request, number: 0 }, from_seq: lines })
+    Request::Resume(Resume {
+        attempt: AttemptId { request, number: 0 },
+        incarnation: Incarnation(1),
+        from_seq: lines,
+    })
 }
 
 /// Serves a recorder on a port of the kernel's choice.
