Add block hashing, residency, heat and placement by homes

Routers and agents need the types of crates/prefix before the daemons can use them.

Homes come from a ring of precomputed points instead of scoring every worker for every level, since the latter grows linearly with the workers; both give every router the same answer from the same list.

--- /dev/null
+++ b/crates/prefix/src/error.rs
@@ -0,0 +1,13 @@
+//! The errors of this crate.
+
+use displaydoc::Display;
+
+/// Why a part of this crate could not be set up.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum PrefixError {
+    /// a cache block must hold at least one byte
+    EmptyBlock,
+}
+
+impl std::error::Error for PrefixError {}
--- /dev/null
+++ b/crates/prefix/src/fetch.rs
@@ -0,0 +1,54 @@
+//! Fetching cached blocks from elsewhere against computing them again.
+
+/// What a transfer of blocks costs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TransferCost {
+    /// Time before the first byte: round trips, export and import.
+    pub setup_us: u64,
+    /// Size of one block's keys and values.
+    pub block_bytes: u64,
+    /// Speed of the path in bytes a second.
+    pub bytes_per_s: u64,
+}
+
+impl TransferCost {
+    /// Time to fetch that many blocks.
+    pub fn fetch_us(&self, blocks: u32) -> u64 {
+        let bytes = self.block_bytes.saturating_mul(u64::from(blocks));
+        let sending_us = u128::from(bytes) * 1_000_000 / u128::from(self.bytes_per_s.max(1));
+        self.setup_us.saturating_add(u64::try_from(sending_us).unwrap_or(u64::MAX))
+    }
+}
+
+/// How an engine comes by blocks that it lacks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BlockSource {
+    /// It computes them.
+    Compute,
+    /// It imports them from another engine or the kept-cache store.
+    Fetch,
+}
+
+/// Weighs fetching `available` blocks against computing them.
+///
+/// A fetch must be faster by a quarter, since it also loads the source and may fail.
+///
+/// ```
+/// use samphirespread_prefix::{BlockSource, TransferCost, block_source};
+///
+/// let cost = TransferCost { setup_us: 5_000, block_bytes: 256 << 20, bytes_per_s: 3 << 30 };
+/// assert_eq!(block_source(&cost, 4, 200_000), BlockSource::Fetch);
+/// assert_eq!(block_source(&cost, 4, 50_000), BlockSource::Compute);
+/// ```
+pub fn block_source(cost: &TransferCost, available: u32, compute_us_per_block: u64) -> BlockSource {
+    if available == 0 {
+        return BlockSource::Compute;
+    }
+    let compute_us = compute_us_per_block.saturating_mul(u64::from(available));
+    let fetch_us = cost.fetch_us(available);
+    if fetch_us.saturating_add(fetch_us / 4) < compute_us {
+        BlockSource::Fetch
+    } else {
+        BlockSource::Compute
+    }
+}
--- /dev/null
+++ b/crates/prefix/tests/placement.rs
@@ -0,0 +1,182 @@
+//! Homes, hints and the choice among candidates.
+
+use rand::{SeedableRng, rngs::StdRng};
+use samphirespread_core::prelude::*;
+use samphirespread_prefix::{
+    Heat, HeatConfig, Hint, HomeConfig, HomePlacement, HomeRing, Placement, PrefixError,
+    PrefixHasher, Prompt, Worker, WorkerSet,
+};
+
+const NOW: MonoTime = MonoTime::from_ms(1_000);
+
+fn worker_set(count: usize) -> WorkerSet {
+    let domains = ["north", "middle", "south"];
+    let worker = |index: usize| {
+        Worker::new(InstanceName::new(format!("w{index}")), domains[index % domains.len()])
+    };
+    WorkerSet::new((0..count).map(worker).collect())
+}
+
+fn hasher(team: &str, version: &str) -> PrefixHasher {
+    let model = ModelName::new("draft");
+    PrefixHasher::new(&TeamName::new(team), &model, &WeightsVersion::new(version))
+}
+
+fn prompt(blocks: &[BlockKey]) -> Prompt<'_> {
+    Prompt { blocks, tokens: blocks.len() as u64 * 2_048, block_tokens: 2_048 }
+}
+
+#[test]
+fn keys_chain_over_the_whole_prefix() {
+    let hasher = hasher("roads", "v1").block_bytes(4).expect("four bytes are a block");
+
+    let first = hasher.blocks(b"aaaabbbbcccc");
+    let second = hasher.blocks(b"xaaabbbbcc");
+
+    assert_eq!(first.len(), 3);
+    assert_eq!(second.len(), 2, "a short rest is not a block");
+    assert_ne!(first[1], second[1], "an equal block after another prefix is another key");
+}
+
+#[test]
+fn salts_differ_by_team_and_version() {
+    let text = vec![b'x'; 8_192];
+
+    let keys = [("roads", "v1"), ("ledgers", "v1"), ("roads", "v2"), ("road", "sv1")]
+        .map(|(team, version)| hasher(team, version).blocks(&text)[0]);
+
+    for (index, key) in keys.iter().enumerate() {
+        assert!(!keys[..index].contains(key));
+    }
+}
+
+#[test]
+fn an_empty_block_is_refused() {
+    let error = hasher("roads", "v1").block_bytes(0).expect_err("zero bytes are no block");
+
+    assert_eq!(error, PrefixError::EmptyBlock);
+    assert_eq!(error.to_string(), "a cache block must hold at least one byte");
+}
+
+#[test]
+fn the_order_of_the_list_does_not_move_homes() {
+    let names = ["w0", "w1", "w2", "w3", "w4"];
+    let reversed = ["w4", "w3", "w2", "w1", "w0"];
+    let (one, other) = (HomeRing::new(names), HomeRing::new(reversed));
+
+    for key in (0..1_000).map(BlockKey) {
+        let homes: Vec<&str> = one.homes(key).map(|place| names[place]).collect();
+        let same: Vec<&str> = other.homes(key).map(|place| reversed[place]).collect();
+
+        assert_eq!(homes, same);
+        assert_eq!(homes.len(), names.len());
+    }
+}
+
+#[test]
+fn a_lost_worker_moves_only_its_own_keys() {
+    let names = ["w0", "w1", "w2", "w3", "w4"];
+    let all = HomeRing::new(names);
+    let without_w4 = HomeRing::new(names[..4].iter().copied());
+
+    for key in (0..1_000).map(BlockKey) {
+        let before = all.homes(key).next();
+        let after = without_w4.homes(key).next();
+
+        if before != Some(4) {
+            assert_eq!(before, after);
+        }
+    }
+}
+
+#[test]
+fn leaving_workers_are_never_candidates() {
+    let mut workers = worker_set(6);
+    for place in [0, 2, 3] {
+        workers.set_takes_work(place, false);
+    }
+    let mut placement = HomePlacement::new(HomeConfig::default());
+    let mut rng = StdRng::seed_from_u64(1);
+
+    for key in 0..500 {
+        let blocks = [BlockKey(key), BlockKey(key + 1_000)];
+        placement.learn(&prompt(&blocks), Hint { shared_blocks: 2, replicas: 4 }, NOW);
+        let candidates = placement.candidates(&prompt(&blocks), &workers, NOW, &mut rng);
+
+        assert!(!candidates.is_empty());
+        assert!(candidates.iter().all(|place| workers.get(place).takes_work));
+    }
+}
+
+#[test]
+fn no_worker_gives_no_candidate() {
+    let mut placement = HomePlacement::new(HomeConfig::default());
+    let mut rng = StdRng::seed_from_u64(1);
+
+    let candidates = placement.candidates(&prompt(&[BlockKey(1)]), &worker_set(0), NOW, &mut rng);
+
+    assert!(candidates.is_empty());
+}
+
+#[test]
+fn two_routers_name_the_same_home_for_a_hinted_prefix() {
+    let workers = worker_set(18);
+    let blocks = [BlockKey(1), BlockKey(2), BlockKey(3)];
+    let hint = Hint { shared_blocks: 2, replicas: 1 };
+
+    let homes = [1, 2].map(|seed| {
+        let mut placement = HomePlacement::new(HomeConfig::default());
+        placement.learn(&prompt(&blocks), hint, NOW);
+        let mut rng = StdRng::seed_from_u64(seed);
+        placement.candidates(&prompt(&blocks), &workers, NOW, &mut rng).iter().next()
+    });
+
+    assert_eq!(homes[0], homes[1]);
+}
+
+#[test]
+fn hints_age_out_and_stay_bounded() {
+    let workers = worker_set(3);
+    let config = HomeConfig::default().max_hints(100).hint_lifetime_ms(1_000);
+    let mut placement = HomePlacement::new(config);
+    let mut rng = StdRng::seed_from_u64(1);
+    for key in 0..10_000 {
+        let blocks = [BlockKey(key)];
+        placement.learn(&prompt(&blocks), Hint { shared_blocks: 1, replicas: 1 }, NOW);
+        placement.candidates(&prompt(&blocks), &workers, NOW, &mut rng);
+        assert!(placement.hints().len() <= 100);
+    }
+
+    let later = NOW.plus_ms(5_000);
+    let hint = Hint { shared_blocks: 1, replicas: 1 };
+    placement.learn(&prompt(&[BlockKey(1)]), hint, later);
+
+    assert_eq!(placement.hints().len(), 1);
+}
+
+#[test]
+fn a_busy_prefix_gets_more_homes_and_loses_them_again() {
+    let mut heat = Heat::new(HeatConfig::default().half_life_ms(1_000).max_replicas(8));
+    let blocks = [BlockKey(1)];
+    let observe = |heat: &mut Heat, from_ms: u64, cost_us: u64| {
+        (0..400).fold(Hint::default(), |_, step| {
+            heat.observe(&blocks, cost_us, MonoTime::from_ms(from_ms + step * 100))
+        })
+    };
+
+    let busy = observe(&mut heat, 0, 95_000);
+    let calm = observe(&mut heat, 40_000, 1_000);
+
+    assert_eq!(busy, Hint { shared_blocks: 1, replicas: 8 });
+    assert_eq!(calm, Hint { shared_blocks: 1, replicas: 1 });
+}
+
+#[test]
+fn the_record_of_heat_stays_bounded() {
+    let mut heat = Heat::new(HeatConfig::default().max_blocks(1_000));
+
+    for key in 0..20_000 {
+        heat.observe(&[BlockKey(key), BlockKey(key + 1_000_000)], 10, NOW);
+        assert!(heat.len() <= 1_000);
+    }
+}
