Carry sampling parameters, section hashes and the live list between processes

Cause: callers expect their sampling parameters to reach the engine; a router that lags should get only the sections it lacks; a router that starts during an outage of the platform needs the live list from a peer. Ruled out: pushing whole configurations, whose bytes grow with the fleet.

--- a/crates/engine/src/api/mod.rs
+++ b/crates/engine/src/api/mod.rs
@@ -22,6 +22,9 @@
     pub prompt: String,
     /// Tokens at most to generate.
     pub max_output_tokens: u32,
+    /// Sampling parameters as a JSON object.
+    #[serde(default)]
+    pub sampling: String,
     /// The keys under which cache events name the prompt's blocks, first block first.
     pub block_keys: Vec<BlockKey>,
     /// Size of a block in prompt bytes; a shorter rest is never cached.
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use samphirespread_core::prelude::*;
+use samphirespread_platform::api::{LiveList, ObjectVersion};
 use serde::{Deserialize, Serialize};
 
 /// What the opener of an h2 stream sends.
@@ -21,6 +22,8 @@
     FetchConfig(FetchConfig),
     /// Tells a process about a configuration.
     PushConfig(ConfigSnapshot),
+    /// Asks for the live list, unless it is the one named.
+    FetchLiveList(FetchLiveList),
     /// Asks a router about a team's share; the payload belongs to `limits`.
     Limits(Bytes),
 }
@@ -53,6 +56,8 @@
     Failed(Failed),
     /// The configuration in force, or `None` if it is the one named.
     Config(Option<ConfigSnapshot>),
+    /// The live list, or `None` if it is the one named or not known.
+    LiveList(Option<LiveList>),
     /// The answer of `limits`.
     Limits(Bytes),
     /// The request was understood and there is nothing to say.
@@ -173,6 +178,8 @@
     pub prompt_tokens: u64,
     /// Output tokens at most.
     pub max_output_tokens: u32,
+    /// The caller's sampling parameters as a JSON object, passed on as they came.
+    pub sampling: String,
     /// The keys of the prompt's blocks.
     pub blocks: Vec<BlockKey>,
     /// Bytes of prompt in one block.
@@ -291,19 +298,28 @@
 }
 
 /// Asks for the configuration in force.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FetchConfig {
     /// The generation that the asker has.
     pub have: Generation,
+    /// The hashes of the sections that the asker has, which the answer leaves out.
+    pub sections: Vec<String>,
+}
+
+/// Asks for the live list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FetchLiveList {
+    /// The version that the asker has.
+    pub have: ObjectVersion,
 }
 
-/// A whole configuration between processes.
+/// A configuration between processes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigSnapshot {
     /// The generation of the head.
     pub generation: Generation,
     /// The text of the head document.
     pub head: String,
-    /// The texts of its sections.
+    /// The texts of its sections, without those that the asker has.
     pub sections: Vec<String>,
 }
