--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,4 +13,19 @@
 //! Keys contain slashes. Versions are one rising counter over all objects. A call past the
 //! platform's rate is answered `429`, a call during an outage `503` or not at all.
 
+//!
+//! ```no_run
+//! use samphirespread_platform::{HttpPlatform, HttpPlatformConfig, Platform};
+//!
+//! # async fn example() -> Result<(), samphirespread_platform::PlatformError> {
+//! let platform = HttpPlatform::new(HttpPlatformConfig::new("10.0.0.1:7000").timeout_ms(500));
+//! let version = platform.create("config/head", "{}").await?;
+//! platform.put_if("config/head", version, "{\"generation\":1}").await?;
+//! # Ok(())
+//! # }
+//! ```
+
 pub mod api;
+mod client;
+
+pub use client::{HttpPlatform, HttpPlatformConfig, Platform, PlatformError};
