Count the end of an answer in lines for plain services too

Cause: the state machine compares lines seen with the length told at the end; bytes would need a second count. No measurement: documentation of a field.

--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -276,7 +276,8 @@
 /// The end of a complete answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finished {
-    /// Output lines, or body bytes of a plain service.
+    /// Lines of the whole answer: output lines of a model, or head and body pieces of a plain
+    /// service. A resumed answer has the same lines again.
     pub length: u64,
     /// True when the cap on output tokens ended the answer.
     pub hit_cap: bool,
