--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/engine.rs
@@ -33,6 +33,7 @@
         max_output_tokens,
         block_keys: (0..prompt.len() as u64 / u64::from(BLOCK_BYTES)).map(BlockKey).collect(),
         block_bytes: BLOCK_BYTES,
+        sampling: String::new(),
     }
 }
 
