--- /dev/null
+++ b/crates/fairness/src/queue/mod.rs
@@ -0,0 +1,374 @@
+//! The queue: who runs next, who must leave.
+
+mod team;
+mod types;
+
+use std::collections::{BTreeSet, HashMap};
+
+use samphirespread_core::prelude::*;
+
+use self::team::{Entry, Rank, ReadyKey, Team, TeamId, VirtualTime, virtual_cost};
+pub use self::types::{Admission, DropCause, Dropped, Error, Popped, Rejected, Ticket};
+use crate::{Config, estimate::Throughput};
+
+/// Where a waiting entry is.
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    team: TeamId,
+    rank: Rank,
+    deadline: MonoTime,
+}
+
+/// What a running entry was charged.
+#[derive(Clone, Copy, Debug)]
+struct Charge {
+    team: TeamId,
+    cost: VirtualTime,
+    weight: u64,
+}
+
+/// A queue of entries of several teams in front of one engine.
+///
+/// The crate's documentation tells the order of service and the bounds.
+#[derive(Clone, Debug)]
+pub struct Queue<T> {
+    config: Config,
+    names: HashMap<TeamName, TeamId>,
+    teams: HashMap<TeamId, Team<T>>,
+    total_weight: u128,
+    ready: BTreeSet<ReadyKey>,
+    idle: BTreeSet<(MonoTime, TeamId)>,
+    places: HashMap<Ticket, Place>,
+    deadlines: BTreeSet<(MonoTime, Ticket)>,
+    running: HashMap<Ticket, Charge>,
+    dropped: Vec<Dropped<T>>,
+    throughput: Throughput,
+    virtual_now: VirtualTime,
+    next_ticket: u64,
+    next_team: TeamId,
+}
+
+impl<T> Queue<T> {
+    /// An empty queue.
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            names: HashMap::new(),
+            teams: HashMap::new(),
+            total_weight: 0,
+            ready: BTreeSet::new(),
+            idle: BTreeSet::new(),
+            places: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            running: HashMap::new(),
+            dropped: Vec::new(),
+            throughput: Throughput::default(),
+            virtual_now: 0,
+            next_ticket: 0,
+            next_team: 0,
+        }
+    }
+
+    /// Entries that wait.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Entries that run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Entries of a team that wait.
+    pub fn team_len(&self, team: &TeamName) -> usize {
+        self.names.get(team).map_or(0, |id| self.teams[id].entries.len())
+    }
+
+    /// When the next waiting entry runs out of time.
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        self.deadlines.first().map(|&(deadline, _)| deadline)
+    }
+
+    /// Estimated time until the tokens that wait now have been served.
+    pub fn wait_ms(&self) -> u32 {
+        if self.is_empty() && self.running.len() < self.config.concurrency {
+            return 0;
+        }
+        let queued = self.teams.values().map(|team| team.queued_tokens).sum();
+        let wait_ms = self.throughput.time_for_ms(queued).unwrap_or(0);
+        u32::try_from(wait_ms).unwrap_or(u32::MAX)
+    }
+
+    /// Puts an entry into its team's queue.
+    ///
+    /// On a full queue this may drop an entry of another team, which [`Queue::expire`] returns.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the queue is full and the team already has its part of it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if an invariant of the queue is broken.
+    pub fn push(
+        &mut self,
+        now: MonoTime,
+        admission: &Admission<'_>,
+        item: T,
+    ) -> Result<Ticket, Rejected<T>> {
+        self.collect_expired(now);
+        self.forget_idle(now);
+        let id = self.team_id(admission, now);
+        if self.len() >= self.config.max_len && !self.make_room(id) {
+            let retry_after_ms = self.retry_after_ms(id);
+            return Err(Rejected { item, error: Error::Full, retry_after_ms });
+        }
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        self.enqueue(now, id, ticket, admission, item);
+        assert!(self.len() <= self.config.max_len, "the queue is bounded");
+        Ok(ticket)
+    }
+
+    /// Takes the entry that is to run next, if a slot of the engine is free for it.
+    ///
+    /// Each popped entry must be given to [`Queue::complete`] in the end.
+    ///
+    /// # Panics
+    ///
+    /// Panics if an invariant of the queue is broken.
+    pub fn pop(&mut self, now: MonoTime) -> Option<Popped<T>> {
+        self.collect_expired(now);
+        let id = self.next_team()?;
+        let team = self.teams.get_mut(&id).expect("a ready team is known");
+        let rank = *team.entries.first_key_value().expect("a ready team has entries").0;
+        self.virtual_now = self.virtual_now.max(team.counter);
+        self.throughput.advance(now, !self.running.is_empty());
+        let entry = self.take(rank.ticket);
+        assert!(entry.deadline > now, "an expired entry never runs");
+        self.charge(id, rank.ticket, entry.cost_tokens);
+        assert!(self.running.len() <= self.config.concurrency, "slots are bounded");
+        let waited_us = now.us_since(entry.pushed_at);
+        Some(Popped { ticket: rank.ticket, item: entry.item, waited_us })
+    }
+
+    /// Ends a running entry and corrects its charge to the tokens that it took.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the entry doesn't run: its slot would be freed twice.
+    pub fn complete(&mut self, now: MonoTime, ticket: Ticket, actual_tokens: u64) {
+        let charge = self.running.get(&ticket).copied().expect("only a running entry completes");
+        self.throughput.advance(now, true);
+        self.throughput.serve(actual_tokens);
+        self.running.remove(&ticket);
+        let actual = virtual_cost(actual_tokens, charge.weight);
+        self.update(charge.team, |team| {
+            team.counter = (team.counter + actual).saturating_sub(charge.cost);
+            team.running -= 1;
+        });
+        self.note_idle(now, charge.team);
+    }
+
+    /// Takes a waiting entry out. Returns none when it doesn't wait any more.
+    pub fn cancel(&mut self, now: MonoTime, ticket: Ticket) -> Option<T> {
+        let place = *self.places.get(&ticket)?;
+        let entry = self.take(ticket);
+        self.note_idle(now, place.team);
+        Some(entry.item)
+    }
+
+    /// Returns the entries that expired or were displaced since the last call.
+    pub fn expire(&mut self, now: MonoTime) -> Vec<Dropped<T>> {
+        self.collect_expired(now);
+        std::mem::take(&mut self.dropped)
+    }
+
+    /// Finds or makes the team of an entry and takes over its weight.
+    fn team_id(&mut self, admission: &Admission<'_>, now: MonoTime) -> TeamId {
+        if let Some(&id) = self.names.get(admission.team) {
+            let team = &self.teams[&id];
+            self.total_weight -= u128::from(team.weight);
+            self.total_weight += u128::from(admission.weight);
+            self.update(id, |team| team.weight = admission.weight);
+            return id;
+        }
+        let id = self.next_team;
+        self.next_team += 1;
+        self.total_weight += u128::from(admission.weight);
+        self.names.insert(admission.team.clone(), id);
+        self.teams.insert(id, Team::new(id, admission.team.clone(), admission.weight));
+        self.note_idle(now, id);
+        id
+    }
+
+    fn enqueue(
+        &mut self,
+        now: MonoTime,
+        id: TeamId,
+        ticket: Ticket,
+        admission: &Admission<'_>,
+        item: T,
+    ) {
+        if self.teams[&id].entries.is_empty() {
+            self.lift(id);
+        }
+        let ageing_us = self.config.ageing_ms.saturating_mul(1_000);
+        let head_start_us = u64::from(admission.priority).saturating_mul(ageing_us);
+        let rank = Rank { effective_us: now.as_us().saturating_add(head_start_us), ticket };
+        let deadline = now.plus_ms(admission.max_wait_ms.min(self.config.max_wait_ms));
+        let cost_tokens = admission.cost_tokens;
+        let entry = Entry { item, cost_tokens, pushed_at: now, deadline };
+        self.update(id, |team| team.insert(rank, entry));
+        if let Some(since) = self.teams.get_mut(&id).and_then(|team| team.idle_since.take()) {
+            self.idle.remove(&(since, id));
+        }
+        self.places.insert(ticket, Place { team: id, rank, deadline });
+        self.deadlines.insert((deadline, ticket));
+    }
+
+    /// Lifts a team that returns, so that idle time isn't saved up beyond the credit.
+    fn lift(&mut self, id: TeamId) {
+        let least = self.ready.first().map_or(self.virtual_now, |&(counter, ..)| counter);
+        let activation = self.next_ticket;
+        let credit_tokens = self.config.idle_credit_tokens;
+        self.update(id, |team| {
+            let credit = virtual_cost(credit_tokens, team.weight);
+            team.counter = team.counter.max(least.saturating_sub(credit));
+            team.activation = activation;
+        });
+    }
+
+    /// The team with the least counter that may use a free slot.
+    fn next_team(&self) -> Option<TeamId> {
+        let free = self.config.concurrency - self.running.len();
+        if free == 0 {
+            return None;
+        }
+        let mut waiting = self.ready.iter().map(|&(_, _, id)| id);
+        waiting.find(|&id| free > self.config.reserved_slots || self.is_within_slot_share(id))
+    }
+
+    /// Whether the team runs less than its weighted share of the slots.
+    fn is_within_slot_share(&self, id: TeamId) -> bool {
+        let team = &self.teams[&id];
+        let share = self.weighted_part(self.config.concurrency, team.weight, self.total_weight);
+        team.running < share
+    }
+
+    /// A team's part of a total, but at least one.
+    fn weighted_part(&self, total: usize, weight: u64, total_weight: u128) -> usize {
+        let part = total as u128 * u128::from(weight) / total_weight;
+        usize::try_from(part).unwrap_or(total).clamp(1, total)
+    }
+
+    /// Drops an entry of the team furthest above its part, if this team is below its own.
+    fn make_room(&mut self, id: TeamId) -> bool {
+        let waiting_weight: u128 = self
+            .teams
+            .values()
+            .filter(|team| !team.entries.is_empty() || team.id == id)
+            .map(|team| u128::from(team.weight))
+            .sum();
+        let excess = |team: &Team<T>| {
+            let part = self.weighted_part(self.config.max_len, team.weight, waiting_weight);
+            team.entries.len() as i64 - part as i64
+        };
+        if excess(&self.teams[&id]) >= 0 {
+            return false;
+        }
+        let most_above = self.teams.values().max_by_key(|team| (excess(team), team.id));
+        let Some(victim) = most_above.filter(|team| excess(team) > 0) else {
+            return false;
+        };
+        let rank = *victim.entries.last_key_value().expect("a team above its part has entries").0;
+        self.drop_entry(rank.ticket, DropCause::Displaced);
+        true
+    }
+
+    fn collect_expired(&mut self, now: MonoTime) {
+        while let Some(&(deadline, ticket)) = self.deadlines.first() {
+            if deadline > now {
+                return;
+            }
+            let team = self.places[&ticket].team;
+            self.drop_entry(ticket, DropCause::Expired);
+            self.note_idle(now, team);
+        }
+    }
+
+    fn drop_entry(&mut self, ticket: Ticket, cause: DropCause) {
+        let retry_after_ms = self.retry_after_ms(self.places[&ticket].team);
+        let item = self.take(ticket).item;
+        self.dropped.push(Dropped { ticket, item, cause, retry_after_ms });
+    }
+
+    /// When the team's waiting tokens will have been served at its share of the throughput.
+    fn retry_after_ms(&self, id: TeamId) -> u32 {
+        let team = &self.teams[&id];
+        let share_inverse = self.total_weight / u128::from(team.weight);
+        let tokens = u128::from(team.queued_tokens).saturating_mul(share_inverse.max(1));
+        let tokens = u64::try_from(tokens).unwrap_or(u64::MAX);
+        let wait_ms = self.throughput.time_for_ms(tokens).unwrap_or(0);
+        let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
+        wait_ms.clamp(self.config.min_retry_ms, self.config.max_retry_ms)
+    }
+
+    /// Removes a waiting entry from every index.
+    fn take(&mut self, ticket: Ticket) -> Entry<T> {
+        let place = self.places.remove(&ticket).expect("the entry waits");
+        self.deadlines.remove(&(place.deadline, ticket));
+        self.update(place.team, |team| team.remove(&place.rank))
+    }
+
+    fn charge(&mut self, id: TeamId, ticket: Ticket, tokens: u64) {
+        let weight = self.teams[&id].weight;
+        let cost = virtual_cost(tokens, weight);
+        self.update(id, |team| {
+            team.counter += cost;
+            team.running += 1;
+        });
+        let earlier = self.running.insert(ticket, Charge { team: id, cost, weight });
+        assert!(earlier.is_none(), "an entry runs once");
+    }
+
+    /// Changes a team and keeps its place among the ready teams.
+    fn update<R>(&mut self, id: TeamId, change: impl FnOnce(&mut Team<T>) -> R) -> R {
+        let team = self.teams.get_mut(&id).expect("the team is known");
+        if !team.entries.is_empty() {
+            self.ready.remove(&team.ready_key());
+        }
+        let result = change(team);
+        if !team.entries.is_empty() {
+            self.ready.insert(team.ready_key());
+        }
+        result
+    }
+
+    fn note_idle(&mut self, now: MonoTime, id: TeamId) {
+        let team = self.teams.get_mut(&id).expect("the team is known");
+        if team.is_idle() && team.idle_since.is_none() {
+            team.idle_since = Some(now);
+            self.idle.insert((now, id));
+        }
+    }
+
+    /// Forgets teams that have been idle for long.
+    fn forget_idle(&mut self, now: MonoTime) {
+        while let Some(&(since, id)) = self.idle.first() {
+            if now.ms_since(since) < self.config.forget_ms {
+                return;
+            }
+            self.idle.pop_first();
+            let team = self.teams.remove(&id).expect("an idle team is known");
+            assert!(team.is_idle(), "only an idle team is forgotten");
+            self.names.remove(&team.name);
+            self.total_weight -= u128::from(team.weight);
+        }
+    }
+}
