fairness: keep slots for the others from a team that asks too much

Cause: running entries are not preempted, so a team that always waits filled every slot that fell free and the others found none on arrival.

Now a team that asks for over twice what the others ask for, relative to weights, leaves free what they used on average plus 1.5 deviations.

--- a/crates/fairness/src/estimate/mod.rs
+++ b/crates/fairness/src/estimate/mod.rs
@@ -39,3 +39,49 @@
         Some((tokens as f64 * self.busy_ms / self.tokens) as u64)
     }
 }
+
+/// Slots in use, averaged with exponentially decaying weight.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SlotUse {
+    average: f64,
+    running: usize,
+    updated_at: MonoTime,
+}
+
+impl SlotUse {
+    /// Notes that the number of slots in use changes now.
+    pub(crate) fn set(&mut self, now: MonoTime, running: usize, window_ms: u64) {
+        self.average = self.average(now, window_ms);
+        self.running = running;
+        self.updated_at = self.updated_at.max(now);
+    }
+
+    /// The average up to now.
+    pub(crate) fn average(&self, now: MonoTime, window_ms: u64) -> f64 {
+        let elapsed_ms = now.us_since(self.updated_at) as f64 / 1_000.0;
+        let keep = (-elapsed_ms / window_ms.max(1) as f64).exp();
+        let running = self.running as f64;
+        running + (self.average - running) * keep
+    }
+}
+
+/// Tokens asked for, with older ones counting exponentially less.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Offered {
+    tokens: f64,
+    updated_at: MonoTime,
+}
+
+impl Offered {
+    /// Counts tokens that are asked for now.
+    pub(crate) fn add(&mut self, now: MonoTime, tokens: u64, window_ms: u64) {
+        self.tokens = self.tokens(now, window_ms) + tokens as f64;
+        self.updated_at = self.updated_at.max(now);
+    }
+
+    /// The decayed sum up to now.
+    pub(crate) fn tokens(&self, now: MonoTime, window_ms: u64) -> f64 {
+        let elapsed_ms = now.us_since(self.updated_at) as f64 / 1_000.0;
+        self.tokens * (-elapsed_ms / window_ms.max(1) as f64).exp()
+    }
+}
--- a/crates/fairness/src/lib.rs
+++ b/crates/fairness/src/lib.rs
@@ -35,9 +35,12 @@
 //! [`Config::ageing_ms`] of waiting, so the head start of urgent entries is bounded. Priority
 //! has no effect between teams.
 //!
-//! A few slots of the engine ([`Config::reserved_slots`]) are kept from teams
-//! that already run more than their share of slots, so that another team's request
-//! seldom finds every slot taken.
+//! Running entries are not preempted, so a team that always waits would fill every slot
+//! that falls free, and the others would find none on arrival. A team that asks
+//! for a multiple of what the others ask for ([`Config::excess_factor`], relative to weights) therefore
+//! leaves free the slots that the others used on average, and some for their variation
+//! ([`Config::reserve_deviations`]). Its weighted share of the slots is always open to it, and
+//! where the others are idle nothing is reserved.
 //!
 //! # Bounds
 //!
--- a/crates/fairness/src/queue/mod.rs
+++ b/crates/fairness/src/queue/mod.rs
@@ -1,5 +1,7 @@
 //! The queue: who runs next, who must leave.
 
+mod room;
+mod slots;
 mod team;
 mod types;
 
@@ -9,7 +11,10 @@
 
 use self::team::{Entry, Rank, ReadyKey, Team, TeamId, VirtualTime, virtual_cost};
 pub use self::types::{Admission, DropCause, Dropped, Error, Popped, Rejected, Ticket};
-use crate::{Config, estimate::Throughput};
+use crate::{
+    Config,
+    estimate::{Offered, SlotUse, Throughput},
+};
 
 /// Where a waiting entry is.
 #[derive(Clone, Copy, Debug)]
@@ -43,6 +48,8 @@
     running: HashMap<Ticket, Charge>,
     dropped: Vec<Dropped<T>>,
     throughput: Throughput,
+    slot_use: SlotUse,
+    offered: Offered,
     virtual_now: VirtualTime,
     next_ticket: u64,
     next_team: TeamId,
@@ -63,6 +70,8 @@
             running: HashMap::new(),
             dropped: Vec::new(),
             throughput: Throughput::default(),
+            slot_use: SlotUse::default(),
+            offered: Offered::default(),
             virtual_now: 0,
             next_ticket: 0,
             next_team: 0,
@@ -124,6 +133,7 @@
         self.collect_expired(now);
         self.forget_idle(now);
         let id = self.team_id(admission, now);
+        self.note_offer(now, id, admission.cost_tokens);
         if self.len() >= self.config.max_len && !self.make_room(id) {
             let retry_after_ms = self.retry_after_ms(id);
             return Err(Rejected { item, error: Error::Full, retry_after_ms });
@@ -144,14 +154,14 @@
     /// Panics if an invariant of the queue is broken.
     pub fn pop(&mut self, now: MonoTime) -> Option<Popped<T>> {
         self.collect_expired(now);
-        let id = self.next_team()?;
+        let id = self.next_team(now)?;
         let team = self.teams.get_mut(&id).expect("a ready team is known");
         let rank = *team.entries.first_key_value().expect("a ready team has entries").0;
         self.virtual_now = self.virtual_now.max(team.counter);
         self.throughput.advance(now, !self.running.is_empty());
         let entry = self.take(rank.ticket);
         assert!(entry.deadline > now, "an expired entry never runs");
-        self.charge(id, rank.ticket, entry.cost_tokens);
+        self.charge(now, id, rank.ticket, entry.cost_tokens);
         assert!(self.running.len() <= self.config.concurrency, "slots are bounded");
         let waited_us = now.us_since(entry.pushed_at);
         Some(Popped { ticket: rank.ticket, item: entry.item, waited_us })
@@ -172,6 +182,7 @@
             team.counter = (team.counter + actual).saturating_sub(charge.cost);
             team.running -= 1;
         });
+        self.note_slots(now, charge.team);
         self.note_idle(now, charge.team);
     }
 
@@ -244,53 +255,6 @@
         });
     }
 
-    /// The team with the least counter that may use a free slot.
-    fn next_team(&self) -> Option<TeamId> {
-        let free = self.config.concurrency - self.running.len();
-        if free == 0 {
-            return None;
-        }
-        let mut waiting = self.ready.iter().map(|&(_, _, id)| id);
-        waiting.find(|&id| free > self.config.reserved_slots || self.is_within_slot_share(id))
-    }
-
-    /// Whether the team runs less than its weighted share of the slots.
-    fn is_within_slot_share(&self, id: TeamId) -> bool {
-        let team = &self.teams[&id];
-        let share = self.weighted_part(self.config.concurrency, team.weight, self.total_weight);
-        team.running < share
-    }
-
-    /// A team's part of a total, but at least one.
-    fn weighted_part(&self, total: usize, weight: u64, total_weight: u128) -> usize {
-        let part = total as u128 * u128::from(weight) / total_weight;
-        usize::try_from(part).unwrap_or(total).clamp(1, total)
-    }
-
-    /// Drops an entry of the team furthest above its part, if this team is below its own.
-    fn make_room(&mut self, id: TeamId) -> bool {
-        let waiting_weight: u128 = self
-            .teams
-            .values()
-            .filter(|team| !team.entries.is_empty() || team.id == id)
-            .map(|team| u128::from(team.weight))
-            .sum();
-        let excess = |team: &Team<T>| {
-            let part = self.weighted_part(self.config.max_len, team.weight, waiting_weight);
-            team.entries.len() as i64 - part as i64
-        };
-        if excess(&self.teams[&id]) >= 0 {
-            return false;
-        }
-        let most_above = self.teams.values().max_by_key(|team| (excess(team), team.id));
-        let Some(victim) = most_above.filter(|team| excess(team) > 0) else {
-            return false;
-        };
-        let rank = *victim.entries.last_key_value().expect("a team above its part has entries").0;
-        self.drop_entry(rank.ticket, DropCause::Displaced);
-        true
-    }
-
     fn collect_expired(&mut self, now: MonoTime) {
         while let Some(&(deadline, ticket)) = self.deadlines.first() {
             if deadline > now {
@@ -308,17 +272,6 @@
         self.dropped.push(Dropped { ticket, item, cause, retry_after_ms });
     }
 
-    /// When the team's waiting tokens will have been served at its share of the throughput.
-    fn retry_after_ms(&self, id: TeamId) -> u32 {
-        let team = &self.teams[&id];
-        let share_inverse = self.total_weight / u128::from(team.weight);
-        let tokens = u128::from(team.queued_tokens).saturating_mul(share_inverse.max(1));
-        let tokens = u64::try_from(tokens).unwrap_or(u64::MAX);
-        let wait_ms = self.throughput.time_for_ms(tokens).unwrap_or(0);
-        let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
-        wait_ms.clamp(self.config.min_retry_ms, self.config.max_retry_ms)
-    }
-
     /// Removes a waiting entry from every index.
     fn take(&mut self, ticket: Ticket) -> Entry<T> {
         let place = self.places.remove(&ticket).expect("the entry waits");
@@ -326,7 +279,7 @@
         self.update(place.team, |team| team.remove(&place.rank))
     }
 
-    fn charge(&mut self, id: TeamId, ticket: Ticket, tokens: u64) {
+    fn charge(&mut self, now: MonoTime, id: TeamId, ticket: Ticket, tokens: u64) {
         let weight = self.teams[&id].weight;
         let cost = virtual_cost(tokens, weight);
         self.update(id, |team| {
@@ -335,6 +288,7 @@
         });
         let earlier = self.running.insert(ticket, Charge { team: id, cost, weight });
         assert!(earlier.is_none(), "an entry runs once");
+        self.note_slots(now, id);
     }
 
     /// Changes a team and keeps its place among the ready teams.
--- a/crates/fairness/src/queue/team.rs
+++ b/crates/fairness/src/queue/team.rs
@@ -4,7 +4,10 @@
 
 use samphirespread_core::prelude::*;
 
-use crate::queue::Ticket;
+use crate::{
+    estimate::{Offered, SlotUse},
+    queue::Ticket,
+};
 
 /// Fixed-point scale of virtual time, so that small costs of heavy teams still count.
 const VIRTUAL_SCALE: u128 = 1 << 20;
@@ -51,6 +54,8 @@
     pub(crate) entries: BTreeMap<Rank, Entry<T>>,
     pub(crate) queued_tokens: u64,
     pub(crate) running: usize,
+    pub(crate) slot_use: SlotUse,
+    pub(crate) offered: Offered,
     pub(crate) idle_since: Option<MonoTime>,
 }
 
@@ -65,6 +70,8 @@
             entries: BTreeMap::new(),
             queued_tokens: 0,
             running: 0,
+            slot_use: SlotUse::default(),
+            offered: Offered::default(),
             idle_since: None,
         }
     }
--- a/crates/fairness/tests/queue.rs
+++ b/crates/fairness/tests/queue.rs
@@ -149,6 +149,45 @@
     assert_eq!(next, Some(101));
 }
 
+#[test]
+fn a_team_alone_may_use_every_slot() {
+    let mut queue = Queue::new(Config::new(4));
+    let (loud, gone) = (team("loud"), team("gone"));
+    queue.push(at(0), &Admission::new(&gone, 10), 100).unwrap();
+    let popped = queue.pop(at(0)).unwrap();
+    queue.complete(at(1), popped.ticket, 1);
+    for item in 0..8 {
+        queue.push(at(10_000), &Admission::new(&loud, 10).cost_tokens(1_000), item).unwrap();
+    }
+
+    let taken = std::iter::from_fn(|| queue.pop(at(10_000))).count();
+
+    assert_eq!(taken, 4);
+}
+
+#[test]
+fn a_team_that_asks_too_much_leaves_free_what_others_use() {
+    let mut queue = Queue::new(Config::new(8).window_ms(1_000).reserve_deviations(0.0));
+    let (loud, steady) = (team("loud"), team("steady"));
+    let mut tickets = Vec::new();
+    for item in 0..5 {
+        queue.push(at(0), &Admission::new(&steady, 10).cost_tokens(100), item).unwrap();
+        tickets.push(queue.pop(at(0)).unwrap().ticket);
+    }
+    for item in 100..120 {
+        queue.push(at(9_000), &Admission::new(&loud, 10).cost_tokens(1_000), item).unwrap();
+    }
+    queue.complete(at(9_001), tickets[0], 100);
+    queue.complete(at(9_001), tickets[1], 100);
+
+    let taken = std::iter::from_fn(|| queue.pop(at(9_001))).count();
+    queue.push(at(9_002), &Admission::new(&steady, 10).cost_tokens(100), 5).unwrap();
+    let next = queue.pop(at(9_002)).map(|popped| popped.item);
+
+    assert_eq!(taken, 4, "the share of the team that floods, though five slots are free");
+    assert_eq!(next, Some(5));
+}
+
 #[test]
 fn a_cancelled_entry_never_runs() {
     let mut queue = Queue::new(Config::new(1));
