Name instances' admin ports in the live list; make submissions repeatable

The operators' status command asks the admin ports of the instances that the live list names, so an entry may carry one (additive, with a default).

A submission whose id stands in the head finishes with that generation, also when another run of the program made it: an operator who gave up without an answer submits again under the same id.

--- a/crates/config/src/apply/mod.rs
+++ b/crates/config/src/apply/mod.rs
@@ -158,7 +158,11 @@
 }
 
 impl Submission {
-    /// Puts objects into the configuration. The id must be unique for ever.
+    /// Puts objects into the configuration.
+    ///
+    /// The id must be unique for ever. A second submission with the id of one that was accepted
+    /// changes nothing and finishes with the generation of the first, so that an operator who
+    /// gave up without an answer may submit again.
     pub fn new(id: &str, puts: impl IntoIterator<Item = Document>) -> Self {
         Self {
             id: id.to_owned(),
@@ -191,6 +195,11 @@
         &self.id
     }
 
+    /// Whether the head may have been written without an answer.
+    pub fn may_be_written(&self) -> bool {
+        self.pending.as_ref().is_some_and(|pending| pending.unknown)
+    }
+
     /// Takes in what happened and says what to do next.
     pub fn handle(&mut self, event: Event) -> Action {
         self.step(event).unwrap_or_else(|error| Action::Finish(Err(error)))
@@ -233,12 +242,13 @@
         Ok(Action::ReadSections(missing))
     }
 
-    /// Finds out what became of a write whose answer was lost.
+    /// Finds out whether the submission is in the head already: by a write whose answer was lost,
+    /// or by an earlier run with the same id.
     fn resolve(&mut self, head: &Head, version: Option<u64>) -> Result<Option<Action>, ApplyError> {
-        let Some(pending) = &self.pending else { return Ok(None) };
         if let Some((&generation, _)) = head.recent.iter().find(|(_, id)| **id == self.id) {
             return Ok(Some(self.finish(generation)));
         }
+        let Some(pending) = &self.pending else { return Ok(None) };
         if version == pending.replaces {
             return Ok(Some(self.write_head()));
         }
--- a/crates/config/tests/apply/main.rs
+++ b/crates/config/tests/apply/main.rs
@@ -299,6 +299,18 @@
     assert_eq!(platform.history().len(), 1);
 }
 
+#[test]
+fn a_submission_that_was_accepted_is_not_made_again() {
+    let mut platform = with_teams(&["a"]);
+    let first = platform.apply(Submission::new("mine", [team("a", 20)]));
+    platform.apply(Submission::new("other", [team("a", 30)]));
+
+    let again = platform.apply(Submission::new("mine", [team("a", 20)]));
+
+    assert_eq!(again.generation, first.generation);
+    assert_eq!(platform.history().len(), 3);
+}
+
 #[test]
 fn a_broken_head_is_reported_and_left_alone() {
     let mut submission = Submission::new("mine", [team("a", 1)]);
--- a/crates/platform/src/api/mod.rs
+++ b/crates/platform/src/api/mod.rs
@@ -48,6 +48,9 @@
     pub role: Role,
     /// Where the process takes connections of the system's other processes: `IP:port`.
     pub address: String,
+    /// Where the process takes operators' connections, if the platform knows: `IP:port`.
+    #[serde(default)]
+    pub admin: Option<String>,
     /// The region of the instance.
     pub region: String,
     /// The failure domain of the instance.
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/platform.rs
@@ -19,6 +19,7 @@
         name: InstanceName::new(name),
         role: Role::Router,
         address: "127.0.0.1:1".to_owned(),
+        admin: None,
         region: "north".to_owned(),
         failure_domain: "north-1".to_owned(),
         set: None,
