Add the operators' command: check, apply, status, dump, key new, settings

submit() carries a Submission out over the Platform trait: reads and the creation of sections are repeated until they are answered, a head write without a clear answer is told as unknown and resolved by reading the head again, and operators that race each other pause for random times.

apply waits until the instances of the live list have the generation in force and prints how many do (exit 5 when not all).

The test of an outage that ends first waited for calls counted during a silent outage, which the stand-in doesn't count, and hung; it uses 503 answers now. A silent outage is therefore not tested here.

--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,303 @@
+//! One function for each command.
+
+use std::{
+    io::{self, Write},
+    time::Duration,
+};
+
+use samphirespread_config::{
+    Applied, ApplyError, Changes, Config, ConfigBuilder, ConfigErrors, Document, KeyBuilder,
+    KeyText, Submission, TeamBuilder,
+};
+use samphirespread_core::prelude::*;
+use samphirespread_platform::{
+    HttpPlatform, HttpPlatformConfig,
+    api::{LiveState, Role},
+};
+use samphirespread_settings::{AgentSettings, RouterSettings};
+use tokio::time::{Instant, sleep};
+
+use crate::{
+    args::{
+        ApplyArguments, CheckArguments, Command, Daemon, DumpArguments, KeyCommand,
+        PlatformArguments, StatusArguments,
+    },
+    documents::load,
+    exit::Exit,
+    http,
+    status::{self, InstanceStatus},
+    submit::{RetryPolicy, SubmitError, read_snapshot, submit},
+};
+
+/// Time between two questions to the instances while an apply waits for them.
+const ASK_INTERVAL_MS: u64 = 200;
+
+pub(crate) async fn run(command: Command) -> Exit {
+    match command {
+        Command::Check(arguments) => check(&arguments),
+        Command::Apply(arguments) => apply(&arguments).await,
+        Command::Status(arguments) => status(&arguments).await,
+        Command::Dump(arguments) => dump(&arguments).await,
+        Command::Key(KeyCommand::New { id, team }) => new_key(&id, &team),
+        Command::Settings { daemon: Daemon::Router } => print(&RouterSettings::example()),
+        Command::Settings { daemon: Daemon::Agent } => print(&AgentSettings::example()),
+    }
+}
+
+/// Prints a result. A closed pipe ends the command quietly.
+fn print(text: &str) -> Exit {
+    let mut out = io::stdout().lock();
+    match out.write_all(text.as_bytes()).and_then(|()| out.flush()) {
+        Ok(()) => Exit::Done,
+        Err(_) => Exit::Refused,
+    }
+}
+
+#[expect(clippy::print_stderr, reason = "messages of a command belong there")]
+fn tell(message: impl std::fmt::Display) {
+    eprintln!("{message}");
+}
+
+fn refuse(message: impl std::fmt::Display) -> Exit {
+    tell(message);
+    Exit::Refused
+}
+
+fn check(arguments: &CheckArguments) -> Exit {
+    let documents = match load(&arguments.paths) {
+        Ok(documents) => documents,
+        Err(error) => return refuse(error),
+    };
+    let count = documents.len();
+    match Config::from_documents(documents).validate() {
+        Ok(()) => {
+            tell(format_args!("{count} documents, no faults"));
+            Exit::Done
+        }
+        Err(errors) => refuse(errors),
+    }
+}
+
+fn client(arguments: &PlatformArguments) -> HttpPlatform {
+    let config = HttpPlatformConfig::new(arguments.platform.to_string());
+    HttpPlatform::new(config.timeout_ms(arguments.call_timeout_ms))
+}
+
+async fn apply(arguments: &ApplyArguments) -> Exit {
+    let documents = match load(&arguments.paths) {
+        Ok(documents) => documents,
+        Err(error) => return refuse(error),
+    };
+    if documents.is_empty() && arguments.remove.is_empty() && arguments.submission.is_none() {
+        tell("nothing to apply: name files, or objects by --remove");
+        return Exit::Usage;
+    }
+    let platform = client(&arguments.platform);
+    let policy = RetryPolicy::new(arguments.timeout_ms);
+    if arguments.dry_run {
+        return dry_run(arguments, documents, &platform, policy).await;
+    }
+    let id = arguments.submission.clone().unwrap_or_else(new_submission_id);
+    tell(format_args!("submission {id}"));
+    let submission = Submission::new(&id, documents)
+        .remove(arguments.remove.iter().cloned())
+        .exact(arguments.exact);
+    match submit(&platform, submission, policy).await {
+        Ok(applied) => accepted(arguments, &platform, &applied).await,
+        Err(error) => {
+            tell(&error);
+            exit_of(&error)
+        }
+    }
+}
+
+fn new_submission_id() -> String {
+    format!("{:016x}", rand::random::<u64>())
+}
+
+fn exit_of(error: &SubmitError) -> Exit {
+    match error {
+        SubmitError::Unknown { .. } | SubmitError::Apply(ApplyError::OutcomeUnknown { .. }) => {
+            Exit::Unknown
+        }
+        SubmitError::Unreachable { .. } => Exit::Unreachable,
+        SubmitError::Apply(_) => Exit::Refused,
+    }
+}
+
+async fn dry_run(
+    arguments: &ApplyArguments,
+    documents: Vec<Document>,
+    platform: &HttpPlatform,
+    policy: RetryPolicy,
+) -> Exit {
+    let snapshot = match read_snapshot(platform, policy).await {
+        Ok(snapshot) => snapshot,
+        Err(error) => {
+            tell(&error);
+            return exit_of(&error);
+        }
+    };
+    let current = snapshot.config();
+    let changes = if arguments.exact {
+        Changes::between(current, &Config::from_documents(documents))
+    } else {
+        Changes::against(current, documents, arguments.remove.iter().cloned())
+    };
+    match validate(&changes, current) {
+        Ok(()) => print(&changes_text(&changes)),
+        Err(errors) => refuse(errors),
+    }
+}
+
+fn validate(changes: &Changes, current: &Config) -> Result<(), ConfigErrors> {
+    let after = changes.apply_to(current).expect("changes fit what they were made against");
+    after.validate()
+}
+
+fn changes_text(changes: &Changes) -> String {
+    let lines = changes.iter().map(|(name, change)| {
+        let sign = match (&change.before, &change.after) {
+            (None, _) => '+',
+            (Some(_), Some(_)) => '~',
+            (Some(_), None) => '-',
+        };
+        format!("{sign} {name}\n")
+    });
+    lines.collect()
+}
+
+/// Reports an accepted submission and waits for the instances.
+async fn accepted(arguments: &ApplyArguments, platform: &HttpPlatform, applied: &Applied) -> Exit {
+    let generation = applied.generation;
+    let printed = print(&format!("{}generation {generation}\n", changes_text(&applied.changes)));
+    if printed != Exit::Done || arguments.wait_ms == 0 {
+        return printed;
+    }
+    let end = Instant::now() + Duration::from_millis(arguments.wait_ms);
+    let admin_port = arguments.fleet.admin_port;
+    let timeout_ms = arguments.platform.call_timeout_ms;
+    loop {
+        let asked = status::instances(platform, admin_port, timeout_ms).await;
+        let all = match &asked {
+            Ok(statuses) => {
+                let count = status::count(statuses, generation);
+                count.in_force == count.total
+            }
+            Err(_) => false,
+        };
+        if all || Instant::now() >= end {
+            return report_reach(&asked, generation, all);
+        }
+        sleep(Duration::from_millis(ASK_INTERVAL_MS)).await;
+    }
+}
+
+fn report_reach(
+    asked: &Result<Vec<InstanceStatus>, samphirespread_platform::PlatformError>,
+    generation: Generation,
+    all: bool,
+) -> Exit {
+    match asked {
+        Ok(statuses) => {
+            let count = status::count(statuses, generation);
+            let printed =
+                print(&format!("in force on {} of {} instances\n", count.in_force, count.total));
+            for status in statuses.iter().filter(|status| !has(status, generation)) {
+                tell(line(status).trim_end());
+            }
+            if all { printed } else { Exit::NotEverywhere }
+        }
+        Err(error) => {
+            tell(format_args!("accepted, but the live list can't be read: {error}"));
+            Exit::NotEverywhere
+        }
+    }
+}
+
+fn has(status: &InstanceStatus, generation: Generation) -> bool {
+    status.generation.as_ref().is_ok_and(|in_force| *in_force >= generation)
+}
+
+fn line(status: &InstanceStatus) -> String {
+    let role = match status.role {
+        Role::Router => "router",
+        Role::Agent => "agent",
+    };
+    let state = match status.state {
+        LiveState::Live => "live",
+        LiveState::Leaving => "leaving",
+    };
+    let name = &status.name;
+    match &status.generation {
+        Ok(generation) => format!("{name} {role} {state} generation {generation}\n"),
+        Err(error) => format!("{name} {role} {state} unknown: {error}\n"),
+    }
+}
+
+async fn status(arguments: &StatusArguments) -> Exit {
+    let platform = client(&arguments.platform);
+    let timeout_ms = arguments.platform.call_timeout_ms;
+    let head = match read_snapshot(&platform, RetryPolicy::new(timeout_ms)).await {
+        Ok(snapshot) => snapshot.generation(),
+        Err(error) => {
+            tell(&error);
+            return exit_of(&error);
+        }
+    };
+    match status::instances(&platform, arguments.fleet.admin_port, timeout_ms).await {
+        Ok(statuses) => report_status(&statuses, head),
+        Err(error) => {
+            tell(&error);
+            Exit::Unreachable
+        }
+    }
+}
+
+fn report_status(statuses: &[InstanceStatus], head: Generation) -> Exit {
+    let count = status::count(statuses, head);
+    let lines: String = statuses.iter().map(line).collect();
+    let text = format!(
+        "platform generation {head}\n{lines}in force on {} of {} instances\n",
+        count.in_force, count.total
+    );
+    let printed = print(&text);
+    if count.in_force == count.total { printed } else { Exit::NotEverywhere }
+}
+
+async fn dump(arguments: &DumpArguments) -> Exit {
+    let timeout_ms = arguments.call_timeout_ms;
+    if let Some(admin) = arguments.source.admin {
+        return match http::dump(admin, timeout_ms).await {
+            Ok(state) => print(&format!("{state:#}\n")),
+            Err(error) => {
+                tell(format_args!("{admin}: {error}"));
+                Exit::Unreachable
+            }
+        };
+    }
+    let Some(address) = arguments.source.platform else { return Exit::Usage };
+    let config = HttpPlatformConfig::new(address.to_string()).timeout_ms(timeout_ms);
+    match read_snapshot(&HttpPlatform::new(config), RetryPolicy::new(timeout_ms)).await {
+        Ok(snapshot) => {
+            tell(format_args!("generation {}", snapshot.generation()));
+            print(&snapshot.config().to_text())
+        }
+        Err(error) => {
+            tell(&error);
+            exit_of(&error)
+        }
+    }
+}
+
+fn new_key(id: &str, team: &str) -> Exit {
+    let text = KeyText::generate(&mut rand::rng());
+    let key = KeyBuilder::from_text(id, team, text.expose());
+    let alone = ConfigBuilder::new().team(TeamBuilder::new(team)).key(key.clone());
+    if let Err(errors) = alone.build() {
+        return refuse(errors);
+    }
+    let document = key.document();
+    tell(format_args!("the key, shown this once: {}", text.expose()));
+    print(&format!("{}\n", document.to_text()))
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,55 @@
 //! The operators' command.
+//!
+//! ```text
+//! samphirespread check fleet.json
+//! samphirespread apply --platform 10.0.0.10:7000 fleet.json
+//! samphirespread status --platform 10.0.0.10:7000
+//! samphirespread dump --admin 10.0.1.1:9300
+//! samphirespread key new --id desk-2 --team desk
+//! ```
+//!
+//! Results go to standard output, everything else to standard error. See [`Exit`] for the exit
+//! codes.
+//!
+//! The parts that others may embed are [`submit()`], which gets a
+//! [`Submission`](samphirespread_config::Submission) into the platform, and [`load`], which
+//! reads documents from files.
+
+mod args;
+mod commands;
+mod documents;
+mod exit;
+mod http;
+mod status;
+mod submit;
+
+use std::{ffi::OsString, process::ExitCode};
+
+use clap::Parser;
+
+pub use crate::{
+    documents::{LoadError, load},
+    exit::Exit,
+    http::AdminError,
+    status::{Count, InstanceStatus, StatusError, count, instances},
+    submit::{RetryPolicy, SubmitError, read_snapshot, submit},
+};
+
+/// Runs the command with these arguments, the program's name first.
+///
+/// # Panics
+///
+/// When the operating system gives no threads or timers to the runtime.
+pub fn run(arguments: impl IntoIterator<Item = impl Into<OsString> + Clone>) -> ExitCode {
+    let arguments = match args::Arguments::try_parse_from(arguments) {
+        Ok(arguments) => arguments,
+        Err(error) => {
+            // A failure to print leaves nothing better to do.
+            let _ = error.print();
+            return if error.use_stderr() { Exit::Usage.into() } else { Exit::Done.into() };
+        }
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.expect("the runtime starts");
+    runtime.block_on(commands::run(arguments.command)).into()
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,7 @@
+//! The operators' command.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    samphirespread_cli::run(std::env::args_os())
+}
--- /dev/null
+++ b/crates/cli/tests/operate/main.rs
@@ -0,0 +1,272 @@
+//! The command as a process beside stand-ins.
+
+mod support;
+
+use std::time::Duration;
+
+use expect_test::expect;
+use samphirespread_cli::{RetryPolicy, SubmitError, read_snapshot, submit};
+use samphirespread_config::{ConfigBuilder, KeyBuilder, Submission, TeamBuilder, key_digest};
+use samphirespread_platform::{HttpPlatform, HttpPlatformConfig};
+use samphirespread_standin::platform::{Outage, Platform, PlatformConfig};
+use support::{Admin, LosingPlatform, TestDir, run, run_blocking};
+
+const DOCUMENTS: &str = r#"
+    {"kind": "team", "name": "desk", "rate_tokens_per_s": 100, "burst_tokens": 1000}
+    {"kind": "set", "name": "drafting", "block_bytes": 8192, "checks_fencing": true}
+"#;
+
+async fn platform() -> Platform {
+    Platform::start(PlatformConfig::new()).await.unwrap()
+}
+
+fn client(platform: &Platform) -> HttpPlatform {
+    let config = HttpPlatformConfig::new(platform.address().to_string());
+    HttpPlatform::new(config.timeout_ms(300))
+}
+
+fn policy() -> RetryPolicy {
+    RetryPolicy::new(20_000)
+}
+
+fn key_submission(number: usize) -> Submission {
+    let id = format!("key-{number}");
+    let key = KeyBuilder::from_digest(&id, "desk", &key_digest(&id));
+    Submission::new(&format!("submission-{number}"), [key.document()])
+}
+
+async fn with_team(platform: &Platform) {
+    let config = ConfigBuilder::new().team(TeamBuilder::new("desk")).build().unwrap();
+    submit(&client(platform), Submission::new("first", config.documents()), policy())
+        .await
+        .unwrap();
+}
+
+#[test]
+fn check_accepts_a_whole_configuration() {
+    let dir = TestDir::new("check-good");
+    dir.write("a.json", DOCUMENTS);
+    dir.write("notes.txt", "not a document");
+
+    let ended = run_blocking(&["check", dir.path()]);
+
+    assert_eq!(ended.code, 0);
+    assert_eq!(ended.stderr, "2 documents, no faults\n");
+}
+
+#[test]
+fn check_tells_every_fault() {
+    let dir = TestDir::new("check-bad");
+    dir.write(
+        "a.json",
+        r#"{"kind": "key", "id": "k", "team": "nobody", "sha256": "0"}
+           {"kind": "set", "name": "s s", "block_bytes": 8192, "checks_fencing": true}"#,
+    );
+
+    let ended = run_blocking(&["check", dir.path()]);
+
+    assert_eq!(ended.code, 1);
+    expect![[r#"
+        key/k: team = nobody: allowed is the name of a team in the configuration
+        key/k: sha256 = (hidden): allowed is 64 lower-case hex digits
+        set/s s: name = s s: allowed is 1 to 128 letters, digits, dots, underscores, hyphens
+    "#]]
+    .assert_eq(&ended.stderr);
+}
+
+#[test]
+fn check_tells_what_can_not_be_read() {
+    let dir = TestDir::new("check-unreadable");
+    let broken = dir.write("a.json", "{\"kind\": \n");
+
+    let codes = [
+        run_blocking(&["check", "no-such-file.json"]),
+        run_blocking(&["check", dir.path()]),
+        run_blocking(&["check"]),
+        run_blocking(&["apply", &broken, "--platform", "localhost:1"]),
+    ];
+
+    assert_eq!(codes.each_ref().map(|ended| ended.code), [1, 1, 2, 2]);
+    assert!(codes[0].stderr.contains("no-such-file.json: "), "{}", codes[0].stderr);
+    assert!(codes[1].stderr.contains("a.json: document 1: EOF"), "{}", codes[1].stderr);
+}
+
+#[test]
+fn an_object_in_two_files_is_refused() {
+    let dir = TestDir::new("check-twice");
+    dir.write("a.json", DOCUMENTS);
+    dir.write("b.json", DOCUMENTS);
+
+    let ended = run_blocking(&["check", dir.path()]);
+
+    assert_eq!(ended.code, 1);
+    assert!(ended.stderr.contains("team/desk is there more than once"), "{}", ended.stderr);
+}
+
+#[test]
+fn a_new_key_is_shown_once_and_its_document_checks() {
+    let ended = run_blocking(&["key", "new", "--id", "desk-1", "--team", "desk"]);
+
+    let key = ended.stderr.trim().rsplit(' ').next().unwrap();
+    assert_eq!(ended.code, 0);
+    assert!(key.starts_with("ssk-"), "{}", ended.stderr);
+    assert!(ended.stdout.contains(&key_digest(key)), "{}", ended.stdout);
+    assert!(!ended.stdout.contains(key));
+    assert_eq!(run_blocking(&["key", "new", "--id", "a b", "--team", "t"]).code, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn apply_then_dump_then_remove() {
+    let platform = platform().await;
+    let address = platform.address().to_string();
+    let dir = TestDir::new("apply");
+    dir.write("a.json", DOCUMENTS);
+    let at = ["--platform", &address];
+
+    let dry = run(&["apply", dir.path(), at[0], at[1], "--dry-run"]).await;
+    let empty = run(&["dump", at[0], at[1]]).await;
+    let applied = run(&["apply", dir.path(), at[0], at[1], "--wait-ms", "0"]).await;
+    let again = run(&["apply", dir.path(), at[0], at[1], "--wait-ms", "0"]).await;
+    let removed = run(&["apply", at[0], at[1], "--remove", "set/drafting"]).await;
+    let dumped = run(&["dump", at[0], at[1]]).await;
+
+    assert_eq!((dry.code, dry.stdout.as_str()), (0, "+ team/desk\n+ set/drafting\n"));
+    assert_eq!((empty.code, empty.stdout.as_str()), (0, ""));
+    assert_eq!(applied.stdout, "+ team/desk\n+ set/drafting\ngeneration 1\n");
+    assert_eq!((again.code, again.stdout.as_str()), (0, "generation 1\n"));
+    assert_eq!(removed.stdout, "- set/drafting\ngeneration 2\nin force on 0 of 0 instances\n");
+    let kept =
+        "{\"burst_tokens\":1000,\"kind\":\"team\",\"name\":\"desk\",\"rate_tokens_per_s\":100}\n";
+    assert_eq!((dumped.stdout.as_str(), dumped.stderr.as_str()), (kept, "generation 2\n"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_that_breaks_a_reference_is_refused() {
+    let platform = platform().await;
+    with_team(&platform).await;
+    submit(&client(&platform), key_submission(1), policy()).await.unwrap();
+    let address = platform.address().to_string();
+
+    let ended = run(&["apply", "--platform", &address, "--remove", "team/desk"]).await;
+
+    assert_eq!(ended.code, 1);
+    assert!(ended.stderr.contains("key/key-1: team = desk"), "{}", ended.stderr);
+    assert_eq!(read_snapshot(&client(&platform), policy()).await.unwrap().generation().0, 2);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn status_counts_the_instances_that_have_the_generation() {
+    let platform = platform().await;
+    with_team(&platform).await;
+    let address = platform.address().to_string();
+    let admins =
+        [Admin::start("{\"generation\": 1}").await, Admin::start("{\"generation\": 0}").await];
+    platform.put_instance(admins[0].instance("r1"));
+    platform.put_instance(admins[1].instance("r2"));
+    platform.put_instance(support::unknown_instance("r3"));
+
+    let status = run(&["status", "--platform", &address]).await;
+    let arguments = ["apply", "--platform", &address, "--submission", "first", "--wait-ms", "1"];
+    let applied = run(&arguments).await;
+
+    assert_eq!((status.code, applied.code), (5, 5));
+    expect![[r#"
+        platform generation 1
+        r1 router live generation 1
+        r2 router live generation 0
+        r3 router live unknown: the live list names no admin port; give --admin-port
+        in force on 1 of 3 instances
+    "#]]
+    .assert_eq(&status.stdout);
+    expect![[r#"
+        generation 1
+        in force on 1 of 3 instances
+    "#]]
+    .assert_eq(&applied.stdout);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_state_of_an_instance_is_printed() {
+    let admin = Admin::start("{\"generation\":7,\"peers\":[]}").await;
+    let broken = Admin::start("{\"generation\":").await;
+
+    let good = run(&["dump", "--admin", &admin.address()]).await;
+    let bad = run(&["dump", "--admin", &broken.address()]).await;
+
+    assert_eq!(
+        (good.code, good.stdout.as_str()),
+        (0, "{\n  \"generation\": 7,\n  \"peers\": []\n}\n")
+    );
+    assert_eq!(bad.code, 3);
+    assert!(bad.stderr.contains("the answer is no JSON"), "{}", bad.stderr);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_platform_that_is_down_is_told() {
+    let platform = platform().await;
+    platform.set_outage(Outage::Unavailable);
+    let address = platform.address().to_string();
+    let dir = TestDir::new("down");
+    dir.write("a.json", DOCUMENTS);
+
+    let ended = run(&["apply", dir.path(), "--platform", &address, "--timeout-ms", "200"]).await;
+
+    assert_eq!(ended.code, 3);
+    assert!(ended.stderr.contains("not applied, the time is over"), "{}", ended.stderr);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_outage_that_ends_is_waited_for() {
+    let platform = platform().await;
+    platform.set_outage(Outage::Unavailable);
+    let client = client(&platform);
+    let waiting = tokio::spawn(async move {
+        let config = ConfigBuilder::new().team(TeamBuilder::new("desk")).build().unwrap();
+        submit(&client, Submission::new("first", config.documents()), policy()).await
+    });
+    while platform.calls().during_outage == 0 {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+
+    platform.set_outage(Outage::None);
+    let applied = waiting.await.unwrap().unwrap();
+
+    assert_eq!(applied.generation.0, 1);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn racing_operators_with_lost_answers_all_get_in_once() {
+    const OPERATORS: usize = 8;
+    let platform = platform().await;
+    with_team(&platform).await;
+    platform.lose_next_answers(12);
+
+    let racing: Vec<_> = (0..OPERATORS)
+        .map(|number| {
+            let client = client(&platform);
+            tokio::spawn(async move { submit(&client, key_submission(number), policy()).await })
+        })
+        .collect();
+    for operator in racing {
+        operator.await.unwrap().unwrap();
+    }
+
+    let snapshot = read_snapshot(&client(&platform), policy()).await.unwrap();
+    assert_eq!(snapshot.generation().0, 1 + OPERATORS as u64);
+    assert_eq!(snapshot.config().keys.len(), OPERATORS);
+    assert_eq!(platform.calls().answers_lost, 12);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_stays_lost_is_told_as_unknown_and_resolved_later() {
+    let platform = platform().await;
+    with_team(&platform).await;
+    let losing = LosingPlatform::new(client(&platform));
+
+    let lost = submit(&losing, key_submission(1), RetryPolicy::new(200)).await;
+    let again = submit(&client(&platform), key_submission(1), policy()).await.unwrap();
+
+    assert!(matches!(lost, Err(SubmitError::Unknown { .. })), "{lost:?}");
+    assert_eq!(again.generation.0, 2);
+    assert_eq!(read_snapshot(&client(&platform), policy()).await.unwrap().generation().0, 2);
+}
--- /dev/null
+++ b/crates/cli/tests/operate/support.rs
@@ -0,0 +1,198 @@
+//! Files, processes and stand-ins.
+
+use std::{
+    fs,
+    path::PathBuf,
+    process::{self, Output},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use samphirespread_config::HEAD_OBJECT;
+use samphirespread_core::prelude::*;
+use samphirespread_platform::{
+    HttpPlatform, Platform, PlatformError,
+    api::{Listing, LiveInstance, LiveList, LiveState, Object, ObjectVersion, Role},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    task::JoinHandle,
+};
+
+pub(crate) struct Ended {
+    pub(crate) code: i32,
+    pub(crate) stdout: String,
+    pub(crate) stderr: String,
+}
+
+fn ended(output: Output) -> Ended {
+    Ended {
+        code: output.status.code().unwrap(),
+        stdout: String::from_utf8(output.stdout).unwrap(),
+        stderr: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+pub(crate) fn run_blocking(arguments: &[&str]) -> Ended {
+    let mut command = process::Command::new(env!("CARGO_BIN_EXE_samphirespread"));
+    ended(command.args(arguments).output().unwrap())
+}
+
+pub(crate) async fn run(arguments: &[&str]) -> Ended {
+    let mut command = tokio::process::Command::new(env!("CARGO_BIN_EXE_samphirespread"));
+    ended(command.args(arguments).kill_on_drop(true).output().await.unwrap())
+}
+
+/// A directory of its own, removed when dropped.
+pub(crate) struct TestDir(PathBuf);
+
+impl TestDir {
+    pub(crate) fn new(name: &str) -> Self {
+        let path =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", process::id()));
+        fs::create_dir_all(&path).unwrap();
+        Self(path)
+    }
+
+    pub(crate) fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+
+    pub(crate) fn write(&self, name: &str, text: &str) -> String {
+        let path = self.0.join(name);
+        fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_owned()
+    }
+}
+
+impl Drop for TestDir {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// An admin port that gives the same dump to everyone.
+pub(crate) struct Admin {
+    address: String,
+    task: JoinHandle<()>,
+}
+
+impl Admin {
+    pub(crate) async fn start(dump: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let task = tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut request = [0; 4_096];
+                let _ = stream.read(&mut request).await;
+                let head = "HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length:";
+                let answer = format!("{head} {}\r\n\r\n{dump}", dump.len());
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        });
+        Self { address, task }
+    }
+
+    pub(crate) fn address(&self) -> String {
+        self.address.clone()
+    }
+
+    pub(crate) fn instance(&self, name: &str) -> LiveInstance {
+        LiveInstance { admin: Some(self.address()), ..unknown_instance(name) }
+    }
+}
+
+impl Drop for Admin {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+pub(crate) fn unknown_instance(name: &str) -> LiveInstance {
+    LiveInstance {
+        name: InstanceName::new(name),
+        role: Role::Router,
+        address: "127.0.0.1:1".to_owned(),
+        admin: None,
+        region: "khomas".to_owned(),
+        failure_domain: "khomas-1".to_owned(),
+        set: None,
+        state: LiveState::Live,
+    }
+}
+
+/// Loses the answer to the first write of the head and every answer after it.
+#[derive(Clone)]
+pub(crate) struct LosingPlatform {
+    platform: HttpPlatform,
+    gone: Arc<AtomicBool>,
+}
+
+impl LosingPlatform {
+    pub(crate) fn new(platform: HttpPlatform) -> Self {
+        Self { platform, gone: Arc::default() }
+    }
+
+    fn check(&self) -> Result<(), PlatformError> {
+        if self.gone.load(Ordering::SeqCst) {
+            return Err(PlatformError::Lost { message: "gone".to_owned() });
+        }
+        Ok(())
+    }
+}
+
+impl Platform for LosingPlatform {
+    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        self.check()?;
+        self.platform.get(key).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, PlatformError> {
+        self.check()?;
+        self.platform.list(prefix).await
+    }
+
+    async fn put_if(
+        &self,
+        key: &str,
+        expected: ObjectVersion,
+        value: &str,
+    ) -> Result<ObjectVersion, PlatformError> {
+        self.check()?;
+        let written = self.platform.put_if(key, expected, value).await;
+        self.gone.fetch_or(key == HEAD_OBJECT, Ordering::SeqCst);
+        self.check()?;
+        written
+    }
+
+    async fn create(&self, key: &str, value: &str) -> Result<ObjectVersion, PlatformError> {
+        self.check()?;
+        self.platform.create(key, value).await
+    }
+
+    async fn delete_if(&self, key: &str, expected: ObjectVersion) -> Result<(), PlatformError> {
+        self.check()?;
+        self.platform.delete_if(key, expected).await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: ObjectVersion,
+        wait_ms: u64,
+    ) -> Result<Listing, PlatformError> {
+        self.check()?;
+        self.platform.watch(prefix, after, wait_ms).await
+    }
+
+    async fn instances(
+        &self,
+        after: Option<ObjectVersion>,
+    ) -> Result<Option<LiveList>, PlatformError> {
+        self.check()?;
+        self.platform.instances(after).await
+    }
+}
--- a/crates/config/src/build/mod.rs
+++ b/crates/config/src/build/mod.rs
@@ -3,6 +3,7 @@
 use samphirespread_core::prelude::*;
 
 use crate::{
+    document::Document,
     error::ConfigErrors,
     key::key_digest,
     model::{Access, BackendSet, Config, Key, Route, RouteTarget, Team},
@@ -121,6 +122,11 @@
         Self { key: Key { id, team: TeamName::new(team), sha256 } }
     }
 
+    /// The document of the key.
+    pub fn document(self) -> Document {
+        Document::Key(self.key)
+    }
+
     /// A key with this text, of which only the SHA-256 is kept.
     pub fn from_text(id: &str, team: &str, text: &str) -> Self {
         Self::from_digest(id, team, &key_digest(text))
--- a/crates/config/src/validate/mod.rs
+++ b/crates/config/src/validate/mod.rs
@@ -27,6 +27,17 @@
 const RESERVED_PATHS: [&str; 3] = ["/v1/chat/completions", "/v1/completions", "/v1/models"];
 
 impl Config {
+    /// Checks that no object is there twice, and nothing else.
+    ///
+    /// # Errors
+    ///
+    /// One fault for each object that is there more than once.
+    pub fn check_unique(&self) -> Result<(), ConfigErrors> {
+        let mut check = Check::new(self);
+        check.repeated();
+        ConfigErrors::check(check.errors)
+    }
+
     /// Checks values, names and references.
     ///
     /// # Errors
