--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -87,3 +87,16 @@
         MonoTime::from_us(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
     }
 }
+
+/// A number for this run of the process that is higher than those of earlier runs at the same
+/// address, as long as the wall clock there has not gone back by more than the time between two
+/// starts.
+///
+/// The number is never compared with one of another address, and decides nothing but which of
+/// two runs at one address is the later.
+pub fn fresh_incarnation() -> crate::ids::Incarnation {
+    let since_epoch = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .unwrap_or(Duration::ZERO);
+    crate::ids::Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/router/src/api/access.rs
@@ -0,0 +1,121 @@
+//! Who is calling, checked for each request against the configuration in force.
+
+use std::{sync::Arc, time::Duration};
+
+use http::{HeaderMap, StatusCode, header};
+use samphirespread_config::{Snapshot, model::Route};
+use samphirespread_core::prelude::*;
+use samphirespread_platform::api::Role;
+use tokio::time::sleep;
+
+use super::error::ApiError;
+use crate::state::Shared;
+
+// A router that was paused asks again before it refuses.
+const REFRESH_LIMIT_MS: u64 = 500;
+const REFRESH_STEP_MS: u64 = 10;
+const STALE_RETRY_AFTER_MS: u64 = 1_000;
+
+/// A configuration that is recent enough to judge keys by.
+///
+/// # Errors
+///
+/// When the router leaves, and when it has had no word on the configuration for too long.
+pub(crate) async fn fresh_snapshot(shared: &Shared) -> Result<Arc<Snapshot>, ApiError> {
+    if shared.drain.is_leaving() {
+        return Err(ApiError::draining());
+    }
+    let mut waited_ms = 0;
+    while is_stale(shared) {
+        if waited_ms >= REFRESH_LIMIT_MS {
+            let message = "this instance has lost touch with the others, and its keys may be old";
+            let refused =
+                ApiError::refused(StatusCode::SERVICE_UNAVAILABLE, "stale_configuration", message);
+            return Err(refused.retry_after_ms(STALE_RETRY_AFTER_MS));
+        }
+        shared.config_news.notify_one();
+        sleep(Duration::from_millis(REFRESH_STEP_MS)).await;
+        waited_ms += REFRESH_STEP_MS;
+    }
+    Ok(shared.snapshot.load_full())
+}
+
+// A router that is alone has nobody to lose touch with but the platform, and no configuration can be
+// accepted during an outage of that.
+fn is_stale(shared: &Shared) -> bool {
+    if shared.snapshot.load().generation() < shared.identity.highest_heard() {
+        return true;
+    }
+    let live = shared.live.load();
+    let routers = live.instances.iter().filter(|instance| instance.role == Role::Router).count();
+    let age_ms = shared.contact.age_ms(shared.clock.now());
+    routers > 1 && age_ms > shared.settings.peers.stale_config_ms
+}
+
+/// The team of the key that came with a request, or `None` without a key.
+///
+/// # Errors
+///
+/// A key that is not granted, or a header that holds no key.
+pub(crate) fn authenticate(
+    snapshot: &Snapshot,
+    headers: &HeaderMap,
+) -> Result<Option<TeamName>, ApiError> {
+    let Some(value) = headers.get(header::AUTHORIZATION) else { return Ok(None) };
+    let unauthorized =
+        |message| ApiError::refused(StatusCode::UNAUTHORIZED, "unknown_key", message);
+    let text = value.to_str().ok();
+    let Some(key) = text.and_then(bearer) else {
+        return Err(unauthorized("the Authorization header must be `Bearer` and a key"));
+    };
+    let Some(key) = snapshot.authenticate(key) else {
+        return Err(unauthorized("the key is not granted"));
+    };
+    Ok(Some(key.team.clone()))
+}
+
+fn bearer(text: &str) -> Option<&str> {
+    let (scheme, key) = text.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+}
+
+/// The team that a request on this route runs for.
+///
+/// # Errors
+///
+/// No key on a keyed route, or a key whose team may not use it.
+pub(crate) fn team_for(route: &Route, caller: Option<&TeamName>) -> Result<TeamName, ApiError> {
+    if let Some(team) = route.charged_team(caller) {
+        return Ok(team.clone());
+    }
+    if caller.is_some() {
+        let message = "the key's team may not use this route";
+        return Err(ApiError::refused(StatusCode::FORBIDDEN, "forbidden", message));
+    }
+    let message = "this route needs a key in the Authorization header";
+    Err(ApiError::refused(StatusCode::UNAUTHORIZED, "missing_key", message))
+}
+
+/// Refuses a request that holds its own key where a backend server would see it.
+///
+/// # Errors
+///
+/// The key stands in the text.
+pub(crate) fn refuse_key_in(text: &[u8], place: &str, headers: &HeaderMap) -> Result<(), ApiError> {
+    let Some(key) = key_text(headers) else { return Ok(()) };
+    let found = match std::str::from_utf8(text) {
+        Ok(text) => text.contains(key),
+        Err(_) => text.windows(key.len()).any(|window| window == key.as_bytes()),
+    };
+    if found {
+        let message = format!("the {place} must not contain the key");
+        return Err(ApiError::refused(StatusCode::BAD_REQUEST, "key_in_request", message));
+    }
+    Ok(())
+}
+
+/// The text of the key that came with a request.
+pub(crate) fn key_text(headers: &HeaderMap) -> Option<&str> {
+    let value = headers.get(header::AUTHORIZATION)?;
+    value.to_str().ok().and_then(bearer).filter(|key| !key.is_empty())
+}
--- /dev/null
+++ b/crates/router/src/api/answer/meter.rs
@@ -0,0 +1,94 @@
+//! Counts what an answer used, and settles the team's reservation.
+
+use std::sync::Arc;
+
+use samphirespread_core::prelude::*;
+use samphirespread_dispatch::Outcome;
+
+use crate::{
+    limits::Grant,
+    metrics::{AnswerLabels, TeamLabels},
+    run::{Ending, Piece},
+    state::Shared,
+};
+
+/// Follows one answer. When it is dropped early, only what was delivered counts.
+pub(crate) struct Meter {
+    shared: Arc<Shared>,
+    team: TeamName,
+    route: String,
+    arrived: MonoTime,
+    first_piece_seen: bool,
+    output_tokens: u64,
+    reserved_prompt_tokens: u64,
+    grant: Option<Grant>,
+}
+
+impl Meter {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        team: TeamName,
+        route: String,
+        arrived: MonoTime,
+    ) -> Self {
+        Self {
+            shared,
+            team,
+            route,
+            arrived,
+            first_piece_seen: false,
+            output_tokens: 0,
+            reserved_prompt_tokens: 0,
+            grant: None,
+        }
+    }
+
+    /// Takes over the reservation that the answer is to be settled against.
+    pub(crate) fn with_grant(mut self, grant: Grant, prompt_tokens: u64) -> Self {
+        self.grant = Some(grant);
+        self.reserved_prompt_tokens = prompt_tokens;
+        self
+    }
+
+    pub(crate) fn note(&mut self, piece: &Piece) {
+        if let Piece::Lines(lines) = piece {
+            self.output_tokens += lines.iter().map(|line| u64::from(line.tokens)).sum::<u64>();
+        }
+        if self.first_piece_seen || matches!(piece, Piece::End(_)) {
+            return;
+        }
+        self.first_piece_seen = true;
+        let waited_us = self.shared.clock.now().us_since(self.arrived);
+        self.shared.metrics.first_token_seconds.observe(waited_us as f64 / 1e6);
+    }
+
+    /// Counts the end of an answer.
+    pub(crate) fn end(&mut self, ending: &Ending, code: &'static str) {
+        let labels = AnswerLabels {
+            team: self.team.to_string(),
+            route: self.route.clone(),
+            code: code.to_owned(),
+        };
+        self.shared.metrics.answers.get_or_create(&labels).inc();
+        let team = TeamLabels { team: self.team.to_string() };
+        let metrics = &self.shared.metrics;
+        metrics.prompt_tokens.get_or_create(&team).inc_by(ending.finished.prompt_tokens);
+        metrics.cached_tokens.get_or_create(&team).inc_by(ending.finished.cached_tokens);
+        metrics.output_tokens.get_or_create(&team).inc_by(self.output_tokens);
+        if let Outcome::NotRun { .. } = ending.outcome {
+            self.settle(0);
+        }
+    }
+
+    fn settle(&mut self, used_tokens: u64) {
+        if let Some(grant) = self.grant.take() {
+            grant.settle(used_tokens);
+        }
+    }
+}
+
+impl Drop for Meter {
+    fn drop(&mut self) {
+        self.settle(self.reserved_prompt_tokens + self.output_tokens);
+    }
+}
--- /dev/null
+++ b/crates/router/src/api/service.rs
@@ -0,0 +1,241 @@
+//! Calls of plain services, by route.
+
+use std::{io, sync::Arc, time::Duration};
+
+use axum::{
+    body::{Body, Bytes},
+    extract::{Request, State},
+    response::{IntoResponse, Response},
+};
+use futures_util::stream;
+use http::{HeaderMap, StatusCode, request::Parts};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use samphirespread_config::{
+    Snapshot,
+    model::{Route, RouteTarget},
+};
+use samphirespread_core::prelude::*;
+use samphirespread_dispatch::{Outcome, RequestSpec};
+use samphirespread_wire::message::{ServiceHead, ServiceWork};
+use slog::o;
+use tokio::time::timeout;
+
+use super::{access, answer::Meter, error::ApiError, generate::weight, headers};
+use crate::{
+    claim::{Claim, ClaimError},
+    run::{Ending, Job, JobWork, Piece, Receiver, start},
+    state::Shared,
+};
+
+const BODY_TIMEOUT_MS: u64 = 30_000;
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Any path that is no model route.
+pub(super) async fn call(
+    State(shared): State<Arc<Shared>>,
+    request: Request,
+) -> Result<Response, ApiError> {
+    let arrived = shared.clock.now();
+    let id = shared.next_request_id();
+    let answered = admit_and_start(&shared, request, id, arrived).await;
+    answered.map_err(|error| {
+        shared.metrics.note_refusal(error.code);
+        error.request(id)
+    })
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// A body that is too long, comes too slowly or breaks off.
+pub(super) async fn read_body(body: Body, max_bytes: usize) -> Result<Bytes, ApiError> {
+    let reading = Limited::new(body, max_bytes).collect();
+    let Ok(read) = timeout(Duration::from_millis(BODY_TIMEOUT_MS), reading).await else {
+        let message = format!("the body must arrive within {BODY_TIMEOUT_MS} ms");
+        return Err(ApiError::refused(StatusCode::REQUEST_TIMEOUT, "slow_body", message));
+    };
+    match read {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let message = format!("the body must be at most {max_bytes} bytes");
+            Err(ApiError::refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message))
+        }
+        Err(error) => Err(ApiError::invalid(format!("the body broke off: {error}"))),
+    }
+}
+
+async fn admit_and_start(
+    shared: &Arc<Shared>,
+    request: Request,
+    id: RequestId,
+    arrived: MonoTime,
+) -> Result<Response, ApiError> {
+    let early = access::fresh_snapshot(shared).await?;
+    choose_route(&early, request.headers(), request.uri().path())?;
+    let (parts, body) = request.into_parts();
+    let body = read_body(body, shared.settings.request.max_body_bytes).await?;
+
+    // The body may have taken long, so the key is judged again by what is in force now.
+    let snapshot = access::fresh_snapshot(shared).await?;
+    let chosen = choose_route(&snapshot, &parts.headers, parts.uri.path())?;
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    access::refuse_key_in(path.as_bytes(), "path", &parts.headers)?;
+    access::refuse_key_in(&body, "body", &parts.headers)?;
+    let grant = shared.admission.admit(&chosen.team, chosen.cost_tokens).await?;
+    let claim = claim(shared, &chosen, &parts.headers, id).await?;
+
+    let route = chosen.route.name.clone();
+    let meter = Meter::new(Arc::clone(shared), chosen.team.clone(), route, arrived)
+        .with_grant(grant, chosen.cost_tokens);
+    let work = service_work(&parts, path, body);
+    let pieces = start(Arc::clone(shared), job(shared, &snapshot, &chosen, work, id));
+    answer(pieces, meter, claim).await
+}
+
+/// The route of a request and what follows from it.
+struct Chosen<'a> {
+    route: &'a Route,
+    team: TeamName,
+    cost_tokens: u64,
+}
+
+fn choose_route<'a>(
+    snapshot: &'a Snapshot,
+    headers: &HeaderMap,
+    path: &str,
+) -> Result<Chosen<'a>, ApiError> {
+    let caller = access::authenticate(snapshot, headers)?;
+    let Some(route) = snapshot.route_for_path(path) else {
+        let message = format!("there is no route for {path:?}");
+        return Err(ApiError::refused(StatusCode::NOT_FOUND, "unknown_route", message));
+    };
+    let team = access::team_for(route, caller.as_ref())?;
+    let RouteTarget::Service { cost_tokens, .. } = route.target else {
+        unreachable!("routes are indexed by path");
+    };
+    Ok(Chosen { route, team, cost_tokens })
+}
+
+/// Claims the caller's idempotency key, so that its own retry can't run the call twice.
+async fn claim(
+    shared: &Arc<Shared>,
+    chosen: &Chosen<'_>,
+    headers: &HeaderMap,
+    id: RequestId,
+) -> Result<Option<Claim>, ApiError> {
+    if chosen.route.idempotent {
+        return Ok(None);
+    }
+    let Some(key) = headers.get(IDEMPOTENCY_KEY) else { return Ok(None) };
+    let claimed =
+        Claim::take(&shared.platform, &chosen.team, &chosen.route.name, key.as_bytes(), id).await;
+    match claimed {
+        Ok(claim) => Ok(Some(claim)),
+        Err(ClaimError::Taken) => Err(ApiError {
+            not_run: false,
+            ..ApiError::refused(
+                StatusCode::CONFLICT,
+                "duplicate",
+                "a request with this Idempotency-Key was taken before; it is not run again",
+            )
+        }),
+        Err(ClaimError::Unavailable) => {
+            let message = "the Idempotency-Key can't be recorded at present";
+            let refused =
+                ApiError::refused(StatusCode::SERVICE_UNAVAILABLE, "no_idempotency", message);
+            Err(refused.retry_after_ms(shared.settings.platform.timeout_ms))
+        }
+    }
+}
+
+fn service_work(parts: &Parts, path: &str, body: Bytes) -> ServiceWork {
+    ServiceWork {
+        method: parts.method.as_str().to_owned(),
+        path: path.to_owned(),
+        headers: headers::passing(&parts.headers, access::key_text(&parts.headers)),
+        body,
+    }
+}
+
+fn job(
+    shared: &Shared,
+    snapshot: &Snapshot,
+    chosen: &Chosen<'_>,
+    work: ServiceWork,
+    id: RequestId,
+) -> Job {
+    Job {
+        spec: RequestSpec::service(id)
+            .idempotent(chosen.route.idempotent)
+            .max_attempts(shared.settings.request.max_attempts),
+        generation: snapshot.generation(),
+        route: chosen.route.name.clone(),
+        team: chosen.team.clone(),
+        weight: weight(snapshot, &chosen.team),
+        priority: chosen.route.priority,
+        work: JobWork::Service(work),
+        log: shared.log.new(o!("request" => id.to_string(), "team" => chosen.team.to_string())),
+    }
+}
+
+async fn answer(
+    mut pieces: Receiver,
+    mut meter: Meter,
+    claim: Option<Claim>,
+) -> Result<Response, ApiError> {
+    let Some(first) = pieces.recv().await else { return Err(ApiError::draining()) };
+    meter.note(&first);
+    match first {
+        Piece::Head(head) => Ok(stream_answer(&head, pieces, meter)),
+        Piece::End(ending) => Err(end_without_head(&ending, &mut meter, claim)),
+        Piece::Lines(_) | Piece::Body(_) => Err(ApiError {
+            not_run: false,
+            ..ApiError::refused(
+                StatusCode::BAD_GATEWAY,
+                "broken_answer",
+                "the backend server's answer came without its head",
+            )
+        }),
+    }
+}
+
+fn end_without_head(ending: &Ending, meter: &mut Meter, claim: Option<Claim>) -> ApiError {
+    if let (Outcome::NotRun { .. }, Some(claim)) = (&ending.outcome, claim) {
+        // The call never ran, so the caller's retry may.
+        claim.release();
+    }
+    let error = ApiError::of_outcome(&ending.outcome).unwrap_or_else(ApiError::draining);
+    meter.end(ending, error.code);
+    error
+}
+
+fn stream_answer(head: &ServiceHead, pieces: Receiver, meter: Meter) -> Response {
+    let body = Body::from_stream(stream::unfold(Some((pieces, meter)), next_chunk));
+    let mut response = body.into_response();
+    *response.status_mut() = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    headers::restore(&head.headers, response.headers_mut());
+    response
+}
+
+type StreamState = (Receiver, Meter);
+
+// An error breaks the connection off, so that the caller never takes a part for the whole.
+async fn next_chunk(
+    state: Option<StreamState>,
+) -> Option<(Result<Bytes, io::Error>, Option<StreamState>)> {
+    let (mut pieces, mut meter) = state?;
+    let broken = |message: &str| Some((Err(io::Error::other(message.to_owned())), None));
+    loop {
+        match pieces.recv().await {
+            Some(Piece::Body(bytes)) => return Some((Ok(bytes), Some((pieces, meter)))),
+            Some(Piece::End(ending)) => {
+                let error = ApiError::of_outcome(&ending.outcome);
+                meter.end(&ending, error.as_ref().map_or("ok", |error| error.code));
+                return error.map_or_else(|| None, |error| broken(&error.message));
+            }
+            Some(Piece::Head(_) | Piece::Lines(_)) => {}
+            None => return broken("the request was cut"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/error.rs
@@ -0,0 +1,20 @@
+//! The crate's error.
+
+use displaydoc::Display;
+
+/// Why a router could not start or run.
+#[derive(Debug, Display)]
+#[non_exhaustive]
+pub enum RouterError {
+    /// can't listen on {address} for {purpose}: {message}
+    Listen {
+        /// The address in the settings.
+        address: std::net::SocketAddr,
+        /// What the port is for.
+        purpose: &'static str,
+        /// The system's words.
+        message: String,
+    },
+}
+
+impl std::error::Error for RouterError {}
--- /dev/null
+++ b/crates/router/src/fleet/placer.rs
@@ -0,0 +1,232 @@
+//! Workers by route, fed from the configuration and the live list.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use samphirespread_config::{Snapshot, model::Route};
+use samphirespread_core::prelude::*;
+use samphirespread_platform::api::{LiveInstance, LiveList, LiveState, Role};
+use samphirespread_prefix::{
+    Hint, HomeConfig, HomePlacement, Placement, Prompt, Worker, WorkerSet,
+};
+
+// An agent that refuses work is asked again after this; it may have come back by then.
+const SUSPENSION_MS: u64 = 1_000;
+
+/// A prompt as placement needs it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PromptRef<'a> {
+    pub(crate) blocks: &'a [BlockKey],
+    pub(crate) tokens: u64,
+    pub(crate) block_tokens: u32,
+}
+
+impl<'a> PromptRef<'a> {
+    pub(crate) fn as_prompt(&self) -> Prompt<'a> {
+        Prompt { blocks: self.blocks, tokens: self.tokens, block_tokens: self.block_tokens }
+    }
+}
+
+/// A backend server that may be asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Candidate {
+    pub(crate) name: InstanceName,
+    pub(crate) address: String,
+}
+
+/// Chooses backend servers. All calls are short and never wait.
+#[derive(Debug)]
+pub(crate) struct Placer {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    routes: HashMap<String, WorkerSet>,
+    addresses: HashMap<InstanceName, String>,
+    suspended: HashMap<InstanceName, MonoTime>,
+    placement: HomePlacement,
+    rng: SmallRng,
+}
+
+impl Placer {
+    pub(crate) fn new(seed: u64) -> Self {
+        let state = State {
+            routes: HashMap::new(),
+            addresses: HashMap::new(),
+            suspended: HashMap::new(),
+            placement: HomePlacement::new(HomeConfig::default()),
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        Self { state: Mutex::new(state) }
+    }
+
+    /// Takes in the configuration and the live list after either has changed.
+    pub(crate) fn update(&self, snapshot: &Snapshot, live: &LiveList) {
+        let agents: Vec<&LiveInstance> =
+            live.instances.iter().filter(|instance| instance.role == Role::Agent).collect();
+        let mut state = self.lock();
+        state.addresses =
+            agents.iter().map(|agent| (agent.name.clone(), agent.address.clone())).collect();
+        let known = std::mem::take(&mut state.routes);
+        let routes = &snapshot.config().routes;
+        state.routes = routes
+            .iter()
+            .map(|route| {
+                let workers = workers_of(route, &agents);
+                let workers = match known.get(&route.name) {
+                    Some(before) => updated(before, workers),
+                    None => WorkerSet::new(workers),
+                };
+                (route.name.clone(), workers)
+            })
+            .collect();
+    }
+
+    /// Backend servers to ask for a prompt, best guess first, without those already tried.
+    pub(crate) fn candidates(
+        &self,
+        route: &str,
+        prompt: &PromptRef<'_>,
+        tried: &[InstanceName],
+        now: MonoTime,
+    ) -> Vec<Candidate> {
+        let mut state = self.lock();
+        let State { routes, addresses, suspended, placement, rng } = &mut *state;
+        let Some(workers) = routes.get_mut(route) else { return Vec::new() };
+        suspended.retain(|_, since| now.ms_since(*since) < SUSPENSION_MS);
+        let usable = |name: &InstanceName| !tried.contains(name) && !suspended.contains_key(name);
+        let places = placement.candidates(&prompt.as_prompt(), workers, now, rng);
+        let mut names: Vec<&InstanceName> = places
+            .iter()
+            .map(|place| &workers.get(place).name)
+            .filter(|name| usable(name))
+            .collect();
+        if names.is_empty() {
+            // The homes are out of reach, so the least loaded of the others has to recompute.
+            names.extend(
+                workers
+                    .workers()
+                    .iter()
+                    .filter(|worker| worker.takes_work && usable(&worker.name))
+                    .min_by_key(|worker| worker.expected_wait_ms(now))
+                    .map(|worker| &worker.name),
+            );
+        }
+        let candidate = |name: &InstanceName| {
+            let address = addresses.get(name)?.clone();
+            Some(Candidate { name: name.clone(), address })
+        };
+        names.into_iter().filter_map(candidate).collect()
+    }
+
+    /// Takes in the wait that an agent reported, and the hint that came with it.
+    pub(crate) fn learn(
+        &self,
+        route: &str,
+        prompt: &PromptRef<'_>,
+        agent: &InstanceName,
+        report: Report,
+        now: MonoTime,
+    ) {
+        let mut state = self.lock();
+        let State { routes, placement, .. } = &mut *state;
+        if let Some(hint) = report.hint {
+            placement.learn(&prompt.as_prompt(), hint, now);
+        }
+        let Some(workers) = routes.get_mut(route) else { return };
+        if let Some(place) = place_of(workers, agent) {
+            workers.report(place, report.wait_ms, now);
+        }
+    }
+
+    /// Counts a prompt just sent against the agent's expected wait.
+    pub(crate) fn note_sent(&self, route: &str, agent: &InstanceName, cost_ms: u32, now: MonoTime) {
+        let mut state = self.lock();
+        let Some(workers) = state.routes.get_mut(route) else { return };
+        if let Some(place) = place_of(workers, agent) {
+            workers.note_sent(place, cost_ms, now);
+        }
+    }
+
+    /// Leaves an agent out for a while.
+    pub(crate) fn suspend(&self, agent: &InstanceName, now: MonoTime) {
+        self.lock().suspended.insert(agent.clone(), now);
+    }
+
+    /// Workers of a route that take work, for the state dump.
+    pub(crate) fn counts(&self) -> Vec<RouteCount> {
+        let state = self.lock();
+        let mut counts: Vec<RouteCount> = state
+            .routes
+            .iter()
+            .map(|(name, workers)| RouteCount {
+                route: name.clone(),
+                workers: workers.len(),
+                taking_work: workers.workers().iter().filter(|w| w.takes_work).count(),
+            })
+            .collect();
+        counts.sort_by(|a, b| a.route.cmp(&b.route));
+        counts
+    }
+
+    /// Prefixes for which a hint is remembered.
+    pub(crate) fn hints(&self) -> usize {
+        self.lock().placement.hints().len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        // No call leaves the state half changed, so it is whole after a panic elsewhere.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What an agent reported about itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Report {
+    pub(crate) wait_ms: u32,
+    pub(crate) hint: Option<Hint>,
+}
+
+/// Workers of one route.
+#[derive(Clone, Debug, serde::Serialize)]
+pub(crate) struct RouteCount {
+    route: String,
+    workers: usize,
+    taking_work: usize,
+}
+
+fn workers_of(route: &Route, agents: &[&LiveInstance]) -> Vec<Worker> {
+    agents
+        .iter()
+        .filter(|agent| agent.set.as_ref().is_some_and(|set| route.sets.contains(set)))
+        .map(|agent| {
+            let mut worker = Worker::new(agent.name.clone(), &agent.failure_domain);
+            worker.takes_work = agent.state == LiveState::Live;
+            worker
+        })
+        .collect()
+}
+
+// The ring is kept when only the workers' states changed, since making it costs most.
+fn updated(before: &WorkerSet, workers: Vec<Worker>) -> WorkerSet {
+    if !same_workers(before, &workers) {
+        return before.replaced_by(workers);
+    }
+    let mut kept = before.clone();
+    for (place, worker) in workers.iter().enumerate() {
+        kept.set_takes_work(place, worker.takes_work);
+    }
+    kept
+}
+
+fn same_workers(known: &WorkerSet, workers: &[Worker]) -> bool {
+    known.workers().iter().map(|w| &w.name).eq(workers.iter().map(|w| &w.name))
+}
+
+fn place_of(workers: &WorkerSet, agent: &InstanceName) -> Option<usize> {
+    workers.workers().iter().position(|worker| worker.name == *agent)
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,1 +1,206 @@
-//! The router: caller API, admission, placement and relay.
+//! The router: takes callers' requests, admits them within their team's rate, places them on
+//! backend servers and relays the answers.
+//!
+//! ```no_run
+//! use samphirespread_router::Router;
+//! use samphirespread_settings::RouterSettings;
+//! use tokio_util::sync::CancellationToken;
+//!
+//! # async fn example(settings: RouterSettings) -> Result<(), samphirespread_router::RouterError> {
+//! let log = samphirespread_logging::root(&settings.log);
+//! let router = Router::bind(settings, log).await?;
+//! println!("callers connect to {}", router.addresses().callers);
+//! router.run(CancellationToken::new()).await;
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! # Parts
+//!
+//! The decisions are made by other crates: `samphirespread-limits` admits,
+//! `samphirespread-prefix` places, `samphirespread-dispatch` runs attempts. This crate owns the sockets, tasks and clocks
+//! around them. A router keeps nothing between runs.
+//!
+//! # Errors towards callers
+//!
+//! Every refusal is JSON: `{"error": {"code", "message", "not_run", "retry_after_ms", "request_id"}}`.
+//! `not_run` is true only when it is certain that the request has not run and will not.
+
+mod admin;
+mod api;
+mod claim;
+mod drain;
+mod error;
+mod fleet;
+mod limits;
+mod metrics;
+mod peer;
+mod run;
+mod serve;
+mod state;
+mod sync;
+mod trace;
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use samphirespread_core::{prelude::*, time::Clock};
+use samphirespread_platform::{HttpPlatform, HttpPlatformConfig};
+use samphirespread_settings::RouterSettings;
+use samphirespread_wire::{Pool, Secret, WireConfig};
+use slog::{Logger, info, o, warn};
+use tokio::{net::TcpListener, task::JoinSet, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    limits::Admission,
+    metrics::Metrics,
+    peer::PeerHandler,
+    serve::{HttpLimits, Plain},
+    state::{Identity, Parts, Shared},
+};
+
+pub use crate::error::RouterError;
+
+/// Where a router listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the system's other processes.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+}
+
+/// A router whose ports are open.
+pub struct Router {
+    shared: Arc<Shared>,
+    callers: TcpListener,
+    peers: TcpListener,
+    admin: TcpListener,
+    addresses: Addresses,
+    wire: WireConfig,
+}
+
+impl Router {
+    /// Opens the ports.
+    ///
+    /// # Errors
+    ///
+    /// [`RouterError::Listen`] if a port can't be opened.
+    pub async fn bind(settings: RouterSettings, log: Logger) -> Result<Self, RouterError> {
+        let (callers, callers_at) = listen(settings.listen.callers, "callers").await?;
+        let (peers, peers_at) = listen(settings.listen.peers, "peers").await?;
+        let (admin, admin_at) = listen(settings.listen.admin, "admin").await?;
+        let wire = wire_config(&settings);
+        let shared = shared(settings, &log, &wire);
+        let addresses = Addresses { callers: callers_at, peers: peers_at, admin: admin_at };
+        Ok(Self { shared, callers, peers, admin, addresses, wire })
+    }
+
+    /// The ports that were opened.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Serves until `shutdown`, then drains: new requests are refused, running ones finish.
+    ///
+    /// Returns whether every request had its answer before the drain timeout.
+    pub async fn run(self, shutdown: CancellationToken) -> bool {
+        let Self { shared, callers, peers, admin, wire, .. } = self;
+        info!(shared.log, "router runs"; "callers" => %self.addresses.callers);
+        let background = CancellationToken::new();
+        let mut tasks = JoinSet::new();
+        sync::spawn(&shared, &mut tasks, &background);
+        let handler = PeerHandler { shared: Arc::clone(&shared) };
+        tasks.spawn(serve_peers(peers, wire, handler, background.clone()));
+        let limits = http_limits(&shared.settings);
+        let operators = admin::router(Arc::clone(&shared));
+        tasks.spawn(serve::serve(admin, Plain, operators, limits, background.clone()));
+        let stop_callers = CancellationToken::new();
+        let app = api::router(Arc::clone(&shared));
+        let serving = tokio::spawn(serve::serve(callers, Plain, app, limits, stop_callers.clone()));
+
+        shutdown.cancelled().await;
+        info!(shared.log, "router leaves"; "running" => shared.drain.running());
+        shared.identity.set_leaving();
+        shared.drain.leave();
+        stop_callers.cancel();
+        let drained = drain(&shared, serving).await;
+        background.cancel();
+        let _ =
+            timeout(Duration::from_secs(1), async { while tasks.join_next().await.is_some() {} })
+                .await;
+        drained
+    }
+}
+
+async fn drain(shared: &Shared, serving: tokio::task::JoinHandle<()>) -> bool {
+    let limit = Duration::from_millis(shared.settings.drain.timeout_ms);
+    let finished = async {
+        shared.drain.idle().await;
+        // The last bytes are on their way when the server task ends.
+        let _ = serving.await;
+    };
+    let drained = timeout(limit, finished).await.is_ok();
+    if !drained {
+        warn!(shared.log, "drain timeout passed"; "running" => shared.drain.running());
+    }
+    drained
+}
+
+async fn serve_peers(
+    listener: TcpListener,
+    wire: WireConfig,
+    handler: PeerHandler,
+    shutdown: CancellationToken,
+) {
+    // Never fails as a whole; a connection that fails ends alone.
+    let _ = samphirespread_wire::serve(listener, wire, handler, shutdown).await;
+}
+
+async fn listen(
+    address: SocketAddr,
+    purpose: &'static str,
+) -> Result<(TcpListener, SocketAddr), RouterError> {
+    let failed = |error: std::io::Error| RouterError::Listen {
+        address,
+        purpose,
+        message: error.to_string(),
+    };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((listener, bound))
+}
+
+fn wire_config(settings: &RouterSettings) -> WireConfig {
+    WireConfig::new(Secret::new(settings.security.peer_secret.expose()))
+        .heartbeat_interval_ms(settings.peers.heartbeat_ms)
+        .silence_timeout_ms(settings.peers.silence_timeout_ms)
+}
+
+fn http_limits(settings: &RouterSettings) -> HttpLimits {
+    HttpLimits {
+        max_header_bytes: settings.request.max_header_bytes,
+        header_timeout_ms: settings.request.header_timeout_ms,
+    }
+}
+
+fn shared(settings: RouterSettings, log: &Logger, wire: &WireConfig) -> Arc<Shared> {
+    let name = InstanceName::new(&settings.instance.name);
+    let identity = Identity::new(name.clone(), samphirespread_core::time::fresh_incarnation());
+    let platform = HttpPlatform::new(
+        HttpPlatformConfig::new(settings.platform.address.to_string())
+            .timeout_ms(settings.platform.timeout_ms),
+    );
+    Shared::new(Parts {
+        pool: Pool::new(wire.clone(), identity.clone()),
+        log: log.new(o!("instance" => name.to_string())),
+        clock: Clock::start(),
+        admission: Admission::default(),
+        metrics: Metrics::new(),
+        settings,
+        identity,
+        platform,
+    })
+}
--- /dev/null
+++ b/crates/router/src/peer.rs
@@ -0,0 +1,49 @@
+//! Answers the requests of other processes.
+
+use std::sync::Arc;
+
+use samphirespread_wire::{
+    Handler, HelloSource, ReplySender,
+    message::{Reply, Request},
+};
+
+use crate::{state::Shared, sync};
+
+/// Answers other routers.
+#[derive(Clone)]
+pub(crate) struct PeerHandler {
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Handler for PeerHandler {
+    async fn handle(&self, request: Request, mut replies: ReplySender) {
+        let reply = self.reply(request).await;
+        // A peer that is gone asks again.
+        let _ = replies.send(&reply).await;
+    }
+}
+
+impl PeerHandler {
+    async fn reply(&self, request: Request) -> Reply {
+        let shared = &self.shared;
+        match request {
+            Request::Heartbeat(hello) => {
+                shared.identity.heard(&hello);
+                shared.heard_generation(hello.generation);
+                Reply::Heartbeat(shared.identity.hello())
+            }
+            Request::FetchConfig(ask) => sync::config_reply(shared, &ask),
+            Request::FetchLiveList(ask) => sync::live_reply(shared, ask),
+            Request::PushConfig(config) => {
+                match sync::adopt_config(shared, &config.head, &config.sections) {
+                    Ok(()) => Reply::Done,
+                    Err(error) => Reply::Refused { message: error.to_string() },
+                }
+            }
+            Request::Limits(bytes) => shared.admission.peer_message(bytes).await,
+            Request::Lookup(_) | Request::Run(_) | Request::Resume(_) | Request::Cancel(_) => {
+                Reply::Refused { message: "a router runs no attempts".to_owned() }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/run/mod.rs
@@ -0,0 +1,10 @@
+//! Carries out the actions of a request's state machine.
+
+mod exchange;
+mod piece;
+mod runner;
+
+pub(crate) use self::{
+    piece::{Ending, Piece, Receiver},
+    runner::{Job, JobWork, ModelJob, start, tokens_of},
+};
--- /dev/null
+++ b/crates/router/src/run/runner.rs
@@ -0,0 +1,436 @@
+//! Drives one request from admission to its final answer.
+
+use std::{sync::Arc, time::Duration};
+
+use samphirespread_core::prelude::*;
+use samphirespread_dispatch::{Action, Event, Outcome, RequestMachine, RequestSpec};
+use samphirespread_prefix::PrefixHasher;
+use samphirespread_wire::{
+    Connection, WireError,
+    message::{
+        Finished, ModelWork, NotRunReason, Request, Resume, Run, ServiceWork, Standing, Work,
+    },
+};
+use slog::{Logger, debug};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep, sleep_until},
+};
+
+use super::{
+    exchange::{Arrival, Exchange, News},
+    piece::{CHANNEL_PIECES, Ending, Piece, Receiver, Sender},
+};
+use crate::{
+    fleet::{Candidate, PromptRef, Report, look_up},
+    state::Shared,
+};
+
+// Doubled for each further try, so that an agent that restarts is met once it is back.
+const RESUME_BACKOFF_MS: u64 = 50;
+const NO_BACKEND_RETRY_AFTER_MS: u32 = 1_000;
+
+/// A request that was admitted.
+pub(crate) struct Job {
+    pub(crate) spec: RequestSpec,
+    pub(crate) generation: Generation,
+    pub(crate) route: String,
+    pub(crate) team: TeamName,
+    pub(crate) weight: u64,
+    pub(crate) priority: u8,
+    pub(crate) work: JobWork,
+    pub(crate) log: Logger,
+}
+
+/// What to run.
+pub(crate) enum JobWork {
+    /// A model.
+    Model(ModelJob),
+    /// A plain service.
+    Service(ServiceWork),
+}
+
+/// A prompt for a model.
+pub(crate) struct ModelJob {
+    pub(crate) model: ModelName,
+    pub(crate) version: WeightsVersion,
+    pub(crate) hasher: PrefixHasher,
+    pub(crate) prompt: String,
+    pub(crate) max_output_tokens: u32,
+    pub(crate) sampling: String,
+}
+
+/// Starts a request as a task and returns its answer piece by piece. Dropping the
+/// receiver cancels the request.
+pub(crate) fn start(shared: Arc<Shared>, job: Job) -> Receiver {
+    let (pieces, receiver) = mpsc::channel(CHANNEL_PIECES);
+    let requests = shared.drain.enter();
+    tokio::spawn(async move {
+        let deadline = Instant::now() + Duration::from_millis(shared.settings.request.deadline_ms);
+        let runner = Runner {
+            machine: RequestMachine::new(job.spec.clone()),
+            blocks: job.work.blocks(&job.work.prompt_text(&[])),
+            delivered_text: String::new(),
+            prompt_tokens: job.work.prompt_tokens(),
+            output_tokens: 0,
+            exchange: None,
+            target: None,
+            totals: Finished::default(),
+            deadline,
+            shared,
+            job,
+            pieces,
+        };
+        runner.run().await;
+        drop(requests);
+    });
+    receiver
+}
+
+struct Runner {
+    shared: Arc<Shared>,
+    job: Job,
+    machine: RequestMachine,
+    pieces: Sender,
+    blocks: Vec<BlockKey>,
+    delivered_text: String,
+    prompt_tokens: u64,
+    output_tokens: u64,
+    exchange: Option<Exchange>,
+    target: Option<Target>,
+    totals: Finished,
+    deadline: Instant,
+}
+
+/// The agent of the current attempt.
+struct Target {
+    candidate: Candidate,
+    connection: Option<Connection>,
+    incarnation: Incarnation,
+}
+
+/// What a step of the runner leads to.
+enum Step {
+    Next(Event),
+    Wait,
+    Ended,
+}
+
+impl Runner {
+    async fn run(mut self) {
+        let mut event = Event::Start;
+        let mut piece = None;
+        loop {
+            event = match self.apply(&event, piece.take()).await {
+                Step::Next(next) => next,
+                Step::Ended => return,
+                Step::Wait => {
+                    let arrival = self.wait().await;
+                    piece = arrival.piece;
+                    arrival.event
+                }
+            };
+        }
+    }
+
+    /// Feeds an event to the machine and carries out what it says.
+    async fn apply(&mut self, event: &Event, piece: Option<Piece>) -> Step {
+        let actions = self.machine.handle(event);
+        if let [Action::Deliver] = actions {
+            return self.deliver(piece).await;
+        }
+        let actions = actions.to_vec();
+        let mut step = Step::Wait;
+        for action in actions {
+            step = match action {
+                Action::Choose => Step::Next(self.choose().await),
+                Action::Run { attempt, .. } => self.send_run(attempt).await,
+                Action::Resume { attempt, from_seq, try_number, .. } => {
+                    self.resume(attempt, from_seq, try_number).await
+                }
+                Action::Deliver => Step::Wait,
+                Action::Cancel { attempt, .. } => {
+                    self.cancel(attempt);
+                    Step::Wait
+                }
+                Action::End(outcome) => return self.end(outcome).await,
+            };
+        }
+        step
+    }
+
+    /// Passes a line to the caller, together with those that have arrived behind it.
+    async fn deliver(&mut self, piece: Option<Piece>) -> Step {
+        let Some(mut piece) = piece else { return Step::Wait };
+        let mut step = Step::Wait;
+        if let Piece::Lines(lines) = &mut piece {
+            while let Some(arrival) = self.exchange.as_mut().and_then(Exchange::next_arrived) {
+                self.note(&arrival);
+                let Some(Piece::Lines(more)) = arrival.piece else {
+                    step = Step::Next(arrival.event);
+                    break;
+                };
+                if self.machine.handle(&arrival.event) != [Action::Deliver] {
+                    // A gap: the machine has asked for a resume, which starts from its own count.
+                    step = Step::Next(Event::Lost { attempt: self.machine.attempt() });
+                    break;
+                }
+                lines.extend(more);
+            }
+            for line in lines.iter() {
+                self.delivered_text.push_str(&line.text);
+                self.output_tokens += u64::from(line.tokens);
+            }
+        }
+        if self.pieces.send(piece).await.is_err() {
+            return Step::Next(Event::CallerGone);
+        }
+        step
+    }
+
+    async fn wait(&mut self) -> Arrival {
+        let only = |event| Arrival { event, piece: None, news: None };
+        let Some(exchange) = self.exchange.as_mut() else {
+            return only(Event::Lost { attempt: self.machine.attempt() });
+        };
+        let arrival = tokio::select! {
+            biased;
+            arrival = exchange.next() => arrival,
+            () = self.pieces.closed() => only(Event::CallerGone),
+            () = sleep_until(self.deadline) => only(Event::DeadlinePassed),
+        };
+        self.note(&arrival);
+        arrival
+    }
+
+    /// Takes in what an agent said about itself.
+    fn note(&mut self, arrival: &Arrival) {
+        let Some(news) = arrival.news else { return };
+        match news {
+            News::Finished(finished) => self.totals = finished,
+            News::Standing(standing) => self.learn(&standing, news),
+            News::Refuses(standing, reason) => {
+                self.learn(&standing, news);
+                self.shared.metrics.note_not_run(reason);
+                let down = matches!(reason, NotRunReason::Leaving | NotRunReason::EngineDown);
+                if let (true, Some(target)) = (down, &self.target) {
+                    self.shared.placer.suspend(&target.candidate.name, self.shared.clock.now());
+                }
+                if reason == NotRunReason::Stale {
+                    self.shared.config_news.notify_one();
+                }
+            }
+        }
+    }
+
+    fn learn(&self, standing: &Standing, news: News) {
+        let Some(target) = &self.target else { return };
+        let report = Report { wait_ms: standing.wait_ms, hint: news.hint() };
+        let now = self.shared.clock.now();
+        let agent = &target.candidate.name;
+        self.shared.placer.learn(&self.job.route, &self.prompt(), agent, report, now);
+    }
+
+    fn prompt(&self) -> PromptRef<'_> {
+        let block_tokens = match &self.job.work {
+            JobWork::Model(model) => model.hasher.block_tokens(),
+            JobWork::Service(_) => 0,
+        };
+        PromptRef { blocks: &self.blocks, tokens: self.prompt_tokens, block_tokens }
+    }
+
+    async fn choose(&mut self) -> Event {
+        let none = Event::NoneLeft { retry_after_ms: NO_BACKEND_RETRY_AFTER_MS };
+        self.exchange = None;
+        self.target = None;
+        let now = self.shared.clock.now();
+        let tried = self.machine.tried();
+        let candidates = self.shared.placer.candidates(&self.job.route, &self.prompt(), tried, now);
+        let Some(best) = look_up(&self.shared.pool, &self.prompt(), &candidates).await else {
+            return none;
+        };
+        let agent = best.candidate.name.clone();
+        if let Some(reply) = &best.reply {
+            self.shared.heard_generation(reply.generation);
+            let cost_ms = prefill_ms(&self.prompt(), &reply.standing);
+            self.shared.placer.note_sent(&self.job.route, &agent, cost_ms, now);
+        }
+        self.target = Some(Target {
+            candidate: best.candidate.clone(),
+            connection: None,
+            incarnation: Incarnation::default(),
+        });
+        Event::Chosen { agent }
+    }
+
+    async fn send_run(&mut self, attempt: AttemptId) -> Step {
+        if self.has_whole_output() {
+            return Step::Next(Event::Finished { attempt, lines: 0 });
+        }
+        let request = Request::Run(Box::new(self.run_order(attempt)));
+        match self.open(attempt, &request, 0).await {
+            Ok(exchange) => {
+                self.exchange = Some(exchange);
+                Step::Wait
+            }
+            Err(error) => {
+                debug!(self.job.log, "run order failed"; "attempt" => attempt.number, "error" => %error);
+                if error.is_unsent()
+                    && let Some(target) = &self.target
+                {
+                    self.shared.placer.suspend(&target.candidate.name, self.shared.clock.now());
+                    return Step::Next(Event::Unsent { attempt });
+                }
+                Step::Next(Event::Lost { attempt })
+            }
+        }
+    }
+
+    // The last line was delivered and only the end of the answer was lost.
+    fn has_whole_output(&self) -> bool {
+        let JobWork::Model(model) = &self.job.work else { return false };
+        self.output_tokens >= u64::from(model.max_output_tokens)
+    }
+
+    async fn resume(&mut self, attempt: AttemptId, from_seq: u64, try_number: u32) -> Step {
+        self.exchange = None;
+        self.shared.metrics.resumes.inc();
+        let backoff_ms = RESUME_BACKOFF_MS << (try_number - 1).min(6);
+        tokio::select! {
+            () = sleep(Duration::from_millis(backoff_ms)), if try_number > 1 => {}
+            () = std::future::ready(()), if try_number <= 1 => {}
+            () = self.pieces.closed() => return Step::Next(Event::CallerGone),
+            () = sleep_until(self.deadline) => return Step::Next(Event::DeadlinePassed),
+        }
+        let Some(incarnation) = self.target.as_ref().map(|target| target.incarnation) else {
+            return Step::Next(Event::Unsent { attempt });
+        };
+        let request = Request::Resume(Resume { attempt, incarnation, from_seq });
+        match self.open(attempt, &request, from_seq).await {
+            Ok(exchange) => {
+                self.exchange = Some(exchange);
+                Step::Wait
+            }
+            Err(error) => {
+                debug!(self.job.log, "resume failed"; "attempt" => attempt.number, "error" => %error);
+                Step::Next(Event::Unsent { attempt })
+            }
+        }
+    }
+
+    /// Opens an exchange with the target. The target's run is noted before the first byte goes out.
+    async fn open(
+        &mut self,
+        attempt: AttemptId,
+        request: &Request,
+        from_line: u64,
+    ) -> Result<Exchange, WireError> {
+        let Some(target) = self.target.as_mut() else { return Err(WireError::GoneAway) };
+        let connection = self.shared.pool.get(&target.candidate.address).await?;
+        if let Request::Run(_) = request {
+            target.incarnation = connection.peer().incarnation;
+        }
+        target.connection = Some(connection.clone());
+        Exchange::open(&connection, attempt, request, from_line).await
+    }
+
+    fn run_order(&self, attempt: AttemptId) -> Run {
+        let request = &self.shared.settings.request;
+        Run {
+            attempt,
+            fence: FencingNumber(u64::from(attempt.number) + 1),
+            generation: self.job.generation,
+            team: self.job.team.clone(),
+            weight: self.job.weight,
+            priority: self.job.priority,
+            queue_limit_ms: request.queue_limit_ms,
+            work: self.work_order(),
+        }
+    }
+
+    fn work_order(&self) -> Work {
+        let model = match &self.job.work {
+            JobWork::Service(service) => return Work::Service(service.clone()),
+            JobWork::Model(model) => model,
+        };
+        let prompt = self.job.work.prompt_text(&[&self.delivered_text]);
+        let output_tokens = u32::try_from(self.output_tokens).unwrap_or(u32::MAX);
+        Work::Model(ModelWork {
+            model: model.model.clone(),
+            version: model.version.clone(),
+            cache_salt: model.hasher.cache_salt().to_owned(),
+            prompt_tokens: tokens_of(prompt.len()),
+            max_output_tokens: model.max_output_tokens.saturating_sub(output_tokens),
+            sampling: model.sampling.clone(),
+            blocks: self.job.work.blocks(&prompt),
+            block_bytes: model.hasher.bytes_per_block(),
+            prompt,
+        })
+    }
+
+    // Nobody waits for the outcome of a cancel; the agent also notices that its reader is gone.
+    fn cancel(&mut self, attempt: AttemptId) {
+        self.exchange = None;
+        let Some(connection) = self.target.as_ref().and_then(|target| target.connection.clone())
+        else {
+            return;
+        };
+        tokio::spawn(async move {
+            let _ = connection.call(&Request::Cancel(attempt)).await;
+        });
+    }
+
+    async fn end(&mut self, outcome: Outcome) -> Step {
+        debug!(self.job.log, "request ended"; "outcome" => ?outcome,
+            "attempts" => self.machine.attempt().number + 1);
+        let finished = Finished {
+            length: self.machine.delivered_lines(),
+            prompt_tokens: self.prompt_tokens,
+            output_tokens: self.output_tokens,
+            ..self.totals
+        };
+        // A caller that is gone needs no ending.
+        let _ = self.pieces.send(Piece::End(Ending { outcome, finished })).await;
+        Step::Ended
+    }
+}
+
+/// Time that the agent's engine will spend on the blocks that it lacks.
+fn prefill_ms(prompt: &PromptRef<'_>, standing: &Standing) -> u32 {
+    let cached_tokens = u64::from(standing.cached_blocks) * u64::from(prompt.block_tokens);
+    let missing_tokens = prompt.tokens.saturating_sub(cached_tokens);
+    let us = missing_tokens.saturating_mul(standing.prefill_us_per_token.into());
+    u32::try_from(us / 1_000).unwrap_or(u32::MAX)
+}
+
+impl JobWork {
+    /// The prompt with output that was already delivered.
+    fn prompt_text(&self, delivered: &[&str]) -> String {
+        let Self::Model(model) = self else { return String::new() };
+        let mut text = model.prompt.clone();
+        for piece in delivered {
+            text.push_str(piece);
+        }
+        text
+    }
+
+    fn blocks(&self, prompt: &str) -> Vec<BlockKey> {
+        match self {
+            Self::Model(model) => model.hasher.blocks(prompt.as_bytes()),
+            Self::Service(_) => Vec::new(),
+        }
+    }
+
+    /// Tokens of the prompt.
+    pub(crate) fn prompt_tokens(&self) -> u64 {
+        match self {
+            Self::Model(model) => tokens_of(model.prompt.len()),
+            Self::Service(_) => 0,
+        }
+    }
+}
+
+/// Tokens in that many bytes of text.
+pub(crate) fn tokens_of(bytes: usize) -> u64 {
+    (bytes as u64).div_ceil(u64::from(samphirespread_prefix::BYTES_PER_TOKEN))
+}
--- /dev/null
+++ b/crates/router/src/sync/mod.rs
@@ -0,0 +1,43 @@
+//! Keeps configuration and live list up to date, from the platform and from peers.
+
+mod contact;
+mod peers;
+mod platform;
+mod store;
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{task::JoinSet, time::sleep};
+use tokio_util::sync::CancellationToken;
+
+use crate::state::Shared;
+
+pub(crate) use self::{
+    contact::Contact,
+    peers::{config_reply, live_reply},
+    store::adopt_config,
+};
+
+/// Starts the tasks that keep up to date until `shutdown`.
+pub(crate) fn spawn(shared: &Arc<Shared>, tasks: &mut JoinSet<()>, shutdown: &CancellationToken) {
+    spawn_until(tasks, shutdown, platform::follow_head(Arc::clone(shared)));
+    spawn_until(tasks, shutdown, platform::follow_live_list(Arc::clone(shared)));
+    spawn_until(tasks, shutdown, peers::follow(Arc::clone(shared)));
+}
+
+fn spawn_until<F>(tasks: &mut JoinSet<()>, shutdown: &CancellationToken, work: F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let shutdown = shutdown.clone();
+    tasks.spawn(async move {
+        tokio::select! {
+            () = work => {}
+            () = shutdown.cancelled() => {}
+        }
+    });
+}
+
+async fn pause_ms(ms: u64) {
+    sleep(Duration::from_millis(ms)).await;
+}
--- /dev/null
+++ b/crates/router/src/sync/platform.rs
@@ -0,0 +1,84 @@
+//! Follows the platform's head object and live list.
+
+use std::sync::Arc;
+
+use samphirespread_config::{Snapshot, model::Head};
+use samphirespread_platform::{Platform, PlatformError, api::ObjectVersion};
+use slog::debug;
+
+use super::{
+    pause_ms,
+    store::{adopt_config, adopt_live, refuse_config},
+};
+use crate::state::Shared;
+
+const HEAD_KEY: &str = "config/head";
+const SECTION_PREFIX: &str = "config/section/";
+const RETRY_MS: u64 = 250;
+
+/// Watches the head and puts each later configuration in force.
+pub(super) async fn follow_head(shared: Arc<Shared>) {
+    let mut after = ObjectVersion::default();
+    loop {
+        let sent = shared.clock.now();
+        match read_head(&shared, after).await {
+            Ok(version) => {
+                after = version;
+                shared.contact.platform_answered(sent);
+            }
+            Err(error) => {
+                debug!(shared.log, "platform can't be read"; "error" => %error);
+                pause_ms(RETRY_MS).await;
+            }
+        }
+    }
+}
+
+async fn read_head(
+    shared: &Arc<Shared>,
+    after: ObjectVersion,
+) -> Result<ObjectVersion, PlatformError> {
+    let wait_ms = if after == ObjectVersion::default() {
+        0
+    } else {
+        // An answer proves contact from the moment of asking, so a wait must end well before the
+        // contact counts as old.
+        (shared.settings.peers.stale_config_ms / 3).min(shared.settings.platform.poll_ms)
+    };
+    let listing = shared.platform.watch(HEAD_KEY, after, wait_ms).await?;
+    for object in &listing.objects {
+        let Some(text) = object.value.as_deref().filter(|_| object.key == HEAD_KEY) else {
+            continue;
+        };
+        let sections = missing_sections(shared, text).await?;
+        if let Err(error) = adopt_config(shared, text, &sections) {
+            refuse_config(shared, &error);
+        }
+    }
+    Ok(listing.version)
+}
+
+async fn missing_sections(shared: &Shared, head: &str) -> Result<Vec<String>, PlatformError> {
+    let Ok(head) = Head::parse(head) else { return Ok(Vec::new()) };
+    let present: Arc<Snapshot> = shared.snapshot.load_full();
+    let mut sections = Vec::new();
+    for hash in present.missing_sections(&head) {
+        let object = shared.platform.get(&format!("{SECTION_PREFIX}{hash}")).await?;
+        sections.extend(object.and_then(|object| object.value));
+    }
+    Ok(sections)
+}
+
+/// Reads the live list at an interval.
+pub(super) async fn follow_live_list(shared: Arc<Shared>) {
+    loop {
+        let have = shared.live.load().version;
+        let after = (have != ObjectVersion::default()).then_some(have);
+        match shared.platform.instances(after).await {
+            Ok(Some(live)) => adopt_live(&shared, live),
+            Ok(None) => {}
+            Err(error) => debug!(shared.log, "live list can't be read"; "error" => %error),
+        }
+        pause_ms(shared.settings.platform.poll_ms).await;
+    }
+}
