--- a/crates/standin/src/engine/cache.rs
+++ b/crates/standin/src/engine/cache.rs
@@ -9,27 +9,27 @@
 
 /// Names a cached block. The key names the text, the salt who may reuse it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub(super) struct BlockName {
-    pub(super) salt: Arc<str>,
-    pub(super) key: BlockKey,
+pub(crate) struct BlockName {
+    pub(crate) salt: Arc<str>,
+    pub(crate) key: BlockKey,
 }
 
 /// Who computed a block, and from which text.
 #[derive(Clone, Debug)]
-pub(super) struct BlockOrigin {
+pub(crate) struct BlockOrigin {
     /// The stream that computed it; `None` for an imported block.
-    pub(super) stream: Option<Arc<str>>,
-    pub(super) salt: Arc<str>,
-    pub(super) version: WeightsVersion,
+    pub(crate) stream: Option<Arc<str>>,
+    pub(crate) salt: Arc<str>,
+    pub(crate) version: WeightsVersion,
     /// Hash of all text up to the block's end; unknown for an imported block.
-    pub(super) text_hash: Option<u64>,
+    pub(crate) text_hash: Option<u64>,
 }
 
 /// One block of a prompt.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct PromptBlock {
-    pub(super) key: BlockKey,
-    pub(super) text_hash: u64,
+pub(crate) struct PromptBlock {
+    pub(crate) key: BlockKey,
+    pub(crate) text_hash: u64,
 }
 
 #[derive(Debug)]
@@ -40,7 +40,7 @@
 
 /// Blocks in limited memory; the least recently used go first.
 #[derive(Debug)]
-pub(super) struct BlockCache {
+pub(crate) struct BlockCache {
     capacity: usize,
     blocks: HashMap<BlockName, Cached>,
     by_use: BTreeMap<u64, BlockName>,
@@ -48,28 +48,28 @@
 }
 
 impl BlockCache {
-    pub(super) fn new(capacity: usize) -> Self {
+    pub(crate) fn new(capacity: usize) -> Self {
         Self { capacity, blocks: HashMap::new(), by_use: BTreeMap::new(), uses: 0 }
     }
 
-    pub(super) fn len(&self) -> usize {
+    pub(crate) fn len(&self) -> usize {
         self.blocks.len()
     }
 
-    pub(super) fn capacity(&self) -> usize {
+    pub(crate) fn capacity(&self) -> usize {
         self.capacity
     }
 
-    pub(super) fn keys(&self) -> Vec<BlockKey> {
+    pub(crate) fn keys(&self) -> Vec<BlockKey> {
         self.blocks.keys().map(|name| name.key).collect()
     }
 
-    pub(super) fn contains(&self, name: &BlockName) -> bool {
+    pub(crate) fn contains(&self, name: &BlockName) -> bool {
         self.blocks.contains_key(name)
     }
 
     /// The origins of the leading blocks that are cached, which are used by that.
-    pub(super) fn reuse(&mut self, salt: &Arc<str>, blocks: &[PromptBlock]) -> Vec<BlockOrigin> {
+    pub(crate) fn reuse(&mut self, salt: &Arc<str>, blocks: &[PromptBlock]) -> Vec<BlockOrigin> {
         let mut origins = Vec::new();
         for block in blocks {
             let name = BlockName { salt: Arc::clone(salt), key: block.key };
@@ -87,7 +87,7 @@
     }
 
     /// Caches a block and returns the keys of those that had to go.
-    pub(super) fn insert(&mut self, name: BlockName, origin: BlockOrigin) -> Vec<BlockKey> {
+    pub(crate) fn insert(&mut self, name: BlockName, origin: BlockOrigin) -> Vec<BlockKey> {
         if self.capacity == 0 {
             return Vec::new();
         }
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -1,6 +1,6 @@
 //! A stand-in for a model engine.
 
-mod cache;
+pub(crate) mod cache;
 mod config;
 mod events;
 mod http_api;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -24,8 +24,11 @@
 //! apart, and nothing is kept on disk.
 
 pub mod engine;
+pub mod kept_cache;
+pub mod link;
 pub mod platform;
 pub mod record;
 mod server;
+pub mod service;
 pub mod text;
 pub mod weight_store;
