Bench one placement and residency; count accepted prompts as resident

Several prompts with one new prefix would each look like a miss at its home until the first is prefilled, so that each might go elsewhere: Residency::expect and settle count the blocks of accepted prompts. A run after its own lookup no longer counts as a second prompt, which would have marked every prompt as shared.

--- /dev/null
+++ b/crates/prefix/benches/placement.rs
@@ -0,0 +1,125 @@
+//! The cost of one placement, and of its parts, by number of workers and blocks.
+
+#![expect(missing_docs, reason = "criterion_group! makes public functions without documentation")]
+
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use rand::{SeedableRng, rngs::StdRng};
+use samphirespread_core::prelude::*;
+use samphirespread_prefix::{
+    Hint, HomeConfig, HomePlacement, Placement, PrefixHasher, Prompt, Standing, Worker, WorkerSet,
+    choose,
+};
+
+const WORKER_COUNTS: [usize; 3] = [18, 186, 6_700];
+const BLOCK_COUNTS: [usize; 3] = [16, 64, 512];
+const KNOWN_PREFIXES: u64 = 20_000;
+const PROMPTS: u64 = 64;
+const NOW: MonoTime = MonoTime::from_ms(1_000);
+
+fn worker_set(count: usize) -> WorkerSet {
+    let worker = |index| Worker::new(InstanceName::new(format!("worker-{index}")), "north");
+    WorkerSet::new((0..count).map(worker).collect())
+}
+
+/// Prompts that share their first half in groups of four.
+fn prompts(blocks: usize) -> Vec<Vec<BlockKey>> {
+    let key = |prompt: u64, index: usize| {
+        let group = if index < blocks / 2 { prompt / 4 } else { PROMPTS + prompt };
+        let seed = group << 32 | index as u64;
+        BlockKey(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+    };
+    (0..PROMPTS).map(|prompt| (0..blocks).map(|index| key(prompt, index)).collect()).collect()
+}
+
+fn view(blocks: &[BlockKey]) -> Prompt<'_> {
+    Prompt { blocks, tokens: blocks.len() as u64 * 2_048, block_tokens: 2_048 }
+}
+
+fn warm_placement(prompts: &[Vec<BlockKey>], shared_blocks: usize) -> HomePlacement {
+    let mut placement = HomePlacement::new(HomeConfig::default());
+    for other in 0..KNOWN_PREFIXES {
+        let blocks = [BlockKey(other.wrapping_mul(0xd6e8_feb8_6659_fd93))];
+        placement.learn(&view(&blocks), Hint { shared_blocks: 1, replicas: 2 }, NOW);
+    }
+    for blocks in prompts {
+        let hint = Hint { shared_blocks: shared_blocks as u32, replicas: 4 };
+        placement.learn(&view(blocks), hint, NOW);
+    }
+    placement
+}
+
+/// Candidates, then the choice among them; the lookups between are not part of the decision.
+fn bench_place(c: &mut Criterion) {
+    let mut group = c.benchmark_group("place");
+    for workers in WORKER_COUNTS {
+        let set = worker_set(workers);
+        for blocks in BLOCK_COUNTS {
+            let prompts = prompts(blocks);
+            let mut placement = warm_placement(&prompts, blocks / 2);
+            let mut rng = StdRng::seed_from_u64(1);
+            let mut next = 0;
+            let id = BenchmarkId::new(format!("{workers}_workers"), format!("{blocks}_blocks"));
+            group.bench_function(id, |b| {
+                b.iter(|| {
+                    next = (next + 1) % prompts.len();
+                    let prompt = view(&prompts[next]);
+                    let candidates = placement.candidates(&prompt, &set, NOW, &mut rng);
+                    let standings = [Standing { takes_work: true, ..Standing::default() }; 3];
+                    black_box(choose(&prompt, &standings[..candidates.len()]))
+                });
+            });
+        }
+    }
+    group.finish();
+}
+
+/// Scoring every worker for two levels: what the ring replaces.
+fn bench_score_all(c: &mut Criterion) {
+    let mut group = c.benchmark_group("score_all_workers_for_two_levels");
+    for workers in WORKER_COUNTS {
+        let set = worker_set(workers);
+        let mut key = 0_u64;
+        group.bench_function(BenchmarkId::from_parameter(workers), |b| {
+            b.iter(|| {
+                key += 1;
+                for level in [key, key << 32] {
+                    let best = set.workers().iter().enumerate().max_by_key(|(_, worker)| {
+                        rendezvous::score(&level.to_le_bytes(), worker.name.as_str())
+                    });
+                    black_box(best);
+                }
+            });
+        });
+    }
+    group.finish();
+}
+
+fn bench_ring(c: &mut Criterion) {
+    let mut group = c.benchmark_group("build_worker_set");
+    group.sample_size(10);
+    for workers in WORKER_COUNTS {
+        let set = worker_set(workers);
+        group.bench_function(BenchmarkId::from_parameter(workers), |b| {
+            b.iter(|| black_box(WorkerSet::new(set.workers().to_vec())));
+        });
+    }
+    group.finish();
+}
+
+fn bench_hash(c: &mut Criterion) {
+    let mut group = c.benchmark_group("hash_prompt");
+    let team = TeamName::new("roads");
+    let hasher = PrefixHasher::new(&team, &ModelName::new("draft"), &WeightsVersion::new("v1"));
+    for blocks in BLOCK_COUNTS {
+        let prompt = vec![b'x'; blocks * hasher.bytes_per_block() as usize];
+        group.bench_function(BenchmarkId::from_parameter(blocks), |b| {
+            b.iter(|| black_box(hasher.blocks(&prompt)));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, bench_place, bench_score_all, bench_ring, bench_hash);
+criterion_main!(benches);
--- a/crates/prefix/src/heat.rs
+++ b/crates/prefix/src/heat.rs
@@ -82,6 +82,7 @@
     seen_at: MonoTime,
     replicas: u8,
     replicas_set_at: MonoTime,
+    lookups_before_run: u16,
 }
 
 /// Decayed prompts from which on a block counts as shared: a second prompt within a half-life.
@@ -96,12 +97,15 @@
 
     /// Takes in a prompt that was looked up (`cost_us` is zero) or that runs here, where
     /// `cost_us` is the time that it takes from the engine. Returns the hint for its prefix.
+    ///
+    /// A run that follows a lookup of the same prompt doesn't count as a second prompt.
     pub fn observe(&mut self, blocks: &[BlockKey], cost_us: u64, now: MonoTime) -> Hint {
         self.blocks.age(now);
+        let prompts = self.count_sighting(blocks, cost_us, now);
         let mut hint = Hint { shared_blocks: 0, replicas: 1 };
         for (index, key) in blocks.iter().enumerate() {
             let mut heat = self.decayed(*key, now);
-            heat.prompts += 1.0;
+            heat.prompts += prompts;
             heat.busy_us += cost_us as f32;
             self.adjust_replicas(&mut heat, now);
             self.blocks.put(*key, heat);
@@ -134,6 +138,21 @@
         self.blocks.len() == 0
     }
 
+    /// Notes on the last block whether a run is due, and returns how many prompts this one counts.
+    fn count_sighting(&mut self, blocks: &[BlockKey], cost_us: u64, now: MonoTime) -> f32 {
+        let Some(last) = blocks.last() else { return 0.0 };
+        let mut heat = self.decayed(*last, now);
+        let is_lookup = cost_us == 0;
+        let was_looked_up = !is_lookup && heat.lookups_before_run > 0;
+        heat.lookups_before_run = if is_lookup {
+            heat.lookups_before_run.saturating_add(1)
+        } else {
+            heat.lookups_before_run.saturating_sub(1)
+        };
+        self.blocks.put(*last, heat);
+        if was_looked_up { 0.0 } else { 1.0 }
+    }
+
     fn decayed(&self, key: BlockKey, now: MonoTime) -> BlockHeat {
         let Some(heat) = self.blocks.get(key) else {
             return BlockHeat {
@@ -142,6 +161,7 @@
                 seen_at: now,
                 replicas: 1,
                 replicas_set_at: now,
+                lookups_before_run: 0,
             };
         };
         let half_lives = now.ms_since(heat.seen_at) as f32 / self.config.half_life_ms as f32;
--- a/crates/prefix/src/residency.rs
+++ b/crates/prefix/src/residency.rs
@@ -5,7 +5,7 @@
 use samphirespread_core::prelude::*;
 use samphirespread_engine::api::{BlockList, CacheChange, CacheEvent};
 
-use crate::key_map::KeySet;
+use crate::key_map::{KeyMap, KeySet};
 
 /// Events at most that are kept between a gap and the re-read that mends it.
 const MAX_KEPT_EVENTS: usize = 4_096;
@@ -40,6 +40,7 @@
     incarnation: Incarnation,
     next_seq: u64,
     blocks: KeySet,
+    expected: KeyMap<u32>,
     uncertain: bool,
     kept: VecDeque<CacheEvent>,
 }
@@ -109,16 +110,40 @@
         self.incarnation = incarnation;
         self.next_seq = 0;
         self.blocks.clear();
+        self.expected.clear();
         self.kept.clear();
         self.uncertain = false;
     }
 
-    /// Leading blocks of a prompt that are believed to be cached.
+    /// Leading blocks of a prompt that are believed to be cached, or that a prompt which was
+    /// accepted before will have cached by then.
     pub fn leading_blocks(&self, blocks: &[BlockKey]) -> u32 {
-        let missing = blocks.iter().position(|key| !self.blocks.contains(key));
+        let known = |key| self.blocks.contains(key) || self.expected.contains_key(key);
+        let missing = blocks.iter().position(|key| !known(key));
         missing.unwrap_or(blocks.len()) as u32
     }
 
+    /// Counts on the blocks of a prompt that was accepted and not yet prefilled.
+    ///
+    /// Without this, several prompts with one new prefix would each look like a miss, and go to
+    /// several engines. Each call is taken back by [`Residency::settle`].
+    pub fn expect(&mut self, blocks: &[BlockKey]) {
+        for key in blocks {
+            *self.expected.entry(*key).or_insert(0) += 1;
+        }
+    }
+
+    /// Takes back [`Residency::expect`], once the prompt is prefilled or will not be.
+    pub fn settle(&mut self, blocks: &[BlockKey]) {
+        for key in blocks {
+            let Some(count) = self.expected.get_mut(key) else { continue };
+            *count -= 1;
+            if *count == 0 {
+                self.expected.remove(key);
+            }
+        }
+    }
+
     /// Marks the index uncertain, as after a lost connection to the event stream.
     pub fn mark_uncertain(&mut self) {
         self.uncertain = true;
--- a/crates/prefix/tests/placement.rs
+++ b/crates/prefix/tests/placement.rs
@@ -180,3 +180,16 @@
         assert!(heat.len() <= 1_000);
     }
 }
+
+#[test]
+fn a_run_after_its_lookup_is_one_prompt() {
+    let mut heat = Heat::new(HeatConfig::default());
+    let blocks = [BlockKey(1), BlockKey(2)];
+
+    heat.observe(&blocks, 0, NOW);
+    let run = heat.observe(&blocks, 5_000, NOW);
+    let second_run = heat.observe(&blocks, 5_000, NOW);
+
+    assert_eq!(run.shared_blocks, 0);
+    assert_eq!(second_run.shared_blocks, 2);
+}
--- a/crates/prefix/tests/residency.rs
+++ b/crates/prefix/tests/residency.rs
@@ -179,3 +179,19 @@
     assert_eq!(residency.len(), 4);
     assert_eq!(residency.next_seq(), 4);
 }
+
+#[test]
+fn blocks_of_accepted_prompts_count_until_settled() {
+    let mut residency = Residency::new();
+    let (one, other) = ([BlockKey(1), BlockKey(2)], [BlockKey(1), BlockKey(3)]);
+
+    residency.expect(&one);
+    residency.expect(&other);
+    let both = residency.leading_blocks(&one);
+    residency.settle(&one);
+    let after_one = residency.leading_blocks(&one);
+    residency.settle(&other);
+
+    assert_eq!((both, after_one), (2, 1));
+    assert_eq!(residency.leading_blocks(&one), 0);
+}
