--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,4 +1,4 @@
-//! Small stand-ins for the platform, engines and plain services.
+//! Small stand-ins for the platform, engines, plain services and callers.
 //!
 //! Each one is a task of the test's own process that serves HTTP on a port of its own, with a
 //! handle that makes it fail and tells what it received.
@@ -23,6 +23,7 @@
 //! They cost little and promise little: times are those of the runtime's timer, a millisecond
 //! apart, and nothing is kept on disk.
 
+pub mod caller;
 pub mod engine;
 pub mod kept_cache;
 pub mod link;
