Let a router start from seed addresses while the platform is down

Cause: the live list comes from the platform, so a router that starts during an outage knew no peer to ask. Ruled out: keeping the last list (there are no disks). Before: no such key; after: [peers] seeds lists addresses, checked like the others.

--- a/crates/router/src/sync/peers.rs
+++ b/crates/router/src/sync/peers.rs
@@ -47,6 +47,10 @@
         .filter(|instance| instance.role == Role::Router && instance.name != *own)
         .filter(|instance| instance.state == LiveState::Live)
         .collect();
+    if others.is_empty() {
+        let seeds = shared.settings.peers.seeds.iter().map(ToString::to_string);
+        return seeds.take(PEERS_ASKED).collect();
+    }
     let order = rendezvous::rank(own.as_str().as_bytes(), &others, |other| other.name.as_str());
     order.into_iter().take(PEERS_ASKED).map(|index| others[index].address.clone()).collect()
 }
--- a/crates/settings/src/check/mod.rs
+++ b/crates/settings/src/check/mod.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     error::{SettingsError, SettingsErrors},
-    schema::{KeySpec, Preset, Schema, SectionSpec},
+    schema::{KeySpec, Preset, Schema, SectionSpec, items},
 };
 
 /// Shown in place of the value of a secret.
@@ -42,6 +42,15 @@
         key.preset.text()
     }
 
+    /// The items in force of a list.
+    pub(crate) fn list<T: FromStr>(&self, section: &'static str, key: &'static str) -> Vec<T> {
+        let parse = |item: &str| match item.parse() {
+            Ok(value) => value,
+            Err(_) => panic!("[{section}] {key} was checked"),
+        };
+        items(self.text(section, key)).map(parse).collect()
+    }
+
     /// The value in force as a number, address or the like.
     pub(crate) fn get<T: FromStr>(&self, section: &'static str, key: &'static str) -> T {
         match self.text(section, key).parse() {
--- a/crates/settings/src/router/mod.rs
+++ b/crates/settings/src/router/mod.rs
@@ -101,8 +101,10 @@
 }
 
 /// A router's connections to other processes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RouterPeers {
+    /// Routers to ask before the live list is known, for a start during an outage of the platform.
+    pub seeds: Vec<SocketAddr>,
     /// Time between two heartbeats on a connection.
     pub heartbeat_ms: u64,
     /// A connection silent for longer is dropped.
@@ -194,6 +196,7 @@
 
 fn peers(values: &Values) -> RouterPeers {
     RouterPeers {
+        seeds: values.list("peers", "seeds"),
         heartbeat_ms: values.get("peers", "heartbeat_ms"),
         silence_timeout_ms: values.get("peers", "silence_timeout_ms"),
         stale_config_ms: values.get("peers", "stale_config_ms"),
@@ -287,6 +290,12 @@
     optional: false,
     doc: "Connections to other processes.",
     keys: &[
+        KeySpec {
+            name: "seeds",
+            kind: Kind::RemoteAddresses,
+            preset: Preset::Default(""),
+            doc: "Routers to ask before the live list is known.",
+        },
         ms_key("heartbeat_ms", (10, 60_000), "500", "Time between two heartbeats."),
         ms_key(
             "silence_timeout_ms",
--- a/crates/settings/src/schema/mod.rs
+++ b/crates/settings/src/schema/mod.rs
@@ -56,6 +56,8 @@
     Address,
     /// `IP:port` of another process.
     RemoteAddress,
+    /// Any number of `IP:port`, separated by commas.
+    RemoteAddresses,
     /// A whole number.
     Integer { min: u64, max: u64, unit: &'static str },
     /// One of these words.
@@ -71,9 +73,8 @@
         match self {
             Self::Name { max_chars } => is_name(value, *max_chars),
             Self::Address => value.parse::<SocketAddr>().is_ok(),
-            Self::RemoteAddress => {
-                value.parse::<SocketAddr>().is_ok_and(|address| address.port() != 0)
-            }
+            Self::RemoteAddress => is_remote(value),
+            Self::RemoteAddresses => items(value).all(is_remote),
             Self::Integer { min, max, .. } => is_integer(value, *min, *max),
             Self::Choice(words) => words.contains(&value),
             Self::Path => !value.is_empty(),
@@ -94,6 +95,7 @@
             }
             Self::Address => f.write_str("an address as IP:port"),
             Self::RemoteAddress => f.write_str("an address as IP:port, the port not 0"),
+            Self::RemoteAddresses => f.write_str("addresses as IP:port, separated by commas"),
             Self::Integer { min, max, unit } => {
                 write!(f, "a whole number of {unit} from {min} to {max}")
             }
@@ -104,6 +106,15 @@
     }
 }
 
+/// The items of a list, without the spaces around them. An empty text has none.
+pub(crate) fn items(value: &str) -> impl Iterator<Item = &str> {
+    value.split(',').map(str::trim).filter(|item| !item.is_empty())
+}
+
+fn is_remote(value: &str) -> bool {
+    value.parse::<SocketAddr>().is_ok_and(|address| address.port() != 0)
+}
+
 fn is_name(value: &str, max_chars: usize) -> bool {
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
     !value.is_empty() && value.len() <= max_chars && value.bytes().all(allowed)
--- a/crates/settings/tests/parse.rs
+++ b/crates/settings/tests/parse.rs
@@ -248,6 +248,8 @@
 
         ; Connections to other processes.
         [peers]
+        ; Routers to ask before the live list is known. Allowed: addresses as IP:port, separated by commas. Default:
+        seeds = 
         ; Time between two heartbeats. Allowed: a whole number of milliseconds from 10 to 60000. Default:
         heartbeat_ms = 500
         ; A connection silent for longer is dropped; more than heartbeat_ms. Allowed: a whole number of milliseconds from 20 to 600000. Default:
