--- /dev/null
+++ b/crates/bench/src/replay/control.rs
@@ -0,0 +1,26 @@
+//! Bytes that placement spends on messages of its own.
+
+/// Frame headers, compressed header fields and the envelope of one message on an h2 stream.
+const MESSAGE_OVERHEAD_BYTES: u64 = 60;
+
+/// A block key in the variable-length integers of the codec.
+const KEY_BYTES: u64 = 9;
+
+/// The answer to a lookup.
+pub(crate) const LOOKUP_REPLY_BYTES: u64 = MESSAGE_OVERHEAD_BYTES + 20;
+
+/// A refusal with its standing.
+pub(crate) const REFUSAL_BYTES: u64 = MESSAGE_OVERHEAD_BYTES + 24;
+
+/// A lookup of a prompt with that many blocks.
+pub(crate) fn lookup_bytes(blocks: usize) -> u64 {
+    MESSAGE_OVERHEAD_BYTES + 5 + KEY_BYTES * blocks as u64
+}
+
+/// What a replay spent on lookups and refusals.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct ControlBytes {
+    pub(crate) lookups: u64,
+    pub(crate) refusals: u64,
+    pub(crate) bytes: u64,
+}
--- /dev/null
+++ b/crates/bench/src/replay/placements.rs
@@ -0,0 +1,70 @@
+//! The placements that are compared.
+
+use rand::Rng;
+use samphirespread_core::prelude::*;
+use samphirespread_prefix::{
+    Candidates, FirstBlock, Hint, HomePlacement, LeastLoad, Placement, Prompt, RoundRobin,
+    Standing, WorkerSet, choose,
+};
+
+/// A placement in a replay.
+pub trait ReplayPlacement: Placement {
+    /// Whether it is shown the true state of every engine before each prompt.
+    fn knows_engines(&self) -> bool {
+        false
+    }
+
+    /// Takes in the true state of every engine for the prompt that comes next.
+    fn see(&mut self, _standings: Vec<Standing>) {}
+
+    /// Whether workers report their load to routers at an interval.
+    fn uses_load_reports(&self) -> bool {
+        false
+    }
+}
+
+impl ReplayPlacement for RoundRobin {}
+
+impl ReplayPlacement for FirstBlock {}
+
+impl ReplayPlacement for HomePlacement {}
+
+impl ReplayPlacement for LeastLoad {
+    fn uses_load_reports(&self) -> bool {
+        true
+    }
+}
+
+/// Knows every engine's cache and queue at no cost. Only a replay can offer that.
+#[derive(Clone, Debug, Default)]
+pub struct AllKnowing {
+    standings: Vec<Standing>,
+}
+
+impl ReplayPlacement for AllKnowing {
+    fn knows_engines(&self) -> bool {
+        true
+    }
+
+    fn see(&mut self, standings: Vec<Standing>) {
+        self.standings = standings;
+    }
+}
+
+impl Placement for AllKnowing {
+    fn candidates<R: Rng + ?Sized>(
+        &mut self,
+        prompt: &Prompt<'_>,
+        _workers: &WorkerSet,
+        _now: MonoTime,
+        _rng: &mut R,
+    ) -> Candidates {
+        let mut candidates = Candidates::default();
+        if let Some(place) = choose(prompt, &self.standings) {
+            candidates.push(place);
+        }
+        candidates
+    }
+
+    fn learn(&mut self, _prompt: &Prompt<'_>, _hint: Hint, _now: MonoTime) {}
+}
