--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -256,14 +256,16 @@
         let agent_link = link_if(self.builder.agent_links, daemon.peers()).await;
         let address = agent_link.as_ref().map_or(daemon.peers(), Link::address).to_string();
         let set = Some(SetName::new(SERVICE_SET));
-        self.platform.put_instance(self.instance(&name, index, Role::Agent, address, set));
+        let instance = self.instance(&name, index, Role::Agent, address, set, &daemon);
+        self.platform.put_instance(instance);
         self.services.push(ServiceNode { name, daemon, service, agent_link, service_link });
     }
 
     fn enter_router(&self, index: usize) {
         let router = &self.routers[index];
         let address = router.daemon.peers().to_string();
-        let instance = self.instance(&router.name, index, Role::Router, address, None);
+        let instance =
+            self.instance(&router.name, index, Role::Router, address, None, &router.daemon);
         self.platform.put_instance(instance);
     }
 
@@ -272,7 +274,7 @@
         let link = agent.agent_link.as_ref();
         let address = link.map_or(agent.daemon.peers(), Link::address).to_string();
         let set = Some(SetName::new(DEFAULT_SET));
-        let instance = self.instance(&agent.name, index, Role::Agent, address, set);
+        let instance = self.instance(&agent.name, index, Role::Agent, address, set, &agent.daemon);
         self.platform.put_instance(instance);
     }
 
@@ -283,11 +285,13 @@
         role: Role,
         address: String,
         set: Option<SetName>,
+        daemon: &Daemon,
     ) -> LiveInstance {
         LiveInstance {
             name: name.clone(),
             role,
             address,
+            admin: Some(daemon.admin().to_string()),
             region: REGION.to_owned(),
             failure_domain: failure_domain(index, self.builder.failure_domains),
             set,
