agent: run attempts on the engine, with queue, resume, cancel and drain

The daemon and the library: a wire handler over one locked state, a task for each running attempt, journals that followers read from any line, load polls and cache events, an administration port, a thin main.

--- /dev/null
+++ b/crates/agent/src/daemon/mod.rs
@@ -0,0 +1,145 @@
+//! An agent from its first port to its exit.
+
+use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use samphirespread_settings::{AgentSettings, BackendKind};
+use samphirespread_wire::{Secret, WireConfig, serve};
+use slog::{Logger, info, warn};
+use tokio::{net::TcpListener, time::timeout};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{AgentError, admin, handler::AgentHandler, monitor, shared::Shared};
+
+const IDLE_POLL_MS: u64 = 20;
+
+/// An agent whose ports are open and that serves once it runs.
+#[derive(Debug)]
+pub struct Agent {
+    shared: Arc<Shared>,
+    peers: TcpListener,
+    peers_address: SocketAddr,
+    admin: TcpListener,
+    admin_address: SocketAddr,
+}
+
+/// Binds an agent and runs it until `shutdown`, then drains it.
+///
+/// # Errors
+///
+/// As [`Agent::bind`] and [`Agent::run`].
+pub async fn run(
+    settings: AgentSettings,
+    log: Logger,
+    shutdown: CancellationToken,
+) -> Result<(), AgentError> {
+    Agent::bind(settings, log).await?.run(shutdown).await
+}
+
+impl Agent {
+    /// Opens the ports.
+    ///
+    /// # Errors
+    ///
+    /// [`AgentError::Listen`] if a port can't be opened.
+    pub async fn bind(settings: AgentSettings, log: Logger) -> Result<Self, AgentError> {
+        let (peers, peers_address) = listen(settings.listen.peers).await?;
+        let (admin, admin_address) = listen(settings.listen.admin).await?;
+        let shared = Shared::new(settings, &log);
+        Ok(Self { shared, peers, peers_address, admin, admin_address })
+    }
+
+    /// Where routers connect to.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers_address
+    }
+
+    /// Where operators connect to.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin_address
+    }
+
+    /// Serves until `shutdown`, then refuses new work, finishes what was taken in and returns.
+    ///
+    /// # Errors
+    ///
+    /// [`AgentError::DrainTimeout`] if attempts had to be cut, [`AgentError::Admin`] if the administration
+    /// port failed.
+    pub async fn run(self, shutdown: CancellationToken) -> Result<(), AgentError> {
+        let Self { shared, peers, admin, .. } = self;
+        let stop = CancellationToken::new();
+        let tasks = TaskTracker::new();
+        spawn_monitors(&tasks, &shared, &stop);
+        let admin = tokio::spawn(serve_admin(admin, Arc::clone(&shared), stop.clone()));
+        let handler = AgentHandler { shared: Arc::clone(&shared) };
+        let serving = tokio::spawn(serve(peers, wire_config(&shared), handler, stop.clone()));
+        info!(shared.log, "agent serves"; "incarnation" => shared.incarnation.0);
+
+        shutdown.cancelled().await;
+        shared.leave();
+        info!(shared.log, "agent leaves");
+        let timeout_ms = shared.settings.drain.timeout_ms;
+        let drained = timeout(Duration::from_millis(timeout_ms), async {
+            drain(&shared).await;
+            stop.cancel();
+            // Ends once every follower has the rest of its answer.
+            let _ = serving.await;
+        });
+        let result = drained.await.map_err(|_| AgentError::DrainTimeout { timeout_ms });
+        stop.cancel();
+        tasks.close();
+        tasks.wait().await;
+        if let Ok(Err(error)) = admin.await {
+            return Err(AgentError::Admin(error));
+        }
+        match &result {
+            Ok(()) => info!(shared.log, "agent left"),
+            Err(error) => warn!(shared.log, "agent cut its requests"; "error" => %error),
+        }
+        result
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<(TcpListener, SocketAddr), AgentError> {
+    let listener = TcpListener::bind(address).await;
+    let bound = listener.and_then(|listener| {
+        let address = listener.local_addr()?;
+        Ok((listener, address))
+    });
+    bound.map_err(|source| AgentError::Listen { address, source })
+}
+
+fn wire_config(shared: &Shared) -> WireConfig {
+    let secret = Secret::new(shared.settings.security.peer_secret.expose());
+    WireConfig::new(secret).silence_timeout_ms(shared.settings.peers.silence_timeout_ms)
+}
+
+fn spawn_monitors(tasks: &TaskTracker, shared: &Arc<Shared>, stop: &CancellationToken) {
+    tasks.spawn(monitor::tick(Arc::clone(shared), stop.clone()));
+    tasks.spawn(monitor::poll(Arc::clone(shared), stop.clone()));
+    if shared.settings.backend.kind == BackendKind::Model {
+        tasks.spawn(monitor::follow_events(Arc::clone(shared), stop.clone()));
+    }
+}
+
+fn serve_admin(
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    stop: CancellationToken,
+) -> impl Future<Output = io::Result<()>> + Send {
+    let served = axum::serve(listener, admin::routes(shared));
+    async move {
+        tokio::select! {
+            served = served => served,
+            () = stop.cancelled() => Ok(()),
+        }
+    }
+}
+
+/// Waits until nothing waits or runs.
+async fn drain(shared: &Shared) {
+    while !shared.is_idle() {
+        tokio::time::sleep(Duration::from_millis(IDLE_POLL_MS)).await;
+    }
+    shared.tasks.close();
+    shared.tasks.wait().await;
+}
--- a/crates/agent/src/engine_life/mod.rs
+++ b/crates/agent/src/engine_life/mod.rs
@@ -1,5 +1,7 @@
 //! The life of a backend server as the agent beside it sees it.
 
+use std::fmt;
+
 use samphirespread_core::prelude::*;
 use statig::{blocking::StateMachine, prelude::*};
 
@@ -59,11 +61,16 @@
 /// assert_eq!(life.handle(EngineEvent::Unreachable), [EngineAction::RefuseWaiting]);
 /// assert!(!life.takes_work());
 /// ```
-#[derive(Debug)]
 pub struct EngineLife {
     machine: StateMachine<Life>,
 }
 
+impl fmt::Debug for EngineLife {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EngineLife").field("state", &self.state()).finish_non_exhaustive()
+    }
+}
+
 impl Default for EngineLife {
     fn default() -> Self {
         Self::new()
--- /dev/null
+++ b/crates/agent/src/handler/mod.rs
@@ -0,0 +1,142 @@
+//! Answers the requests of routers.
+
+use std::sync::Arc;
+
+use samphirespread_core::prelude::*;
+use samphirespread_wire::{
+    Handler, ReplySender,
+    message::{Reply, Request, Run},
+};
+use slog::{debug, info};
+
+use crate::{
+    configuration::Told,
+    journal::Read,
+    shared::{Live, Shared, failed},
+};
+
+/// Answers the requests of one peer after another; clones share the agent.
+#[derive(Clone, Debug)]
+pub(crate) struct AgentHandler {
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Handler for AgentHandler {
+    async fn handle(&self, request: Request, mut replies: ReplySender) {
+        let reply = match request {
+            Request::Heartbeat(_) => Reply::Heartbeat(self.shared.hello()),
+            Request::Lookup(lookup) => Reply::Lookup(self.shared.lookup(&lookup)),
+            Request::Run(run) => return self.run(run, replies).await,
+            Request::Resume(resume) => match self.shared.resume(resume) {
+                Ok(live) => return self.follow(&live, resume.from_seq, replies).await,
+                Err(reply) => reply,
+            },
+            Request::Cancel(id) => {
+                self.shared.cancel(id);
+                Reply::Done
+            }
+            Request::FetchConfig(asked) => {
+                Reply::Config(self.shared.lock().configuration.answer(&asked))
+            }
+            Request::PushConfig(snapshot) => {
+                let told =
+                    self.shared.lock().configuration.tell(self.shared.clock.now(), &snapshot);
+                self.told(&told, snapshot.generation)
+            }
+            Request::FetchLiveList(_) | Request::Limits(_) => {
+                Reply::Refused { message: "an agent doesn't answer this".to_owned() }
+            }
+        };
+        // A peer that is gone needs no reply.
+        let _ = replies.send(&reply).await;
+    }
+}
+
+impl AgentHandler {
+    async fn run(&self, run: Box<Run>, mut replies: ReplySender) {
+        let id = run.attempt;
+        debug!(self.shared.log, "attempt came";
+            "request" => id.request.to_string(),
+            "attempt" => id.number,
+            "team" => run.team.as_str());
+        match self.shared.admit(run) {
+            Ok((live, standing)) => {
+                let guard = Following { shared: &self.shared, id };
+                if replies.send(&Reply::Accepted(standing)).await.is_ok() {
+                    relay(&live, 0, &mut replies).await;
+                }
+                drop(guard);
+            }
+            // A peer that is gone needs no reply.
+            Err(reply) => drop(replies.send(&reply).await),
+        }
+    }
+
+    async fn follow(&self, live: &Live, from_seq: u64, mut replies: ReplySender) {
+        let _guard = Following { shared: &self.shared, id: live.id };
+        relay(live, from_seq, &mut replies).await;
+    }
+
+    fn told(&self, told: &Told, generation: Generation) -> Reply {
+        match told {
+            Told::Adopted => {
+                info!(self.shared.log, "configuration in force"; "generation" => generation.0);
+                self.shared.metrics.set_generation(generation);
+                Reply::Done
+            }
+            Told::NotNewer => Reply::Done,
+            Told::Incomplete(missing) => {
+                Reply::Refused { message: format!("{} sections are missing", missing.len()) }
+            }
+            Told::Malformed => {
+                Reply::Refused { message: "the head of the configuration can't be read".to_owned() }
+            }
+        }
+    }
+}
+
+/// Sends the answer from a line on, as it grows, until it ends or the peer is gone.
+async fn relay(live: &Live, from_seq: u64, replies: &mut ReplySender) {
+    let mut changed = live.subscribe();
+    let mut next_seq = from_seq;
+    loop {
+        let end = match live.read(next_seq) {
+            Read::Lines(lines) => {
+                for line in &lines {
+                    if replies.send(line).await.is_err() {
+                        return;
+                    }
+                }
+                next_seq += lines.len() as u64;
+                continue;
+            }
+            Read::Pending => {
+                tokio::select! {
+                    changed = changed.changed() => match changed {
+                        Ok(()) => continue,
+                        Err(_) => failed("the attempt was given up"),
+                    },
+                    () = replies.closed() => return,
+                }
+            }
+            Read::End(reply) => reply,
+            Read::Gone => failed("the line is no longer kept"),
+        };
+        // A peer that is gone needs no reply.
+        let _ = replies.send(&end).await;
+        return;
+    }
+}
+
+/// Counts as a follower of an attempt until it is dropped.
+struct Following<'a> {
+    shared: &'a Arc<Shared>,
+    id: AttemptId,
+}
+
+impl Drop for Following<'_> {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        self.shared.lock().attempts.detach(now, self.id);
+    }
+}
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,1 +1,91 @@
-fn main() {}
+//! The agent's daemon. Exit codes: 0 after a drain, 1 after a fault, 2 for settings that don't hold.
+
+#![allow(clippy::print_stdout, clippy::print_stderr)]
+
+use std::{io, path::PathBuf, process::ExitCode};
+
+use clap::Parser;
+use samphirespread_agent::{Agent, AgentError};
+use samphirespread_settings::AgentSettings;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+const EXIT_FAULT: u8 = 1;
+const EXIT_SETTINGS: u8 = 2;
+
+/// The agent beside one backend server.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    /// The settings file.
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+
+    /// Checks the settings and exits.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let settings = match read(&args) {
+        Ok(settings) => settings,
+        Err(words) => {
+            eprintln!("{}: {words}", args.settings.display());
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if args.check {
+        println!("{}: settings hold", args.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    match serve(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(words) => {
+            eprintln!("{words}");
+            ExitCode::from(EXIT_FAULT)
+        }
+    }
+}
+
+fn read(args: &Args) -> Result<AgentSettings, String> {
+    let text = std::fs::read_to_string(&args.settings).map_err(|error| error.to_string())?;
+    AgentSettings::parse(&text).map_err(|errors| errors.to_string())
+}
+
+fn serve(settings: AgentSettings) -> Result<(), String> {
+    let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
+    let log = samphirespread_logging::root(&settings.log);
+    let result = runtime.block_on(async {
+        let shutdown = shutdown_on_signal().map_err(|error| error.to_string())?;
+        run(settings, log, shutdown).await.map_err(|error| error.to_string())
+    });
+    runtime.shutdown_background();
+    result
+}
+
+async fn run(
+    settings: AgentSettings,
+    log: slog::Logger,
+    shutdown: CancellationToken,
+) -> Result<(), AgentError> {
+    let agent = Agent::bind(settings, log).await?;
+    println!("ready peers={} admin={}", agent.peers_address(), agent.admin_address());
+    agent.run(shutdown).await
+}
+
+/// A token that SIGTERM and SIGINT cancel.
+fn shutdown_on_signal() -> io::Result<CancellationToken> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let shutdown = CancellationToken::new();
+    let token = shutdown.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        token.cancel();
+    });
+    Ok(shutdown)
+}
--- /dev/null
+++ b/crates/agent/src/monitor/mod.rs
@@ -0,0 +1,105 @@
+//! Watches the backend server: its load, its cache events, and the time.
+
+use std::{sync::Arc, time::Duration};
+
+use samphirespread_core::prelude::*;
+use samphirespread_engine::EngineError;
+use samphirespread_prefix::Applied;
+use samphirespread_settings::BackendKind;
+use slog::debug;
+use tokio::{net::TcpStream, time::timeout};
+use tokio_util::sync::CancellationToken;
+
+use crate::{engine_life::EngineEvent, shared::Shared};
+
+const POLL_INTERVAL_MS: u64 = 200;
+const SERVICE_CONNECT_TIMEOUT_MS: u64 = 1_000;
+const TICK_MS: u64 = 20;
+const EVENTS_PAUSE_MS: u64 = 100;
+
+/// A plain service tells nothing of its runs.
+const SERVICE_RUN: Incarnation = Incarnation(1);
+
+/// Does what time brings about, until `stop`.
+pub(crate) async fn tick(shared: Arc<Shared>, stop: CancellationToken) {
+    while pause(TICK_MS, &stop).await {
+        shared.tick();
+    }
+}
+
+/// Polls the backend server until `stop`.
+pub(crate) async fn poll(shared: Arc<Shared>, stop: CancellationToken) {
+    loop {
+        let event = match shared.settings.backend.kind {
+            BackendKind::Model => poll_engine(&shared).await,
+            BackendKind::Service => poll_service(&shared).await,
+        };
+        shared.engine_event(event);
+        if !pause(POLL_INTERVAL_MS, &stop).await {
+            return;
+        }
+    }
+}
+
+async fn poll_engine(shared: &Shared) -> EngineEvent {
+    match shared.engine.load().await {
+        Ok(load) => EngineEvent::Answered(load.incarnation),
+        Err(EngineError::Unreachable { .. }) => EngineEvent::Unreachable,
+        Err(_) => EngineEvent::PollFailed,
+    }
+}
+
+async fn poll_service(shared: &Shared) -> EngineEvent {
+    let limit = Duration::from_millis(SERVICE_CONNECT_TIMEOUT_MS);
+    match timeout(limit, TcpStream::connect(shared.settings.backend.address)).await {
+        Ok(Ok(_)) => EngineEvent::Answered(SERVICE_RUN),
+        Ok(Err(_)) => EngineEvent::Unreachable,
+        Err(_) => EngineEvent::PollFailed,
+    }
+}
+
+/// Follows the engine's cache events until `stop`.
+pub(crate) async fn follow_events(shared: Arc<Shared>, stop: CancellationToken) {
+    loop {
+        let followed = tokio::select! {
+            followed = follow_once(&shared) => followed,
+            () = stop.cancelled() => return,
+        };
+        if let Err(error) = followed {
+            debug!(shared.log, "cache events were lost"; "error" => %error);
+        }
+        shared.lock().residency.mark_uncertain();
+        if !pause(EVENTS_PAUSE_MS, &stop).await {
+            return;
+        }
+    }
+}
+
+/// Reads all that is cached, then follows the changes until the connection ends.
+async fn follow_once(shared: &Shared) -> Result<(), EngineError> {
+    re_read(shared).await?;
+    let next_seq = shared.lock().residency.next_seq();
+    let mut events = shared.engine.events(next_seq).await?;
+    while let Some(event) = events.next().await? {
+        let applied = shared.lock().residency.apply(&event);
+        if applied == Applied::AfterGap {
+            shared.metrics.count_event_gap();
+            re_read(shared).await?;
+        }
+    }
+    Ok(())
+}
+
+async fn re_read(shared: &Shared) -> Result<(), EngineError> {
+    let list = shared.engine.blocks().await?;
+    shared.lock().residency.re_read(&list);
+    Ok(())
+}
+
+/// Waits. False when `stop` came first.
+async fn pause(ms: u64, stop: &CancellationToken) -> bool {
+    tokio::select! {
+        () = tokio::time::sleep(Duration::from_millis(ms)) => true,
+        () = stop.cancelled() => false,
+    }
+}
--- /dev/null
+++ b/crates/agent/src/shared/admission.rs
@@ -0,0 +1,178 @@
+//! Whether an attempt is taken in, and how well the agent could serve a prompt.
+
+use std::sync::Arc;
+
+use samphirespread_core::prelude::*;
+use samphirespread_fairness::Admission;
+use samphirespread_settings::BackendKind;
+use samphirespread_wire::message::{
+    Failed, Lookup, LookupReply, ModelWork, NotRunReason, PrefixHint, Reply, Resume, Run, Standing,
+    Work,
+};
+
+use crate::{
+    attempts::{ResumeDecision, RunDecision},
+    shared::{Live, Shared, State, Waiting},
+};
+
+const RETRY_SOON_MS: u32 = 100;
+const RETRY_LATER_MS: u32 = 1_000;
+
+/// Tokens that one call of a plain service counts in the queue.
+const SERVICE_CALL_TOKENS: u64 = 1;
+
+/// When to come back after a refusal that doesn't depend on the queue.
+pub(super) fn retry_after_ms(reason: NotRunReason) -> u32 {
+    match reason {
+        NotRunReason::EngineDown | NotRunReason::Leaving => RETRY_LATER_MS,
+        _ => RETRY_SOON_MS,
+    }
+}
+
+/// The end of an attempt of which nothing certain is known.
+pub(crate) fn failed(message: impl Into<String>) -> Reply {
+    Reply::Failed(Failed { may_have_run: true, message: message.into() })
+}
+
+impl Shared {
+    /// Takes in a request to run. Returns what to follow, or the only reply.
+    pub(crate) fn admit(self: &Arc<Self>, run: Box<Run>) -> Result<(Arc<Live>, Standing), Reply> {
+        let admitted = self.decide(run);
+        self.pump();
+        admitted
+    }
+
+    fn decide(&self, run: Box<Run>) -> Result<(Arc<Live>, Standing), Reply> {
+        let now = self.clock.now();
+        let id = run.attempt;
+        let mut state = self.lock();
+        let standing = state.standing(now, &run);
+        match state.attempts.run(now, id, run.fence) {
+            RunDecision::Start => {}
+            RunDecision::Attach => return state.follow(id).map(|live| (live, standing)),
+            RunDecision::Refuse(reason) => return Err(self.refuse(&state, reason, standing)),
+            RunDecision::Full => return Err(self.refuse(&state, NotRunReason::Busy, standing)),
+            RunDecision::Lost => return Err(failed("the attempt may have been known here once")),
+        }
+        if let Some(reason) = self.refusal(&state, now, &run) {
+            state.attempts.refuse(now, id, reason);
+            return Err(self.refuse(&state, reason, standing));
+        }
+        let admission = Admission::new(&run.team, run.weight)
+            .cost_tokens(cost_tokens(&run.work))
+            .priority(run.priority)
+            .max_wait_ms(u64::from(run.queue_limit_ms));
+        match state.queue.push(now, &admission, id) {
+            Ok(ticket) => {
+                state.observe(now, &run);
+                let live = Arc::new(Live::new(id, run.team.clone()));
+                state.lives.insert(id, Arc::clone(&live));
+                state.waiting.insert(id, Waiting { run, ticket, live: Arc::clone(&live) });
+                state.attempts.attach(id);
+                Ok((live, standing))
+            }
+            Err(rejected) => {
+                let reason = NotRunReason::Busy;
+                state.attempts.refuse(now, id, reason);
+                Err(self.not_run(&state, reason, rejected.retry_after_ms, standing))
+            }
+        }
+    }
+
+    fn refuse(&self, state: &State, reason: NotRunReason, standing: Standing) -> Reply {
+        self.not_run(state, reason, retry_after_ms(reason), standing)
+    }
+
+    /// Why a new attempt can't be taken in, if it can't.
+    fn refusal(&self, state: &State, now: MonoTime, run: &Run) -> Option<NotRunReason> {
+        let kind = match run.work {
+            Work::Model(_) => BackendKind::Model,
+            Work::Service(_) => BackendKind::Service,
+        };
+        let grace_ms = self.settings.peers.stale_config_ms;
+        if state.leaving {
+            Some(NotRunReason::Leaving)
+        } else if !state.engine.takes_work() || kind != self.settings.backend.kind {
+            Some(NotRunReason::EngineDown)
+        } else if state.configuration.is_stale(now, run.generation, grace_ms) {
+            Some(NotRunReason::Stale)
+        } else {
+            None
+        }
+    }
+
+    /// Takes in a request for the rest of an answer.
+    pub(crate) fn resume(&self, resume: Resume) -> Result<Arc<Live>, Reply> {
+        if resume.incarnation != self.incarnation {
+            return Err(failed("another run of this agent was asked to run the attempt"));
+        }
+        let mut state = self.lock();
+        match state.attempts.resume(self.clock.now(), resume.attempt) {
+            ResumeDecision::Attach => state.follow(resume.attempt),
+            ResumeDecision::Refuse(reason) => Err(self.refuse(&state, reason, Standing::default())),
+            ResumeDecision::Lost => Err(failed("the attempt may have been known here once")),
+        }
+    }
+
+    /// Answers how well the agent could serve a prompt.
+    pub(crate) fn lookup(&self, lookup: &Lookup) -> LookupReply {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.heat.observe(&lookup.blocks, 0, now);
+        let standing = state.standing_for(now, &lookup.blocks);
+        let takes_work = !state.leaving && state.engine.takes_work();
+        LookupReply { generation: state.configuration.generation(), standing, takes_work }
+    }
+}
+
+impl State {
+    /// The answer of a known attempt, for one more follower.
+    fn follow(&mut self, id: AttemptId) -> Result<Arc<Live>, Reply> {
+        let live = self.lives.get(&id).cloned();
+        let live = live.ok_or_else(|| failed("the answer is no longer kept"))?;
+        self.attempts.attach(id);
+        Ok(live)
+    }
+
+    pub(super) fn standing(&self, now: MonoTime, run: &Run) -> Standing {
+        match &run.work {
+            Work::Model(work) => self.standing_for(now, &work.blocks),
+            Work::Service(_) => self.standing_for(now, &[]),
+        }
+    }
+
+    fn standing_for(&self, now: MonoTime, blocks: &[BlockKey]) -> Standing {
+        let hint = self.heat.hint(blocks, now);
+        let prefill_ms = self.speed.time_ms(self.prefill_tokens);
+        Standing {
+            cached_blocks: self.residency.leading_blocks(blocks),
+            wait_ms: self.queue.wait_ms().saturating_add(prefill_ms),
+            prefill_us_per_token: self.speed.us_per_token(),
+            hint: PrefixHint { shared_blocks: hint.shared_blocks, replicas: hint.replicas },
+        }
+    }
+
+    /// Counts the prompt of an attempt among those that its prefix brings here.
+    fn observe(&mut self, now: MonoTime, run: &Run) {
+        let Work::Model(work) = &run.work else { return };
+        let missing = self.missing_tokens(work);
+        let cost_us = missing * u64::from(self.speed.us_per_token());
+        self.heat.observe(&work.blocks, cost_us, now);
+    }
+
+    /// Tokens of a prompt that the engine will have to compute.
+    pub(crate) fn missing_tokens(&self, work: &ModelWork) -> u64 {
+        let cached = u64::from(self.residency.leading_blocks(&work.blocks));
+        let block_tokens = u64::from(work.block_bytes).div_ceil(BYTES_PER_TOKEN);
+        work.prompt_tokens.saturating_sub(cached * block_tokens)
+    }
+}
+
+const BYTES_PER_TOKEN: u64 = samphirespread_prefix::BYTES_PER_TOKEN as u64;
+
+fn cost_tokens(work: &Work) -> u64 {
+    match work {
+        Work::Model(work) => work.prompt_tokens + u64::from(work.max_output_tokens),
+        Work::Service(_) => SERVICE_CALL_TOKENS,
+    }
+}
--- /dev/null
+++ b/crates/agent/src/shared/mod.rs
@@ -0,0 +1,371 @@
+//! The state that all tasks of an agent share, and the decisions on it.
+
+mod admission;
+mod live;
+mod speed;
+
+use std::{
+    collections::{HashMap, VecDeque},
+    panic::AssertUnwindSafe,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use futures_util::FutureExt;
+use samphirespread_core::{prelude::*, time::Clock};
+use samphirespread_engine::{EngineClient, EngineClientConfig};
+use samphirespread_fairness::{Config as QueueConfig, DropCause, Queue, Ticket};
+use samphirespread_prefix::{Heat, HeatConfig, Residency};
+use samphirespread_settings::AgentSettings;
+use samphirespread_wire::message::{Hello, NotRun, NotRunReason, Reply, Run, Standing, Work};
+use slog::{Logger, info, o};
+use tokio_util::task::TaskTracker;
+
+pub(crate) use self::{admission::failed, live::Live};
+use crate::{
+    attempts::{AttemptConfig, AttemptTable, CancelDecision, Due},
+    configuration::Configuration,
+    engine_life::{EngineAction, EngineEvent, EngineLife},
+    metrics::Metrics,
+    model,
+    service::{self, ServiceClient},
+    shared::speed::PrefillSpeed,
+};
+
+/// Bytes of ended answers that are kept at most for resuming.
+const MAX_KEPT_BYTES: usize = 32 * 1024 * 1024;
+
+const ENGINE_TIMEOUT_MS: u64 = 2_000;
+
+/// What all tasks of an agent share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) settings: AgentSettings,
+    pub(crate) name: InstanceName,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) log: Logger,
+    pub(crate) clock: Clock,
+    pub(crate) engine: EngineClient,
+    pub(crate) service: ServiceClient,
+    pub(crate) metrics: Metrics,
+    /// The tasks of running attempts.
+    pub(crate) tasks: TaskTracker,
+    state: Mutex<State>,
+}
+
+/// A waiting attempt.
+#[derive(Debug)]
+struct Waiting {
+    run: Box<Run>,
+    ticket: Ticket,
+    live: Arc<Live>,
+}
+
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) attempts: AttemptTable,
+    pub(crate) queue: Queue<AttemptId>,
+    pub(crate) lives: HashMap<AttemptId, Arc<Live>>,
+    waiting: HashMap<AttemptId, Waiting>,
+    kept: VecDeque<(AttemptId, usize)>,
+    kept_bytes: usize,
+    pub(crate) residency: Residency,
+    pub(crate) heat: Heat,
+    pub(crate) speed: PrefillSpeed,
+    pub(crate) prefill_tokens: u64,
+    pub(crate) engine: EngineLife,
+    pub(crate) configuration: Configuration,
+    pub(crate) leaving: bool,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub(crate) enum Outcome {
+    /// The backend server certainly did not begin to run it.
+    NotRun(NotRunReason),
+    /// It ran or may have run.
+    Ended {
+        /// The last reply.
+        reply: Reply,
+        /// Tokens that it took from the backend server.
+        tokens: u64,
+    },
+}
+
+impl Shared {
+    pub(crate) fn new(settings: AgentSettings, log: &Logger) -> Arc<Self> {
+        let address = settings.backend.address;
+        let engine = EngineClientConfig::new(address.to_string())
+            .timeout_ms(ENGINE_TIMEOUT_MS)
+            .silence_ms(settings.peers.silence_timeout_ms.max(ENGINE_TIMEOUT_MS));
+        let queue = QueueConfig::new(settings.queue.concurrency)
+            .max_len(settings.queue.max_requests)
+            .max_wait_ms(settings.queue.max_wait_ms);
+        let state = State {
+            attempts: AttemptTable::new(AttemptConfig::default()),
+            queue: Queue::new(queue),
+            lives: HashMap::new(),
+            waiting: HashMap::new(),
+            kept: VecDeque::new(),
+            kept_bytes: 0,
+            residency: Residency::new(),
+            heat: Heat::new(HeatConfig::default()),
+            speed: PrefillSpeed::default(),
+            prefill_tokens: 0,
+            engine: EngineLife::new(),
+            configuration: Configuration::new(),
+            leaving: false,
+        };
+        let name = InstanceName::new(&settings.instance.name);
+        Arc::new(Self {
+            log: log.new(o!("instance" => name.to_string())),
+            name,
+            incarnation: fresh_incarnation(),
+            clock: Clock::start(),
+            engine: EngineClient::new(engine),
+            service: ServiceClient::new(address),
+            metrics: Metrics::new(),
+            tasks: TaskTracker::new(),
+            state: Mutex::new(state),
+            settings,
+        })
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
+        // An invariant that failed elsewhere ended that task; the others go on.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn hello(&self) -> Hello {
+        let state = self.lock();
+        Hello {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+            generation: state.configuration.generation(),
+            leaving: state.leaving,
+        }
+    }
+
+    /// Starts what may start, and answers what waited too long.
+    pub(crate) fn pump(self: &Arc<Self>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        while state.engine.may_start() {
+            let Some(popped) = state.queue.pop(now) else { break };
+            let id = popped.item;
+            let waiting = state.waiting.remove(&id).expect("a queued attempt waits");
+            state.attempts.start(id);
+            self.metrics.observe_wait(popped.waited_us);
+            let shared = Arc::clone(self);
+            self.tasks.spawn(async move {
+                let Waiting { run, ticket, live } = waiting;
+                // A fault in one attempt must not keep its slot and its followers.
+                let attempt = AssertUnwindSafe(run_attempt(&shared, &run, &live)).catch_unwind();
+                let outcome = attempt.await.unwrap_or_else(|_| Outcome::Ended {
+                    reply: failed("the agent failed within the attempt"),
+                    tokens: 0,
+                });
+                shared.finish(&live, ticket, outcome);
+            });
+        }
+        self.drop_waiting(&mut state, now);
+    }
+
+    /// Answers the attempts that the queue dropped.
+    fn drop_waiting(&self, state: &mut State, now: MonoTime) {
+        for dropped in state.queue.expire(now) {
+            let reason = match dropped.cause {
+                DropCause::Expired => NotRunReason::QueueTimeout,
+                DropCause::Displaced => NotRunReason::Busy,
+            };
+            self.refuse_waiting(state, now, dropped.item, reason, dropped.retry_after_ms);
+        }
+    }
+
+    /// Ends a waiting attempt that already left the queue.
+    fn refuse_waiting(
+        &self,
+        state: &mut State,
+        now: MonoTime,
+        id: AttemptId,
+        reason: NotRunReason,
+        retry_after_ms: u32,
+    ) {
+        let waiting = state.waiting.remove(&id).expect("a queued attempt waits");
+        state.attempts.refuse(now, id, reason);
+        let standing = state.standing(now, &waiting.run);
+        waiting.live.end(self.not_run(state, reason, retry_after_ms, standing));
+    }
+
+    /// Ends a started attempt, frees its slot and starts what waits.
+    fn finish(self: &Arc<Self>, live: &Live, ticket: Ticket, outcome: Outcome) {
+        let now = self.clock.now();
+        {
+            let mut state = self.lock();
+            let (reply, tokens) = match outcome {
+                Outcome::NotRun(reason) => {
+                    state.attempts.refuse(now, live.id, reason);
+                    let retry_after_ms = admission::retry_after_ms(reason);
+                    (self.not_run(&state, reason, retry_after_ms, Standing::default()), 0)
+                }
+                Outcome::Ended { reply, tokens } => {
+                    state.attempts.end(now, live.id);
+                    (reply, tokens)
+                }
+            };
+            state.queue.complete(now, ticket, tokens);
+            self.log_end(live, &reply);
+            live.end(reply);
+            state.keep(live);
+        }
+        self.pump();
+    }
+
+    fn log_end(&self, live: &Live, reply: &Reply) {
+        let outcome = self.metrics.count_end(reply);
+        info!(self.log, "attempt ended";
+            "request" => live.id.request.to_string(),
+            "attempt" => live.id.number,
+            "team" => live.team.as_str(),
+            "outcome" => outcome,
+            "lines" => live.next_seq());
+    }
+
+    pub(crate) fn not_run(
+        &self,
+        state: &State,
+        reason: NotRunReason,
+        retry_after_ms: u32,
+        standing: Standing,
+    ) -> Reply {
+        self.metrics.count_not_run(reason);
+        let generation = state.configuration.generation();
+        Reply::NotRun(NotRun { reason, retry_after_ms, standing, generation })
+    }
+
+    /// Notes that the backend server may have begun to run the attempt.
+    pub(crate) fn begin(&self, id: AttemptId) {
+        self.lock().attempts.begin(id);
+    }
+
+    /// Takes in what was seen of the backend server.
+    pub(crate) fn engine_event(self: &Arc<Self>, event: EngineEvent) {
+        let actions = {
+            let mut state = self.lock();
+            let before = state.engine.state();
+            let actions = state.engine.handle(event);
+            let after = state.engine.state();
+            if before != after {
+                info!(self.log, "backend server changed state";
+                    "from" => ?before, "to" => ?after, "event" => ?event);
+            }
+            for action in &actions {
+                self.apply(&mut state, *action);
+            }
+            actions
+        };
+        if actions.contains(&EngineAction::Resume) {
+            self.pump();
+        }
+    }
+
+    fn apply(&self, state: &mut State, action: EngineAction) {
+        match action {
+            EngineAction::StartRun(incarnation) => state.residency.start_run(incarnation),
+            EngineAction::RefuseWaiting => {
+                let now = self.clock.now();
+                let ids: Vec<AttemptId> = state.waiting.keys().copied().collect();
+                for id in ids {
+                    let ticket = state.waiting[&id].ticket;
+                    if state.queue.cancel(now, ticket).is_none() {
+                        continue; // Dropped already, and answered at the next pump.
+                    }
+                    let reason = NotRunReason::EngineDown;
+                    let retry_after_ms = admission::retry_after_ms(reason);
+                    self.refuse_waiting(state, now, id, reason, retry_after_ms);
+                }
+            }
+            EngineAction::Resume => {}
+        }
+    }
+
+    /// Takes back an attempt that nobody wants any more.
+    pub(crate) fn cancel(&self, id: AttemptId) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        match state.attempts.cancel(now, id) {
+            CancelDecision::Withdraw => {
+                let waiting = state.waiting.remove(&id).expect("a waiting attempt is queued");
+                state.queue.cancel(now, waiting.ticket);
+                let reply = self.not_run(&state, NotRunReason::Unknown, 0, Standing::default());
+                waiting.live.end(reply);
+            }
+            CancelDecision::Stop => {
+                if let Some(live) = state.lives.get(&id) {
+                    live.cancel.cancel();
+                }
+            }
+            CancelDecision::Nothing => {}
+        }
+    }
+
+    /// Does what time has brought about.
+    pub(crate) fn tick(self: &Arc<Self>) {
+        let due = self.lock().attempts.tick(self.clock.now());
+        for due in due {
+            match due {
+                Due::Abandon(id) => self.cancel(id),
+                Due::Release(id) => self.lock().release(id),
+            }
+        }
+        self.pump();
+    }
+
+    /// Refuses new work from now on.
+    pub(crate) fn leave(&self) {
+        self.lock().leaving = true;
+    }
+
+    /// Whether nothing waits or runs, and whoever follows an answer has all of it.
+    pub(crate) fn is_idle(&self) -> bool {
+        let state = self.lock();
+        state.queue.is_empty() && state.queue.running() == 0
+    }
+}
+
+impl State {
+    /// Bounds the bytes of ended answers, oldest first.
+    fn keep(&mut self, live: &Live) {
+        let bytes = live.bytes();
+        self.kept.push_back((live.id, bytes));
+        self.kept_bytes += bytes;
+        while self.kept_bytes > MAX_KEPT_BYTES {
+            let Some((id, bytes)) = self.kept.pop_front() else { return };
+            self.kept_bytes -= bytes;
+            self.lives.remove(&id);
+        }
+    }
+
+    fn release(&mut self, id: AttemptId) {
+        self.lives.remove(&id);
+        while let Some(&(oldest, bytes)) = self.kept.front() {
+            if self.lives.contains_key(&oldest) {
+                return;
+            }
+            self.kept.pop_front();
+            self.kept_bytes -= bytes;
+        }
+    }
+}
+
+async fn run_attempt(shared: &Arc<Shared>, run: &Run, live: &Live) -> Outcome {
+    match &run.work {
+        Work::Model(work) => model::run(shared, run, work, live).await,
+        Work::Service(work) => service::run(shared, work, live).await,
+    }
+}
+
+fn fresh_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
+}
