--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,3 @@
 //! Load generation, replay and reports.
+
+pub mod load;
--- a/crates/standin/src/caller/events.rs
+++ b/crates/standin/src/caller/events.rs
@@ -4,6 +4,7 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use samphirespread_engine::api::Usage;
 use serde::Deserialize;
 
 use super::{CallerError, CompletionAnswer, Refusal, RefusalBody};
@@ -21,6 +22,8 @@
         /// Why.
         reason: String,
     },
+    /// The tokens used.
+    Usage(Usage),
     /// The request was refused, or its answer ended early.
     Refused(Refusal),
     /// The closing mark.
@@ -31,6 +34,21 @@
 struct Chunk {
     #[serde(default)]
     choices: Vec<Choice>,
+    usage: Option<UsageBody>,
+}
+
+#[derive(Debug, Deserialize)]
+struct UsageBody {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+    #[serde(default)]
+    prompt_tokens_details: PromptDetails,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct PromptDetails {
+    #[serde(default)]
+    cached_tokens: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -110,6 +128,7 @@
                 Ok(Some(CompletionEvent::Finished { reason })) => {
                     answer.finish_reason = Some(reason);
                 }
+                Ok(Some(CompletionEvent::Usage(usage))) => answer.usage = Some(usage),
                 Ok(Some(CompletionEvent::Refused(refusal))) => answer.refusal = Some(refusal),
                 Ok(Some(CompletionEvent::Done)) => answer.done = true,
                 Err(error) => {
@@ -180,7 +199,9 @@
     fn chunk(&mut self, data: &[u8]) -> Result<Option<CompletionEvent>, CallerError> {
         let chunk: Chunk = serde_json::from_slice(data)
             .map_err(|error| CallerError::Malformed(error.to_string()))?;
-        let Some(choice) = chunk.choices.into_iter().next() else { return Ok(None) };
+        let Some(choice) = chunk.choices.into_iter().next() else {
+            return Ok(chunk.usage.as_ref().map(usage_event));
+        };
         let finished = choice.finish_reason.map(|reason| CompletionEvent::Finished { reason });
         if choice.text.is_empty() {
             return Ok(finished);
@@ -189,3 +210,11 @@
         Ok(Some(CompletionEvent::Text(choice.text)))
     }
 }
+
+fn usage_event(body: &UsageBody) -> CompletionEvent {
+    CompletionEvent::Usage(Usage {
+        prompt_tokens: body.prompt_tokens,
+        cached_tokens: body.prompt_tokens_details.cached_tokens,
+        output_tokens: body.completion_tokens,
+    })
+}
--- a/crates/standin/src/caller/mod.rs
+++ b/crates/standin/src/caller/mod.rs
@@ -15,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use self::events::{Completion, CompletionEvent};
+use samphirespread_engine::api::Usage;
 
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -29,13 +30,30 @@
     pub max_tokens: u32,
     /// Whether the answer is streamed.
     pub stream: bool,
+    /// What a streamed answer holds besides its text.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub stream_options: Option<StreamOptions>,
+}
+
+/// What a streamed answer holds besides its text.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct StreamOptions {
+    /// Whether it ends with the tokens used.
+    pub include_usage: bool,
 }
 
 impl CompletionRequest {
     /// A streamed completion.
     pub fn new(model: &str, prompt: &str, max_tokens: u32) -> Self {
         let (model, prompt) = (model.to_owned(), prompt.to_owned());
-        Self { model, prompt, max_tokens, stream: true }
+        Self { model, prompt, max_tokens, stream: true, stream_options: None }
+    }
+
+    /// Asks for the tokens used at the end of the stream.
+    #[must_use]
+    pub fn with_usage(mut self) -> Self {
+        self.stream_options = Some(StreamOptions { include_usage: true });
+        self
     }
 }
 
@@ -99,6 +117,8 @@
     pub done: bool,
     /// The refusal or the early end.
     pub refusal: Option<Refusal>,
+    /// The tokens used, if they were asked for.
+    pub usage: Option<Usage>,
 }
 
 impl CompletionAnswer {
