--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -299,7 +299,7 @@
             name: name.clone(),
             role,
             address,
-            admin: admin.to_string(),
+            admin: Some(admin.to_string()),
             region: REGION.to_owned(),
             failure_domain: failure_domain(index, self.builder.failure_domains),
             set,
