--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -3,7 +3,6 @@
 mod settings;
 
 use std::{
-    net::SocketAddr,
     path::{Path, PathBuf},
     sync::atomic::{AtomicU64, Ordering},
     time::Duration,
@@ -257,14 +256,8 @@
         let agent_link = link_if(self.builder.agent_links, daemon.peers()).await;
         let address = agent_link.as_ref().map_or(daemon.peers(), Link::address).to_string();
         let set = Some(SetName::new(SERVICE_SET));
-        self.platform.put_instance(self.instance(
-            &name,
-            index,
-            Role::Agent,
-            address,
-            daemon.admin(),
-            set,
-        ));
+        let instance = self.instance(&name, index, Role::Agent, address, set, &daemon);
+        self.platform.put_instance(instance);
         self.services.push(ServiceNode { name, daemon, service, agent_link, service_link });
     }
 
@@ -272,7 +265,7 @@
         let router = &self.routers[index];
         let address = router.daemon.peers().to_string();
         let instance =
-            self.instance(&router.name, index, Role::Router, address, router.daemon.admin(), None);
+            self.instance(&router.name, index, Role::Router, address, None, &router.daemon);
         self.platform.put_instance(instance);
     }
 
@@ -281,8 +274,7 @@
         let link = agent.agent_link.as_ref();
         let address = link.map_or(agent.daemon.peers(), Link::address).to_string();
         let set = Some(SetName::new(DEFAULT_SET));
-        let instance =
-            self.instance(&agent.name, index, Role::Agent, address, agent.daemon.admin(), set);
+        let instance = self.instance(&agent.name, index, Role::Agent, address, set, &agent.daemon);
         self.platform.put_instance(instance);
     }
 
@@ -292,14 +284,14 @@
         index: usize,
         role: Role,
         address: String,
-        admin: SocketAddr,
         set: Option<SetName>,
+        daemon: &Daemon,
     ) -> LiveInstance {
         LiveInstance {
             name: name.clone(),
             role,
             address,
-            admin: Some(admin.to_string()),
+            admin: Some(daemon.admin().to_string()),
             region: REGION.to_owned(),
             failure_domain: failure_domain(index, self.builder.failure_domains),
             set,
@@ -316,7 +308,7 @@
     format!("{REGION}-{}", index % failure_domains)
 }
 
-async fn link_if(wanted: bool, target: SocketAddr) -> Option<Link> {
+async fn link_if(wanted: bool, target: std::net::SocketAddr) -> Option<Link> {
     if !wanted {
         return None;
     }
