--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -9,7 +9,7 @@
 };
 
 use http::Method;
-use samphirespread_config::{Config, HEAD_OBJECT, Snapshot, section_object};
+use samphirespread_config::{Config, HEAD_OBJECT, Snapshot, section_hash, section_object};
 use samphirespread_core::prelude::*;
 use samphirespread_platform::api::{LiveInstance, LiveState, Role};
 use samphirespread_standin::{
@@ -132,8 +132,8 @@
         self.generation += 1;
         let snapshot =
             Snapshot::of(&config, self.generation).expect("the test's configuration is valid");
-        for (hash, text) in snapshot.sections() {
-            self.platform.put_object(&section_object(hash), text);
+        for (_, text) in snapshot.sections() {
+            self.platform.put_object(&section_object(&section_hash(text)), text);
         }
         self.platform.put_object(HEAD_OBJECT, snapshot.head_text());
         self.config = config;
