--- /dev/null
+++ b/crates/agent/tests/service.rs
@@ -0,0 +1,185 @@
+//! An agent before the stand-in of a plain service.
+
+mod support;
+
+use bytes::Bytes;
+use samphirespread_standin::service::{Service, ServiceConfig, ServiceFault};
+use samphirespread_wire::ReplyStream;
+use samphirespread_wire::message::{
+    HeaderPair, NotRunReason, Reply, Request, Run, ServiceHead, ServiceWork, Work,
+};
+use support::{TestAgent, attempt, dial, model_run, open_resume, open_run, run, until};
+
+fn header(name: &str, value: &str) -> HeaderPair {
+    HeaderPair { name: name.to_owned(), value: Bytes::copy_from_slice(value.as_bytes()) }
+}
+
+fn call(serial: u64, body: impl Into<Bytes>) -> Run {
+    let work = ServiceWork {
+        method: "POST".to_owned(),
+        path: "/notices?stretch=7".to_owned(),
+        headers: vec![
+            header("x-call-id", &serial.to_string()),
+            header("authorization", "Bearer a-key"),
+            header("content-length", "3"),
+        ],
+        body: body.into(),
+    };
+    run(serial, Work::Service(work))
+}
+
+/// The answer of a service as a router sees it.
+#[derive(Debug, Default)]
+struct ServiceAnswer {
+    head: Option<ServiceHead>,
+    body: Vec<u8>,
+    lines: u64,
+    end: Option<Reply>,
+}
+
+impl ServiceAnswer {
+    fn may_have_run(&self) -> bool {
+        match &self.end {
+            Some(Reply::Failed(failed)) => failed.may_have_run,
+            other => panic!("ended with {other:?}"),
+        }
+    }
+
+    fn not_run_reason(&self) -> NotRunReason {
+        match &self.end {
+            Some(Reply::NotRun(not_run)) => not_run.reason,
+            other => panic!("ended with {other:?}"),
+        }
+    }
+
+    fn length(&self) -> u64 {
+        match &self.end {
+            Some(Reply::Finished(finished)) => finished.length,
+            other => panic!("ended with {other:?}"),
+        }
+    }
+}
+
+async fn read_service(replies: &mut ReplyStream) -> ServiceAnswer {
+    let mut answer = ServiceAnswer::default();
+    while let Some(reply) = replies.next().await.unwrap() {
+        match reply {
+            Reply::Accepted(_) => {}
+            Reply::ServiceHead(head) => {
+                answer.head = Some(head);
+                answer.lines += 1;
+            }
+            Reply::ServiceBody { offset, bytes } => {
+                assert_eq!(offset, answer.body.len() as u64, "pieces follow each other");
+                answer.body.extend_from_slice(&bytes);
+                answer.lines += 1;
+            }
+            end => answer.end = Some(end),
+        }
+    }
+    answer
+}
+
+#[tokio::test]
+async fn a_call_is_made_once_without_the_callers_key() {
+    let service = Service::start(ServiceConfig::new()).await.unwrap();
+    let agent = TestAgent::start("service", service.address(), "").await;
+    let connection = agent.connect().await;
+
+    let answer = read_service(&mut open_run(&connection, &call(1, "a notice")).await).await;
+
+    assert_eq!(answer.head.as_ref().unwrap().status, 200);
+    assert_eq!(answer.body, b"a notice");
+    assert_eq!(answer.length(), answer.lines);
+    let runs = service.runs();
+    assert_eq!((runs.len(), runs[0].path.as_str()), (1, "/notices?stretch=7"));
+    assert!(!format!("{:?}", service.requests()).contains("a-key"));
+}
+
+#[tokio::test]
+async fn a_long_answer_passes_through_a_small_journal() {
+    let service = Service::start(ServiceConfig::new()).await.unwrap();
+    let agent = TestAgent::start("service", service.address(), "").await;
+    let connection = agent.connect().await;
+    let body: Vec<u8> = (0..6_000_000_u32).map(|n| (n % 251) as u8).collect();
+
+    let answer = read_service(&mut open_run(&connection, &call(1, body.clone())).await).await;
+
+    assert_eq!(answer.length(), answer.lines);
+    assert!(answer.body == body, "the body of {} bytes arrived changed", answer.body.len());
+}
+
+#[tokio::test]
+async fn a_service_that_is_down_is_told_as_not_run() {
+    let service = Service::start(ServiceConfig::new()).await.unwrap();
+    let agent = TestAgent::start("service", service.address(), "").await;
+    let connection = agent.connect().await;
+    service.go_down().await.unwrap();
+
+    let answer = read_service(&mut open_run(&connection, &call(1, "a notice")).await).await;
+
+    assert_eq!(answer.not_run_reason(), NotRunReason::EngineDown);
+    assert!(service.runs().is_empty());
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_told_as_possibly_run() {
+    let service = Service::start(ServiceConfig::new()).await.unwrap();
+    let agent = TestAgent::start("service", service.address(), "").await;
+    let connection = agent.connect().await;
+    for (serial, fault) in
+        (1..).zip([ServiceFault::LoseAnswer, ServiceFault::DropBeforeRun, ServiceFault::CutBody])
+    {
+        service.fail_next(1, fault);
+
+        let answer =
+            read_service(&mut open_run(&connection, &call(serial, "a notice")).await).await;
+
+        assert!(answer.may_have_run(), "after {fault:?}");
+    }
+    assert_eq!(service.runs().len(), 2, "the call that was dropped before its run isn't repeated");
+}
+
+#[tokio::test]
+async fn a_doubled_call_and_a_resume_share_one_run() {
+    let service = Service::start(ServiceConfig::new().run_ms(100)).await.unwrap();
+    let agent = TestAgent::start("service", service.address(), "").await;
+    let connection = agent.connect().await;
+    let run = call(1, "a notice");
+
+    let mut first = open_run(&connection, &run).await;
+    let mut second = open_run(&connection, &run).await;
+    let other = dial(agent.peers).await;
+    let mut resumed = open_resume(&other, attempt(1), 0).await;
+
+    for replies in [&mut first, &mut second, &mut resumed] {
+        assert_eq!(read_service(replies).await.body, b"a notice");
+    }
+    assert_eq!(service.runs().len(), 1);
+}
+
+#[tokio::test]
+async fn a_call_goes_on_when_its_caller_is_gone() {
+    let service = Service::start(ServiceConfig::new().run_ms(100)).await.unwrap();
+    let agent = TestAgent::start("service", service.address(), "").await;
+    let connection = agent.connect().await;
+    let mut replies = open_run(&connection, &call(1, "a notice")).await;
+    until(async || service.runs().len() == 1).await;
+
+    connection.call(&Request::Cancel(attempt(1))).await.unwrap();
+    let answer = read_service(&mut replies).await;
+
+    assert_eq!(answer.body, b"a notice");
+    assert!(service.runs()[0].finished);
+}
+
+#[tokio::test]
+async fn a_prompt_is_refused_before_a_service() {
+    let service = Service::start(ServiceConfig::new()).await.unwrap();
+    let agent = TestAgent::start("service", service.address(), "").await;
+    let connection = agent.connect().await;
+
+    let answer = read_service(&mut open_run(&connection, &model_run(1, "prompt", 1)).await).await;
+
+    assert_eq!(answer.not_run_reason(), NotRunReason::EngineDown);
+}
