agent: load the weights that the configuration asks for, assemble it by crates/config

The engine refuses streams of other weights, so a new version in the configuration left every engine of the set useless until somebody loaded it.

--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -8,7 +8,7 @@
 use tokio::{net::TcpListener, time::timeout};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{AgentError, admin, handler::AgentHandler, monitor, shared::Shared};
+use crate::{AgentError, admin, handler::AgentHandler, monitor, shared::Shared, weights};
 
 const IDLE_POLL_MS: u64 = 20;
 
@@ -118,6 +118,7 @@
     tasks.spawn(monitor::poll(Arc::clone(shared), stop.clone()));
     if shared.settings.backend.kind == BackendKind::Model {
         tasks.spawn(monitor::follow_events(Arc::clone(shared), stop.clone()));
+        tasks.spawn(weights::keep(Arc::clone(shared), stop.clone()));
     }
 }
 
--- a/crates/agent/src/handler/mod.rs
+++ b/crates/agent/src/handler/mod.rs
@@ -88,9 +88,7 @@
             Told::Incomplete(missing) => {
                 Reply::Refused { message: format!("{} sections are missing", missing.len()) }
             }
-            Told::Malformed => {
-                Reply::Refused { message: "the head of the configuration can't be read".to_owned() }
-            }
+            Told::Malformed { message } => Reply::Refused { message: message.clone() },
         }
     }
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -54,6 +54,7 @@
 mod monitor;
 mod service;
 mod shared;
+mod weights;
 
 pub use crate::{
     daemon::{Agent, run},
--- a/crates/agent/src/monitor/mod.rs
+++ b/crates/agent/src/monitor/mod.rs
@@ -43,7 +43,10 @@
 
 async fn poll_engine(shared: &Shared) -> EngineEvent {
     match shared.engine.load().await {
-        Ok(load) => EngineEvent::Answered(load.incarnation),
+        Ok(load) => {
+            shared.lock().loaded = load.loaded;
+            EngineEvent::Answered(load.incarnation)
+        }
         Err(EngineError::Unreachable { .. }) => EngineEvent::Unreachable,
         Err(_) => EngineEvent::PollFailed,
     }
--- a/crates/agent/src/shared/admission.rs
+++ b/crates/agent/src/shared/admission.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     attempts::{ResumeDecision, RunDecision},
+    engine_life::EngineState,
     shared::{Live, Shared, State, Waiting},
 };
 
@@ -92,7 +93,10 @@
         let grace_ms = self.settings.peers.stale_config_ms;
         if state.leaving {
             Some(NotRunReason::Leaving)
-        } else if !state.engine.takes_work() || kind != self.settings.backend.kind {
+        } else if !state.engine.takes_work()
+            || kind != self.settings.backend.kind
+            || state.is_draining_from(&run.work, &self.settings.backend.set)
+        {
             Some(NotRunReason::EngineDown)
         } else if state.configuration.is_stale(now, run.generation, grace_ms) {
             Some(NotRunReason::Stale)
@@ -152,6 +156,14 @@
         }
     }
 
+    /// Whether the engine will have other weights by the time that the work could start.
+    fn is_draining_from(&self, work: &Work, set: &str) -> bool {
+        let Work::Model(work) = work else { return false };
+        let wanted = self.configuration.weights_of(set);
+        self.engine.state() == EngineState::Draining
+            && wanted.is_none_or(|wanted| wanted.version != work.version)
+    }
+
     /// Counts the prompt of an attempt among those that its prefix brings here.
     fn observe(&mut self, now: MonoTime, run: &Run) {
         let Work::Model(work) = &run.work else { return };
--- a/crates/agent/src/shared/mod.rs
+++ b/crates/agent/src/shared/mod.rs
@@ -13,7 +13,7 @@
 
 use futures_util::FutureExt;
 use samphirespread_core::{prelude::*, time::Clock};
-use samphirespread_engine::{EngineClient, EngineClientConfig};
+use samphirespread_engine::{EngineClient, EngineClientConfig, api::LoadedWeights};
 use samphirespread_fairness::{Config as QueueConfig, DropCause, Queue, Ticket};
 use samphirespread_prefix::{Heat, HeatConfig, Residency};
 use samphirespread_settings::AgentSettings;
@@ -74,6 +74,10 @@
     pub(crate) speed: PrefillSpeed,
     pub(crate) prefill_tokens: u64,
     pub(crate) engine: EngineLife,
+    /// The weights that the engine reported last.
+    pub(crate) loaded: Option<LoadedWeights>,
+    /// The weights that the engine loaded last on this agent's order, and in which run.
+    pub(crate) ordered: Option<(Incarnation, LoadedWeights)>,
     pub(crate) configuration: Configuration,
     pub(crate) leaving: bool,
 }
@@ -113,6 +117,8 @@
             speed: PrefillSpeed::default(),
             prefill_tokens: 0,
             engine: EngineLife::new(),
+            loaded: None,
+            ordered: None,
             configuration: Configuration::new(),
             leaving: false,
         };
@@ -326,7 +332,12 @@
         self.lock().leaving = true;
     }
 
-    /// Whether nothing waits or runs, and whoever follows an answer has all of it.
+    /// Whether no attempt runs.
+    pub(crate) fn has_nothing_running(&self) -> bool {
+        self.lock().queue.running() == 0
+    }
+
+    /// Whether nothing waits or runs.
     pub(crate) fn is_idle(&self) -> bool {
         let state = self.lock();
         state.queue.is_empty() && state.queue.running() == 0
--- a/crates/agent/tests/configuration.rs
+++ b/crates/agent/tests/configuration.rs
@@ -2,34 +2,31 @@
 
 mod support;
 
-use std::collections::BTreeMap;
-
 use samphirespread_agent::configuration::{Configuration, Told};
-use samphirespread_config::model::Head;
+use samphirespread_config::{
+    ConfigBuilder, RouteBuilder, SetBuilder, Snapshot, TeamBuilder, model::Config,
+};
 use samphirespread_core::prelude::*;
-use samphirespread_standin::engine::{Engine, EngineConfig};
-use samphirespread_wire::message::{ConfigSnapshot, FetchConfig, NotRunReason, Reply, Request};
-use sha2::{Digest, Sha256};
-use support::{TestAgent, lookup, model_run, open_run, read_answer, until};
-
-const SECTION: &str = r#"{"teams":[]}"#;
-
-fn hash(text: &str) -> String {
-    Sha256::digest(text).iter().map(|byte| format!("{byte:02x}")).collect()
+use samphirespread_standin::{
+    engine::{Engine, EngineConfig},
+    text,
+};
+use samphirespread_wire::message::{
+    ConfigSnapshot, FetchConfig, NotRunReason, Reply, Request, Work,
+};
+use support::{TestAgent, lookup, model_run, open_run, read_answer, read_lines, until};
+
+/// A configuration with one team, told by a router.
+fn snapshot(generation: u64, team: &str) -> ConfigSnapshot {
+    told(&ConfigBuilder::new().team(TeamBuilder::new(team)).build().unwrap(), generation)
 }
 
-fn snapshot(generation: u64, sections: &[&str]) -> ConfigSnapshot {
-    let named: BTreeMap<String, String> = sections
-        .iter()
-        .enumerate()
-        .map(|(number, text)| (format!("section-{number}"), hash(text)))
-        .collect();
-    let generation = Generation(generation);
-    let head = Head { generation, sections: named, ..Head::default() };
+fn told(config: &Config, generation: u64) -> ConfigSnapshot {
+    let snapshot = Snapshot::of(config, generation).unwrap();
     ConfigSnapshot {
-        generation,
-        head: serde_json::to_string(&head).unwrap(),
-        sections: sections.iter().map(|&text| text.to_owned()).collect(),
+        generation: Generation(generation),
+        head: snapshot.head_text().to_owned(),
+        sections: snapshot.sections().map(|(_, text)| text.to_owned()).collect(),
     }
 }
 
@@ -40,11 +37,11 @@
 #[test]
 fn a_lower_generation_is_never_adopted() {
     let mut configuration = Configuration::new();
-    configuration.tell(at(0), &snapshot(5, &[]));
+    configuration.tell(at(0), &snapshot(5, "desk"));
 
-    let lower = configuration.tell(at(1), &snapshot(4, &[]));
-    let equal = configuration.tell(at(1), &snapshot(5, &[]));
-    let higher = configuration.tell(at(1), &snapshot(7, &[]));
+    let lower = configuration.tell(at(1), &snapshot(4, "desk"));
+    let equal = configuration.tell(at(1), &snapshot(5, "desk"));
+    let higher = configuration.tell(at(1), &snapshot(7, "desk"));
 
     assert_eq!((lower, equal, higher), (Told::NotNewer, Told::NotNewer, Told::Adopted));
     assert_eq!(configuration.generation(), Generation(7));
@@ -53,44 +50,61 @@
 #[test]
 fn sections_that_are_known_need_not_come_again() {
     let mut configuration = Configuration::new();
-    configuration.tell(at(0), &snapshot(1, &[SECTION]));
-    let mut next = snapshot(2, &[SECTION]);
-    next.sections.clear();
+    configuration.tell(at(0), &snapshot(1, "desk"));
+    let mut next = snapshot(2, "desk");
+    let all = std::mem::take(&mut next.sections);
 
     let told = configuration.tell(at(1), &next);
+    let answer = configuration.answer(&FetchConfig { have: Generation(1), sections: Vec::new() });
 
     assert_eq!(told, Told::Adopted);
-    assert!(configuration.sections().contains_key(&hash(SECTION)));
+    assert_eq!(answer.unwrap().sections, all);
+}
+
+#[test]
+fn sections_that_the_asker_has_are_left_out() {
+    let mut configuration = Configuration::new();
+    let told = snapshot(1, "desk");
+    configuration.tell(at(0), &told);
+    let head: samphirespread_config::model::Head = serde_json::from_str(&told.head).unwrap();
+    let sections = head.sections.values().cloned().collect();
+
+    let answer = configuration.answer(&FetchConfig { have: Generation(0), sections });
+
+    assert!(answer.unwrap().sections.is_empty());
 }
 
 #[test]
 fn a_configuration_with_missing_or_altered_sections_is_not_adopted() {
     let mut configuration = Configuration::new();
-    let mut altered = snapshot(1, &[SECTION]);
-    altered.sections = vec![r#"{"teams":[1]}"#.to_owned()];
+    let mut altered = snapshot(1, "desk");
+    for section in &mut altered.sections {
+        section.push(' ');
+    }
 
     let told = configuration.tell(at(0), &altered);
 
-    assert_eq!(told, Told::Incomplete(vec![hash(SECTION)]));
+    assert!(matches!(told, Told::Incomplete(missing) if !missing.is_empty()));
     assert_eq!(configuration.generation(), Generation(0));
 }
 
 #[test]
 fn a_head_that_contradicts_its_snapshot_is_not_adopted() {
     let mut configuration = Configuration::new();
-    let mut contradiction = snapshot(1, &[]);
+    let mut contradiction = snapshot(1, "desk");
     contradiction.generation = Generation(9);
-    let broken = ConfigSnapshot { head: "{".to_owned(), ..snapshot(1, &[]) };
+    let broken = ConfigSnapshot { head: "{".to_owned(), ..snapshot(1, "desk") };
 
-    assert_eq!(configuration.tell(at(0), &contradiction), Told::Malformed);
-    assert_eq!(configuration.tell(at(0), &broken), Told::Malformed);
+    assert!(matches!(configuration.tell(at(0), &contradiction), Told::Malformed { .. }));
+    assert!(matches!(configuration.tell(at(0), &broken), Told::Malformed { .. }));
+    assert_eq!(configuration.generation(), Generation(0));
 }
 
 #[test]
 fn a_generation_is_stale_once_it_was_replaced_for_the_grace_time() {
     let mut configuration = Configuration::new();
-    configuration.tell(at(0), &snapshot(5, &[]));
-    configuration.tell(at(1_000), &snapshot(6, &[]));
+    configuration.tell(at(0), &snapshot(5, "desk"));
+    configuration.tell(at(1_000), &snapshot(6, "desk"));
     let is_stale = |ms, generation| configuration.is_stale(at(ms), Generation(generation), 500);
 
     assert!(!is_stale(1_499, 5));
@@ -104,7 +118,7 @@
 fn a_long_history_keeps_old_generations_stale() {
     let mut configuration = Configuration::new();
     for generation in 1..200 {
-        configuration.tell(at(generation), &snapshot(generation, &[]));
+        configuration.tell(at(generation), &snapshot(generation, "desk"));
     }
 
     assert!(configuration.is_stale(at(200), Generation(2), 1_000));
@@ -117,7 +131,7 @@
     let more = "[peers]\nstale_config_ms = 100\n";
     let agent = TestAgent::start("model", engine.address(), more).await;
     let connection = agent.connect().await;
-    let pushed = snapshot(3, &[SECTION]);
+    let pushed = snapshot(3, "desk");
     let reply = connection.call(&Request::PushConfig(pushed.clone())).await.unwrap();
     assert_eq!(reply, Reply::Done);
 
@@ -142,3 +156,51 @@
     assert_eq!(answer.finished().length, 1);
     assert_eq!(lookup(&connection, &[]).await.generation, Generation(3));
 }
+
+/// A configuration whose one route asks a version of the model of the agent's set.
+fn with_version(version: &str, generation: u64) -> ConfigSnapshot {
+    let config = ConfigBuilder::new()
+        .team(TeamBuilder::new("desk"))
+        .set(SetBuilder::new("drafting"))
+        .route(RouteBuilder::model("reader", "reader", version).set("drafting"))
+        .build()
+        .unwrap();
+    told(&config, generation)
+}
+
+#[tokio::test]
+async fn the_engine_gets_the_weights_that_the_configuration_asks_for() {
+    let config = EngineConfig::new("reader", "v1").decode_step_us(5_000).load_lag_ms(300);
+    let engine = Engine::start(config).await.unwrap();
+    let agent = TestAgent::start("model", engine.address(), "").await;
+    let connection = agent.connect().await;
+    connection.call(&Request::PushConfig(with_version("v1", 1))).await.unwrap();
+    let mut old = open_run(&connection, &model_run(1, "prompt", 20)).await;
+    let begin = read_lines(&mut old, 1).await;
+
+    connection.call(&Request::PushConfig(with_version("v2", 2))).await.unwrap();
+    let rest = read_answer(&mut old).await;
+    let mut serial = 1;
+    let mut new = None;
+    until(async || {
+        serial += 1;
+        let mut run = model_run(serial, "prompt", 5);
+        run.generation = Generation(2);
+        let Work::Model(work) = &mut run.work else { unreachable!() };
+        work.version = WeightsVersion::new("v2");
+        let answer = read_answer(&mut open_run(&connection, &run).await).await;
+        let has_ended = matches!(answer.end, Some(Reply::Finished(_)));
+        new = Some(answer);
+        has_ended
+    })
+    .await;
+
+    assert_eq!(
+        begin + &rest.text,
+        text::answer("prompt", 20),
+        "what ran on the old weights was not cut"
+    );
+    assert_eq!(new.unwrap().text, text::answer("prompt", 5));
+    let orders = engine.requests().iter().filter(|r| r.path == "/v1/weights").count();
+    assert_eq!(orders, 1, "the lagging load report brings no second order");
+}
