agent: leave although a router went silent, give up on a frozen engine, estimate waits in one unit

Three faults, each with a test that fails without the change: - A drain waited for connections of routers that had gone silent, up to the drain timeout (11 minutes by default), and then exited with a fault. It now ends once no follower has taken a reply for the silence timeout. - A stream that was given up on a frozen engine went on after the thaw. It is cancelled there now. An attempt on an engine that stopped answering fails after one resume in place of five. - The queue divided estimated tokens by a throughput in actual tokens, so its wait was too long by the ratio of both (100 times in the test). Both are estimates now.

Mechanisms off: the first fails with the drain timeout, the second hangs.

--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -1,6 +1,12 @@
 //! An agent from its first port to its exit.
 
-use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use samphirespread_settings::{AgentSettings, BackendKind};
 use samphirespread_wire::{Secret, WireConfig, serve};
@@ -81,8 +87,11 @@
         let drained = timeout(Duration::from_millis(timeout_ms), async {
             drain(&shared).await;
             stop.cancel();
-            // Ends once every follower has the rest of its answer.
-            let _ = serving.await;
+            tokio::select! {
+                // Ends once every follower has the rest of its answer.
+                _ = serving => {}
+                () = followers_stall(&shared) => {}
+            }
         });
         let result = drained.await.map_err(|_| AgentError::DrainTimeout { timeout_ms });
         stop.cancel();
@@ -136,6 +145,18 @@
     }
 }
 
+/// Waits until no follower has taken a reply for the silence timeout: those left are gone.
+async fn followers_stall(shared: &Shared) {
+    let silence = Duration::from_millis(shared.settings.peers.silence_timeout_ms);
+    loop {
+        let sent_before = shared.sent_replies.load(Ordering::Relaxed);
+        tokio::time::sleep(silence).await;
+        if shared.sent_replies.load(Ordering::Relaxed) == sent_before {
+            return;
+        }
+    }
+}
+
 /// Waits until nothing waits or runs.
 async fn drain(shared: &Shared) {
     while !shared.is_idle() {
--- a/crates/agent/src/handler/mod.rs
+++ b/crates/agent/src/handler/mod.rs
@@ -1,6 +1,6 @@
 //! Answers the requests of routers.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use samphirespread_core::prelude::*;
 use samphirespread_wire::{
@@ -63,7 +63,7 @@
             Ok((live, standing)) => {
                 let guard = Following { shared: &self.shared, id };
                 if replies.send(&Reply::Accepted(standing)).await.is_ok() {
-                    relay(&live, 0, &mut replies).await;
+                    self.relay(&live, 0, &mut replies).await;
                 }
                 drop(guard);
             }
@@ -74,7 +74,41 @@
 
     async fn follow(&self, live: &Live, from_seq: u64, mut replies: ReplySender) {
         let _guard = Following { shared: &self.shared, id: live.id };
-        relay(live, from_seq, &mut replies).await;
+        self.relay(live, from_seq, &mut replies).await;
+    }
+
+    /// Sends the answer from a line on, as it grows, until it ends or the peer is gone.
+    async fn relay(&self, live: &Live, from_seq: u64, replies: &mut ReplySender) {
+        let mut changed = live.subscribe();
+        let mut next_seq = from_seq;
+        loop {
+            let end = match live.read(next_seq) {
+                Read::Lines(lines) => {
+                    for line in &lines {
+                        if replies.send(line).await.is_err() {
+                            return;
+                        }
+                        self.shared.sent_replies.fetch_add(1, Ordering::Relaxed);
+                    }
+                    next_seq += lines.len() as u64;
+                    continue;
+                }
+                Read::Pending => {
+                    tokio::select! {
+                        changed = changed.changed() => match changed {
+                            Ok(()) => continue,
+                            Err(_) => failed("the attempt was given up"),
+                        },
+                        () = replies.closed() => return,
+                    }
+                }
+                Read::End(reply) => reply,
+                Read::Gone => failed("the line is no longer kept"),
+            };
+            // A peer that is gone needs no reply.
+            let _ = replies.send(&end).await;
+            return;
+        }
     }
 
     fn told(&self, told: &Told, generation: Generation) -> Reply {
@@ -93,39 +127,6 @@
     }
 }
 
-/// Sends the answer from a line on, as it grows, until it ends or the peer is gone.
-async fn relay(live: &Live, from_seq: u64, replies: &mut ReplySender) {
-    let mut changed = live.subscribe();
-    let mut next_seq = from_seq;
-    loop {
-        let end = match live.read(next_seq) {
-            Read::Lines(lines) => {
-                for line in &lines {
-                    if replies.send(line).await.is_err() {
-                        return;
-                    }
-                }
-                next_seq += lines.len() as u64;
-                continue;
-            }
-            Read::Pending => {
-                tokio::select! {
-                    changed = changed.changed() => match changed {
-                        Ok(()) => continue,
-                        Err(_) => failed("the attempt was given up"),
-                    },
-                    () = replies.closed() => return,
-                }
-            }
-            Read::End(reply) => reply,
-            Read::Gone => failed("the line is no longer kept"),
-        };
-        // A peer that is gone needs no reply.
-        let _ = replies.send(&end).await;
-        return;
-    }
-}
-
 /// Counts as a follower of an attempt until it is dropped.
 struct Following<'a> {
     shared: &'a Arc<Shared>,
--- a/crates/agent/src/model/mod.rs
+++ b/crates/agent/src/model/mod.rs
@@ -134,7 +134,8 @@
                 resumes = 0;
             }
             resumes += 1;
-            if resumes > MAX_RESUMES {
+            if resumes > MAX_RESUMES || !self.shared.lock().engine.takes_work() {
+                self.cancel_later();
                 return self.fail(work, "the engine's stream was lost".to_owned());
             }
             tokio::time::sleep(Duration::from_millis(RESUME_PAUSE_MS)).await;
@@ -235,18 +236,30 @@
 
     /// Cancels the stream at the engine, which also bars one that has not arrived there yet.
     async fn cancel(&mut self, work: &ModelWork) -> Outcome {
-        for _ in 0..MAX_CANCELS {
-            match self.shared.engine.cancel(&self.stream).await {
-                Err(error) if error.may_have_run() => {}
-                _ => break,
-            }
-        }
+        cancel_stream(self.shared, &self.stream).await;
         let message = "the attempt was cancelled".to_owned();
         let reply = Reply::Failed(Failed { may_have_run: true, message });
         Outcome::Ended { reply, tokens: work.prompt_tokens + self.tokens }
     }
 }
 
+impl Relay<'_> {
+    /// Cancels a stream that was given up, so that an engine that comes back doesn't go on with it.
+    fn cancel_later(&self) {
+        let (shared, stream) = (Arc::clone(self.shared), self.stream.clone());
+        self.shared.tasks.spawn(async move { cancel_stream(&shared, &stream).await });
+    }
+}
+
+async fn cancel_stream(shared: &Shared, stream: &str) {
+    for _ in 0..MAX_CANCELS {
+        match shared.engine.cancel(stream).await {
+            Err(error) if error.may_have_run() => {}
+            _ => return,
+        }
+    }
+}
+
 impl Drop for Relay<'_> {
     /// Takes the prompt out of the backlog if no first output did.
     fn drop(&mut self) {
--- a/crates/agent/src/monitor/mod.rs
+++ b/crates/agent/src/monitor/mod.rs
@@ -42,7 +42,7 @@
 }
 
 async fn poll_engine(shared: &Shared) -> EngineEvent {
-    match shared.engine.load().await {
+    match shared.polled_engine.load().await {
         Ok(load) => {
             shared.lock().loaded = load.loaded;
             EngineEvent::Answered(load.incarnation)
--- a/crates/agent/src/shared/mod.rs
+++ b/crates/agent/src/shared/mod.rs
@@ -7,7 +7,7 @@
 use std::{
     collections::{HashMap, VecDeque},
     panic::AssertUnwindSafe,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU64},
     time::{SystemTime, UNIX_EPOCH},
 };
 
@@ -36,6 +36,7 @@
 const MAX_KEPT_BYTES: usize = 32 * 1024 * 1024;
 
 const ENGINE_TIMEOUT_MS: u64 = 2_000;
+const POLL_TIMEOUT_MS: u64 = 1_000;
 
 /// What all tasks of an agent share.
 #[derive(Debug)]
@@ -46,6 +47,10 @@
     pub(crate) log: Logger,
     pub(crate) clock: Clock,
     pub(crate) engine: EngineClient,
+    /// For polls, which are to fail sooner than other calls.
+    pub(crate) polled_engine: EngineClient,
+    /// Counts replies that followers took.
+    pub(crate) sent_replies: AtomicU64,
     pub(crate) service: ServiceClient,
     pub(crate) metrics: Metrics,
     /// The tasks of running attempts.
@@ -102,6 +107,8 @@
         let engine = EngineClientConfig::new(address.to_string())
             .timeout_ms(ENGINE_TIMEOUT_MS)
             .silence_ms(settings.peers.silence_timeout_ms.max(ENGINE_TIMEOUT_MS));
+        let polled_engine =
+            EngineClientConfig::new(address.to_string()).timeout_ms(POLL_TIMEOUT_MS);
         let queue = QueueConfig::new(settings.queue.concurrency)
             .max_len(settings.queue.max_requests)
             .max_wait_ms(settings.queue.max_wait_ms);
@@ -129,6 +136,8 @@
             incarnation: fresh_incarnation(),
             clock: Clock::start(),
             engine: EngineClient::new(engine),
+            polled_engine: EngineClient::new(polled_engine),
+            sent_replies: AtomicU64::new(0),
             service: ServiceClient::new(address),
             metrics: Metrics::new(),
             tasks: TaskTracker::new(),
--- a/crates/agent/tests/faults.rs
+++ b/crates/agent/tests/faults.rs
@@ -8,7 +8,8 @@
     text,
 };
 use support::{
-    TestAgent, attempt, dial, model_run, open_resume, open_run, read_answer, read_lines,
+    TestAgent, attempt, dial, lookup, model_run, open_resume, open_run, read_answer, read_lines,
+    until,
 };
 
 const PROMPT: &str = "Is the trunk road north cleared?";
@@ -68,3 +69,42 @@
     assert_eq!(begin + &rest.text, text::answer(PROMPT, 60));
     assert_eq!(engine.record().streams.len(), 1);
 }
+
+#[tokio::test]
+async fn an_agent_leaves_although_a_router_has_gone_silent() {
+    let engine = slow_engine().await;
+    let more = "[drain]\ntimeout_ms = 15000\n";
+    let agent = TestAgent::start("model", engine.address(), more).await;
+    drop(agent.connect().await);
+    let link = Link::start(agent.peers).await.unwrap();
+    let silent = dial(link.address()).await;
+    let mut replies = open_run(&silent, &model_run(1, PROMPT, 50)).await;
+    read_lines(&mut replies, 1).await;
+
+    link.silence();
+    agent.shutdown.cancel();
+    let exit = agent.running.await.unwrap();
+
+    assert!(exit.is_ok());
+    assert_eq!(engine.totals().output_tokens, 50, "what ran was finished");
+}
+
+#[tokio::test]
+async fn an_engine_that_freezes_is_told_as_possibly_run_and_cancelled_once_it_thaws() {
+    // The engine itself would go on with a stream that nobody reads.
+    let config = EngineConfig::new("reader", "v1").decode_step_us(10_000).linger_ms(600_000);
+    let engine = Engine::start(config.load_lag_ms(0)).await.unwrap();
+    let agent = TestAgent::start("model", engine.address(), "").await;
+    let connection = agent.connect().await;
+    let mut replies = open_run(&connection, &model_run(1, PROMPT, 100_000)).await;
+    read_lines(&mut replies, 1).await;
+
+    engine.set_frozen(true);
+    let answer = read_answer(&mut replies).await;
+    let takes_work_frozen = lookup(&connection, &[]).await.takes_work;
+    engine.set_frozen(false);
+
+    assert!(answer.may_have_run());
+    assert!(!takes_work_frozen);
+    until(async || engine.totals().cancelled == 1).await;
+}
--- a/crates/fairness/src/queue/mod.rs
+++ b/crates/fairness/src/queue/mod.rs
@@ -29,6 +29,7 @@
 struct Charge {
     team: TeamId,
     cost: VirtualTime,
+    cost_tokens: u64,
     weight: u64,
 }
 
@@ -46,6 +47,7 @@
     places: HashMap<Ticket, Place>,
     deadlines: BTreeSet<(MonoTime, Ticket)>,
     running: HashMap<Ticket, Charge>,
+    running_tokens: u64,
     dropped: Vec<Dropped<T>>,
     throughput: Throughput,
     slot_use: SlotUse,
@@ -68,6 +70,7 @@
             places: HashMap::new(),
             deadlines: BTreeSet::new(),
             running: HashMap::new(),
+            running_tokens: 0,
             dropped: Vec::new(),
             throughput: Throughput::default(),
             slot_use: SlotUse::default(),
@@ -103,13 +106,14 @@
         self.deadlines.first().map(|&(deadline, _)| deadline)
     }
 
-    /// Estimated time until the tokens that wait now have been served.
+    /// Estimated time until an entry that comes now starts, if it starts after all others.
     pub fn wait_ms(&self) -> u32 {
         if self.is_empty() && self.running.len() < self.config.concurrency {
             return 0;
         }
-        let queued = self.teams.values().map(|team| team.queued_tokens).sum();
-        let wait_ms = self.throughput.time_for_ms(queued).unwrap_or(0);
+        let queued: u64 = self.teams.values().map(|team| team.queued_tokens).sum();
+        let until_slot_frees = self.running_tokens / self.running.len().max(1) as u64;
+        let wait_ms = self.throughput.time_for_ms(queued + until_slot_frees).unwrap_or(0);
         u32::try_from(wait_ms).unwrap_or(u32::MAX)
     }
 
@@ -175,8 +179,10 @@
     pub fn complete(&mut self, now: MonoTime, ticket: Ticket, actual_tokens: u64) {
         let charge = self.running.get(&ticket).copied().expect("only a running entry completes");
         self.throughput.advance(now, true);
-        self.throughput.serve(actual_tokens);
+        // Estimates are compared with estimates: what waits is known by no other measure.
+        self.throughput.serve(charge.cost_tokens);
         self.running.remove(&ticket);
+        self.running_tokens -= charge.cost_tokens;
         let actual = virtual_cost(actual_tokens, charge.weight);
         self.update(charge.team, |team| {
             team.counter = (team.counter + actual).saturating_sub(charge.cost);
@@ -286,7 +292,9 @@
             team.counter += cost;
             team.running += 1;
         });
-        let earlier = self.running.insert(ticket, Charge { team: id, cost, weight });
+        let charge = Charge { team: id, cost, cost_tokens: tokens, weight };
+        self.running_tokens += tokens;
+        let earlier = self.running.insert(ticket, charge);
         assert!(earlier.is_none(), "an entry runs once");
         self.note_slots(now, id);
     }
--- a/crates/fairness/tests/queue.rs
+++ b/crates/fairness/tests/queue.rs
@@ -188,6 +188,24 @@
     assert_eq!(next, Some(5));
 }
 
+#[test]
+fn the_estimated_wait_follows_served_entries_whatever_their_costs_were_estimated_at() {
+    let mut queue = Queue::new(Config::new(1).max_wait_ms(1_000_000));
+    let desk = team("desk");
+    for item in 0..20 {
+        queue.push(at(0), &Admission::new(&desk, 10).cost_tokens(5_000), item).unwrap();
+    }
+    for number in 0..10 {
+        let popped = queue.pop(at(number * 100)).unwrap();
+        queue.complete(at((number + 1) * 100), popped.ticket, 50);
+    }
+    queue.pop(at(1_000)).unwrap();
+
+    let wait_ms = queue.wait_ms();
+
+    assert_eq!(wait_ms, 1_000, "nine wait and one runs, at 100 ms each");
+}
+
 #[test]
 fn a_cancelled_entry_never_runs() {
     let mut queue = Queue::new(Config::new(1));
