--- a/crates/testkit/tests/configuration.rs
+++ b/crates/testkit/tests/configuration.rs
@@ -110,6 +110,26 @@
     );
 }
 
+#[tokio::test]
+async fn a_router_that_was_frozen_before_it_knew_its_peers_refuses() {
+    let mut fleet = builder(1).start().await;
+    wait_for_code(&fleet, 0, "ok").await;
+    fleet.platform.set_list_frozen(true);
+    fleet.add_router().await;
+    fleet.routers[0].daemon.signal(Signal::Stop).await;
+    let withdrawn = fleet.withdraw_keys(DEFAULT_TEAM);
+    wait_for_generation(&fleet, 1, withdrawn.0).await;
+    fleet.platform.set_outage(Outage::Silent);
+    sleep(Duration::from_millis(2 * STALE_CONFIG_MS)).await;
+
+    let caller = fleet.caller(0);
+    let answered = tokio::spawn(async move { caller.complete(&request()).await });
+    fleet.routers[0].daemon.signal(Signal::Cont).await;
+    let answer = answered.await.unwrap().unwrap();
+
+    assert_eq!(answer.refusal.unwrap().code, "stale_configuration");
+}
+
 #[tokio::test]
 async fn a_router_starts_and_serves_while_the_platform_is_down() {
     let mut fleet = builder(1).start().await;
