--- a/crates/agent/src/daemon/mod.rs
+++ b/crates/agent/src/daemon/mod.rs
@@ -1,6 +1,12 @@
 //! An agent from its first port to its exit.
 
-use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    future::Future,
+    io,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use samphirespread_settings::{AgentSettings, BackendKind};
 use samphirespread_wire::{Secret, WireConfig, serve};
@@ -8,7 +14,7 @@
 use tokio::{net::TcpListener, time::timeout};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{AgentError, admin, handler::AgentHandler, monitor, shared::Shared};
+use crate::{AgentError, admin, handler::AgentHandler, monitor, shared::Shared, weights};
 
 const IDLE_POLL_MS: u64 = 20;
 
@@ -81,8 +87,11 @@
         let drained = timeout(Duration::from_millis(timeout_ms), async {
             drain(&shared).await;
             stop.cancel();
-            // Ends once every follower has the rest of its answer.
-            let _ = serving.await;
+            tokio::select! {
+                // Ends once every follower has the rest of its answer.
+                _ = serving => {}
+                () = followers_stall(&shared) => {}
+            }
         });
         let result = drained.await.map_err(|_| AgentError::DrainTimeout { timeout_ms });
         stop.cancel();
@@ -118,6 +127,7 @@
     tasks.spawn(monitor::poll(Arc::clone(shared), stop.clone()));
     if shared.settings.backend.kind == BackendKind::Model {
         tasks.spawn(monitor::follow_events(Arc::clone(shared), stop.clone()));
+        tasks.spawn(weights::keep(Arc::clone(shared), stop.clone()));
     }
 }
 
@@ -135,6 +145,18 @@
     }
 }
 
+/// Waits until no follower has taken a reply for the silence timeout: those left are gone.
+async fn followers_stall(shared: &Shared) {
+    let silence = Duration::from_millis(shared.settings.peers.silence_timeout_ms);
+    loop {
+        let sent_before = shared.sent_replies.load(Ordering::Relaxed);
+        tokio::time::sleep(silence).await;
+        if shared.sent_replies.load(Ordering::Relaxed) == sent_before {
+            return;
+        }
+    }
+}
+
 /// Waits until nothing waits or runs.
 async fn drain(shared: &Shared) {
     while !shared.is_idle() {
--- a/crates/agent/src/shared/mod.rs
+++ b/crates/agent/src/shared/mod.rs
@@ -7,13 +7,13 @@
 use std::{
     collections::{HashMap, VecDeque},
     panic::AssertUnwindSafe,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU64},
     time::{SystemTime, UNIX_EPOCH},
 };
 
 use futures_util::FutureExt;
 use samphirespread_core::{prelude::*, time::Clock};
-use samphirespread_engine::{EngineClient, EngineClientConfig};
+use samphirespread_engine::{EngineClient, EngineClientConfig, api::LoadedWeights};
 use samphirespread_fairness::{Config as QueueConfig, DropCause, Queue, Ticket};
 use samphirespread_prefix::{Heat, HeatConfig, Residency};
 use samphirespread_settings::AgentSettings;
@@ -36,6 +36,7 @@
 const MAX_KEPT_BYTES: usize = 32 * 1024 * 1024;
 
 const ENGINE_TIMEOUT_MS: u64 = 2_000;
+const POLL_TIMEOUT_MS: u64 = 1_000;
 
 /// What all tasks of an agent share.
 #[derive(Debug)]
@@ -46,6 +47,10 @@
     pub(crate) log: Logger,
     pub(crate) clock: Clock,
     pub(crate) engine: EngineClient,
+    /// For polls, which are to fail sooner than other calls.
+    pub(crate) polled_engine: EngineClient,
+    /// Counts replies that followers took.
+    pub(crate) sent_replies: AtomicU64,
     pub(crate) service: ServiceClient,
     pub(crate) metrics: Metrics,
     /// The tasks of running attempts.
@@ -74,6 +79,10 @@
     pub(crate) speed: PrefillSpeed,
     pub(crate) prefill_tokens: u64,
     pub(crate) engine: EngineLife,
+    /// The weights that the engine reported last.
+    pub(crate) loaded: Option<LoadedWeights>,
+    /// The weights that the engine loaded last on this agent's order, and in which run.
+    pub(crate) ordered: Option<(Incarnation, LoadedWeights)>,
     pub(crate) configuration: Configuration,
     pub(crate) leaving: bool,
 }
@@ -98,6 +107,8 @@
         let engine = EngineClientConfig::new(address.to_string())
             .timeout_ms(ENGINE_TIMEOUT_MS)
             .silence_ms(settings.peers.silence_timeout_ms.max(ENGINE_TIMEOUT_MS));
+        let polled_engine =
+            EngineClientConfig::new(address.to_string()).timeout_ms(POLL_TIMEOUT_MS);
         let queue = QueueConfig::new(settings.queue.concurrency)
             .max_len(settings.queue.max_requests)
             .max_wait_ms(settings.queue.max_wait_ms);
@@ -113,6 +124,8 @@
             speed: PrefillSpeed::default(),
             prefill_tokens: 0,
             engine: EngineLife::new(),
+            loaded: None,
+            ordered: None,
             configuration: Configuration::new(),
             leaving: false,
         };
@@ -123,6 +136,8 @@
             incarnation: fresh_incarnation(),
             clock: Clock::start(),
             engine: EngineClient::new(engine),
+            polled_engine: EngineClient::new(polled_engine),
+            sent_replies: AtomicU64::new(0),
             service: ServiceClient::new(address),
             metrics: Metrics::new(),
             tasks: TaskTracker::new(),
@@ -326,7 +341,12 @@
         self.lock().leaving = true;
     }
 
-    /// Whether nothing waits or runs, and whoever follows an answer has all of it.
+    /// Whether no attempt runs.
+    pub(crate) fn has_nothing_running(&self) -> bool {
+        self.lock().queue.running() == 0
+    }
+
+    /// Whether nothing waits or runs.
     pub(crate) fn is_idle(&self) -> bool {
         let state = self.lock();
         state.queue.is_empty() && state.queue.running() == 0
