Place on the homes of the outermost prefix that one worker can carry

Now a router counts the share of its own prompts that each block has and places by the first block whose share one worker can carry; hints of home agents, which are all looked up and so see a prefix's whole traffic, count where a router sees too little. A prefix without deeper blocks gets several groups of homes.

--- a/crates/bench/src/replay/flow.rs
+++ b/crates/bench/src/replay/flow.rs
@@ -330,7 +330,10 @@
 
     pub(crate) fn fault(&mut self) {
         match self.replay.scenario {
-            Scenario::Calm | Scenario::PrefixShift | Scenario::LostEvents => {}
+            Scenario::Calm
+            | Scenario::HotPrefixShift
+            | Scenario::WholeShift
+            | Scenario::LostEvents => {}
             Scenario::RouterRestart => {
                 self.routers = (0..self.routers.len()).map(|_| self.new_router()).collect();
             }
--- a/crates/bench/src/replay/outcome.rs
+++ b/crates/bench/src/replay/outcome.rs
@@ -39,14 +39,14 @@
 }
 
 /// Requests that arrived within one second.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 struct Bucket {
     first_token_us: Vec<u64>,
     prefilled: Prefilled,
 }
 
 /// All that one replay measured.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Outcome {
     buckets: Vec<Bucket>,
     first_token_us: Vec<u64>,
--- a/crates/bench/src/replay/report.rs
+++ b/crates/bench/src/replay/report.rs
@@ -16,6 +16,9 @@
 const STORE: TransferCost =
     TransferCost { setup_us: 5_000, block_bytes: 2_048 * 163_840, bytes_per_s: 10_000_000_000 };
 
+/// Routers that each see too little traffic to count shares by themselves.
+const MANY_ROUTERS: usize = 60;
+
 /// One replay and its outcome.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -101,10 +104,15 @@
     runs.extend(all.scenarios("first block", Dispatch::Direct, None, &FirstBlock));
     runs.extend(all.scenarios("homes, lookup of 3", Dispatch::Lookup, None, &home(3)));
     runs.extend(all.scenarios("all-knowing", Dispatch::Direct, None, &AllKnowing::default()));
+    let greedy = AllKnowing::greedy();
+    runs.extend(all.scenarios("all-knowing, greedy", Dispatch::Direct, None, &greedy));
     runs.extend(all.scenarios("homes, lookup of 2", Dispatch::Lookup, None, &home(2)));
     runs.extend(all.scenarios("homes, one bounce", Dispatch::Bounce, None, &home(3)));
     runs.extend(all.scenarios("homes, lookup if busy", Dispatch::LookupWhenBusy, None, &home(3)));
     runs.extend(all.scenarios("lookup of 3, store", Dispatch::Lookup, Some(STORE), &home(3)));
+    let many = Deployment { routers: MANY_ROUTERS, ..*deployment };
+    let all = Runner { deployment: &many, records };
+    runs.extend(all.scenarios("lookup of 3, 60 routers", Dispatch::Lookup, None, &home(3)));
     runs
 }
 
--- a/crates/prefix/src/heat.rs
+++ b/crates/prefix/src/heat.rs
@@ -2,14 +2,18 @@
 
 use samphirespread_core::prelude::*;
 
-use crate::key_map::TwoGenerations;
+use crate::{
+    decay::{Decaying, steady_sum},
+    key_map::TwoGenerations,
+};
 
 /// A hint of a home agent to routers. It travels on answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Hint {
-    /// Leading blocks that several prompts share.
+    /// Leading blocks of the prefix that the hint is about: the longest one that is too hot for one
+    /// home, or else the longest one that several prompts share.
     pub shared_blocks: u32,
-    /// Homes that the shared prefix deserves.
+    /// Homes that this prefix deserves. More than one means that prompts below it should spread.
     pub replicas: u8,
 }
 
@@ -24,7 +28,7 @@
 
 impl Default for HeatConfig {
     fn default() -> Self {
-        Self { max_blocks: 65_536, half_life_ms: 10_000, target_busy_percent: 60, max_replicas: 8 }
+        Self { max_blocks: 65_536, half_life_ms: 10_000, target_busy_percent: 30, max_replicas: 8 }
     }
 }
 
@@ -58,7 +62,10 @@
     }
 }
 
-/// Which leading blocks several prompts share, and how much of the engine's time they take.
+/// Which leading blocks several prompts share, and how much work they bring.
+///
+/// The homes of a prefix are all looked up for each prompt below it, so that each of them sees the
+/// prefix's whole traffic, from whichever router it comes.
 ///
 /// ```
 /// use samphirespread_core::prelude::*;
@@ -73,15 +80,13 @@
 pub struct Heat {
     config: HeatConfig,
     blocks: TwoGenerations<BlockHeat>,
+    runs: Decaying,
+    busy_s: Decaying,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct BlockHeat {
-    prompts: f32,
-    busy_us: f32,
-    seen_at: MonoTime,
-    replicas: u8,
-    replicas_set_at: MonoTime,
+    prompts: Decaying,
     lookups_before_run: u16,
 }
 
@@ -92,7 +97,7 @@
     /// An empty record.
     pub fn new(config: HeatConfig) -> Self {
         let blocks = TwoGenerations::new(config.max_blocks, config.half_life_ms * 6);
-        Self { config, blocks }
+        Self { config, blocks, runs: Decaying::default(), busy_s: Decaying::default() }
     }
 
     /// Takes in a prompt that was looked up (`cost_us` is zero) or that runs here, where
@@ -101,28 +106,34 @@
     /// A run that follows a lookup of the same prompt doesn't count as a second prompt.
     pub fn observe(&mut self, blocks: &[BlockKey], cost_us: u64, now: MonoTime) -> Hint {
         self.blocks.age(now);
-        let prompts = self.count_sighting(blocks, cost_us, now);
-        let mut hint = Hint { shared_blocks: 0, replicas: 1 };
-        for (index, key) in blocks.iter().enumerate() {
-            let mut heat = self.decayed(*key, now);
-            heat.prompts += prompts;
-            heat.busy_us += cost_us as f32;
-            self.adjust_replicas(&mut heat, now);
+        let half_life_ms = self.config.half_life_ms;
+        let prompts = self.count_sighting(blocks, cost_us);
+        if cost_us > 0 {
+            self.runs.add(1.0, now, half_life_ms);
+            self.busy_s.add(cost_us as f32 / 1e6, now, half_life_ms);
+        }
+        for key in blocks {
+            let mut heat = self.blocks.get(*key).unwrap_or_default();
+            heat.prompts.add(prompts, now, half_life_ms);
             self.blocks.put(*key, heat);
-            if heat.prompts >= SHARED_PROMPTS {
-                hint = Hint { shared_blocks: index as u32 + 1, replicas: heat.replicas };
-            }
         }
-        hint
+        self.hint(blocks, now)
     }
 
-    /// The hint for a prompt, without counting it.
+    /// The hint for a prompt that was observed.
     pub fn hint(&self, blocks: &[BlockKey], now: MonoTime) -> Hint {
+        let half_life_ms = self.config.half_life_ms;
+        let homes_per_prompt = self.homes_per_prompt(now);
         let mut hint = Hint { shared_blocks: 0, replicas: 1 };
         for (index, key) in blocks.iter().enumerate() {
-            let heat = self.decayed(*key, now);
-            if heat.prompts + 1.0 >= SHARED_PROMPTS {
-                hint = Hint { shared_blocks: index as u32 + 1, replicas: heat.replicas };
+            let heat = self.blocks.get(*key).unwrap_or_default();
+            let length = index as u32 + 1;
+            let prompts = heat.prompts.at(now, half_life_ms);
+            let deserved = (prompts * homes_per_prompt).ceil() as u8;
+            let replicas = deserved.clamp(1, self.config.max_replicas);
+            let is_shared = prompts >= SHARED_PROMPTS;
+            if replicas > 1 || (is_shared && hint.replicas == 1) {
+                hint = Hint { shared_blocks: length, replicas };
             }
         }
         hint
@@ -138,10 +149,19 @@
         self.blocks.len() == 0
     }
 
+    /// Homes for each counted prompt, if all of them came here at their mean cost.
+    fn homes_per_prompt(&self, now: MonoTime) -> f32 {
+        let half_life_ms = self.config.half_life_ms;
+        let runs = self.runs.at(now, half_life_ms).max(1.0);
+        let mean_cost_s = self.busy_s.at(now, half_life_ms) / runs;
+        let target = self.config.target_busy_percent as f32 / 100.0;
+        mean_cost_s / steady_sum(half_life_ms) / target
+    }
+
     /// Notes on the last block whether a run is due, and returns how many prompts this one counts.
-    fn count_sighting(&mut self, blocks: &[BlockKey], cost_us: u64, now: MonoTime) -> f32 {
+    fn count_sighting(&mut self, blocks: &[BlockKey], cost_us: u64) -> f32 {
         let Some(last) = blocks.last() else { return 0.0 };
-        let mut heat = self.decayed(*last, now);
+        let mut heat = self.blocks.get(*last).unwrap_or_default();
         let is_lookup = cost_us == 0;
         let was_looked_up = !is_lookup && heat.lookups_before_run > 0;
         heat.lookups_before_run = if is_lookup {
@@ -152,48 +172,4 @@
         self.blocks.put(*last, heat);
         if was_looked_up { 0.0 } else { 1.0 }
     }
-
-    fn decayed(&self, key: BlockKey, now: MonoTime) -> BlockHeat {
-        let Some(heat) = self.blocks.get(key) else {
-            return BlockHeat {
-                prompts: 0.0,
-                busy_us: 0.0,
-                seen_at: now,
-                replicas: 1,
-                replicas_set_at: now,
-                lookups_before_run: 0,
-            };
-        };
-        let half_lives = now.ms_since(heat.seen_at) as f32 / self.config.half_life_ms as f32;
-        let factor = (-half_lives).exp2();
-        BlockHeat {
-            prompts: heat.prompts * factor,
-            busy_us: heat.busy_us * factor,
-            seen_at: now,
-            ..heat
-        }
-    }
-
-    /// Doubles or halves the homes, at most once per half-life, so that one change shows in the
-    /// share of this engine before the next.
-    fn adjust_replicas(&self, heat: &mut BlockHeat, now: MonoTime) {
-        if now.ms_since(heat.replicas_set_at) < self.config.half_life_ms {
-            return;
-        }
-        // A constant rate of work decays to rate * half-life / ln 2.
-        let window_us = self.config.half_life_ms as f32 * 1_000.0 / std::f32::consts::LN_2;
-        let busy_percent = heat.busy_us / window_us * 100.0;
-        let target = self.config.target_busy_percent as f32;
-        let replicas = if busy_percent > target {
-            heat.replicas.saturating_mul(2).min(self.config.max_replicas)
-        } else if busy_percent < target / 4.0 {
-            (heat.replicas / 2).max(1)
-        } else {
-            heat.replicas
-        };
-        if replicas != heat.replicas {
-            heat.replicas = replicas;
-            heat.replicas_set_at = now;
-        }
-    }
 }
--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -54,6 +54,7 @@
 //! an engine that takes the keys for its own cache relies on its salt and on its own check of the
 //! tokens.
 
+mod decay;
 mod error;
 mod fetch;
 mod hasher;
@@ -68,7 +69,7 @@
     hasher::{BYTES_PER_TOKEN, DEFAULT_BLOCK_BYTES, PrefixHasher},
     heat::{Heat, HeatConfig, Hint},
     placement::{
-        Candidates, FirstBlock, HintTable, HomeConfig, HomePlacement, HomeRing, LeastLoad,
+        Candidates, FirstBlock, HomeConfig, HomePlacement, HomeRing, HotPrefixes, LeastLoad,
         MAX_CANDIDATES, Placement, Prompt, RoundRobin, Standing, Worker, WorkerSet, choose,
     },
     residency::{Applied, Residency},
--- a/crates/prefix/src/placement/home.rs
+++ b/crates/prefix/src/placement/home.rs
@@ -1,38 +1,41 @@
-//! Placement on the homes of shared prefixes.
+//! Placement on the homes of prefixes.
 
 use rand::Rng;
 use samphirespread_core::prelude::*;
 
 use crate::Hint;
 
-use super::{Candidates, HintTable, MAX_CANDIDATES, Placement, Prompt, WorkerSet};
+use super::{Candidates, HotPrefixes, MAX_CANDIDATES, Placement, Prompt, WorkerSet, hot::Level};
+
+/// An odd constant that makes another key for each group of homes of one prefix.
+const GROUP_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// Bounds of [`HomePlacement`].
 #[derive(Clone, Copy, Debug)]
 pub struct HomeConfig {
-    max_hints: usize,
-    hint_lifetime_ms: u64,
+    max_blocks: usize,
+    half_life_ms: u64,
     candidates: usize,
 }
 
 impl Default for HomeConfig {
     fn default() -> Self {
-        Self { max_hints: 65_536, hint_lifetime_ms: 60_000, candidates: MAX_CANDIDATES }
+        Self { max_blocks: 65_536, half_life_ms: 30_000, candidates: MAX_CANDIDATES }
     }
 }
 
 impl HomeConfig {
-    /// Sets the number of hints that are remembered at most.
+    /// Sets the number of blocks that are remembered at most.
     #[must_use]
-    pub fn max_hints(mut self, hints: usize) -> Self {
-        self.max_hints = hints;
+    pub fn max_blocks(mut self, blocks: usize) -> Self {
+        self.max_blocks = blocks;
         self
     }
 
-    /// Sets how long a hint is remembered at most.
+    /// Sets the time after which a sighting counts half.
     #[must_use]
-    pub fn hint_lifetime_ms(mut self, ms: u64) -> Self {
-        self.hint_lifetime_ms = ms;
+    pub fn half_life_ms(mut self, ms: u64) -> Self {
+        self.half_life_ms = ms;
         self
     }
 
@@ -44,46 +47,45 @@
     }
 }
 
-/// Names a home of the deepest shared level, one of a level above it, and a worker with little
-/// load.
+/// Names homes of the outermost prefix that a few homes can carry.
+///
+/// Prompts below such a prefix meet on the same few workers, from whichever router they come. A
+/// prefix that takes a larger share of the traffic is passed over for the next block, so that the
+/// prompts below it spread by what follows; where nothing follows, it gets more homes.
 #[derive(Clone, Debug)]
 pub struct HomePlacement {
     config: HomeConfig,
-    hints: HintTable,
+    hot: HotPrefixes,
 }
 
 impl HomePlacement {
-    /// A placement that knows no hints.
+    /// A placement that knows no prefix.
     pub fn new(config: HomeConfig) -> Self {
-        Self { config, hints: HintTable::new(config.max_hints, config.hint_lifetime_ms) }
+        Self { config, hot: HotPrefixes::new(config.max_blocks, config.half_life_ms) }
     }
 
-    /// The hints that are remembered.
-    pub fn hints(&self) -> &HintTable {
-        &self.hints
+    /// The prefixes that are remembered.
+    pub fn hot_prefixes(&self) -> &HotPrefixes {
+        &self.hot
     }
 
-    /// The less loaded of two random homes among the first `replicas` that take work.
-    fn home<R: Rng + ?Sized>(
-        key: BlockKey,
-        replicas: u8,
+    /// Adds the first homes of a level. A level that needs more homes than there are candidates
+    /// has several groups of them, of which one is drawn.
+    fn add_homes<R: Rng + ?Sized>(
+        &self,
+        candidates: &mut Candidates,
+        level: Level,
         workers: &WorkerSet,
-        now: MonoTime,
         rng: &mut R,
-    ) -> Option<usize> {
-        let homes: Vec<usize> = workers
-            .ring()
-            .homes(key)
-            .filter(|place| workers.get(*place).takes_work)
-            .take(usize::from(replicas.max(1)))
-            .collect();
-        if homes.is_empty() {
-            return None;
+    ) {
+        let wanted = self.config.candidates;
+        let groups = level.homes.div_ceil(wanted).max(1) as u64;
+        let group = if groups > 1 { rng.random_range(0..groups) } else { 0 };
+        let key = BlockKey(level.key.0 ^ group.wrapping_mul(GROUP_STEP));
+        let takes_work = |place: &usize| workers.get(*place).takes_work;
+        for place in workers.ring().homes(key).filter(takes_work).take(wanted) {
+            candidates.push(place);
         }
-        let first = homes[rng.random_range(0..homes.len())];
-        let second = homes[rng.random_range(0..homes.len())];
-        let wait_ms = |place: usize| workers.get(place).expected_wait_ms(now);
-        Some(if wait_ms(second) < wait_ms(first) { second } else { first })
     }
 }
 
@@ -96,31 +98,19 @@
         rng: &mut R,
     ) -> Candidates {
         let mut candidates = Candidates::default();
-        let homes_wanted = self.config.candidates.saturating_sub(1).max(1);
-        for level in self.hints.levels(prompt.blocks) {
-            if let Some(place) = Self::home(level.key, level.replicas, workers, now, rng) {
+        self.hot.see(prompt.blocks, now);
+        if let Some(level) = self.hot.level(prompt.blocks, workers.len(), now) {
+            self.add_homes(&mut candidates, level, workers, rng);
+        }
+        for _ in candidates.len()..self.config.candidates {
+            if let Some(place) = workers.less_loaded_of_two(now, rng) {
                 candidates.push(place);
             }
-            if candidates.len() >= homes_wanted {
-                break;
-            }
-        }
-        // The home of the first block sees every prompt that no hint covers yet.
-        if candidates.len() < homes_wanted
-            && let Some(key) = prompt.blocks.first()
-            && let Some(place) = Self::home(*key, 1, workers, now, rng)
-        {
-            candidates.push(place);
-        }
-        if candidates.len() < self.config.candidates
-            && let Some(place) = workers.less_loaded_of_two(now, rng)
-        {
-            candidates.push(place);
         }
         candidates
     }
 
     fn learn(&mut self, prompt: &Prompt<'_>, hint: Hint, now: MonoTime) {
-        self.hints.learn(prompt.blocks, hint, now);
+        self.hot.learn(prompt.blocks, hint, now);
     }
 }
--- a/crates/prefix/src/placement/mod.rs
+++ b/crates/prefix/src/placement/mod.rs
@@ -2,8 +2,8 @@
 
 mod baseline;
 mod choice;
-mod hints;
 mod home;
+mod hot;
 mod ring;
 mod workers;
 
@@ -15,8 +15,8 @@
 pub use self::{
     baseline::{FirstBlock, LeastLoad, RoundRobin},
     choice::{Standing, choose},
-    hints::HintTable,
     home::{HomeConfig, HomePlacement},
+    hot::HotPrefixes,
     ring::HomeRing,
     workers::{Worker, WorkerSet},
 };
