--- a/crates/router/src/fleet/placer.rs
+++ b/crates/router/src/fleet/placer.rs
@@ -173,9 +173,9 @@
         counts
     }
 
-    /// Prefixes for which a hint is remembered.
-    pub(crate) fn hints(&self) -> usize {
-        self.lock().placement.hints().len()
+    /// Blocks whose share of the traffic is remembered.
+    pub(crate) fn hot_blocks(&self) -> usize {
+        self.lock().placement.hot_prefixes().len()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
