Count prompts by set of workers

The share of a prefix was taken of all prompts of a router, so that the traffic of one model cooled the prefixes of another. The new test fails with one count for all sets (1 group of homes for 50 documents) and passes with a count for each.

--- a/crates/prefix/src/placement/home.rs
+++ b/crates/prefix/src/placement/home.rs
@@ -98,8 +98,8 @@
         rng: &mut R,
     ) -> Candidates {
         let mut candidates = Candidates::default();
-        self.hot.see(prompt.blocks, now);
-        if let Some(level) = self.hot.level(prompt.blocks, workers.len(), now) {
+        self.hot.see(prompt.blocks, workers, now);
+        if let Some(level) = self.hot.level(prompt.blocks, workers, now) {
             self.add_homes(&mut candidates, level, workers, rng);
         }
         for _ in candidates.len()..self.config.candidates {
--- a/crates/prefix/src/placement/hot.rs
+++ b/crates/prefix/src/placement/hot.rs
@@ -4,9 +4,14 @@
 
 use crate::{Hint, decay::Decaying, key_map::TwoGenerations};
 
+use super::WorkerSet;
+
 /// Blocks that one prompt adds at most to the count.
 const MAX_NEW_BLOCKS: usize = 4;
 
+/// Sets of workers whose prompts are counted at most.
+const MAX_SETS: usize = 4_096;
+
 /// Sightings below which a share of the traffic is taken for chance.
 const MIN_SIGHTINGS: f32 = 3.0;
 
@@ -22,7 +27,8 @@
     half_life_ms: u64,
     sightings: TwoGenerations<Decaying>,
     hinted: TwoGenerations<u8>,
-    prompts: Decaying,
+    /// Prompts of each set of workers.
+    prompts: TwoGenerations<Decaying>,
 }
 
 /// Where a prompt is placed.
@@ -41,15 +47,15 @@
             half_life_ms,
             sightings: TwoGenerations::new(limit, half_life_ms * 3),
             hinted: TwoGenerations::new(limit / 8, half_life_ms),
-            prompts: Decaying::default(),
+            prompts: TwoGenerations::new(MAX_SETS, half_life_ms * 3),
         }
     }
 
     /// Counts a prompt. Of a prefix that is new, a few blocks are added with each prompt.
-    pub fn see(&mut self, blocks: &[BlockKey], now: MonoTime) {
+    pub fn see(&mut self, blocks: &[BlockKey], workers: &WorkerSet, now: MonoTime) {
         self.sightings.age(now);
         self.hinted.age(now);
-        self.prompts.add(1.0, now, self.half_life_ms);
+        self.count_prompt(workers, now);
         let mut new_blocks = 0;
         for key in blocks {
             let known = self.sightings.get(*key);
@@ -63,6 +69,14 @@
         }
     }
 
+    fn count_prompt(&mut self, workers: &WorkerSet, now: MonoTime) {
+        self.prompts.age(now);
+        let set = BlockKey(workers.id());
+        let mut prompts = self.prompts.get(set).unwrap_or_default();
+        prompts.add(1.0, now, self.half_life_ms);
+        self.prompts.put(set, prompts);
+    }
+
     /// Takes in a hint about a prompt. Only a prefix that deserves several homes matters.
     pub fn learn(&mut self, blocks: &[BlockKey], hint: Hint, now: MonoTime) {
         self.hinted.age(now);
@@ -78,17 +92,19 @@
     pub(crate) fn level(
         &self,
         blocks: &[BlockKey],
-        workers: usize,
+        workers: &WorkerSet,
         now: MonoTime,
     ) -> Option<Level> {
-        let prompts = self.prompts.at(now, self.half_life_ms).max(1.0);
-        let sees_enough = prompts >= TRUSTED_SIGHTINGS * workers as f32;
+        let prompts = self.prompts.get(BlockKey(workers.id())).unwrap_or_default();
+        let prompts = prompts.at(now, self.half_life_ms).max(1.0);
+        let workers = workers.len() as f32;
+        let sees_enough = prompts >= TRUSTED_SIGHTINGS * workers;
         let hinted = if sees_enough { 0 } else { self.hinted_depth(blocks) };
         let mut level = None;
         for (index, key) in blocks.iter().enumerate() {
             let seen = self.sightings.get(*key).unwrap_or_default().at(now, self.half_life_ms);
             let share = if seen < MIN_SIGHTINGS { 0.0 } else { (seen / prompts).min(1.0) };
-            let workers_filled = share * workers as f32;
+            let workers_filled = share * workers;
             level = Some(Level { key: *key, homes: workers_filled.ceil() as usize });
             if index >= hinted && workers_filled <= 1.0 {
                 break;
--- a/crates/prefix/src/placement/workers.rs
+++ b/crates/prefix/src/placement/workers.rs
@@ -4,6 +4,7 @@
 
 use rand::Rng;
 use samphirespread_core::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::ring::HomeRing;
 
@@ -56,6 +57,7 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct WorkerSet {
+    id: u64,
     workers: Vec<Worker>,
     ring: HomeRing,
 }
@@ -64,10 +66,12 @@
     /// A set of these workers.
     pub fn new(workers: Vec<Worker>) -> Self {
         let ring = HomeRing::new(workers.iter().map(|worker| worker.name.as_str()));
-        Self { workers, ring }
+        let id = workers.iter().fold(0, |id, worker| id ^ xxh3_64(worker.name.as_str().as_bytes()));
+        Self { id, workers, ring }
     }
 
-    /// Replaces the workers and keeps what those that stay have reported.
+    /// Replaces the workers and keeps what those that stay have reported, and the traffic that was
+    /// counted for the set.
     #[must_use]
     pub fn replaced_by(&self, mut workers: Vec<Worker>) -> Self {
         for worker in &mut workers {
@@ -77,7 +81,12 @@
             worker.wait_ms = known.wait_ms;
             worker.reported_at = known.reported_at;
         }
-        Self::new(workers)
+        Self { id: self.id, ..Self::new(workers) }
+    }
+
+    /// Tells sets apart. Two routes to the same workers have equal ids.
+    pub(crate) fn id(&self) -> u64 {
+        self.id
     }
 
     /// All workers.
--- a/crates/prefix/tests/placement.rs
+++ b/crates/prefix/tests/placement.rs
@@ -151,6 +151,27 @@
     assert!(homes.len() > 20, "only {} groups of homes", homes.len());
 }
 
+#[test]
+fn the_traffic_of_another_set_does_not_cool_a_hot_prefix() {
+    let mut placement = HomePlacement::new(HomeConfig::default());
+    let mut rng = StdRng::seed_from_u64(1);
+    let (busy, quiet) = (worker_set(40), worker_set(18));
+    for other in 0..20_000 {
+        let blocks = [BlockKey(1_000_000 + other)];
+        placement.candidates(&prompt(&blocks), &busy, NOW, &mut rng);
+    }
+    for blocks in documents(500) {
+        placement.candidates(&prompt(&blocks), &quiet, NOW, &mut rng);
+    }
+
+    let mut homes: Vec<Vec<usize>> =
+        documents(50).iter().map(|blocks| named(&mut placement, blocks, 1)).collect();
+    homes.sort();
+    homes.dedup();
+
+    assert!(homes.len() > 20, "only {} groups of homes", homes.len());
+}
+
 #[test]
 fn two_routers_that_saw_other_prompts_name_the_same_homes() {
     let routers = [0, 1].map(|parity| {
--- a/crates/router/src/fleet/placer.rs
+++ b/crates/router/src/fleet/placer.rs
@@ -175,7 +175,7 @@
 
     /// Prefixes for which a hint is remembered.
     pub(crate) fn hints(&self) -> usize {
-        self.lock().placement.hints().len()
+        self.lock().placement.hot_prefixes().len()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
