--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,4 @@
 //! Load generation, replay and reports.
+
+pub mod load;
+pub mod replay;
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -1,9 +1,14 @@
 //! Typed messages. Every connection is one h2 connection; each exchange is one h2 stream.
 
+mod output;
+
 use bytes::Bytes;
 use samphirespread_core::prelude::*;
+use samphirespread_platform::api::{LiveList, ObjectVersion};
 use serde::{Deserialize, Serialize};
 
+pub use self::output::Output;
+
 /// What the opener of an h2 stream sends.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Request {
@@ -21,6 +26,8 @@
     FetchConfig(FetchConfig),
     /// Tells a process about a configuration.
     PushConfig(ConfigSnapshot),
+    /// Asks for the live list, unless it is the one named.
+    FetchLiveList(FetchLiveList),
     /// Asks a router about a team's share; the payload belongs to `limits`.
     Limits(Bytes),
 }
@@ -53,6 +60,8 @@
     Failed(Failed),
     /// The configuration in force, or `None` if it is the one named.
     Config(Option<ConfigSnapshot>),
+    /// The live list, or `None` if it is the one named or not known.
+    LiveList(Option<LiveList>),
     /// The answer of `limits`.
     Limits(Bytes),
     /// The request was understood and there is nothing to say.
@@ -173,6 +182,8 @@
     pub prompt_tokens: u64,
     /// Output tokens at most.
     pub max_output_tokens: u32,
+    /// The caller's sampling parameters as a JSON object, passed on as they came.
+    pub sampling: String,
     /// The keys of the prompt's blocks.
     pub blocks: Vec<BlockKey>,
     /// Bytes of prompt in one block.
@@ -206,7 +217,11 @@
 pub struct Resume {
     /// The attempt.
     pub attempt: AttemptId,
-    /// The first output line still missing.
+    /// The run of the agent that was asked to run the attempt. Another run knows nothing of the attempt, so
+    /// it must answer [`Failed`] with `may_have_run`, never [`NotRun`].
+    pub incarnation: Incarnation,
+    /// The first output line still missing. In the answer of a plain service the head is line
+    /// zero and each piece of the body is one line.
     pub from_seq: u64,
 }
 
@@ -242,17 +257,6 @@
     Unknown,
 }
 
-/// A piece of the answer of a model.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Output {
-    /// Counts the output lines of the attempt from zero.
-    pub seq: u64,
-    /// The text.
-    pub text: String,
-    /// Tokens in the text.
-    pub tokens: u32,
-}
-
 /// The head of the answer of a plain service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceHead {
@@ -265,7 +269,8 @@
 /// The end of a complete answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finished {
-    /// Output lines, or body bytes of a plain service.
+    /// Lines of the whole answer: output lines of a model, or head and body pieces of a plain
+    /// service. A resumed answer has the same lines again.
     pub length: u64,
     /// True when the cap on output tokens ended the answer.
     pub hit_cap: bool,
@@ -287,19 +292,28 @@
 }
 
 /// Asks for the configuration in force.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FetchConfig {
     /// The generation that the asker has.
     pub have: Generation,
+    /// The hashes of the sections that the asker has, which the answer leaves out.
+    pub sections: Vec<String>,
+}
+
+/// Asks for the live list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FetchLiveList {
+    /// The version that the asker has.
+    pub have: ObjectVersion,
 }
 
-/// A whole configuration between processes.
+/// A configuration between processes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigSnapshot {
     /// The generation of the head.
     pub generation: Generation,
     /// The text of the head document.
     pub head: String,
-    /// The texts of its sections.
+    /// The texts of its sections, without those that the asker has.
     pub sections: Vec<String>,
 }
