Admit requests of the router through the limiter

One task owns the limiter; messages go over the wire connections, objects over the platform client. A leaving router hands its shares back. The dump shows shares and lumps.

--- a/crates/limits/src/config/mod.rs
+++ b/crates/limits/src/config/mod.rs
@@ -125,7 +125,7 @@
         if self.max_holders > 8 {
             return Err(LimitsError::TooManyHolders);
         }
-        if self.revoke_wait_ms <= self.lump_lifetime_ms + self.clock_margin_ms {
+        if self.revoke_wait_ms <= self.lump_lifetime_ms.max(self.clock_margin_ms) {
             return Err(LimitsError::RevokeWaitTooShort);
         }
         if self.poll_ms.saturating_mul(2) > self.revoke_wait_ms {
--- a/crates/limits/src/error/mod.rs
+++ b/crates/limits/src/error/mod.rs
@@ -16,7 +16,7 @@
     Zero,
     /// a team has at most eight holders
     TooManyHolders,
-    /// the revoke wait must be longer than the lump lifetime and the clock margin
+    /// the revoke wait must be longer than the lump lifetime and than the clock margin
     RevokeWaitTooShort,
     /// the poll must come at least twice in a revoke wait
     PollTooRare,
--- a/crates/limits/src/limiter/admission.rs
+++ b/crates/limits/src/limiter/admission.rs
@@ -43,7 +43,7 @@
             return;
         }
         let reach_tokens = self.reach(name).whole_tokens();
-        if tokens > reach_tokens {
+        if tokens > reach_tokens && !self.awaits_share(name) {
             out.push(refuse(RefuseReason::ExceedsReach { reach_tokens }));
             return;
         }
@@ -59,6 +59,13 @@
         team.waiting.push_back(Waiter { ticket, cost, deadline });
     }
 
+    /// Whether this router is about to get a share that it does not hold yet.
+    fn awaits_share(&self, name: &TeamName) -> bool {
+        let Some(team) = self.teams.get(name) else { return false };
+        let slot = &self.slots[team.slot as usize];
+        slot.own.is_none() && slot.concerns(&self.me)
+    }
+
     /// The most that this router can ever gather of a team's burst.
     fn reach(&self, name: &TeamName) -> Amount {
         let Some(team) = self.teams.get(name) else { return Amount::ZERO };
--- a/crates/limits/src/limiter/mod.rs
+++ b/crates/limits/src/limiter/mod.rs
@@ -111,7 +111,7 @@
             Event::Unanswered { exchange } => self.unanswered(now, exchange, &mut out),
             Event::Read { call, state } => self.read_done(now, call, state, &mut out),
             Event::Written { call, outcome } => self.written(now, call, outcome, &mut out),
-            Event::Leave => self.leaving = true,
+            Event::Leave => self.leave(now, &mut out),
         }
         out
     }
@@ -167,6 +167,12 @@
         self.finish_leaving(out);
     }
 
+    fn leave(&mut self, now: MonoTime, out: &mut Vec<Action>) {
+        self.leaving = true;
+        self.poll(now, out);
+        self.finish_leaving(out);
+    }
+
     /// Reports once that nothing is held any more after a leave.
     fn finish_leaving(&mut self, out: &mut Vec<Action>) {
         let holds = |slot: &Slot| {
--- a/crates/router/src/admin/mod.rs
+++ b/crates/router/src/admin/mod.rs
@@ -32,6 +32,7 @@
     peer_connections: Vec<String>,
     running: usize,
     leaving: bool,
+    limits: Option<samphirespread_limits::Snapshot>,
 }
 
 /// The HTTP routes towards operators.
@@ -78,6 +79,7 @@
         peer_connections: shared.pool.addresses(),
         running: shared.drain.running(),
         leaving: shared.drain.is_leaving(),
+        limits: shared.admission.snapshot().await,
     })
 }
 
--- a/crates/router/src/api/error.rs
+++ b/crates/router/src/api/error.rs
@@ -148,6 +148,14 @@
                 "the team's rate is used up",
             )
             .retry_after_ms(ms),
+            Refusal::ExceedsReach { reach_tokens } => Self::refused(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "exceeds_reach",
+                format!(
+                    "prompt and output cap are more than the {reach_tokens} tokens of the team's \
+                     burst that one router can gather, so the request can never be admitted"
+                ),
+            ),
             Refusal::ExceedsBurst { burst_tokens } => Self::refused(
                 StatusCode::UNPROCESSABLE_ENTITY,
                 "exceeds_burst",
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -52,7 +52,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    limits::Admission,
+    limits::{Admission, AdmissionParts},
     metrics::Metrics,
     peer::PeerHandler,
     serve::{HttpLimits, Plain},
@@ -93,7 +93,7 @@
         let (peers, peers_at) = listen(settings.listen.peers, "peers").await?;
         let (admin, admin_at) = listen(settings.listen.admin, "admin").await?;
         let wire = wire_config(&settings);
-        let shared = shared(settings, &log, &wire);
+        let shared = shared(settings, &log, &wire, peers_at);
         let addresses = Addresses { callers: callers_at, peers: peers_at, admin: admin_at };
         Ok(Self { shared, callers, peers, admin, addresses, wire })
     }
@@ -126,7 +126,7 @@
         shared.identity.set_leaving();
         shared.drain.leave();
         stop_callers.cancel();
-        let drained = drain(&shared, serving).await;
+        let (drained, ()) = tokio::join!(drain(&shared, serving), hand_shares_back(&shared));
         background.cancel();
         let _ =
             timeout(Duration::from_secs(1), async { while tasks.join_next().await.is_some() {} })
@@ -149,6 +149,20 @@
     drained
 }
 
+/// Hands the shares to the other routers, unless the platform doesn't answer in time. Then the
+/// others take them over later.
+async fn hand_shares_back(shared: &Shared) {
+    let limits = &shared.settings.limits;
+    let limit_ms = limits.lump_lifetime_ms
+        + limits.clock_margin_ms
+        + limits.revoke_wait_ms / 2
+        + shared.settings.platform.timeout_ms;
+    let limit_ms = limit_ms.min(shared.settings.drain.timeout_ms);
+    if timeout(Duration::from_millis(limit_ms), shared.admission.leave()).await.is_err() {
+        warn!(shared.log, "shares of limits are not handed back");
+    }
+}
+
 async fn serve_peers(
     listener: TcpListener,
     wire: WireConfig,
@@ -186,18 +200,35 @@
     }
 }
 
-fn shared(settings: RouterSettings, log: &Logger, wire: &WireConfig) -> Arc<Shared> {
+fn shared(
+    settings: RouterSettings,
+    log: &Logger,
+    wire: &WireConfig,
+    peers_at: SocketAddr,
+) -> Arc<Shared> {
     let name = InstanceName::new(&settings.instance.name);
     let identity = Identity::new(name.clone(), samphirespread_core::time::fresh_incarnation());
     let platform = HttpPlatform::new(
         HttpPlatformConfig::new(settings.platform.address.to_string())
             .timeout_ms(settings.platform.timeout_ms),
     );
+    let pool = Pool::new(wire.clone(), identity.clone());
+    let clock = Clock::start();
+    let admission = Admission::start(
+        &settings,
+        AdmissionParts {
+            identity: identity.clone(),
+            address: peers_at.to_string(),
+            clock,
+            pool: pool.clone(),
+            platform: platform.clone(),
+        },
+    );
     Shared::new(Parts {
-        pool: Pool::new(wire.clone(), identity.clone()),
+        pool,
         log: log.new(o!("instance" => name.to_string())),
-        clock: Clock::start(),
-        admission: Admission::default(),
+        clock,
+        admission,
         metrics: Metrics::new(),
         settings,
         identity,
--- /dev/null
+++ b/crates/router/src/limits/carry.rs
@@ -0,0 +1,103 @@
+//! Carries out what the limiter wants from other processes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use samphirespread_limits::{
+    Call, Event, Holder, ObjectState, PeerMessage, PeerReply, WriteOutcome, table_key,
+};
+use samphirespread_platform::{HttpPlatform, Platform, PlatformError, api::ObjectVersion};
+use samphirespread_wire::{
+    Pool,
+    message::{Reply, Request},
+};
+use tokio::{sync::mpsc, time::timeout};
+
+use super::task::Command;
+use crate::state::Identity;
+
+/// Time after which nobody waits for an answer any more. A late one is still taken.
+const ANSWER_WAIT_MS: u64 = 50;
+
+/// Sends messages and calls the platform, each in a task of its own.
+pub(super) struct Carrier {
+    pub(super) pool: Pool<Identity>,
+    pub(super) platform: HttpPlatform,
+    /// Weak, so that the limiter's channel closes with its last user.
+    pub(super) commands: mpsc::WeakUnboundedSender<Command>,
+    pub(super) silence_timeout_ms: u64,
+}
+
+impl Carrier {
+    pub(super) fn send(&self, exchange: u64, to: Holder, message: &PeerMessage) {
+        let commands = self.commands.clone();
+        let Ok(bytes) = message.encode() else { return };
+        let pool = self.pool.clone();
+        let limit = Duration::from_millis(self.silence_timeout_ms);
+        tokio::spawn(async move {
+            let call = timeout(limit, call(&pool, &to.address, bytes.into()));
+            tokio::pin!(call);
+            let answered = timeout(Duration::from_millis(ANSWER_WAIT_MS), &mut call).await;
+            let answered = match answered {
+                Ok(answered) => answered,
+                Err(_) => {
+                    tell(&commands, Event::Unanswered { exchange });
+                    call.await
+                }
+            };
+            let event = match answered {
+                Ok(Some(reply)) => Event::Reply { exchange, reply },
+                _ => Event::Unanswered { exchange },
+            };
+            tell(&commands, event);
+        });
+    }
+
+    pub(super) fn read(&self, call: Call, slot: u32) {
+        let commands = self.commands.clone();
+        let platform = self.platform.clone();
+        tokio::spawn(async move {
+            let state = match platform.get(&table_key(slot)).await {
+                Ok(None) => ObjectState::Absent,
+                Ok(Some(object)) => match object.value {
+                    Some(text) => ObjectState::Present { version: object.version.0, text },
+                    None => ObjectState::Unknown,
+                },
+                Err(_) => ObjectState::Unknown,
+            };
+            tell(&commands, Event::Read { call, state });
+        });
+    }
+
+    pub(super) fn write(&self, call: Call, slot: u32, expect: Option<u64>, text: String) {
+        let commands = self.commands.clone();
+        let platform = self.platform.clone();
+        tokio::spawn(async move {
+            let key = table_key(slot);
+            let written = match expect {
+                Some(version) => platform.put_if(&key, ObjectVersion(version), &text).await,
+                None => platform.create(&key, &text).await,
+            };
+            let outcome = match written {
+                Ok(version) => WriteOutcome::Done { version: version.0 },
+                Err(PlatformError::Conflict) => WriteOutcome::Conflict,
+                Err(_) => WriteOutcome::Unknown,
+            };
+            tell(&commands, Event::Written { call, outcome });
+        });
+    }
+}
+
+fn tell(commands: &mpsc::WeakUnboundedSender<Command>, event: Event) {
+    if let Some(commands) = commands.upgrade() {
+        let _ = commands.send(Command::Event(event));
+    }
+}
+
+async fn call(pool: &Pool<Identity>, address: &str, bytes: Bytes) -> Option<PeerReply> {
+    let connection = pool.get(address).await.ok()?;
+    match connection.call(&Request::Limits(bytes)).await.ok()? {
+        Reply::Limits(bytes) => PeerReply::decode(&bytes).ok(),
+        _ => None,
+    }
+}
