Start shares that nobody has used full; find the own address facing the platform

The first request after the start of a new fleet was refused with 429, as its bucket was empty (test a_withdrawn_key_stops_on_connections_that_stay_open in testkit failed). An object that never existed has no earlier owner whose lumps could be out, so its first holders start full. A restarted router still starts empty.

--- a/crates/limits/src/bucket/mod.rs
+++ b/crates/limits/src/bucket/mod.rs
@@ -154,9 +154,18 @@
         self.refund(since, amount, bounded);
     }
 
-    /// Starts a share from nothing. Lumps of earlier owners may be out until `reserve_until`.
-    pub(crate) fn start(&mut self, now: MonoTime, parts: u32, reserve_until: Option<MonoTime>) {
+    /// Starts a share. Parts that nobody has used start full, the others empty, and lumps of
+    /// their earlier owners may be out until `reserve_until`.
+    pub(crate) fn start(
+        &mut self,
+        now: MonoTime,
+        full_parts: u32,
+        parts: u32,
+        reserve_until: Option<MonoTime>,
+    ) {
         self.stop(now);
+        self.parts = full_parts.min(parts);
+        self.level = self.cap();
         self.raise(parts, reserve_until);
     }
 
--- a/crates/limits/src/limiter/mod.rs
+++ b/crates/limits/src/limiter/mod.rs
@@ -96,7 +96,7 @@
         let mut out = Vec::new();
         match event {
             Event::Tick => self.tick(now, &mut out),
-            Event::Limits(limits) => self.set_limits(now, limits),
+            Event::Limits(limits) => self.set_limits(now, limits, &mut out),
             Event::Live(routers) => self.set_live(now, routers, &mut out),
             Event::Admit { ticket, team, tokens } => {
                 self.admit(now, ticket, &team, tokens, &mut out);
@@ -123,13 +123,14 @@
         waiter.map_or(regular, |deadline| deadline.min(regular)).max(now.plus_ms(1))
     }
 
-    fn set_limits(&mut self, now: MonoTime, limits: Vec<TeamLimit>) {
+    fn set_limits(&mut self, now: MonoTime, limits: Vec<TeamLimit>, out: &mut Vec<Action>) {
         let names: BTreeSet<TeamName> = limits.iter().map(|limit| limit.team.clone()).collect();
         // Teams that are gone keep their entry while requests still run on it.
         self.teams.retain(|name, team| names.contains(name) || team.is_waiting());
         for limit in limits {
             self.set_limit(now, &limit);
         }
+        self.poll(now, out);
     }
 
     fn set_limit(&mut self, now: MonoTime, limit: &TeamLimit) {
@@ -141,7 +142,7 @@
         let mut team = Team::new(now, slot, limit);
         let reserve_until = self.reserve_until(now);
         if let Some(own) = &self.slots[slot as usize].own {
-            team.bucket.start(now, own.parts, reserve_until);
+            team.bucket.start(now, 0, own.parts, reserve_until);
         }
         self.teams.insert(limit.team.clone(), team);
     }
--- a/crates/limits/src/limiter/ownership.rs
+++ b/crates/limits/src/limiter/ownership.rs
@@ -13,6 +13,10 @@
 impl Limiter {
     /// Reads the objects that are due.
     pub(super) fn poll(&mut self, now: MonoTime, out: &mut Vec<Action>) {
+        // A share that starts full does so for the teams that are known by then.
+        if self.teams.is_empty() {
+            return;
+        }
         for index in 0..self.slots.len() {
             if self.read_is_due(now, index) {
                 self.start_read(now, index, out);
@@ -132,7 +136,11 @@
 
     fn start_share(&mut self, now: MonoTime, index: usize, sent: MonoTime, share: &Share) {
         let reserve_until = self.reserve_until(now);
-        self.slots[index].own = Some(Own {
+        let slot = &mut self.slots[index];
+        let mine = share.claimed_by == Some(self.incarnation);
+        let full_parts = if mine && !slot.has_owned { share.full_parts } else { 0 };
+        slot.has_owned = true;
+        slot.own = Some(Own {
             parts: share.parts,
             term: share.term,
             witnesses: share.witnesses.clone(),
@@ -140,7 +148,7 @@
             acknowledged: Default::default(),
         });
         for team in self.teams.values_mut().filter(|team| team.slot as usize == index) {
-            team.bucket.start(now, share.parts, reserve_until);
+            team.bucket.start(now, full_parts, share.parts, reserve_until);
         }
     }
 
--- a/crates/limits/src/limiter/plan.rs
+++ b/crates/limits/src/limiter/plan.rs
@@ -40,8 +40,7 @@
         if self.leaving || !targets.contains(&self.me) {
             return None;
         }
-        let mut table = ShareTable::default();
-        table.give_free(targets);
+        let mut table = ShareTable::first(targets);
         table.claim(&self.me, self.incarnation);
         Some(table)
     }
--- a/crates/limits/src/limiter/slot.rs
+++ b/crates/limits/src/limiter/slot.rs
@@ -18,6 +18,8 @@
     pub(crate) table: Option<Versioned>,
     pub(crate) absent: bool,
     pub(crate) own: Option<Own>,
+    /// Whether this run has ever held a share here.
+    pub(crate) has_owned: bool,
     pub(crate) targets: Vec<Holder>,
     /// Who holds shares, as other routers say. For borrowing only.
     pub(crate) hint: Vec<Holder>,
@@ -81,6 +83,7 @@
             table: None,
             absent: false,
             own: None,
+            has_owned: false,
             targets: Vec::new(),
             hint: Vec::new(),
             reading: None,
--- a/crates/limits/src/table/mod.rs
+++ b/crates/limits/src/table/mod.rs
@@ -31,6 +31,10 @@
     pub term: Term,
     /// Parts of rate and burst.
     pub parts: u32,
+    /// Of the parts, those that nobody has used before the next claim.
+    pub untouched_parts: u32,
+    /// Of the parts, those that nobody had used before the last claim. They started full.
+    pub full_parts: u32,
     /// The holders whose acknowledgements count for this term.
     pub witnesses: BTreeSet<Holder>,
     /// Whether the share is being taken away.
@@ -98,6 +102,16 @@
         PARTS.saturating_sub(self.parts_held())
     }
 
+    /// The first table of a slot. Nobody has used any part of it.
+    pub(crate) fn first(targets: &[Holder]) -> Self {
+        let mut table = Self::default();
+        table.give_free(targets);
+        for share in &mut table.shares {
+            share.untouched_parts = share.parts;
+        }
+        table
+    }
+
     /// Claims a share for a run, with the present co-holders as witnesses.
     pub(crate) fn claim(&mut self, holder: &Holder, incarnation: Incarnation) {
         let witnesses = self.others(holder);
@@ -107,6 +121,8 @@
         };
         share.claimed_by = Some(incarnation);
         share.term = term;
+        share.full_parts = share.untouched_parts.min(share.parts);
+        share.untouched_parts = 0;
         share.witnesses = witnesses;
         share.revoking = false;
         self.next_term = Term(term.0 + 1);
@@ -169,6 +185,8 @@
             claimed_by: None,
             term,
             parts,
+            untouched_parts: 0,
+            full_parts: 0,
             witnesses: self.holders(),
             revoking: false,
         });
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -149,6 +149,20 @@
     drained
 }
 
+/// Where others reach a port that is open on all addresses: the address that faces the platform.
+fn reachable_at(bound: SocketAddr, platform: SocketAddr) -> SocketAddr {
+    if !bound.ip().is_unspecified() {
+        return bound;
+    }
+    let any = if platform.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+    // Connecting a datagram socket sends nothing.
+    let facing = std::net::UdpSocket::bind(any).and_then(|socket| {
+        socket.connect(platform)?;
+        socket.local_addr()
+    });
+    facing.map_or(bound, |facing| SocketAddr::new(facing.ip(), bound.port()))
+}
+
 /// Hands the shares to the other routers, unless the platform doesn't answer in time. Then the
 /// others take them over later.
 async fn hand_shares_back(shared: &Shared) {
@@ -218,7 +232,7 @@
         &settings,
         AdmissionParts {
             identity: identity.clone(),
-            address: peers_at.to_string(),
+            address: reachable_at(peers_at, settings.platform.address).to_string(),
             clock,
             pool: pool.clone(),
             platform: platform.clone(),
