Use membership in the router: watchers read the platform, peers exchange changes

Cause: every router polled the platform and exchanged whole live lists. Ruled out: leaving a non-watcher without the platform: one whose contact is half stale reads it itself, so a domain whose watchers die together recovers alone.

--- a/crates/router/src/admin/mod.rs
+++ b/crates/router/src/admin/mod.rs
@@ -25,6 +25,7 @@
     generation: Generation,
     highest_generation_heard: Generation,
     config_age_ms: u64,
+    reads_platform: bool,
     live_list_version: u64,
     instances: usize,
     routes: Vec<RouteCount>,
@@ -64,13 +65,14 @@
 }
 
 async fn dump(State(shared): State<Arc<Shared>>) -> Json<Dump> {
-    let live = shared.live.load();
+    let live = shared.live_list();
     Json(Dump {
         name: shared.identity.name().to_string(),
         incarnation: shared.identity.incarnation().0,
         generation: shared.snapshot.load().generation(),
         highest_generation_heard: shared.identity.highest_heard(),
-        config_age_ms: shared.contact.age_ms(shared.clock.now()),
+        config_age_ms: shared.with_contact(|contact| contact.age_ms(shared.clock.now())),
+        reads_platform: shared.reads_platform(),
         live_list_version: live.version.0,
         instances: live.instances.len(),
         routes: shared.placer.counts(),
--- a/crates/router/src/api/access.rs
+++ b/crates/router/src/api/access.rs
@@ -40,8 +40,7 @@
 }
 
 fn is_stale(shared: &Shared) -> bool {
-    let age_ms = shared.contact.age_ms(shared.clock.now());
-    age_ms > shared.settings.peers.stale_config_ms
+    shared.with_contact(|contact| contact.is_stale(shared.clock.now()))
         || shared.snapshot.load().generation() < shared.identity.highest_heard()
 }
 
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -8,16 +8,14 @@
 use arc_swap::ArcSwap;
 use samphirespread_config::Snapshot;
 use samphirespread_core::{prelude::*, time::Clock};
+use samphirespread_membership::{Contact, LiveView, Roles};
 use samphirespread_platform::{HttpPlatform, api::LiveList};
 use samphirespread_settings::RouterSettings;
 use samphirespread_wire::{HelloSource, Pool, message::Hello};
 use slog::Logger;
 use tokio::sync::Notify;
 
-use crate::{
-    drain::Drain, fleet::Placer, limits::Admission, metrics::Metrics, sync::Contact,
-    trace::TraceFeed,
-};
+use crate::{drain::Drain, fleet::Placer, limits::Admission, metrics::Metrics, trace::TraceFeed};
 
 /// What the parts of a router share.
 pub(crate) struct Shared {
@@ -26,14 +24,14 @@
     pub(crate) clock: Clock,
     pub(crate) identity: Identity,
     pub(crate) snapshot: ArcSwap<Snapshot>,
-    pub(crate) live: ArcSwap<LiveList>,
+    live: Mutex<LiveView>,
     pub(crate) placer: Placer,
     pub(crate) pool: Pool<Identity>,
     pub(crate) platform: HttpPlatform,
     pub(crate) admission: Admission,
     pub(crate) metrics: Metrics,
     pub(crate) drain: Drain,
-    pub(crate) contact: Contact,
+    contact: Mutex<Contact>,
     // Wakes the task that asks peers and the platform for a newer configuration.
     pub(crate) config_news: Notify,
     pub(crate) trace: TraceFeed,
@@ -55,26 +53,50 @@
 impl Shared {
     pub(crate) fn new(parts: Parts) -> Arc<Self> {
         let seed = parts.identity.incarnation().0;
+        let contact = Contact::new(parts.settings.peers.stale_config_ms);
         Arc::new(Self {
             settings: parts.settings,
             log: parts.log,
             clock: parts.clock,
             identity: parts.identity,
             snapshot: ArcSwap::from_pointee(Snapshot::empty()),
-            live: ArcSwap::from_pointee(LiveList::default()),
+            live: Mutex::default(),
             placer: Placer::new(seed),
             pool: parts.pool,
             platform: parts.platform,
             admission: parts.admission,
             metrics: parts.metrics,
             drain: Drain::default(),
-            contact: Contact::default(),
+            contact: Mutex::new(contact),
             config_news: Notify::new(),
             trace: TraceFeed::default(),
             next_serial: AtomicU64::new(0),
         })
     }
 
+    /// The latest live list.
+    pub(crate) fn live_list(&self) -> Arc<LiveList> {
+        self.with_live(|view| Arc::clone(view.list()))
+    }
+
+    /// Whether this router reads the platform for its failure domain. One whose contact is getting
+    /// old does too.
+    pub(crate) fn reads_platform(&self) -> bool {
+        let half_stale_ms = self.settings.peers.stale_config_ms / 2;
+        let age_ms = self.with_contact(|contact| contact.age_ms(self.clock.now()));
+        age_ms > half_stale_ms || Roles::of(&self.live_list(), self.identity.name()).is_watcher()
+    }
+
+    pub(crate) fn with_live<T>(&self, with: impl FnOnce(&mut LiveView) -> T) -> T {
+        // A view changes in one step, so it is whole after a panic elsewhere.
+        with(&mut self.live.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    pub(crate) fn with_contact<T>(&self, with: impl FnOnce(&mut Contact) -> T) -> T {
+        // Plain numbers are whole after a panic elsewhere.
+        with(&mut self.contact.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
     /// An id for a request that arrived.
     pub(crate) fn next_request_id(&self) -> RequestId {
         RequestId {
--- a/crates/router/src/sync/mod.rs
+++ b/crates/router/src/sync/mod.rs
@@ -1,6 +1,5 @@
 //! Keeps configuration and live list up to date, from the platform and from peers.
 
-mod contact;
 mod peers;
 mod platform;
 mod store;
@@ -13,7 +12,6 @@
 use crate::state::Shared;
 
 pub(crate) use self::{
-    contact::Contact,
     peers::{config_reply, live_reply},
     store::adopt_config,
 };
--- a/crates/router/src/sync/peers.rs
+++ b/crates/router/src/sync/peers.rs
@@ -3,60 +3,45 @@
 use std::{sync::Arc, time::Duration};
 
 use futures_util::future::join_all;
-use samphirespread_core::prelude::*;
-use samphirespread_platform::api::{LiveInstance, LiveState, Role};
+use samphirespread_membership::{MAX_ASKED, Roles};
 use samphirespread_wire::message::{ConfigSnapshot, FetchConfig, FetchLiveList, Reply, Request};
 use tokio::time::timeout;
 
-use super::store::{adopt_config, adopt_live, refuse_config};
+use super::store::{adopt_config, apply_live, refuse_config};
 use crate::state::Shared;
 
-// Peers asked in each round; more would grow with the fleet and tell nothing new.
-const PEERS_ASKED: usize = 3;
 const ASK_TIMEOUT_MS: u64 = 500;
 
 /// Asks a few peers at an interval, and at once when a later generation was heard of.
 pub(super) async fn follow(shared: Arc<Shared>) {
     let period = Duration::from_millis(shared.settings.peers.heartbeat_ms);
-    loop {
-        ask_round(&shared).await;
+    for round in 0.. {
+        ask_round(&shared, round).await;
         // Both outcomes start the next round.
         let _ = timeout(period, shared.config_news.notified()).await;
     }
 }
 
-async fn ask_round(shared: &Arc<Shared>) {
+async fn ask_round(shared: &Arc<Shared>, round: u64) {
     let sent = shared.clock.now();
-    let peers = peers_to_ask(shared);
+    let peers = peers_to_ask(shared, round);
     if peers.is_empty() {
-        shared.contact.no_peers(sent, shared.settings.peers.stale_config_ms);
+        shared.with_contact(|contact| contact.no_peers(sent));
         return;
     }
     let answers = join_all(peers.iter().map(|address| ask(shared, address))).await;
     let answered = answers.into_iter().filter(|answered| *answered).count();
-    // Half of those asked is a bound that one dead peer among two or three does not break.
-    if 2 * answered >= peers.len() {
-        shared.contact.peers_answered(sent);
-    }
+    shared.with_contact(|contact| contact.peers_answered(sent, peers.len(), answered));
 }
 
-/// The routers that rank first for this one. The order differs from router to router, so the
-/// questions spread over all.
-fn peers_to_ask(shared: &Shared) -> Vec<String> {
-    let live = shared.live.load();
-    let own = shared.identity.name();
-    let others: Vec<&LiveInstance> = live
-        .instances
-        .iter()
-        .filter(|instance| instance.role == Role::Router && instance.name != *own)
-        .filter(|instance| instance.state == LiveState::Live)
-        .collect();
-    if others.is_empty() {
+fn peers_to_ask(shared: &Shared, round: u64) -> Vec<String> {
+    let live = shared.live_list();
+    let peers = Roles::of(&live, shared.identity.name()).peers_to_ask(round);
+    if peers.is_empty() {
         let seeds = shared.settings.peers.seeds.iter().map(ToString::to_string);
-        return seeds.take(PEERS_ASKED).collect();
+        return seeds.take(MAX_ASKED).collect();
     }
-    let order = rendezvous::rank(own.as_str().as_bytes(), &others, |other| other.name.as_str());
-    order.into_iter().take(PEERS_ASKED).map(|index| others[index].address.clone()).collect()
+    peers.into_iter().map(|peer| peer.address.clone()).collect()
 }
 
 async fn ask(shared: &Arc<Shared>, address: &str) -> bool {
@@ -73,10 +58,11 @@
         {
             refuse_config(shared, &error);
         }
-        let request = Request::FetchLiveList(FetchLiveList { have: shared.live.load().version });
+        let request =
+            Request::FetchLiveList(FetchLiveList { have: shared.with_live(|view| view.version()) });
         let Reply::LiveList(live) = connection.call(&request).await.ok()? else { return None };
         if let Some(live) = live {
-            adopt_live(shared, live);
+            apply_live(shared, &live);
         }
         Some(())
     };
@@ -103,6 +89,5 @@
 
 /// The answer to a peer that asks for the live list.
 pub(crate) fn live_reply(shared: &Shared, ask: FetchLiveList) -> Reply {
-    let present = shared.live.load();
-    Reply::LiveList((present.version > ask.have).then(|| present.as_ref().clone()))
+    Reply::LiveList(shared.with_live(|view| view.since(ask.have)))
 }
--- a/crates/router/src/sync/platform.rs
+++ b/crates/router/src/sync/platform.rs
@@ -20,12 +20,16 @@
 pub(super) async fn follow_head(shared: Arc<Shared>) {
     let mut after = ObjectVersion::default();
     loop {
+        if !shared.reads_platform() {
+            pause_ms(RETRY_MS).await;
+            continue;
+        }
         let sent = shared.clock.now();
         match read_head(&shared, after).await {
             Ok(version) => {
                 // A head whose sections are not all there yet is read again.
                 after = version.unwrap_or(after);
-                shared.contact.platform_answered(sent);
+                shared.with_contact(|contact| contact.platform_answered(sent));
                 if version.is_none() {
                     pause_ms(RETRY_MS).await;
                 }
@@ -80,7 +84,11 @@
 /// Reads the live list at an interval.
 pub(super) async fn follow_live_list(shared: Arc<Shared>) {
     loop {
-        let have = shared.live.load().version;
+        if !shared.reads_platform() {
+            pause_ms(shared.settings.platform.poll_ms).await;
+            continue;
+        }
+        let have = shared.with_live(|view| view.version());
         let after = (have != ObjectVersion::default()).then_some(have);
         match shared.platform.instances(after).await {
             Ok(Some(live)) => adopt_live(&shared, live),
--- a/crates/router/src/sync/store.rs
+++ b/crates/router/src/sync/store.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use samphirespread_config::{Snapshot, SnapshotError};
+use samphirespread_membership::LiveChange;
 use samphirespread_platform::api::LiveList;
 use slog::{info, warn};
 
@@ -28,7 +29,7 @@
     assert!(now_in_force.generation() >= generation, "a configuration went back");
     shared.identity.set_generation(now_in_force.generation());
     shared.metrics.generation.set(i64::try_from(generation.0).unwrap_or(i64::MAX));
-    shared.placer.update(&now_in_force, &shared.live.load());
+    shared.placer.update(&now_in_force, &shared.live_list());
     shared.admission.config_changed(&now_in_force);
     info!(shared.log, "configuration in force"; "generation" => generation.0);
     Ok(())
@@ -36,14 +37,20 @@
 
 /// Takes in a live list if it is later than the present one.
 pub(crate) fn adopt_live(shared: &Arc<Shared>, live: LiveList) {
-    let live = Arc::new(live);
-    let before = shared.live.rcu(|present| {
-        if present.version < live.version { Arc::clone(&live) } else { Arc::clone(present) }
-    });
-    if before.version >= live.version {
-        return;
+    if shared.with_live(|view| view.adopt(live)) {
+        live_changed(shared);
+    }
+}
+
+/// Takes in what a peer knows of the live list.
+pub(super) fn apply_live(shared: &Arc<Shared>, change: &LiveChange) {
+    if shared.with_live(|view| view.apply(change)) {
+        live_changed(shared);
     }
-    let listed = shared.live.load();
+}
+
+fn live_changed(shared: &Arc<Shared>) {
+    let listed = shared.live_list();
     shared.pool.retain(|address| listed.instances.iter().any(|i| i.address == address));
     shared.placer.update(&shared.snapshot.load(), &listed);
     shared.admission.live_changed(&listed);
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use samphirespread_core::prelude::*;
-use samphirespread_platform::api::{LiveList, ObjectVersion};
+use samphirespread_membership::LiveChange;
+use samphirespread_platform::api::ObjectVersion;
 use serde::{Deserialize, Serialize};
 
 pub use self::output::Output;
@@ -60,8 +61,8 @@
     Failed(Failed),
     /// The configuration in force, or `None` if it is the one named.
     Config(Option<ConfigSnapshot>),
-    /// The live list, or `None` if it is the one named or not known.
-    LiveList(Option<LiveList>),
+    /// What the asker's live list lacks, or `None` if nothing.
+    LiveList(Option<LiveChange>),
     /// The answer of `limits`.
     Limits(Bytes),
     /// The request was understood and there is nothing to say.
