--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -120,9 +120,9 @@
     ///
     /// # Errors
     ///
-    /// When the port can't be kept.
+    /// None at present: the port stays reserved.
     pub async fn go_down(&self) -> io::Result<()> {
-        self.server.stop().await?;
+        self.server.stop().await;
         self.shared.lock().crash();
         Ok(())
     }
--- a/crates/standin/src/server/mod.rs
+++ b/crates/standin/src/server/mod.rs
@@ -38,8 +38,8 @@
     router: Router,
     faults: Faults,
     run: Mutex<Option<Run>>,
-    /// Holds the port without listening while the server is down.
-    reserved: Mutex<Option<TcpSocket>>,
+    /// Holds the port without listening, so that it stays the server's own while it is down.
+    _reserved: TcpSocket,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -58,14 +58,14 @@
 impl Server {
     /// Serves on a port that the kernel chooses.
     pub(crate) fn start(router: Router) -> io::Result<Self> {
-        let socket = reserve(SocketAddr::from(([127, 0, 0, 1], 0)))?;
-        let address = socket.local_addr()?;
+        let reserved = bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let address = reserved.local_addr()?;
         let server = Self {
             address,
             router,
             faults: Faults::default(),
             run: Mutex::new(None),
-            reserved: Mutex::new(Some(socket)),
+            _reserved: reserved,
         };
         server.resume()?;
         Ok(server)
@@ -77,26 +77,25 @@
     }
 
     /// Closes all connections and refuses new ones. No request is handled once it returns.
-    pub(crate) async fn stop(&self) -> io::Result<()> {
+    pub(crate) async fn stop(&self) {
         let run = self.run.lock().unwrap_or_else(PoisonError::into_inner).take();
-        let Some(run) = run else { return Ok(()) };
+        let Some(run) = run else { return };
 
         run.stop.cancel();
         // The task only ends by the token, so a join error can't matter here.
         let _ = run.accept.await;
         run.connections.close();
         run.connections.wait().await;
-        let socket = reserve(self.address)?;
-        *self.reserved.lock().unwrap_or_else(PoisonError::into_inner) = Some(socket);
-        Ok(())
     }
 
     /// Listens again after [`stop`](Self::stop).
     pub(crate) fn resume(&self) -> io::Result<()> {
-        let socket = self.reserved.lock().unwrap_or_else(PoisonError::into_inner).take();
-        let Some(socket) = socket else { return Ok(()) };
+        let mut current = self.run.lock().unwrap_or_else(PoisonError::into_inner);
+        if current.is_some() {
+            return Ok(());
+        }
 
-        let listener = socket.listen(BACKLOG)?;
+        let listener = bind(self.address)?.listen(BACKLOG)?;
         let stop = CancellationToken::new();
         let connections = TaskTracker::new();
         let accept = tokio::spawn(accept(
@@ -106,8 +105,7 @@
             stop.clone(),
             connections.clone(),
         ));
-        let run = Run { stop, accept, connections };
-        *self.run.lock().unwrap_or_else(PoisonError::into_inner) = Some(run);
+        *current = Some(Run { stop, accept, connections });
         Ok(())
     }
 
@@ -131,9 +129,11 @@
     }
 }
 
-fn reserve(address: SocketAddr) -> io::Result<TcpSocket> {
+/// Binds beside other sockets of this server. Only the one that listens gets connections.
+fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
     socket.bind(address)?;
     Ok(socket)
 }
--- a/crates/standin/src/service/mod.rs
+++ b/crates/standin/src/service/mod.rs
@@ -198,9 +198,10 @@
     ///
     /// # Errors
     ///
-    /// When the port can't be kept.
+    /// None at present: the port stays reserved.
     pub async fn go_down(&self) -> io::Result<()> {
-        self.server.stop().await
+        self.server.stop().await;
+        Ok(())
     }
 
     /// Takes connections again after [`go_down`](Self::go_down).
