--- a/crates/bench/src/bin/placement-replay.rs
+++ b/crates/bench/src/bin/placement-replay.rs
@@ -6,9 +6,12 @@
 
 use clap::Parser;
 use samphirespread_bench::replay::{
-    DEPLOYMENTS, Deployment, ReplayError, Row, SCENARIOS, draw, run_all, table, trace,
+    DEPLOYMENTS, Deployment, ReplayError, Row, Scenario, draw, run_all, table, trace,
 };
 
+/// Scenarios that are worth a plot.
+const PLOTTED: [Scenario; 3] = [Scenario::Calm, Scenario::EngineCrash, Scenario::HotPrefixShift];
+
 /// Compares placements on recorded traces, in virtual time.
 #[derive(Debug, Parser)]
 struct Arguments {
@@ -49,7 +52,7 @@
     let records = trace::read(&path)?;
     let runs = run_all(deployment, &records);
     if let Some(folder) = &arguments.plots {
-        for scenario in SCENARIOS {
+        for scenario in PLOTTED {
             let title = format!("{}: {}", deployment.name, scenario.name().replace('_', " "));
             let file = format!("placement-{}-{}.svg", deployment.name, scenario.name());
             draw(&folder.join(file), &title, &runs, scenario)?;
--- a/crates/prefix/src/placement/workers.rs
+++ b/crates/prefix/src/placement/workers.rs
@@ -1,6 +1,6 @@
 //! The workers that may serve a prompt, as a router knows them.
 
-use std::sync::Arc;
+use std::{collections::HashMap, sync::Arc};
 
 use rand::Rng;
 use samphirespread_core::prelude::*;
@@ -74,10 +74,10 @@
     /// counted for the set.
     #[must_use]
     pub fn replaced_by(&self, mut workers: Vec<Worker>) -> Self {
+        let known: HashMap<&InstanceName, &Worker> =
+            self.workers.iter().map(|worker| (&worker.name, worker)).collect();
         for worker in &mut workers {
-            let Some(known) = self.workers.iter().find(|known| known.name == worker.name) else {
-                continue;
-            };
+            let Some(known) = known.get(&worker.name) else { continue };
             worker.wait_ms = known.wait_ms;
             worker.reported_at = known.reported_at;
         }
