--- a/crates/router/src/fleet/placer.rs
+++ b/crates/router/src/fleet/placer.rs
@@ -173,8 +173,8 @@
         counts
     }
 
-    /// Prefixes for which a hint is remembered.
-    pub(crate) fn hints(&self) -> usize {
+    /// Blocks whose share of the traffic is remembered.
+    pub(crate) fn hot_blocks(&self) -> usize {
         self.lock().placement.hot_prefixes().len()
     }
 
