--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod load;
 pub mod replay;
+pub mod slopes;
--- /dev/null
+++ b/crates/bench/src/slopes/config.rs
@@ -0,0 +1,127 @@
+//! Configuration and live list at several sizes.
+
+use samphirespread_config::{
+    ConfigBuilder, KeyBuilder, RouteBuilder, SetBuilder, Snapshot, TeamBuilder, key_digest,
+};
+use samphirespread_core::prelude::*;
+use samphirespread_platform::api::{LiveInstance, LiveList, LiveState, ObjectVersion, Role};
+use samphirespread_wire::{
+    codec,
+    message::{ConfigSnapshot, Request},
+};
+
+use super::{
+    Measured, SlopeError,
+    process::{mean_bytes, mean_us},
+};
+
+const MODELS: usize = 36;
+const KEYS_PER_TEAM: usize = 5;
+
+fn invalid(error: impl std::fmt::Display) -> SlopeError {
+    SlopeError::Document(error.to_string())
+}
+
+/// A configuration with a route for each model, open to the keys of all teams.
+fn snapshot(teams: usize, rate_tokens_per_s: u64) -> Result<Snapshot, SlopeError> {
+    let mut builder = ConfigBuilder::new();
+    for model in 0..MODELS {
+        let (set, name) = (format!("set-{model}"), format!("model-{model}"));
+        builder = builder
+            .set(SetBuilder::new(&set))
+            .route(RouteBuilder::model(&name, &name, "v1").set(&set));
+    }
+    for team in 0..teams {
+        let name = format!("team-{team}");
+        let rate = if team == 0 { rate_tokens_per_s } else { 20_000 };
+        let burst = 200_000;
+        builder = builder.team(TeamBuilder::new(&name).rate_tokens_per_s(rate).burst_tokens(burst));
+        for key in 0..KEYS_PER_TEAM {
+            let id = format!("key-{team}-{key}");
+            builder = builder.key(KeyBuilder::from_digest(&id, &name, &key_digest(&id)));
+        }
+    }
+    let config = builder.build().map_err(invalid)?;
+    Snapshot::of(&config, rate_tokens_per_s).map_err(invalid)
+}
+
+/// Size of a configuration, and what one changed team costs in bytes and time.
+///
+/// # Errors
+///
+/// Fails if a generated configuration is invalid or the process can't read its own figures.
+pub fn config_rows() -> Result<Vec<Measured>, SlopeError> {
+    let mut rows = Vec::new();
+    for teams in [45, 180, 720] {
+        let (before, after) = (snapshot(teams, 20_000)?, snapshot(teams, 20_001)?);
+        let whole: usize = before.sections().map(|(_, text)| text.len()).sum();
+        let missing = before.missing_sections(after.head());
+        let changed: Vec<&str> = after
+            .sections()
+            .filter(|(name, _)| {
+                after
+                    .head()
+                    .sections
+                    .get(*name)
+                    .is_some_and(|hash| missing.contains(&hash.as_str()))
+            })
+            .map(|(_, text)| text)
+            .collect();
+        let changed_bytes: usize = changed.iter().map(|text| text.len()).sum();
+        let assemble = || Snapshot::assemble(after.head_text(), &changed, Some(&before));
+        assemble().map_err(invalid)?;
+        let us = mean_us(20, || drop(assemble()))?;
+        let bytes = mean_bytes(8, || snapshot(teams, 20_000).ok())?;
+        let head = after.head_text().len() as f64;
+        let sections = after.head().sections.len();
+        rows.push(Measured::new("sections, number by teams", teams, sections as f64));
+        let message = Request::PushConfig(ConfigSnapshot {
+            generation: after.generation(),
+            head: after.head_text().to_owned(),
+            sections: after.sections().map(|(_, text)| text.to_owned()).collect(),
+        });
+        let frame = codec::encode(0, &message).map_err(invalid)?;
+        let what = "whole configuration to a peer, bytes by teams";
+        rows.push(Measured::new(what, teams, frame.len() as f64));
+        rows.push(Measured::new("head, bytes by teams", teams, head));
+        rows.push(Measured::new("all sections, bytes by teams", teams, whole as f64));
+        let what = "changed sections of one change, bytes by teams";
+        rows.push(Measured::new(what, teams, changed_bytes as f64));
+        rows.push(Measured::new("taking one change in, us by teams", teams, us));
+        rows.push(Measured::new("configuration, resident bytes by teams", teams, bytes));
+    }
+    Ok(rows)
+}
+
+fn live_list(instances: usize) -> LiveList {
+    let instance = |index: usize| LiveInstance {
+        name: InstanceName::new(format!("worker-{index:05}")),
+        role: if index.is_multiple_of(14) { Role::Router } else { Role::Agent },
+        address: format!("10.20.{}.{}:7400", index / 250, index % 250),
+        admin: Some(format!("10.20.{}.{}:7500", index / 250, index % 250)),
+        region: format!("region-{}", index % 4),
+        failure_domain: format!("domain-{}", index % 14),
+        set: Some(SetName::new(format!("set-{}", index % MODELS))),
+        state: LiveState::Live,
+    };
+    LiveList { version: ObjectVersion(1), instances: (0..instances).map(instance).collect() }
+}
+
+/// Size of a live list, and what reading it whole costs.
+///
+/// # Errors
+///
+/// Fails if the process can't read its own figures.
+pub fn live_list_rows() -> Result<Vec<Measured>, SlopeError> {
+    let mut rows = Vec::new();
+    for instances in [450, 1_800, 7_210] {
+        let text = serde_json::to_string(&live_list(instances)).map_err(invalid)?;
+        let us = mean_us(20, || drop(serde_json::from_str::<LiveList>(&text)))?;
+        let bytes = mean_bytes(16, || live_list(instances))?;
+        let length = text.len() as f64;
+        rows.push(Measured::new("live list, bytes of JSON by instances", instances, length));
+        rows.push(Measured::new("parsing the live list, us by instances", instances, us));
+        rows.push(Measured::new("live list, resident bytes by instances", instances, bytes));
+    }
+    Ok(rows)
+}
