Add samphirespread dev and bench

dev runs a platform, two engines, two agents and a router as tasks through the libraries' entry points and prints a curl line with a fresh key. A test sends what the line says and reads the whole stream, then stops it by SIGTERM (exit 0).

--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf};
 
 use clap::{Args, Parser, Subcommand};
+use samphirespread_bench::load::LoadArguments;
 use samphirespread_config::ObjectName;
 
 /// Operates a samphirespread fleet.
@@ -24,6 +25,14 @@
 
 #[derive(Debug, Subcommand)]
 pub(crate) enum Command {
+    /// Runs a whole fleet with stand-ins in this process, on loopback, until Ctrl-C.
+    Dev {
+        /// The port for callers; 0 lets the kernel choose.
+        #[arg(long, default_value_t = 8080)]
+        port: u16,
+    },
+    /// Sends load to a router and reports what came of it.
+    Bench(LoadArguments),
     /// Checks documents as a whole configuration, without the platform.
     Check(CheckArguments),
     /// Submits documents and waits until they are in force.
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use samphirespread_bench::load::LoadArguments;
 use samphirespread_config::{
     Applied, ApplyError, Changes, Config, ConfigBuilder, ConfigErrors, Document, KeyBuilder,
     KeyText, Submission, TeamBuilder,
@@ -14,14 +15,18 @@
     HttpPlatform, HttpPlatformConfig,
     api::{LiveState, Role},
 };
-use samphirespread_settings::{AgentSettings, RouterSettings};
-use tokio::time::{Instant, sleep};
+use samphirespread_settings::{AgentSettings, LogFormat, LogLevel, LogSettings, RouterSettings};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::{Instant, sleep},
+};
 
 use crate::{
     args::{
         ApplyArguments, CheckArguments, Command, Daemon, DumpArguments, KeyCommand,
         PlatformArguments, StatusArguments,
     },
+    dev::DevFleet,
     documents::load,
     exit::Exit,
     http,
@@ -34,6 +39,8 @@
 
 pub(crate) async fn run(command: Command) -> Exit {
     match command {
+        Command::Dev { port } => dev(port).await,
+        Command::Bench(arguments) => bench(&arguments).await,
         Command::Check(arguments) => check(&arguments),
         Command::Apply(arguments) => apply(&arguments).await,
         Command::Status(arguments) => status(&arguments).await,
@@ -63,6 +70,45 @@
     Exit::Refused
 }
 
+async fn dev(port: u16) -> Exit {
+    let settings = LogSettings { format: LogFormat::Terminal, level: LogLevel::Warning };
+    let fleet = match DevFleet::start(port, &samphirespread_logging::root(&settings)).await {
+        Ok(fleet) => fleet,
+        Err(error) => {
+            tell(error);
+            return Exit::Unreachable;
+        }
+    };
+    tell("a platform, two engines, two agents and a router run until Ctrl-C; try:");
+    let printed = print(&fleet.greeting());
+    if printed == Exit::Done {
+        stop_signal().await;
+    }
+    fleet.stop().await;
+    printed
+}
+
+/// Returns on SIGINT or SIGTERM, or at once where there are no signals.
+async fn stop_signal() {
+    let (Ok(mut interrupt), Ok(mut terminate)) =
+        (signal(SignalKind::interrupt()), signal(SignalKind::terminate()))
+    else {
+        return;
+    };
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+}
+
+async fn bench(arguments: &LoadArguments) -> Exit {
+    match arguments.run(|line| tell(line)).await {
+        Ok(report) if arguments.json => print(&format!("{}\n", report.to_json())),
+        Ok(report) => print(&format!("{report}\n")),
+        Err(error) => refuse(error),
+    }
+}
+
 fn check(arguments: &CheckArguments) -> Exit {
     let documents = match load(&arguments.paths) {
         Ok(documents) => documents,
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! The operators' command.
 //!
 //! ```text
+//! samphirespread dev
 //! samphirespread check fleet.json
 //! samphirespread apply --platform 10.0.0.10:7000 fleet.json
 //! samphirespread status --platform 10.0.0.10:7000
@@ -17,6 +18,7 @@
 
 mod args;
 mod commands;
+mod dev;
 mod documents;
 mod exit;
 mod http;
@@ -28,6 +30,7 @@
 use clap::Parser;
 
 pub use crate::{
+    dev::{DevError, DevFleet},
     documents::{LoadError, load},
     exit::Exit,
     http::AdminError,
--- a/crates/cli/tests/operate/main.rs
+++ b/crates/cli/tests/operate/main.rs
@@ -270,3 +270,21 @@
     assert_eq!(again.generation.0, 2);
     assert_eq!(read_snapshot(&client(&platform), policy()).await.unwrap().generation().0, 2);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_command_that_dev_prints_gets_an_answer() {
+    let mut dev = support::Dev::start().await;
+
+    let curl = dev.next_line().await;
+    let answer = support::send(&curl).await;
+    let status = dev.next_line().await;
+    let arguments: Vec<&str> = status.split(' ').skip(1).collect();
+    let status = run(&arguments).await;
+    let code = dev.terminate().await;
+
+    assert!(answer.contains("data: [DONE]"), "{answer}");
+    assert!(answer.matches("\"content\":").count() >= 16, "{answer}");
+    assert!(status.stdout.starts_with("platform generation 1\n"), "{}", status.stdout);
+    assert!(status.stdout.contains("of 3 instances"), "{}", status.stdout);
+    assert_eq!(code, Some(0));
+}
--- a/crates/cli/tests/operate/support.rs
+++ b/crates/cli/tests/operate/support.rs
@@ -17,8 +17,9 @@
     api::{Listing, LiveInstance, LiveList, LiveState, Object, ObjectVersion, Role},
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpListener,
+    io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, Lines},
+    net::{TcpListener, TcpStream},
+    process::{Child, ChildStdout},
     task::JoinHandle,
 };
 
@@ -196,3 +197,50 @@
         self.platform.instances(after).await
     }
 }
+
+/// A running `samphirespread dev`.
+pub(crate) struct Dev {
+    child: Child,
+    lines: Lines<BufReader<ChildStdout>>,
+}
+
+impl Dev {
+    pub(crate) async fn start() -> Self {
+        let mut command = tokio::process::Command::new(env!("CARGO_BIN_EXE_samphirespread"));
+        command.args(["dev", "--port", "0"]).kill_on_drop(true).stdout(process::Stdio::piped());
+        let mut child = command.spawn().unwrap();
+        let lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        Self { child, lines }
+    }
+
+    pub(crate) async fn next_line(&mut self) -> String {
+        self.lines.next_line().await.unwrap().expect("a line more")
+    }
+
+    /// Sends SIGTERM and returns the exit code.
+    pub(crate) async fn terminate(mut self) -> Option<i32> {
+        let id = self.child.id().unwrap().to_string();
+        let killed = tokio::process::Command::new("kill").args(["-TERM", &id]).status().await;
+        assert!(killed.unwrap().success());
+        self.child.wait().await.unwrap().code()
+    }
+}
+
+/// Sends what a printed curl command would send, without needing curl.
+pub(crate) async fn send(curl: &str) -> String {
+    let url = curl.split(' ').find(|word| word.starts_with("http://")).unwrap();
+    let (address, path) = url["http://".len()..].split_once('/').unwrap();
+    let quoted: Vec<&str> = curl.split('\'').skip(1).step_by(2).collect();
+    let (headers, body) = (&quoted[..quoted.len() - 1], quoted[quoted.len() - 1]);
+    let request = format!(
+        "POST /{path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n{}\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        headers.join("\r\n"),
+        body.len()
+    );
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer
+}
