Serve callers over TLS when the router's settings name a certificate

The router loads certificate and key before it opens ports, hands connections to them within header_timeout_ms and re-reads the files while it runs. Additive: one implementation of the existing Secure trait and one error variant.

--- a/crates/router/src/error.rs
+++ b/crates/router/src/error.rs
@@ -15,6 +15,8 @@
         /// The system's words.
         message: String,
     },
+    /// the certificate towards callers can't be used: {0}
+    Tls(samphirespread_tls::TlsError),
 }
 
 impl std::error::Error for RouterError {}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -46,6 +46,7 @@
 use samphirespread_core::{prelude::*, time::Clock};
 use samphirespread_platform::{HttpPlatform, HttpPlatformConfig};
 use samphirespread_settings::RouterSettings;
+use samphirespread_tls::ServerTls;
 use samphirespread_wire::{Pool, Secret, WireConfig};
 use slog::{Logger, info, o, warn};
 use tokio::{net::TcpListener, task::JoinSet, time::timeout};
@@ -80,6 +81,7 @@
     admin: TcpListener,
     addresses: Addresses,
     wire: WireConfig,
+    tls: Option<ServerTls>,
 }
 
 impl Router {
@@ -87,15 +89,17 @@
     ///
     /// # Errors
     ///
-    /// [`RouterError::Listen`] if a port can't be opened.
+    /// [`RouterError::Listen`] if a port can't be opened, [`RouterError::Tls`] if the certificate
+    /// towards callers can't be used.
     pub async fn bind(settings: RouterSettings, log: Logger) -> Result<Self, RouterError> {
+        let tls = load_tls(&settings)?;
         let (callers, callers_at) = listen(settings.listen.callers, "callers").await?;
         let (peers, peers_at) = listen(settings.listen.peers, "peers").await?;
         let (admin, admin_at) = listen(settings.listen.admin, "admin").await?;
         let wire = wire_config(&settings);
         let shared = shared(settings, &log, &wire);
         let addresses = Addresses { callers: callers_at, peers: peers_at, admin: admin_at };
-        Ok(Self { shared, callers, peers, admin, addresses, wire })
+        Ok(Self { shared, callers, peers, admin, addresses, wire, tls })
     }
 
     /// The ports that were opened.
@@ -107,7 +111,7 @@
     ///
     /// Returns whether every request had its answer before the drain timeout.
     pub async fn run(self, shutdown: CancellationToken) -> bool {
-        let Self { shared, callers, peers, admin, wire, .. } = self;
+        let Self { shared, callers, peers, admin, wire, tls, .. } = self;
         info!(shared.log, "router runs"; "callers" => %self.addresses.callers);
         let background = CancellationToken::new();
         let mut tasks = JoinSet::new();
@@ -119,7 +123,13 @@
         tasks.spawn(serve::serve(admin, Plain, operators, limits, background.clone()));
         let stop_callers = CancellationToken::new();
         let app = api::router(Arc::clone(&shared));
-        let serving = tokio::spawn(serve::serve(callers, Plain, app, limits, stop_callers.clone()));
+        let serving = match tls {
+            Some(tls) => {
+                tasks.spawn(tls.clone().reread(shared.log.clone(), background.clone()));
+                tokio::spawn(serve::serve(callers, tls, app, limits, stop_callers.clone()))
+            }
+            None => tokio::spawn(serve::serve(callers, Plain, app, limits, stop_callers.clone())),
+        };
 
         shutdown.cancelled().await;
         info!(shared.log, "router leaves"; "running" => shared.drain.running());
@@ -135,6 +145,12 @@
     }
 }
 
+fn load_tls(settings: &RouterSettings) -> Result<Option<ServerTls>, RouterError> {
+    let Some(tls) = settings.tls.clone() else { return Ok(None) };
+    let tls = ServerTls::load(tls).map_err(RouterError::Tls)?;
+    Ok(Some(tls.handshake_timeout_ms(settings.request.header_timeout_ms)))
+}
+
 async fn drain(shared: &Shared, serving: tokio::task::JoinHandle<()>) -> bool {
     let limit = Duration::from_millis(shared.settings.drain.timeout_ms);
     let finished = async {
--- a/crates/router/src/serve.rs
+++ b/crates/router/src/serve.rs
@@ -8,10 +8,12 @@
     server::{conn::auto, graceful::GracefulShutdown},
     service::TowerToHyperService,
 };
+use samphirespread_tls::ServerTls;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
 };
+use tokio_rustls::server::TlsStream;
 use tokio_util::sync::CancellationToken;
 
 const ACCEPT_PAUSE_MS: u64 = 20; // lets descriptors be freed when accepting fails
@@ -48,6 +50,14 @@
     }
 }
 
+impl Secure for ServerTls {
+    type Stream = TlsStream<TcpStream>;
+
+    async fn secure(&self, socket: TcpStream) -> std::io::Result<TlsStream<TcpStream>> {
+        self.accept(socket).await
+    }
+}
+
 /// Serves until `shutdown`, then until the last open request has its answer.
 pub(crate) async fn serve<S: Secure>(
     listener: TcpListener,
