Wait for an agent when a request has begun and none is left

Cause: with one backend server, a crash of its engine cut the stream within milliseconds although the engine was back at once: the only agent was in the list of those tried. Ruled out: waiting for every request: one that has not run gets its refusal at once. Conclusion: only requests that may have run wait, for 5 s at most, and may go back to agents that failed them.

--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -178,6 +178,11 @@
         self.machine.inner().delivered_lines
     }
 
+    /// Whether some attempt may have run. Such a request is worth waiting for an agent.
+    pub fn may_have_run(&self) -> bool {
+        self.machine.inner().may_have_run
+    }
+
     /// The current attempt.
     pub fn attempt(&self) -> AttemptId {
         self.machine.inner().attempt()
--- a/crates/router/src/run/runner.rs
+++ b/crates/router/src/run/runner.rs
@@ -28,6 +28,9 @@
 
 // Doubled for each further try, so that an agent that restarts is met once it is back.
 const RESUME_BACKOFF_MS: u64 = 50;
+// An engine that crashed is back within seconds, or not soon.
+const BEGUN_WAIT_MS: u64 = 5_000;
+const BEGUN_POLL_MS: u64 = 100;
 const NO_BACKEND_RETRY_AFTER_MS: u32 = 1_000;
 
 /// A request that was admitted.
@@ -243,9 +246,11 @@
         let none = Event::NoneLeft { retry_after_ms: NO_BACKEND_RETRY_AFTER_MS };
         self.exchange = None;
         self.target = None;
+        let candidates = match self.candidates().await {
+            Ok(candidates) => candidates,
+            Err(event) => return event,
+        };
         let now = self.shared.clock.now();
-        let tried = self.machine.tried();
-        let candidates = self.shared.placer.candidates(&self.job.route, &self.prompt(), tried, now);
         let Some(best) = look_up(&self.shared.pool, &self.prompt(), &candidates).await else {
             return none;
         };
@@ -263,6 +268,29 @@
         Event::Chosen { agent }
     }
 
+    /// Agents to ask. A request that has not run gets its refusal at once when none is left. One
+    /// that has begun waits for an agent, also for those that failed it, which may be back soon.
+    async fn candidates(&mut self) -> Result<Vec<Candidate>, Event> {
+        let placer = &self.shared.placer;
+        let ask = |tried: &[InstanceName]| {
+            placer.candidates(&self.job.route, &self.prompt(), tried, self.shared.clock.now())
+        };
+        let mut candidates = ask(self.machine.tried());
+        if !self.machine.may_have_run() {
+            return Ok(candidates);
+        }
+        let give_up = Instant::now() + Duration::from_millis(BEGUN_WAIT_MS);
+        while candidates.is_empty() && Instant::now() < give_up {
+            tokio::select! {
+                () = sleep(Duration::from_millis(BEGUN_POLL_MS)) => {}
+                () = self.pieces.closed() => return Err(Event::CallerGone),
+                () = sleep_until(self.deadline) => return Err(Event::DeadlinePassed),
+            }
+            candidates = ask(&[]);
+        }
+        Ok(candidates)
+    }
+
     async fn send_run(&mut self, attempt: AttemptId) -> Step {
         if self.has_whole_output() {
             return Step::Next(Event::Finished { attempt, lines: 0 });
