--- a/crates/bench/src/slopes/config.rs
+++ b/crates/bench/src/slopes/config.rs
@@ -7,7 +7,7 @@
 use samphirespread_platform::api::{LiveInstance, LiveList, LiveState, ObjectVersion, Role};
 use samphirespread_wire::{
     codec,
-    message::{ConfigSnapshot, Request},
+    message::{ConfigSnapshot, FetchConfig, Reply, Request},
 };
 
 use super::{
@@ -83,6 +83,13 @@
         let frame = codec::encode(0, &message).map_err(invalid)?;
         let what = "whole configuration to a peer, bytes by teams";
         rows.push(Measured::new(what, teams, frame.len() as f64));
+        let ask = Request::FetchConfig(FetchConfig {
+            have: after.generation(),
+            sections: after.head().sections.values().cloned().collect(),
+        });
+        let frame = codec::encode(0, &ask).map_err(invalid)?;
+        let what = "asking a peer for a later configuration, bytes by teams";
+        rows.push(Measured::new(what, teams, frame.len() as f64));
         rows.push(Measured::new("head, bytes by teams", teams, head));
         rows.push(Measured::new("all sections, bytes by teams", teams, whole as f64));
         let what = "changed sections of one change, bytes by teams";
@@ -117,6 +124,10 @@
     for instances in [450, 1_800, 7_210] {
         let text = serde_json::to_string(&live_list(instances)).map_err(invalid)?;
         let us = mean_us(20, || drop(serde_json::from_str::<LiveList>(&text)))?;
+        let message = Reply::LiveList(Some(live_list(instances)));
+        let frame = codec::encode(0, &message).map_err(invalid)?;
+        let what = "whole live list to a peer, bytes by instances";
+        rows.push(Measured::new(what, instances, frame.len() as f64));
         let bytes = mean_bytes(16, || live_list(instances))?;
         let length = text.len() as f64;
         rows.push(Measured::new("live list, bytes of JSON by instances", instances, length));
