--- a/crates/bench/src/slopes/config.rs
+++ b/crates/bench/src/slopes/config.rs
@@ -4,6 +4,7 @@
     ConfigBuilder, KeyBuilder, RouteBuilder, SetBuilder, Snapshot, TeamBuilder, key_digest,
 };
 use samphirespread_core::prelude::*;
+use samphirespread_membership::LiveView;
 use samphirespread_platform::api::{LiveInstance, LiveList, LiveState, ObjectVersion, Role};
 use samphirespread_wire::{
     codec,
@@ -114,6 +115,19 @@
     LiveList { version: ObjectVersion(1), instances: (0..instances).map(instance).collect() }
 }
 
+fn with_one_leaving(mut list: LiveList) -> LiveList {
+    list.version = ObjectVersion(list.version.0 + 1);
+    if let Some(instance) = list.instances.first_mut() {
+        instance.state = LiveState::Leaving;
+    }
+    list
+}
+
+fn reply_bytes(view: &LiveView, have: ObjectVersion) -> Result<f64, SlopeError> {
+    let frame = codec::encode(0, &Reply::LiveList(view.since(have))).map_err(invalid)?;
+    Ok(frame.len() as f64)
+}
+
 /// Size of a live list, and what reading it whole costs.
 ///
 /// # Errors
@@ -124,10 +138,13 @@
     for instances in [450, 1_800, 7_210] {
         let text = serde_json::to_string(&live_list(instances)).map_err(invalid)?;
         let us = mean_us(20, || drop(serde_json::from_str::<LiveList>(&text)))?;
-        let message = Reply::LiveList(Some(live_list(instances)));
-        let frame = codec::encode(0, &message).map_err(invalid)?;
+        let mut view = LiveView::default();
+        view.adopt(live_list(instances));
         let what = "whole live list to a peer, bytes by instances";
-        rows.push(Measured::new(what, instances, frame.len() as f64));
+        rows.push(Measured::new(what, instances, reply_bytes(&view, ObjectVersion(0))?));
+        view.adopt(with_one_leaving(live_list(instances)));
+        let what = "one change of the live list to a peer, bytes by instances";
+        rows.push(Measured::new(what, instances, reply_bytes(&view, ObjectVersion(1))?));
         let bytes = mean_bytes(16, || live_list(instances))?;
         let length = text.len() as f64;
         rows.push(Measured::new("live list, bytes of JSON by instances", instances, length));
