Call a router ready once it can admit

Ruled out: holding requests back at the router; the balancer asks /readyz. Before: ready with a configuration; after: also with a live list and the holders of all shares that concern it.

--- a/crates/router/src/admin/mod.rs
+++ b/crates/router/src/admin/mod.rs
@@ -12,6 +12,7 @@
 use futures_util::stream;
 use http::{StatusCode, header};
 use samphirespread_core::prelude::*;
+use samphirespread_platform::api::ObjectVersion;
 use serde::Serialize;
 use tokio::sync::broadcast::{Receiver, error::RecvError};
 
@@ -56,6 +57,12 @@
     if shared.snapshot.load().generation() == Generation::default() {
         return not_ready("no configuration yet\n");
     }
+    if shared.live_list().version == ObjectVersion::default() {
+        return not_ready("no live list yet\n");
+    }
+    if !shared.admission.is_ready().await {
+        return not_ready("shares of the teams' rates are not known yet\n");
+    }
     "ready\n".into_response()
 }
 
--- a/crates/router/src/limits/mod.rs
+++ b/crates/router/src/limits/mod.rs
@@ -147,6 +147,12 @@
         answered.await.ok()
     }
 
+    /// Whether this router knows the holders of all shares that concern it, and so can admit.
+    pub(crate) async fn is_ready(&self) -> bool {
+        let Some(snapshot) = self.snapshot().await else { return false };
+        snapshot.slots.iter().all(|slot| slot.parts > 0 || !slot.holders.is_empty())
+    }
+
     fn event(&self, event: Event) {
         let _ = self.commands.send(Command::Event(event));
     }
