--- a/crates/router/src/sync/platform.rs
+++ b/crates/router/src/sync/platform.rs
@@ -93,7 +93,7 @@
         match shared.platform.instances(after).await {
             Ok(Some(live)) => adopt_live(&shared, live),
             // An absence counts only for as long as the platform confirms it.
-            Ok(None) => shared.admission.live_changed(&shared.live.load()),
+            Ok(None) => shared.admission.live_changed(&shared.live_list()),
             Err(error) => debug!(shared.log, "live list can't be read"; "error" => %error),
         }
         pause_ms(shared.settings.platform.poll_ms).await;
