agent: hold prompts back until the engine needs them, measure a flood through a real agent

Cause: the engine prefills the prompts of its batch in turn. With free slots the agent handed it every waiting prompt, so the others' prompts stood behind the flooding team's inside the engine, where no fair order reaches.

--- a/crates/agent/src/admin/mod.rs
+++ b/crates/agent/src/admin/mod.rs
@@ -126,7 +126,7 @@
         cached_blocks: state.residency.len(),
         residency_certain: !state.residency.needs_re_read(),
         prefill_us_per_token: state.speed.us_per_token(),
-        prefill_backlog_tokens: state.prefill_tokens,
+        prefill_backlog_tokens: state.prefill.tokens(),
     }
 }
 
--- a/crates/agent/src/model/mod.rs
+++ b/crates/agent/src/model/mod.rs
@@ -25,9 +25,13 @@
 const MAX_CANCELS: u32 = 3;
 
 /// Runs the attempt to its end.
-pub(crate) async fn run(shared: &Arc<Shared>, run: &Run, work: &ModelWork, live: &Live) -> Outcome {
-    let missing_tokens = shared.lock().missing_tokens(work);
-    shared.lock().prefill_tokens += missing_tokens;
+pub(crate) async fn run(
+    shared: &Arc<Shared>,
+    run: &Run,
+    work: &ModelWork,
+    missing_tokens: u64,
+    live: &Live,
+) -> Outcome {
     let mut relay = Relay {
         shared,
         live,
@@ -224,9 +228,7 @@
         }
         self.is_prefilling = false;
         let first_token_us = self.shared.clock.now().us_since(self.started_at);
-        let mut state = self.shared.lock();
-        state.prefill_tokens = state.prefill_tokens.saturating_sub(self.missing_tokens);
-        state.speed.observe(self.missing_tokens, first_token_us);
+        self.shared.end_prefill(self.missing_tokens, Some(first_token_us));
     }
 
     fn fail(&mut self, work: &ModelWork, message: String) -> Outcome {
@@ -264,8 +266,7 @@
     /// Takes the prompt out of the backlog if no first output did.
     fn drop(&mut self) {
         if self.is_prefilling {
-            let mut state = self.shared.lock();
-            state.prefill_tokens = state.prefill_tokens.saturating_sub(self.missing_tokens);
+            self.shared.end_prefill(self.missing_tokens, None);
         }
     }
 }
--- a/crates/agent/src/shared/admission.rs
+++ b/crates/agent/src/shared/admission.rs
@@ -147,7 +147,7 @@
 
     fn standing_for(&self, now: MonoTime, blocks: &[BlockKey]) -> Standing {
         let hint = self.heat.hint(blocks, now);
-        let prefill_ms = self.speed.time_ms(self.prefill_tokens);
+        let prefill_ms = self.speed.time_ms(self.prefill.tokens());
         Standing {
             cached_blocks: self.residency.leading_blocks(blocks),
             wait_ms: self.queue.wait_ms().saturating_add(prefill_ms),
@@ -172,8 +172,16 @@
         self.heat.observe(&work.blocks, cost_us, now);
     }
 
+    /// Counts a started attempt as prefilling, and returns the tokens that it misses.
+    pub(super) fn begin_prefill(&mut self, run: &Run) -> u64 {
+        let Work::Model(work) = &run.work else { return 0 };
+        let missing_tokens = self.missing_tokens(work);
+        self.prefill.begin(missing_tokens);
+        missing_tokens
+    }
+
     /// Tokens of a prompt that the engine will have to compute.
-    pub(crate) fn missing_tokens(&self, work: &ModelWork) -> u64 {
+    fn missing_tokens(&self, work: &ModelWork) -> u64 {
         let cached = u64::from(self.residency.leading_blocks(&work.blocks));
         let block_tokens = u64::from(work.block_bytes).div_ceil(BYTES_PER_TOKEN);
         work.prompt_tokens.saturating_sub(cached * block_tokens)
--- a/crates/agent/src/shared/mod.rs
+++ b/crates/agent/src/shared/mod.rs
@@ -2,7 +2,7 @@
 
 mod admission;
 mod live;
-mod speed;
+mod prefill;
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -14,7 +14,7 @@
 use futures_util::FutureExt;
 use samphirespread_core::{prelude::*, time::Clock};
 use samphirespread_engine::{EngineClient, EngineClientConfig, api::LoadedWeights};
-use samphirespread_fairness::{Config as QueueConfig, DropCause, Queue, Ticket};
+use samphirespread_fairness::{Config as QueueConfig, DropCause, Popped, Queue, Ticket};
 use samphirespread_prefix::{Heat, HeatConfig, Residency};
 use samphirespread_settings::AgentSettings;
 use samphirespread_wire::message::{Hello, NotRun, NotRunReason, Reply, Run, Standing, Work};
@@ -29,7 +29,7 @@
     metrics::Metrics,
     model,
     service::{self, ServiceClient},
-    shared::speed::PrefillSpeed,
+    shared::prefill::{PrefillBacklog, PrefillRoom, PrefillSpeed},
 };
 
 /// Bytes of ended answers that are kept at most for resuming.
@@ -77,7 +77,7 @@
     pub(crate) residency: Residency,
     pub(crate) heat: Heat,
     pub(crate) speed: PrefillSpeed,
-    pub(crate) prefill_tokens: u64,
+    pub(crate) prefill: PrefillBacklog,
     pub(crate) engine: EngineLife,
     /// The weights that the engine reported last.
     pub(crate) loaded: Option<LoadedWeights>,
@@ -122,7 +122,7 @@
             residency: Residency::new(),
             heat: Heat::new(HeatConfig::default()),
             speed: PrefillSpeed::default(),
-            prefill_tokens: 0,
+            prefill: PrefillBacklog::default(),
             engine: EngineLife::new(),
             loaded: None,
             ordered: None,
@@ -165,18 +165,18 @@
     pub(crate) fn pump(self: &Arc<Self>) {
         let now = self.clock.now();
         let mut state = self.lock();
-        while state.engine.may_start() {
-            let Some(popped) = state.queue.pop(now) else { break };
+        while let Some(popped) = state.pop(now) {
             let id = popped.item;
             let waiting = state.waiting.remove(&id).expect("a queued attempt waits");
             state.attempts.start(id);
+            let missing_tokens = state.begin_prefill(&waiting.run);
             self.metrics.observe_wait(popped.waited_us);
             let shared = Arc::clone(self);
             self.tasks.spawn(async move {
                 let Waiting { run, ticket, live } = waiting;
                 // A fault in one attempt must not keep its slot and its followers.
-                let attempt = AssertUnwindSafe(run_attempt(&shared, &run, &live)).catch_unwind();
-                let outcome = attempt.await.unwrap_or_else(|_| Outcome::Ended {
+                let attempt = AssertUnwindSafe(run_attempt(&shared, &run, missing_tokens, &live));
+                let outcome = attempt.catch_unwind().await.unwrap_or_else(|_| Outcome::Ended {
                     reply: failed("the agent failed within the attempt"),
                     tokens: 0,
                 });
@@ -258,6 +258,18 @@
         Reply::NotRun(NotRun { reason, retry_after_ms, standing, generation })
     }
 
+    /// An attempt has its first output, or will have none.
+    pub(crate) fn end_prefill(self: &Arc<Self>, missing_tokens: u64, first_token_us: Option<u64>) {
+        {
+            let mut state = self.lock();
+            state.prefill.end(missing_tokens);
+            if let Some(us) = first_token_us {
+                state.speed.observe(missing_tokens, us);
+            }
+        }
+        self.pump();
+    }
+
     /// Notes that the backend server may have begun to run the attempt.
     pub(crate) fn begin(&self, id: AttemptId) {
         self.lock().attempts.begin(id);
@@ -354,6 +366,18 @@
 }
 
 impl State {
+    /// The attempt to start now, if any.
+    fn pop(&mut self, now: MonoTime) -> Option<Popped<AttemptId>> {
+        if !self.engine.may_start() {
+            return None;
+        }
+        match self.prefill.room(self.speed) {
+            PrefillRoom::Needed => self.queue.pop(now),
+            PrefillRoom::Ahead => self.queue.pop_within_share(now),
+            PrefillRoom::None => None,
+        }
+    }
+
     /// Bounds the bytes of ended answers, oldest first.
     fn keep(&mut self, live: &Live) {
         let bytes = live.bytes();
@@ -378,9 +402,9 @@
     }
 }
 
-async fn run_attempt(shared: &Arc<Shared>, run: &Run, live: &Live) -> Outcome {
+async fn run_attempt(shared: &Arc<Shared>, run: &Run, missing_tokens: u64, live: &Live) -> Outcome {
     match &run.work {
-        Work::Model(work) => model::run(shared, run, work, live).await,
+        Work::Model(work) => model::run(shared, run, work, missing_tokens, live).await,
         Work::Service(work) => service::run(shared, work, live).await,
     }
 }
--- a/crates/agent/tests/model.rs
+++ b/crates/agent/tests/model.rs
@@ -274,3 +274,52 @@
 
     until(async || engine.totals().cancelled == 1).await;
 }
+
+#[tokio::test]
+async fn priority_orders_waiting_work_and_reaches_the_engine() {
+    let engine = slow_engine().await;
+    let agent = TestAgent::start("model", engine.address(), "[queue]\nconcurrency = 1\n").await;
+    let connection = agent.connect().await;
+    let mut first = open_run(&connection, &model_run(1, PROMPT, 20)).await;
+    read_lines(&mut first, 1).await;
+    let mut waiting = Vec::new();
+    for (serial, priority) in [(2, 100), (3, 0)] {
+        let mut run = model_run(serial, PROMPT, 1);
+        run.priority = priority;
+        let mut replies = open_run(&connection, &run).await;
+        replies.next().await.unwrap();
+        waiting.push(replies);
+    }
+
+    for replies in &mut waiting {
+        read_answer(replies).await;
+    }
+
+    let streams = engine.record().streams;
+    let priorities: Vec<u8> = streams.iter().map(|stream| stream.priority).collect();
+    assert_eq!(priorities, [0, 0, 100], "the urgent one passes the one that came before it");
+}
+
+#[tokio::test]
+async fn a_flood_of_one_team_leaves_room_for_another() {
+    let engine = slow_engine().await;
+    let more = "[queue]\nconcurrency = 1\nmax_requests = 4\n";
+    let agent = TestAgent::start("model", engine.address(), more).await;
+    let connection = agent.connect().await;
+    let mut flood = Vec::new();
+    for serial in 1..10 {
+        flood.push(open_run(&connection, &model_run(serial, PROMPT, 20)).await);
+    }
+    let mut other = model_run(100, PROMPT, 1);
+    other.team = TeamName::new("quiet");
+
+    let answer = read_answer(&mut open_run(&connection, &other).await).await;
+    let mut not_run = 0;
+    for replies in &mut flood {
+        not_run += usize::from(matches!(read_answer(replies).await.end, Some(Reply::NotRun(_))));
+    }
+
+    assert_eq!(answer.finished().length, 1);
+    assert!(not_run > 0);
+    assert_eq!(engine.record().streams.len(), 10 - not_run, "what was refused did not run");
+}
--- a/crates/fairness/src/queue/mod.rs
+++ b/crates/fairness/src/queue/mod.rs
@@ -158,7 +158,24 @@
     /// Panics if an invariant of the queue is broken.
     pub fn pop(&mut self, now: MonoTime) -> Option<Popped<T>> {
         self.collect_expired(now);
-        let id = self.next_team(now)?;
+        let id = self.next_team(now, |_| true)?;
+        Some(self.pop_from(now, id))
+    }
+
+    /// Like [`Queue::pop`], but passes over teams that ask for more than their share.
+    ///
+    /// For starting work ahead of need without filling the engine with one team's.
+    ///
+    /// # Panics
+    ///
+    /// Panics if an invariant of the queue is broken.
+    pub fn pop_within_share(&mut self, now: MonoTime) -> Option<Popped<T>> {
+        self.collect_expired(now);
+        let id = self.next_team(now, |team| !self.asks_too_much(now, team))?;
+        Some(self.pop_from(now, id))
+    }
+
+    fn pop_from(&mut self, now: MonoTime, id: TeamId) -> Popped<T> {
         let team = self.teams.get_mut(&id).expect("a ready team is known");
         let rank = *team.entries.first_key_value().expect("a ready team has entries").0;
         self.virtual_now = self.virtual_now.max(team.counter);
@@ -168,7 +185,7 @@
         self.charge(now, id, rank.ticket, entry.cost_tokens);
         assert!(self.running.len() <= self.config.concurrency, "slots are bounded");
         let waited_us = now.us_since(entry.pushed_at);
-        Some(Popped { ticket: rank.ticket, item: entry.item, waited_us })
+        Popped { ticket: rank.ticket, item: entry.item, waited_us }
     }
 
     /// Ends a running entry and corrects its charge to the tokens that it took.
--- a/crates/fairness/src/queue/slots.rs
+++ b/crates/fairness/src/queue/slots.rs
@@ -9,12 +9,16 @@
 
 impl<T> Queue<T> {
     /// The team with the least counter that may use a free slot.
-    pub(super) fn next_team(&self, now: MonoTime) -> Option<TeamId> {
+    pub(super) fn next_team(
+        &self,
+        now: MonoTime,
+        is_wanted: impl Fn(&Team<T>) -> bool,
+    ) -> Option<TeamId> {
         if self.running.len() >= self.config.concurrency {
             return None;
         }
         let mut waiting = self.ready.iter().map(|&(_, _, id)| id);
-        waiting.find(|&id| self.may_use_slot(now, id))
+        waiting.find(|id| is_wanted(&self.teams[id]) && self.may_use_slot(now, *id))
     }
 
     /// Whether a team may use a free slot: a team that asks for more than its share
@@ -36,7 +40,7 @@
     }
 
     /// Whether a team asks for a multiple of what the others ask for, relative to weights.
-    fn asks_too_much(&self, now: MonoTime, team: &Team<T>) -> bool {
+    pub(super) fn asks_too_much(&self, now: MonoTime, team: &Team<T>) -> bool {
         let window_ms = self.config.window_ms;
         let own = team.offered.tokens(now, window_ms);
         let others = (self.offered.tokens(now, window_ms) - own).max(0.0);
--- a/crates/fairness/tests/queue.rs
+++ b/crates/fairness/tests/queue.rs
@@ -206,6 +206,22 @@
     assert_eq!(wait_ms, 1_000, "nine wait and one runs, at 100 ms each");
 }
 
+#[test]
+fn work_ahead_of_need_passes_over_a_team_that_asks_too_much() {
+    let mut queue = Queue::new(Config::new(8));
+    let (loud, steady) = (team("loud"), team("steady"));
+    for item in 100..120 {
+        queue.push(at(0), &Admission::new(&loud, 10).cost_tokens(1_000), item).unwrap();
+    }
+    queue.push(at(1), &Admission::new(&steady, 10).cost_tokens(100), 1).unwrap();
+
+    let first = queue.pop_within_share(at(2)).map(|popped| popped.item);
+    let second = queue.pop_within_share(at(2)).map(|popped| popped.item);
+
+    assert_eq!((first, second), (Some(1), None));
+    assert!(queue.pop(at(2)).is_some());
+}
+
 #[test]
 fn a_cancelled_entry_never_runs() {
     let mut queue = Queue::new(Config::new(1));
