Bench one request at a time, and short prompts

Under a load average of 14 to 17 from other builds, a median over 1 ms could not be told from the wait for a processor; one request at a time tells the path alone.

--- a/crates/testkit/benches/relay.rs
+++ b/crates/testkit/benches/relay.rs
@@ -21,7 +21,12 @@
     if std::env::args().any(|argument| argument == "--test") {
         return;
     }
-    added_first_token().await;
+    let short = traffic(4_000).requests_per_s(200.0).prefix_blocks(0, 0).rest_tokens(768);
+    let long = traffic(4_000).requests_per_s(200.0).prefix_blocks(4, 2).rest_tokens(256);
+    let one = Pacing::Closed { concurrency: 1 };
+    added_first_token("768-token prompts, one at a time", &short, one, 0).await;
+    added_first_token("768-token prompts, 200 requests/s", &short, Pacing::Open, 500).await;
+    added_first_token("12,544-token prompts, 200 requests/s", &long, Pacing::Open, 500).await;
     saturation("requests", 20_000, 64, 1).await;
     saturation("tokens", 2_000, 128, 1_000).await;
 }
@@ -52,19 +57,22 @@
 }
 
 /// Every second request goes straight to the engine that the router's requests end at.
-async fn added_first_token() {
-    let engine = EngineConfig::new(DEFAULT_MODEL, DEFAULT_VERSION);
-    let fleet = fleet(engine.prefill_us_per_token(0).decode_step_us(500), 1).start().await;
+///
+/// One at a time, the engine's steps must take no time: they wait for a timer of a millisecond,
+/// and whether a request just meets it or just misses it would be all that is seen.
+async fn added_first_token(name: &str, traffic: &Traffic, pacing: Pacing, decode_step_us: u64) {
+    let engine = EngineConfig::new(DEFAULT_MODEL, DEFAULT_VERSION).prefill_us_per_token(0);
+    let fleet = fleet(engine.decode_step_us(decode_step_us), 1).start().await;
     let direct = EngineTarget::new(&fleet.agents[0].engine.address().to_string(), DEFAULT_VERSION);
-    let records = traffic(4_000).requests_per_s(200.0).prefix_blocks(4, 2).output_tokens(16);
-    let load = LoadRun::new(records.generate())
+    let load = LoadRun::new(traffic.clone().output_tokens(16).generate())
         .target("router", through_router(&fleet))
         .target("direct", Target::Engine(direct))
+        .pacing(pacing)
         .max_time(MAX_TIME);
 
     let report = load.run(progress).await.expect("the load runs");
 
-    print(&format!("added time to first token, 12,544-token prompts, 200 requests/s\n{report}"));
+    print(&format!("added time to first token, {name}\n{report}"));
     let [router, direct] = &report.targets[..] else { return };
     let added = |of: fn(&TargetReport) -> f64| of(router) - of(direct);
     print(&format!(
