--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -46,13 +46,14 @@
 use samphirespread_core::{prelude::*, time::Clock};
 use samphirespread_platform::{HttpPlatform, HttpPlatformConfig};
 use samphirespread_settings::RouterSettings;
+use samphirespread_tls::ServerTls;
 use samphirespread_wire::{Pool, Secret, WireConfig};
 use slog::{Logger, info, o, warn};
 use tokio::{net::TcpListener, task::JoinSet, time::timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    limits::Admission,
+    limits::{Admission, AdmissionParts},
     metrics::Metrics,
     peer::PeerHandler,
     serve::{HttpLimits, Plain},
@@ -80,6 +81,7 @@
     admin: TcpListener,
     addresses: Addresses,
     wire: WireConfig,
+    tls: Option<ServerTls>,
 }
 
 impl Router {
@@ -87,15 +89,17 @@
     ///
     /// # Errors
     ///
-    /// [`RouterError::Listen`] if a port can't be opened.
+    /// [`RouterError::Listen`] if a port can't be opened, [`RouterError::Tls`] if the certificate
+    /// towards callers can't be used.
     pub async fn bind(settings: RouterSettings, log: Logger) -> Result<Self, RouterError> {
+        let tls = load_tls(&settings)?;
         let (callers, callers_at) = listen(settings.listen.callers, "callers").await?;
         let (peers, peers_at) = listen(settings.listen.peers, "peers").await?;
         let (admin, admin_at) = listen(settings.listen.admin, "admin").await?;
         let wire = wire_config(&settings);
-        let shared = shared(settings, &log, &wire);
+        let shared = shared(settings, &log, &wire, peers_at);
         let addresses = Addresses { callers: callers_at, peers: peers_at, admin: admin_at };
-        Ok(Self { shared, callers, peers, admin, addresses, wire })
+        Ok(Self { shared, callers, peers, admin, addresses, wire, tls })
     }
 
     /// The ports that were opened.
@@ -107,7 +111,7 @@
     ///
     /// Returns whether every request had its answer before the drain timeout.
     pub async fn run(self, shutdown: CancellationToken) -> bool {
-        let Self { shared, callers, peers, admin, wire, .. } = self;
+        let Self { shared, callers, peers, admin, wire, tls, .. } = self;
         info!(shared.log, "router runs"; "callers" => %self.addresses.callers);
         let background = CancellationToken::new();
         let mut tasks = JoinSet::new();
@@ -119,14 +123,20 @@
         tasks.spawn(serve::serve(admin, Plain, operators, limits, background.clone()));
         let stop_callers = CancellationToken::new();
         let app = api::router(Arc::clone(&shared));
-        let serving = tokio::spawn(serve::serve(callers, Plain, app, limits, stop_callers.clone()));
+        let serving = match tls {
+            Some(tls) => {
+                tasks.spawn(tls.clone().reread(shared.log.clone(), background.clone()));
+                tokio::spawn(serve::serve(callers, tls, app, limits, stop_callers.clone()))
+            }
+            None => tokio::spawn(serve::serve(callers, Plain, app, limits, stop_callers.clone())),
+        };
 
         shutdown.cancelled().await;
         info!(shared.log, "router leaves"; "running" => shared.drain.running());
         shared.identity.set_leaving();
         shared.drain.leave();
         stop_callers.cancel();
-        let drained = drain(&shared, serving).await;
+        let (drained, ()) = tokio::join!(drain(&shared, serving), hand_shares_back(&shared));
         background.cancel();
         let _ =
             timeout(Duration::from_secs(1), async { while tasks.join_next().await.is_some() {} })
@@ -135,6 +145,12 @@
     }
 }
 
+fn load_tls(settings: &RouterSettings) -> Result<Option<ServerTls>, RouterError> {
+    let Some(tls) = settings.tls.clone() else { return Ok(None) };
+    let tls = ServerTls::load(tls).map_err(RouterError::Tls)?;
+    Ok(Some(tls.handshake_timeout_ms(settings.request.header_timeout_ms)))
+}
+
 async fn drain(shared: &Shared, serving: tokio::task::JoinHandle<()>) -> bool {
     let limit = Duration::from_millis(shared.settings.drain.timeout_ms);
     let finished = async {
@@ -149,6 +165,34 @@
     drained
 }
 
+/// Where others reach a port that is open on all addresses: the address that faces the platform.
+fn reachable_at(bound: SocketAddr, platform: SocketAddr) -> SocketAddr {
+    if !bound.ip().is_unspecified() {
+        return bound;
+    }
+    let any = if platform.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" };
+    // Connecting a datagram socket sends nothing.
+    let facing = std::net::UdpSocket::bind(any).and_then(|socket| {
+        socket.connect(platform)?;
+        socket.local_addr()
+    });
+    facing.map_or(bound, |facing| SocketAddr::new(facing.ip(), bound.port()))
+}
+
+/// Hands the shares to the other routers, unless the platform doesn't answer in time. Then the
+/// others take them over later.
+async fn hand_shares_back(shared: &Shared) {
+    let limits = &shared.settings.limits;
+    let limit_ms = limits.lump_lifetime_ms
+        + limits.clock_margin_ms
+        + limits.revoke_wait_ms / 2
+        + shared.settings.platform.timeout_ms;
+    let limit_ms = limit_ms.min(shared.settings.drain.timeout_ms);
+    if timeout(Duration::from_millis(limit_ms), shared.admission.leave()).await.is_err() {
+        warn!(shared.log, "shares of limits are not handed back");
+    }
+}
+
 async fn serve_peers(
     listener: TcpListener,
     wire: WireConfig,
@@ -186,18 +230,35 @@
     }
 }
 
-fn shared(settings: RouterSettings, log: &Logger, wire: &WireConfig) -> Arc<Shared> {
+fn shared(
+    settings: RouterSettings,
+    log: &Logger,
+    wire: &WireConfig,
+    peers_at: SocketAddr,
+) -> Arc<Shared> {
     let name = InstanceName::new(&settings.instance.name);
     let identity = Identity::new(name.clone(), samphirespread_core::time::fresh_incarnation());
     let platform = HttpPlatform::new(
         HttpPlatformConfig::new(settings.platform.address.to_string())
             .timeout_ms(settings.platform.timeout_ms),
     );
+    let pool = Pool::new(wire.clone(), identity.clone());
+    let clock = Clock::start();
+    let admission = Admission::start(
+        &settings,
+        AdmissionParts {
+            identity: identity.clone(),
+            address: reachable_at(peers_at, settings.platform.address).to_string(),
+            clock,
+            pool: pool.clone(),
+            platform: platform.clone(),
+        },
+    );
     Shared::new(Parts {
-        pool: Pool::new(wire.clone(), identity.clone()),
+        pool,
         log: log.new(o!("instance" => name.to_string())),
-        clock: Clock::start(),
-        admission: Admission::default(),
+        clock,
+        admission,
         metrics: Metrics::new(),
         settings,
         identity,
