--- a/crates/bench/src/slopes/config.rs
+++ b/crates/bench/src/slopes/config.rs
@@ -4,6 +4,7 @@
     ConfigBuilder, KeyBuilder, RouteBuilder, SetBuilder, Snapshot, TeamBuilder, key_digest,
 };
 use samphirespread_core::prelude::*;
+use samphirespread_membership::{LiveView, Roles};
 use samphirespread_platform::api::{LiveInstance, LiveList, LiveState, ObjectVersion, Role};
 use samphirespread_wire::{
     codec,
@@ -70,7 +71,7 @@
         let changed_bytes: usize = changed.iter().map(|text| text.len()).sum();
         let assemble = || Snapshot::assemble(after.head_text(), &changed, Some(&before));
         assemble().map_err(invalid)?;
-        let us = mean_us(20, || drop(assemble()))?;
+        let us = mean_us(|| drop(assemble()))?;
         let bytes = mean_bytes(8, || snapshot(teams, 20_000).ok())?;
         let head = after.head_text().len() as f64;
         let sections = after.head().sections.len();
@@ -114,7 +115,7 @@
     LiveList { version: ObjectVersion(1), instances: (0..instances).map(instance).collect() }
 }
 
-/// Size of a live list, and what reading it whole costs.
+/// Size of a live list and of one change of it, and what taking them in costs.
 ///
 /// # Errors
 ///
@@ -122,17 +123,49 @@
 pub fn live_list_rows() -> Result<Vec<Measured>, SlopeError> {
     let mut rows = Vec::new();
     for instances in [450, 1_800, 7_210] {
-        let text = serde_json::to_string(&live_list(instances)).map_err(invalid)?;
-        let us = mean_us(20, || drop(serde_json::from_str::<LiveList>(&text)))?;
-        let message = Reply::LiveList(Some(live_list(instances)));
-        let frame = codec::encode(0, &message).map_err(invalid)?;
-        let what = "whole live list to a peer, bytes by instances";
-        rows.push(Measured::new(what, instances, frame.len() as f64));
+        let list = live_list(instances);
+        let text = serde_json::to_string(&list).map_err(invalid)?;
+        let us = mean_us(|| drop(serde_json::from_str::<LiveList>(&text)))?;
         let bytes = mean_bytes(16, || live_list(instances))?;
         let length = text.len() as f64;
         rows.push(Measured::new("live list, bytes of JSON by instances", instances, length));
         rows.push(Measured::new("parsing the live list, us by instances", instances, us));
         rows.push(Measured::new("live list, resident bytes by instances", instances, bytes));
+        rows.extend(change_rows(&list)?);
+    }
+    Ok(rows)
+}
+
+/// One instance of the list starts to leave.
+fn change_rows(list: &LiveList) -> Result<Vec<Measured>, SlopeError> {
+    let instances = list.instances.len();
+    let mut later = list.clone();
+    later.version = ObjectVersion(2);
+    later.instances[0].state = LiveState::Leaving;
+    let (mut ahead, mut behind) = (LiveView::default(), LiveView::default());
+    ahead.adopt(list.clone());
+    behind.adopt(list.clone());
+    ahead.adopt(later);
+    let mut rows = Vec::new();
+    for (what, have) in [
+        ("whole live list to a peer, bytes by instances", ObjectVersion(0)),
+        ("one change of the live list to a peer, bytes by instances", ObjectVersion(1)),
+    ] {
+        let frame = codec::encode(0, &Reply::LiveList(ahead.since(have))).map_err(invalid)?;
+        rows.push(Measured::new(what, instances, frame.len() as f64));
+    }
+    if let Some(change) = ahead.since(ObjectVersion(1)) {
+        let us = mean_us(|| {
+            behind.clone().apply(&change);
+        })?;
+        rows.push(Measured::new(
+            "taking one change of the list in, us by instances",
+            instances,
+            us,
+        ));
     }
+    let own = &list.instances[0].name;
+    let us = mean_us(|| drop(Roles::of(list, own).peers_to_ask(1)))?;
+    rows.push(Measured::new("finding the peers to ask, us by instances", instances, us));
     Ok(rows)
 }
--- a/crates/bench/src/slopes/process.rs
+++ b/crates/bench/src/slopes/process.rs
@@ -6,6 +6,9 @@
 
 const PAGE_BYTES: u64 = 4_096;
 
+/// The processor time of a thread advances in steps of a few milliseconds.
+const MEASURED_NS: u64 = 400_000_000;
+
 /// Bytes of the process that are in memory.
 pub(super) fn resident_bytes() -> Result<u64, SlopeError> {
     let pages = number("/proc/self/statm", 1)?;
@@ -23,13 +26,17 @@
     number.ok_or_else(|| SlopeError::Process(std::io::Error::other(path.to_owned())))
 }
 
-/// Runs `work` `times` times and returns the mean processor time in microseconds.
-pub(super) fn mean_us(times: u32, mut work: impl FnMut()) -> Result<f64, SlopeError> {
+/// Repeats `work` for a while and returns its mean processor time in microseconds.
+pub(super) fn mean_us(mut work: impl FnMut()) -> Result<f64, SlopeError> {
     let before = processor_ns()?;
-    for _ in 0..times {
+    let mut used_ns = 0;
+    let mut times = 0_u32;
+    while used_ns < MEASURED_NS {
         work();
+        times += 1;
+        used_ns = processor_ns()? - before;
     }
-    Ok((processor_ns()? - before) as f64 / 1_000.0 / f64::from(times))
+    Ok(used_ns as f64 / 1_000.0 / f64::from(times))
 }
 
 /// Builds `copies` values and returns the mean growth of the resident set.
--- a/crates/bench/src/slopes/wire.rs
+++ b/crates/bench/src/slopes/wire.rs
@@ -28,7 +28,7 @@
     process::{processor_ns, resident_bytes},
 };
 
-const CALLS: u64 = 2_000;
+const CALLS: u64 = 10_000;
 const SETTLE: Duration = Duration::from_millis(10);
 
 /// A byte stream that counts what passes both ways.
@@ -158,6 +158,7 @@
 }
 
 async fn measure(rows: &mut Vec<Measured>) -> Result<(), SlopeError> {
+    connections(rows).await?;
     let pair = connect().await?;
     rows.push(Measured::new("setting up a connection, bytes", 1, pair.setup_bytes as f64));
     for blocks in [0, 16, 64, 512] {
@@ -182,7 +183,7 @@
         rows.push(Measured::new("heartbeats, bytes both ways by number", beats, sent as f64));
     }
     pair.stop.cancel();
-    connections(rows).await
+    Ok(())
 }
 
 /// Memory of idle connections, both ends together.
@@ -206,7 +207,8 @@
     Ok(())
 }
 
-/// Bytes and processor time of lookups and heartbeats.
+/// Bytes and processor time of lookups and heartbeats, and memory of connections. Memory counts only
+/// if nothing was freed before.
 ///
 /// # Errors
 ///
