Let the test fleet wait until shares have moved to every router

Cause: a_retry_with_its_key_through_another_router_does_not_run_again failed once in two runs with 429: the second router had no share yet and its only lender had been killed. That is the fraction that a crash costs until it is revoked, not what the test is about. Ruled out: readiness that waits for an own share (a router that starts during an outage could never be ready although it can borrow).

--- a/crates/testkit/src/fleet/mod.rs
+++ b/crates/testkit/src/fleet/mod.rs
@@ -229,7 +229,8 @@
         self.enter_agent(index);
     }
 
-    /// Waits until every daemon says that it is ready, and every router knows all instances.
+    /// Waits until every daemon says that it is ready, and every router knows all instances and
+    /// holds its shares of the teams' rates.
     ///
     /// # Panics
     ///
@@ -239,6 +240,7 @@
         for router in &self.routers {
             wait_ready(&router.daemon).await;
             wait_for_live_list(&router.daemon, live.version).await;
+            wait_for_shares(&router.daemon).await;
         }
         for agent in &self.agents {
             wait_ready(&agent.daemon).await;
@@ -344,16 +346,30 @@
 }
 
 async fn wait_for_live_list(router: &Daemon, version: ObjectVersion) {
+    let knows = |dump: &Value| dump["live_list_version"].as_u64() >= Some(version.0);
+    wait_for_dump(router, "doesn't learn the live list", knows).await;
+}
+
+// Shares move to a router that comes; until then it borrows from those that were there.
+async fn wait_for_shares(router: &Daemon) {
+    let settled = |dump: &Value| {
+        let slots = dump["limits"]["slots"].as_array();
+        slots.is_some_and(|slots| slots.iter().all(|slot| slot["parts"].as_u64() > Some(0)))
+    };
+    wait_for_dump(router, "doesn't get its shares", settled).await;
+}
+
+async fn wait_for_dump(router: &Daemon, fault: &str, is_met: impl Fn(&Value) -> bool) {
     let operator = Caller::new(&router.admin().to_string());
     for _ in 0..READY_POLLS {
         let answer = operator.call(Method::GET, "/dump", "").await.expect("the daemon answers");
-        let dump: Value = serde_json::from_str(&answer.text()).expect("a dump is JSON");
-        if dump["live_list_version"].as_u64() >= Some(version.0) {
+        let dump = serde_json::from_str(&answer.text()).expect("a dump is JSON");
+        if is_met(&dump) {
             return;
         }
         tokio::time::sleep(READY_POLL).await;
     }
-    panic!("a router doesn't learn the live list; its log:\n{}", router.log());
+    panic!("a router {fault}; its log:\n{}", router.log());
 }
 
 /// A folder for settings and logs. It goes when dropped, unless the test failed.
--- a/crates/testkit/tests/limits.rs
+++ b/crates/testkit/tests/limits.rs
@@ -8,7 +8,7 @@
     time::{Duration, Instant},
 };
 
-use samphirespread_standin::platform::Outage;
+use samphirespread_standin::{caller::CompletionAnswer, platform::Outage};
 use samphirespread_testkit::{Fleet, FleetBuilder, Signal, steps::request};
 use serde_json::Value;
 use tokio::{task::JoinSet, time::sleep};
@@ -47,7 +47,7 @@
             let ask = request(&format!("Classify receipt {index}."), OUTPUT_TOKENS);
             while !served.stop.load(Ordering::Relaxed) {
                 let answer = caller.complete(&ask).await;
-                if answer.as_ref().is_ok_and(|answer| answer.is_complete()) {
+                if answer.as_ref().is_ok_and(CompletionAnswer::is_complete) {
                     served.tokens.fetch_add(u64::from(OUTPUT_TOKENS), Ordering::Relaxed);
                     continue;
                 }
