--- a/crates/prefix/src/placement/home.rs
+++ b/crates/prefix/src/placement/home.rs
@@ -20,7 +20,7 @@
 
 impl Default for HomeConfig {
     fn default() -> Self {
-        Self { max_blocks: 65_536, half_life_ms: 30_000, candidates: MAX_CANDIDATES }
+        Self { max_blocks: 65_536, half_life_ms: 120_000, candidates: MAX_CANDIDATES }
     }
 }
 
