--- a/crates/bench/src/replay/deployment.rs
+++ b/crates/bench/src/replay/deployment.rs
@@ -128,6 +128,8 @@
     Calm,
     /// One engine crashes and comes back empty.
     EngineCrash,
+    /// All engines of one failure domain crash and come back empty.
+    DomainCrash,
     /// The most used documents of each team give way to new ones.
     HotPrefixShift,
     /// All documents give way to new ones.
@@ -139,9 +141,10 @@
 }
 
 /// All scenarios.
-pub const SCENARIOS: [Scenario; 6] = [
+pub const SCENARIOS: [Scenario; 7] = [
     Scenario::Calm,
     Scenario::EngineCrash,
+    Scenario::DomainCrash,
     Scenario::HotPrefixShift,
     Scenario::WholeShift,
     Scenario::LostEvents,
@@ -157,6 +160,7 @@
         match self {
             Self::Calm => "calm",
             Self::EngineCrash => "engine_crash",
+            Self::DomainCrash => "domain_crash",
             Self::HotPrefixShift => "hot_prefix_shift",
             Self::WholeShift => "whole_shift",
             Self::LostEvents => "lost_events",
--- a/crates/bench/src/replay/flow.rs
+++ b/crates/bench/src/replay/flow.rs
@@ -337,15 +337,20 @@
             Scenario::RouterRestart => {
                 self.routers = (0..self.routers.len()).map(|_| self.new_router()).collect();
             }
-            Scenario::EngineCrash => {
-                const CRASHED: usize = 0;
-                for (request, attempt) in self.workers[CRASHED].crash() {
-                    let delay_us = self.delay_us(request, CRASHED);
-                    self.after(delay_us, Event::Lost { request, attempt });
-                }
-                let restart_us = self.replay.deployment.engine.restart_us;
-                self.after(restart_us, Event::EngineUp(CRASHED));
+            Scenario::EngineCrash => self.crash(0),
+            Scenario::DomainCrash => {
+                let domains = self.replay.deployment.failure_domains;
+                (0..self.workers.len()).step_by(domains).for_each(|worker| self.crash(worker));
             }
         }
     }
+
+    fn crash(&mut self, worker: usize) {
+        for (request, attempt) in self.workers[worker].crash() {
+            let delay_us = self.delay_us(request, worker);
+            self.after(delay_us, Event::Lost { request, attempt });
+        }
+        let restart_us = self.replay.deployment.engine.restart_us;
+        self.after(restart_us, Event::EngineUp(worker));
+    }
 }
