--- a/crates/prefix/src/placement/home.rs
+++ b/crates/prefix/src/placement/home.rs
@@ -10,9 +10,6 @@
 /// An odd constant that makes another key for each group of homes of one prefix.
 const GROUP_STEP: u64 = 0x9e37_79b9_7f4a_7c15;
 
-/// Workers that are looked at for each home, to find one in another failure domain.
-const LOOK_AHEAD: usize = 4;
-
 /// Bounds of [`HomePlacement`].
 #[derive(Clone, Copy, Debug)]
 pub struct HomeConfig {
@@ -72,7 +69,7 @@
         &self.hot
     }
 
-    /// Adds the first homes of a level, each in another failure domain where possible. A level that needs more homes than there are candidates
+    /// Adds the first homes of a level. A level that needs more homes than there are candidates
     /// has several groups of them, of which one is drawn.
     fn add_homes<R: Rng + ?Sized>(
         &self,
@@ -86,18 +83,7 @@
         let group = if groups > 1 { rng.random_range(0..groups) } else { 0 };
         let key = BlockKey(level.key.0 ^ group.wrapping_mul(GROUP_STEP));
         let takes_work = |place: &usize| workers.get(*place).takes_work;
-        let mut nearest = workers.ring().homes(key).filter(takes_work);
-        let mut passed_over = Candidates::default();
-        let limit = candidates.len() + wanted;
-        for place in nearest.by_ref().take(wanted * LOOK_AHEAD) {
-            if candidates.len() == limit {
-                return;
-            }
-            let domain = &workers.get(place).failure_domain;
-            let is_used = candidates.iter().any(|used| workers.get(used).failure_domain == *domain);
-            if is_used { passed_over.push(place) } else { candidates.push(place) }
-        }
-        for place in passed_over.iter().take(limit - candidates.len().min(limit)) {
+        for place in workers.ring().homes(key).filter(takes_work).take(wanted) {
             candidates.push(place);
         }
     }
