--- a/crates/bench/src/replay/flow.rs
+++ b/crates/bench/src/replay/flow.rs
@@ -117,6 +117,9 @@
     ) {
         let Some(worker) = self.requests[request].candidates.iter().nth(slot) else { return };
         self.report(request, worker, standing, hint);
+        if !standing.takes_work {
+            self.avoid(request, worker);
+        }
         let state = &mut self.requests[request];
         if state.attempt != attempt || state.answers == usize::MAX {
             return;
@@ -202,23 +205,28 @@
         hint: Hint,
     ) {
         self.report(request, worker, standing, hint);
-        let router = self.requests[request].router;
         if self.requests[request].attempt != attempt {
             return;
         }
         if !standing.takes_work {
-            self.routers[router].avoid_until_us[worker] = self.now_us + AVOID_DOWN_US;
-            self.routers[router].workers.set_takes_work(worker, false);
+            self.avoid(request, worker);
             self.requests[request].attempt += 1;
             return self.place(request);
         }
         let now = self.now();
-        let view = &self.routers[router].workers;
+        let view = &self.routers[self.requests[request].router].workers;
         let others = self.requests[request].candidates.iter().filter(|other| *other != worker);
         let next = others.min_by_key(|other| view.get(*other).expected_wait_ms(now));
         self.send(request, next.unwrap_or(worker), false, None);
     }
 
+    /// Leaves out a worker that takes no work for a while.
+    fn avoid(&mut self, request: usize, worker: usize) {
+        let router = &mut self.routers[self.requests[request].router];
+        router.avoid_until_us[worker] = self.now_us + AVOID_DOWN_US;
+        router.workers.set_takes_work(worker, false);
+    }
+
     /// Takes in what an answer says about its worker and its prefix.
     pub(crate) fn report(&mut self, request: usize, worker: usize, standing: Standing, hint: Hint) {
         let now = self.now();
