Tell agents of each configuration

No router ever sent PushConfig: agents stayed at generation 0 for good, so their test for stale routers and their word on weights never took effect, and apply reported 1 of 3 instances for ever (seen with samphirespread dev).

Each agent has two tellers by rendezvous hash among the routers of its own failure domain, filled up from elsewhere where the domain has fewer.

The first choice, tellers from the own domain alone, failed the test of a dead router: with three routers in three domains an agent's only teller can be the dead one.

Not solved here: an agent gets all sections, keys included, though it needs routes and sets only. At the target size that is more than the control budget allows (26 agents to a router). To be measured for docs/CAPACITY.md.

--- a/crates/cli/tests/operate/main.rs
+++ b/crates/cli/tests/operate/main.rs
@@ -279,12 +279,22 @@
     let answer = support::send(&curl).await;
     let status = dev.next_line().await;
     let arguments: Vec<&str> = status.split(' ').skip(1).collect();
+    let platform = arguments[2];
+    let applied = run(&["apply", "--platform", platform, "--submission", "dev"]).await;
     let status = run(&arguments).await;
     let code = dev.terminate().await;
 
     assert!(answer.contains("data: [DONE]"), "{answer}");
     assert!(answer.matches("\"content\":").count() >= 16, "{answer}");
-    assert!(status.stdout.starts_with("platform generation 1\n"), "{}", status.stdout);
-    assert!(status.stdout.contains("of 3 instances"), "{}", status.stdout);
+    assert_eq!(applied.stdout, "generation 1\nin force on 3 of 3 instances\n");
+    assert_eq!((applied.code, status.code), (0, 0));
+    expect![[r#"
+        platform generation 1
+        agent-0 agent live generation 1
+        agent-1 agent live generation 1
+        router-0 router live generation 1
+        in force on 3 of 3 instances
+    "#]]
+    .assert_eq(&status.stdout);
     assert_eq!(code, Some(0));
 }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -55,6 +55,6 @@
 pub use crate::{
     contact::Contact,
     incarnations::Incarnations,
-    roles::{MAX_ASKED, Roles, WATCHERS_PER_DOMAIN},
+    roles::{MAX_ASKED, Roles, TELLERS_PER_AGENT, WATCHERS_PER_DOMAIN},
     view::{LiveChange, LiveView, MAX_CHANGES},
 };
--- a/crates/membership/src/roles.rs
+++ b/crates/membership/src/roles.rs
@@ -1,5 +1,7 @@
 //! Who watches the platform, and whom a router asks.
 
+use std::collections::HashMap;
+
 use samphirespread_core::prelude::*;
 use samphirespread_platform::api::{LiveInstance, LiveList, LiveState, Role};
 
@@ -10,11 +12,15 @@
 /// Peers at most that a router asks in one round.
 pub const MAX_ASKED: usize = 3;
 
+/// Routers that tell an agent of each configuration. Two, so that the death of one delays nothing.
+pub const TELLERS_PER_AGENT: usize = 2;
+
 /// The roles that follow from one live list, as one router sees them.
 #[derive(Clone, Debug)]
 pub struct Roles<'a> {
     own: InstanceName,
     routers: Vec<&'a LiveInstance>,
+    agents: Vec<&'a LiveInstance>,
 }
 
 impl<'a> Roles<'a> {
@@ -24,7 +30,8 @@
             instance.role == Role::Router && instance.state == LiveState::Live
         };
         let routers = list.instances.iter().filter(is_router).collect();
-        Self { own: own.clone(), routers }
+        let agents = list.instances.iter().filter(|instance| instance.role == Role::Agent);
+        Self { own: own.clone(), routers, agents: agents.collect() }
     }
 
     /// The routers that read the platform for a failure domain, first in rank first.
@@ -74,6 +81,45 @@
         peers
     }
 
+    /// The agents that this router tells of each configuration, leaving ones too.
+    ///
+    /// Each agent has two tellers, from its own failure domain as far as there are routers there. A
+    /// router that is not listed tells nobody. The time taken grows with the routers times the agents
+    /// of the own failure domain and of those with too few routers.
+    pub fn agents_to_tell(&self) -> Vec<&'a LiveInstance> {
+        if !self.routers.iter().any(|router| router.name == self.own) {
+            return Vec::new();
+        }
+        let mut domains: HashMap<&str, Vec<&LiveInstance>> = HashMap::new();
+        for router in &self.routers {
+            domains.entry(router.failure_domain.as_str()).or_default().push(router);
+        }
+        let tells = |agent: &&LiveInstance| {
+            let near = domains.get(agent.failure_domain.as_str()).map_or(&[][..], Vec::as_slice);
+            self.is_teller(agent, near)
+        };
+        self.agents.iter().copied().filter(tells).collect()
+    }
+
+    fn is_teller(&self, agent: &LiveInstance, near: &[&LiveInstance]) -> bool {
+        let is_near = near.iter().any(|router| router.name == self.own);
+        if near.len() >= TELLERS_PER_AGENT {
+            return is_near && self.is_among(agent, near, TELLERS_PER_AGENT);
+        }
+        let far: Vec<&LiveInstance> = self
+            .routers
+            .iter()
+            .copied()
+            .filter(|router| router.failure_domain != agent.failure_domain)
+            .collect();
+        is_near || self.is_among(agent, &far, TELLERS_PER_AGENT - near.len())
+    }
+
+    fn is_among(&self, agent: &LiveInstance, routers: &[&LiveInstance], count: usize) -> bool {
+        let order = rendezvous::rank(agent.name.as_str().as_bytes(), routers, |r| r.name.as_str());
+        order.into_iter().take(count).any(|place| routers[place].name == self.own)
+    }
+
     fn add(&self, peers: &mut Vec<&'a LiveInstance>, more: Vec<&'a LiveInstance>) {
         for router in more {
             let known = peers.iter().any(|peer| peer.name == router.name);
--- a/crates/membership/tests/roles.rs
+++ b/crates/membership/tests/roles.rs
@@ -1,9 +1,11 @@
 //! Who watches and who is asked, in small and large fleets.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 
 use samphirespread_core::prelude::*;
-use samphirespread_membership::{Contact, MAX_ASKED, Roles, WATCHERS_PER_DOMAIN};
+use samphirespread_membership::{
+    Contact, MAX_ASKED, Roles, TELLERS_PER_AGENT, WATCHERS_PER_DOMAIN,
+};
 use samphirespread_platform::api::{LiveInstance, LiveList, LiveState, ObjectVersion, Role};
 
 fn fleet(routers: usize, domains: usize) -> LiveList {
@@ -113,3 +115,88 @@
     assert!(minority);
     assert!(!contact.is_stale(MonoTime::from_ms(3_000)));
 }
+
+/// A fleet with agents in domains of their own choice.
+fn with_agents(routers: usize, agents: usize, domains: usize) -> LiveList {
+    let mut list = fleet(routers, domains);
+    let agent = |number: usize| LiveInstance {
+        name: InstanceName::new(format!("a{number}")),
+        role: Role::Agent,
+        failure_domain: format!("d{}", number % domains),
+        ..list.instances[0].clone()
+    };
+    let agents: Vec<LiveInstance> = (0..agents).map(agent).collect();
+    list.instances.extend(agents);
+    list
+}
+
+/// The names of the routers that tell each agent.
+fn tellers(list: &LiveList) -> HashMap<&str, Vec<&LiveInstance>> {
+    let mut tellers: HashMap<&str, Vec<&LiveInstance>> = HashMap::new();
+    for router in list.instances.iter().filter(|instance| instance.role == Role::Router) {
+        for agent in roles(list, router).agents_to_tell() {
+            tellers.entry(agent.name.as_str()).or_default().push(router);
+        }
+    }
+    tellers
+}
+
+#[test]
+fn each_agent_has_two_tellers_from_its_own_domain() {
+    let list = with_agents(60, 400, 14);
+
+    let tellers = tellers(&list);
+
+    assert_eq!(tellers.len(), 400);
+    for agent in list.instances.iter().filter(|instance| instance.role == Role::Agent) {
+        let told_by = &tellers[agent.name.as_str()];
+        assert_eq!(told_by.len(), TELLERS_PER_AGENT);
+        assert!(told_by.iter().all(|router| router.failure_domain == agent.failure_domain));
+    }
+}
+
+#[test]
+fn telling_is_spread_over_the_routers() {
+    let list = with_agents(510, 6_700, 14);
+    let mean = 6_700 * TELLERS_PER_AGENT / 510;
+    let routers = list.instances.iter().filter(|instance| instance.role == Role::Router);
+
+    let counts = routers.take(28).map(|own| roles(&list, own).agents_to_tell().len());
+    let most = counts.max();
+
+    assert!(most <= Some(3 * mean), "{most:?}");
+}
+
+#[test]
+fn agents_without_a_router_nearby_are_told_from_elsewhere() {
+    let mut list = with_agents(3, 4, 2);
+    list.instances
+        .retain(|instance| instance.role == Role::Agent || instance.failure_domain == "d0");
+
+    let tellers = tellers(&list);
+
+    assert_eq!(tellers.len(), 4);
+    assert!(tellers.values().all(|told_by| told_by.len() == 2));
+}
+
+#[test]
+fn a_lone_router_of_a_domain_is_helped_from_elsewhere() {
+    let list = with_agents(3, 6, 3);
+
+    let tellers = tellers(&list);
+
+    for agent in list.instances.iter().filter(|instance| instance.role == Role::Agent) {
+        let told_by = &tellers[agent.name.as_str()];
+        let near = told_by.iter().filter(|r| r.failure_domain == agent.failure_domain).count();
+        assert_eq!((told_by.len(), near), (2, 1));
+    }
+}
+
+#[test]
+fn a_router_that_is_not_listed_tells_nobody() {
+    let list = with_agents(3, 4, 2);
+
+    let roles = Roles::of(&list, &InstanceName::new("unlisted"));
+
+    assert!(roles.agents_to_tell().is_empty());
+}
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -34,6 +34,8 @@
     contact: Mutex<Contact>,
     // Wakes the task that asks peers and the platform for a newer configuration.
     pub(crate) config_news: Notify,
+    /// Rung when a configuration or a live list came into force, for telling agents.
+    pub(crate) agent_news: Notify,
     pub(crate) trace: TraceFeed,
     next_serial: AtomicU64,
 }
@@ -69,6 +71,7 @@
             drain: Drain::default(),
             contact: Mutex::new(contact),
             config_news: Notify::new(),
+            agent_news: Notify::new(),
             trace: TraceFeed::default(),
             next_serial: AtomicU64::new(0),
         })
--- a/crates/router/src/sync/mod.rs
+++ b/crates/router/src/sync/mod.rs
@@ -1,5 +1,6 @@
 //! Keeps configuration and live list up to date, from the platform and from peers.
 
+mod agents;
 mod peers;
 mod platform;
 mod store;
@@ -21,6 +22,7 @@
     spawn_until(tasks, shutdown, platform::follow_head(Arc::clone(shared)));
     spawn_until(tasks, shutdown, platform::follow_live_list(Arc::clone(shared)));
     spawn_until(tasks, shutdown, peers::follow(Arc::clone(shared)));
+    spawn_until(tasks, shutdown, agents::tell(Arc::clone(shared)));
 }
 
 fn spawn_until<F>(tasks: &mut JoinSet<()>, shutdown: &CancellationToken, work: F)
--- a/crates/router/src/sync/store.rs
+++ b/crates/router/src/sync/store.rs
@@ -31,6 +31,7 @@
     shared.metrics.generation.set(i64::try_from(generation.0).unwrap_or(i64::MAX));
     shared.placer.update(&now_in_force, &shared.live_list());
     shared.admission.config_changed(&now_in_force);
+    shared.agent_news.notify_one();
     info!(shared.log, "configuration in force"; "generation" => generation.0);
     Ok(())
 }
@@ -54,6 +55,7 @@
     shared.pool.retain(|address| listed.instances.iter().any(|i| i.address == address));
     shared.placer.update(&shared.snapshot.load(), &listed);
     shared.admission.live_changed(&listed);
+    shared.agent_news.notify_one();
     info!(shared.log, "live list changed"; "version" => listed.version.0,
         "instances" => listed.instances.len());
 }
