Tell agents only the generation and their weights

Cause: docs/CAPACITY.md finds 68 KB/s at a router for telling agents whole configurations, keys included, of which an agent used the generation and one model version. Ruled out: leaving out only the sections of keys (the head's hashes remain most of the bytes). Change: TellAgent carries generation, model and version; an agent holds no configuration and so no key digests. Also: a router is ready only when each team can be admitted.

--- a/crates/agent/src/handler/mod.rs
+++ b/crates/agent/src/handler/mod.rs
@@ -5,12 +5,11 @@
 use samphirespread_core::prelude::*;
 use samphirespread_wire::{
     Handler, ReplySender,
-    message::{Reply, Request, Run},
+    message::{AgentConfig, Reply, Request, Run},
 };
 use slog::{debug, info};
 
 use crate::{
-    configuration::Told,
     journal::Read,
     shared::{Live, Shared, failed},
 };
@@ -35,15 +34,11 @@
                 self.shared.cancel(id);
                 Reply::Done
             }
-            Request::FetchConfig(asked) => {
-                Reply::Config(self.shared.lock().configuration.answer(&asked))
-            }
-            Request::PushConfig(snapshot) => {
-                let told =
-                    self.shared.lock().configuration.tell(self.shared.clock.now(), &snapshot);
-                self.told(&told, snapshot.generation)
+            Request::TellAgent(config) => {
+                self.tell(&config);
+                Reply::Done
             }
-            Request::FetchLiveList(_) | Request::Limits(_) => {
+            Request::FetchConfig(_) | Request::FetchLiveList(_) | Request::Limits(_) => {
                 Reply::Refused { message: "an agent doesn't answer this".to_owned() }
             }
         };
@@ -111,19 +106,12 @@
         }
     }
 
-    fn told(&self, told: &Told, generation: Generation) -> Reply {
-        match told {
-            Told::Adopted => {
-                info!(self.shared.log, "configuration in force"; "generation" => generation.0);
-                self.shared.metrics.set_generation(generation);
-                Reply::Done
-            }
-            Told::NotNewer => Reply::Done,
-            Told::Incomplete(missing) => {
-                Reply::Refused { message: format!("{} sections are missing", missing.len()) }
-            }
-            Told::Malformed { message } => Reply::Refused { message: message.clone() },
+    fn tell(&self, config: &AgentConfig) {
+        if !self.shared.lock().configuration.tell(self.shared.clock.now(), config) {
+            return;
         }
+        info!(self.shared.log, "configuration in force"; "generation" => config.generation.0);
+        self.shared.metrics.set_generation(config.generation);
     }
 }
 
--- a/crates/agent/src/shared/admission.rs
+++ b/crates/agent/src/shared/admission.rs
@@ -95,7 +95,7 @@
             Some(NotRunReason::Leaving)
         } else if !state.engine.takes_work()
             || kind != self.settings.backend.kind
-            || state.is_draining_from(&run.work, &self.settings.backend.set)
+            || state.is_draining_from(&run.work)
         {
             Some(NotRunReason::EngineDown)
         } else if state.configuration.is_stale(now, run.generation, grace_ms) {
@@ -157,9 +157,9 @@
     }
 
     /// Whether the engine will have other weights by the time that the work could start.
-    fn is_draining_from(&self, work: &Work, set: &str) -> bool {
+    fn is_draining_from(&self, work: &Work) -> bool {
         let Work::Model(work) = work else { return false };
-        let wanted = self.configuration.weights_of(set);
+        let wanted = self.configuration.weights();
         self.engine.state() == EngineState::Draining
             && wanted.is_none_or(|wanted| wanted.version != work.version)
     }
--- a/crates/agent/src/weights/mod.rs
+++ b/crates/agent/src/weights/mod.rs
@@ -41,10 +41,10 @@
 /// The order that is due now, if any.
 fn next_order(shared: &Shared) -> Option<LoadWeights> {
     let state = shared.lock();
-    let wanted = state.weights_to_load(&shared.settings.backend.set)?;
+    let wanted = state.weights_to_load()?;
     let generation = state.configuration.generation();
     let delay_ms = rendezvous::score(&generation.0.to_le_bytes(), shared.name.as_str()) % SPREAD_MS;
-    if shared.clock.now() < state.configuration.adopted_at().plus_ms(delay_ms) {
+    if shared.clock.now() < state.configuration.weights_since().plus_ms(delay_ms) {
         return None;
     }
     let fence = FencingNumber(generation.0);
@@ -73,12 +73,12 @@
 
 impl State {
     /// The weights that the engine should load.
-    fn weights_to_load(&self, set: &str) -> Option<LoadedWeights> {
+    fn weights_to_load(&self) -> Option<LoadedWeights> {
         if self.engine.state() != EngineState::Up {
             return None;
         }
-        let wanted = self.configuration.weights_of(set)?;
-        (self.weights()? != &wanted).then_some(wanted)
+        let wanted = self.configuration.weights()?;
+        (self.weights()? != wanted).then(|| wanted.clone())
     }
 
     /// The weights that the engine serves, as far as is known. Its reports lag behind orders.
--- a/crates/bench/src/slopes/config.rs
+++ b/crates/bench/src/slopes/config.rs
@@ -8,7 +8,7 @@
 use samphirespread_platform::api::{LiveInstance, LiveList, LiveState, ObjectVersion, Role};
 use samphirespread_wire::{
     codec,
-    message::{ConfigSnapshot, FetchConfig, Reply, Request},
+    message::{AgentConfig, ConfigSnapshot, FetchConfig, Reply, Request, WantedWeights},
 };
 
 use super::{
@@ -76,11 +76,11 @@
         let head = after.head_text().len() as f64;
         let sections = after.head().sections.len();
         rows.push(Measured::new("sections, number by teams", teams, sections as f64));
-        let message = Request::PushConfig(ConfigSnapshot {
+        let message = Reply::Config(Some(ConfigSnapshot {
             generation: after.generation(),
             head: after.head_text().to_owned(),
             sections: after.sections().map(|(_, text)| text.to_owned()).collect(),
-        });
+        }));
         let frame = codec::encode(0, &message).map_err(invalid)?;
         let what = "whole configuration to a peer, bytes by teams";
         rows.push(Measured::new(what, teams, frame.len() as f64));
@@ -91,6 +91,16 @@
         let frame = codec::encode(0, &ask).map_err(invalid)?;
         let what = "asking a peer for a later configuration, bytes by teams";
         rows.push(Measured::new(what, teams, frame.len() as f64));
+        let tell = Request::TellAgent(AgentConfig {
+            generation: after.generation(),
+            weights: Some(WantedWeights {
+                model: ModelName::new("model-35"),
+                version: WeightsVersion::new("v1"),
+            }),
+        });
+        let frame = codec::encode(0, &tell).map_err(invalid)?;
+        let what = "telling an agent of a configuration, bytes by teams";
+        rows.push(Measured::new(what, teams, frame.len() as f64));
         rows.push(Measured::new("head, bytes by teams", teams, head));
         rows.push(Measured::new("all sections, bytes by teams", teams, whole as f64));
         let what = "changed sections of one change, bytes by teams";
--- a/crates/config/src/snapshot/mod.rs
+++ b/crates/config/src/snapshot/mod.rs
@@ -227,6 +227,17 @@
         }
     }
 
+    /// The model and version that the routes ask of a set, if they agree on one.
+    pub fn weights_of(&self, set: &SetName) -> Option<(&ModelName, &WeightsVersion)> {
+        let routes = self.config.routes.iter().filter(|route| route.sets.contains(set));
+        let mut wanted = routes.filter_map(|route| match &route.target {
+            RouteTarget::Model { model, version, .. } => Some((model, version)),
+            RouteTarget::Service { .. } => None,
+        });
+        let first = wanted.next()?;
+        wanted.all(|other| other == first).then_some(first)
+    }
+
     /// The set with this name.
     pub fn set(&self, name: &SetName) -> Option<&BackendSet> {
         self.index.sets.get(name).map(|&position| &self.config.sets[position])
--- a/crates/limits/src/limiter/dump.rs
+++ b/crates/limits/src/limiter/dump.rs
@@ -16,6 +16,9 @@
     pub tickets: usize,
     /// Whether the shares are being handed back.
     pub leaving: bool,
+    /// Whether requests of every team can be admitted: from an own share, or from what another
+    /// holder lends.
+    pub can_admit: bool,
 }
 
 /// The state of one slot.
@@ -68,6 +71,7 @@
             teams: self.team_dumps(now),
             tickets: self.tickets.len(),
             leaving: self.leaving,
+            can_admit: self.teams.values().all(|team| self.can_admit(now, team.slot)),
         }
     }
 
@@ -94,6 +98,17 @@
             .collect()
     }
 
+    fn can_admit(&self, now: MonoTime, slot: u32) -> bool {
+        let state = &self.slots[slot as usize];
+        if state.own.is_some() && self.in_contact(now, slot) {
+            return true;
+        }
+        let read =
+            state.table.iter().flat_map(|read| &read.table.shares).map(|share| &share.holder);
+        let mut lenders = read.chain(&state.hint).chain(&state.targets);
+        lenders.any(|holder| *holder != self.me)
+    }
+
     fn team_dumps(&self, now: MonoTime) -> Vec<TeamDump> {
         self.teams
             .iter()
--- a/crates/router/src/limits/mod.rs
+++ b/crates/router/src/limits/mod.rs
@@ -147,10 +147,9 @@
         answered.await.ok()
     }
 
-    /// Whether this router knows the holders of all shares that concern it, and so can admit.
+    /// Whether this router can admit requests of every team whose shares concern it.
     pub(crate) async fn is_ready(&self) -> bool {
-        let Some(snapshot) = self.snapshot().await else { return false };
-        snapshot.slots.iter().all(|slot| slot.parts > 0 || !slot.holders.is_empty())
+        self.snapshot().await.is_some_and(|snapshot| snapshot.can_admit)
     }
 
     fn event(&self, event: Event) {
--- a/crates/router/src/peer.rs
+++ b/crates/router/src/peer.rs
@@ -34,14 +34,12 @@
             }
             Request::FetchConfig(ask) => sync::config_reply(shared, &ask),
             Request::FetchLiveList(ask) => sync::live_reply(shared, ask),
-            Request::PushConfig(config) => {
-                match sync::adopt_config(shared, &config.head, &config.sections) {
-                    Ok(()) => Reply::Done,
-                    Err(error) => Reply::Refused { message: error.to_string() },
-                }
-            }
             Request::Limits(bytes) => shared.admission.peer_message(bytes).await,
-            Request::Lookup(_) | Request::Run(_) | Request::Resume(_) | Request::Cancel(_) => {
+            Request::Lookup(_)
+            | Request::Run(_)
+            | Request::Resume(_)
+            | Request::Cancel(_)
+            | Request::TellAgent(_) => {
                 Reply::Refused { message: "a router runs no attempts".to_owned() }
             }
         }
--- a/crates/router/src/sync/agents.rs
+++ b/crates/router/src/sync/agents.rs
@@ -6,10 +6,8 @@
 use samphirespread_config::Snapshot;
 use samphirespread_core::prelude::*;
 use samphirespread_membership::Roles;
-use samphirespread_wire::{
-    Connection,
-    message::{ConfigSnapshot, Reply, Request},
-};
+use samphirespread_platform::api::LiveInstance;
+use samphirespread_wire::message::{AgentConfig, Reply, Request, WantedWeights};
 use slog::debug;
 use tokio::time::timeout;
 
@@ -18,10 +16,17 @@
 const TELL_TIMEOUT_MS: u64 = 1_000;
 
 /// What an agent's run was told last.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Told {
     run: Incarnation,
-    snapshot: Arc<Snapshot>,
+    generation: Generation,
+}
+
+/// An agent that falls to this router.
+#[derive(Clone, Debug)]
+struct Listener {
+    address: String,
+    set: Option<SetName>,
 }
 
 /// Tells the agents that fall to this router, at an interval and at once when there is news.
@@ -30,15 +35,19 @@
 pub(super) async fn tell(shared: Arc<Shared>) {
     let period = Duration::from_millis(shared.settings.peers.heartbeat_ms);
     let mut told = HashMap::new();
-    let (mut listed, mut addresses) = (None, Vec::new());
+    let (mut listed, mut listeners) = (None, Vec::new());
     loop {
         let live = shared.live_list();
         if listed != Some(live.version) {
             listed = Some(live.version);
             let agents = Roles::of(&live, shared.identity.name()).agents_to_tell();
-            addresses = agents.into_iter().map(|agent| agent.address.clone()).collect();
+            let listener = |agent: &LiveInstance| Listener {
+                address: agent.address.clone(),
+                set: agent.set.clone(),
+            };
+            listeners = agents.into_iter().map(listener).collect();
         }
-        told = tell_round(&shared, &addresses, told).await;
+        told = tell_round(&shared, &listeners, told).await;
         // Both outcomes start the next round.
         let _ = timeout(period, shared.agent_news.notified()).await;
     }
@@ -47,71 +56,59 @@
 /// Returns what was told to the agents that are still to be told.
 async fn tell_round(
     shared: &Arc<Shared>,
-    addresses: &[String],
+    listeners: &[Listener],
     mut told: HashMap<String, Told>,
 ) -> HashMap<String, Told> {
     let present = shared.snapshot.load_full();
     if present.generation() == Generation::default() {
         return told;
     }
-    let rounds = addresses.iter().map(|address| {
-        let last = told.remove(address);
-        tell_in_time(shared, address, Arc::clone(&present), last)
+    let rounds = listeners.iter().map(|listener| {
+        let last = told.remove(&listener.address);
+        tell_in_time(shared, listener, Arc::clone(&present), last)
     });
     join_all(rounds.collect::<Vec<_>>()).await.into_iter().flatten().collect()
 }
 
 async fn tell_in_time(
     shared: &Arc<Shared>,
-    address: &str,
+    listener: &Listener,
     present: Arc<Snapshot>,
     last: Option<Told>,
 ) -> Option<(String, Told)> {
     let limit = Duration::from_millis(TELL_TIMEOUT_MS);
-    let told = timeout(limit, tell_agent(shared, address, present, last)).await.ok().flatten()?;
-    Some((address.to_owned(), told))
+    let telling = tell_agent(shared, listener, &present, last);
+    let told = timeout(limit, telling).await.ok().flatten()?;
+    Some((listener.address.clone(), told))
 }
 
-/// Returns `None` if the agent has to be told everything next time.
+/// Returns `None` if the agent has to be told again next time.
 async fn tell_agent(
     shared: &Arc<Shared>,
-    address: &str,
-    present: Arc<Snapshot>,
+    listener: &Listener,
+    present: &Snapshot,
     last: Option<Told>,
 ) -> Option<Told> {
-    let connection = shared.pool.get(address).await.ok()?;
+    let connection = shared.pool.get(&listener.address).await.ok()?;
     let run = connection.peer().incarnation;
+    let generation = present.generation();
     let last = last.filter(|last| last.run == run);
-    if last.as_ref().is_some_and(|last| last.snapshot.generation() >= present.generation()) {
+    if last.is_some_and(|last| last.generation >= generation) {
         return last;
     }
     shared.heard_generation(connection.peer().generation);
-    let previous = last.as_ref().map(|last| &*last.snapshot);
-    match push(&connection, &present, previous).await? {
-        Reply::Done => Some(Told { run, snapshot: present }),
+    let config = AgentConfig { generation, weights: weights_of(present, listener) };
+    match connection.call(&Request::TellAgent(config)).await.ok()? {
+        Reply::Done => Some(Told { run, generation }),
         reply => {
             debug!(shared.log, "agent refuses a configuration";
-                "address" => address, "reply" => ?reply);
+                "address" => &listener.address, "reply" => ?reply);
             None
         }
     }
 }
 
-/// Sends the head and the sections that the agent lacks.
-async fn push(
-    connection: &Connection,
-    present: &Snapshot,
-    previous: Option<&Snapshot>,
-) -> Option<Reply> {
-    let known = |name: &str| {
-        let hash = present.head().sections.get(name);
-        previous.is_some_and(|previous| previous.head().sections.values().any(|h| Some(h) == hash))
-    };
-    let sections = present.sections().filter(|(name, _)| !known(name));
-    let request = Request::PushConfig(ConfigSnapshot {
-        generation: present.generation(),
-        head: present.head_text().to_owned(),
-        sections: sections.map(|(_, text)| text.to_owned()).collect(),
-    });
-    connection.call(&request).await.ok()
+fn weights_of(present: &Snapshot, listener: &Listener) -> Option<WantedWeights> {
+    let (model, version) = present.weights_of(listener.set.as_ref()?)?;
+    Some(WantedWeights { model: model.clone(), version: version.clone() })
 }
--- a/crates/router/src/sync/mod.rs
+++ b/crates/router/src/sync/mod.rs
@@ -15,10 +15,7 @@
 // A new connection costs about a round trip and 438 bytes, an idle one 22 KB of memory.
 const IDLE_CONNECTION_MS: u64 = 120_000;
 
-pub(crate) use self::{
-    peers::{config_reply, live_reply},
-    store::adopt_config,
-};
+pub(crate) use self::peers::{config_reply, live_reply};
 
 /// Starts the tasks that keep up to date until `shutdown`.
 pub(crate) fn spawn(shared: &Arc<Shared>, tasks: &mut JoinSet<()>, shutdown: &CancellationToken) {
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -25,8 +25,8 @@
     Cancel(AttemptId),
     /// Asks for the configuration in force, unless it is the one named.
     FetchConfig(FetchConfig),
-    /// Tells a process about a configuration.
-    PushConfig(ConfigSnapshot),
+    /// Tells an agent what it needs of a configuration.
+    TellAgent(AgentConfig),
     /// Asks for the live list, unless it is the one named.
     FetchLiveList(FetchLiveList),
     /// Asks a router about a team's share; the payload belongs to `limits`.
@@ -303,6 +303,24 @@
     pub sections: Vec<String>,
 }
 
+/// What an agent needs of a configuration. Keys, rates and routes stay with the routers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentConfig {
+    /// The generation of the head.
+    pub generation: Generation,
+    /// What the agent's engine is to serve, if the routes agree on it.
+    pub weights: Option<WantedWeights>,
+}
+
+/// The weights that an engine is to serve.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WantedWeights {
+    /// The model.
+    pub model: ModelName,
+    /// Its version.
+    pub version: WeightsVersion,
+}
+
 /// Asks for the live list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FetchLiveList {
