--- /dev/null
+++ b/crates/prefix/tests/candidates.rs
@@ -0,0 +1,122 @@
+//! Random sets, prompts and hints against what every placement must keep.
+
+use std::collections::BTreeSet;
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+use rand::{SeedableRng, rngs::StdRng};
+use samphirespread_core::prelude::*;
+use samphirespread_prefix::{
+    FirstBlock, Hint, HomeConfig, HomePlacement, HomeRing, LeastLoad, MAX_CANDIDATES, Placement,
+    Prompt, RoundRobin, Worker, WorkerSet,
+};
+
+const DEFAULT_CASES: u32 = 128;
+const DEFAULT_SEED: u64 = 7;
+
+/// A prompt that comes to a set in which some workers take work.
+#[derive(Clone, Debug)]
+struct Arrival {
+    blocks: Vec<u64>,
+    takes_work: Vec<bool>,
+    hint: (u32, u8),
+    later_ms: u64,
+}
+
+fn env_number<T: std::str::FromStr>(name: &str, default: T) -> T {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn runner() -> TestRunner {
+    let config = Config {
+        cases: env_number("SAMPHIRESPREAD_CASES", DEFAULT_CASES),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let seed: u64 = env_number("SAMPHIRESPREAD_SEED", DEFAULT_SEED);
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &bytes))
+}
+
+fn arrivals() -> impl Strategy<Value = Vec<Arrival>> {
+    let arrival = (
+        prop::collection::vec(0..6_u64, 0..8),
+        prop::collection::vec(any::<bool>(), 0..12),
+        (0..12_u32, 0..9_u8),
+        0..400_000_u64,
+    );
+    let arrival = arrival.prop_map(|(blocks, takes_work, hint, later_ms)| Arrival {
+        blocks,
+        takes_work,
+        hint,
+        later_ms,
+    });
+    prop::collection::vec(arrival, 1..60)
+}
+
+fn workers(takes_work: &[bool]) -> WorkerSet {
+    let worker = |(index, takes_work): (usize, &bool)| Worker {
+        takes_work: *takes_work,
+        ..Worker::new(InstanceName::new(format!("w{index}")), "north")
+    };
+    WorkerSet::new(takes_work.iter().enumerate().map(worker).collect())
+}
+
+fn keep_the_rules<P: Placement>(
+    mut placement: P,
+    arrivals: &[Arrival],
+) -> Result<(), TestCaseError> {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut now = MonoTime::ZERO;
+    for arrival in arrivals {
+        now = now.plus_ms(arrival.later_ms);
+        let workers = workers(&arrival.takes_work);
+        let blocks: Vec<BlockKey> = arrival.blocks.iter().copied().map(BlockKey).collect();
+        let prompt = Prompt { blocks: &blocks, tokens: 10_000, block_tokens: 2_048 };
+        let (shared_blocks, replicas) = arrival.hint;
+        placement.learn(&prompt, Hint { shared_blocks, replicas }, now);
+
+        let candidates = placement.candidates(&prompt, &workers, now, &mut rng);
+
+        let places: BTreeSet<usize> = candidates.iter().collect();
+        prop_assert_eq!(places.len(), candidates.len());
+        prop_assert!(candidates.len() <= MAX_CANDIDATES);
+        prop_assert!(places.iter().all(|place| workers.get(*place).takes_work));
+        let any_takes_work = arrival.takes_work.contains(&true);
+        prop_assert_eq!(!candidates.is_empty(), any_takes_work);
+    }
+    Ok(())
+}
+
+#[test]
+fn candidates_are_distinct_and_take_work() {
+    let mut runner = runner();
+
+    let outcome = runner.run(&arrivals(), |arrivals| {
+        keep_the_rules(HomePlacement::new(HomeConfig::default()), &arrivals)?;
+        keep_the_rules(RoundRobin::default(), &arrivals)?;
+        keep_the_rules(LeastLoad, &arrivals)?;
+        keep_the_rules(FirstBlock, &arrivals)
+    });
+
+    outcome.expect("every placement keeps the rules");
+}
+
+#[test]
+fn the_ring_gives_no_worker_more_than_twice_its_share() {
+    const WORKERS: usize = 186;
+    const KEYS: u64 = 100_000;
+    let names: Vec<String> = (0..WORKERS).map(|index| format!("worker-{index}")).collect();
+    let ring = HomeRing::new(names.iter().map(String::as_str));
+    let mut counts = [0_u64; WORKERS];
+
+    for home in (0..KEYS).filter_map(|key| ring.homes(BlockKey(key)).next()) {
+        counts[home] += 1;
+    }
+
+    let fair = KEYS / WORKERS as u64;
+    assert!(counts.iter().all(|count| *count > 0 && *count < 2 * fair), "{counts:?}");
+}
