--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -9,7 +9,10 @@
 use samphirespread_config::Snapshot;
 use samphirespread_core::{prelude::*, time::Clock};
 use samphirespread_membership::{Contact, LiveView, Roles};
-use samphirespread_platform::{HttpPlatform, api::LiveList};
+use samphirespread_platform::{
+    HttpPlatform,
+    api::{LiveList, ObjectVersion},
+};
 use samphirespread_settings::RouterSettings;
 use samphirespread_wire::{HelloSource, Pool, message::Hello};
 use slog::Logger;
@@ -34,6 +37,8 @@
     contact: Mutex<Contact>,
     // Wakes the task that asks peers and the platform for a newer configuration.
     pub(crate) config_news: Notify,
+    /// Rung when a configuration or a live list came into force, for telling agents.
+    pub(crate) agent_news: Notify,
     pub(crate) trace: TraceFeed,
     next_serial: AtomicU64,
 }
@@ -69,6 +74,7 @@
             drain: Drain::default(),
             contact: Mutex::new(contact),
             config_news: Notify::new(),
+            agent_news: Notify::new(),
             trace: TraceFeed::default(),
             next_serial: AtomicU64::new(0),
         })
@@ -130,6 +136,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Said {
     generation: Generation,
+    live_version: ObjectVersion,
     leaving: bool,
     // The highest generation that a peer has told.
     heard: Generation,
@@ -153,6 +160,10 @@
         self.change(|said| said.generation = generation);
     }
 
+    pub(crate) fn set_live_version(&self, version: ObjectVersion) {
+        self.change(|said| said.live_version = version);
+    }
+
     pub(crate) fn set_leaving(&self) {
         self.change(|said| said.leaving = true);
     }
@@ -175,6 +186,7 @@
             name: self.inner.name.clone(),
             incarnation: self.inner.incarnation,
             generation: said.generation,
+            live_version: said.live_version,
             leaving: said.leaving,
         }
     }
