--- a/crates/limits/examples/refusals.rs
+++ b/crates/limits/examples/refusals.rs
@@ -50,6 +50,7 @@
     last_s: f64,
     messages_per_s: f64,
     writes_per_s: f64,
+    used_percent: f64,
 }
 
 fn run<A: Admission>(scenario: Scenario) -> Row {
@@ -75,7 +76,14 @@
     let seconds = lasts_us as f64 / S as f64;
     let sum = |of: fn(&common::Tally) -> u64| world.tally.iter().map(of).sum::<u64>();
     let last_us = world.tally.iter().map(|tally| tally.last_wrongful_us).max().unwrap_or(0);
+    let used: u64 = world
+        .admitted
+        .iter()
+        .filter(|request| request.team == 0 && request.at_us >= FAULT_US)
+        .map(|request| request.tokens - request.unused)
+        .sum();
     Row {
+        used_percent: used as f64 * 100.0 / (20_000.0 * seconds),
         offered: sum(|tally| tally.offered),
         refused: sum(|tally| tally.refused),
         wrongful: sum(|tally| tally.wrongful),
@@ -126,9 +134,9 @@
     writeln!(
         out,
         "| scenario | way | offered | refused | wrongful | of these, other teams' | last after, s \
-         | messages/s a router | platform writes/s |"
+         | messages/s a router | platform writes/s | used of the first team's rate, % |"
     )?;
-    writeln!(out, "| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")?;
+    writeln!(out, "| --- | --- | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |")?;
     for (scenario, name) in SCENARIOS {
         let rows = [
             ("shares", run::<Limiter>(scenario)),
@@ -138,14 +146,15 @@
         for (way, row) in rows {
             writeln!(
                 out,
-                "| {name} | {way} | {} | {} | {} | {} | {:.1} | {:.1} | {:.1} |",
+                "| {name} | {way} | {} | {} | {} | {} | {:.1} | {:.1} | {:.1} | {:.0} |",
                 row.offered,
                 row.refused,
                 row.wrongful,
                 row.others_wrongful,
                 row.last_s,
                 row.messages_per_s,
-                row.writes_per_s
+                row.writes_per_s,
+                row.used_percent
             )?;
         }
     }
--- a/crates/limits/src/limiter/mod.rs
+++ b/crates/limits/src/limiter/mod.rs
@@ -150,11 +150,7 @@
 
     fn set_live(&mut self, now: MonoTime, routers: Vec<RouterInfo>, out: &mut Vec<Action>) {
         self.peers.set_live(now, routers);
-        for slot in 0..self.slots.len() {
-            let targets =
-                self.peers.targets(slot, &self.me, self.config.max_holders, &self.config, now);
-            self.slots[slot].targets = targets;
-        }
+        self.refresh_targets(now);
         self.poll(now, out);
     }
 
@@ -189,8 +185,7 @@
 
     fn refresh_targets(&mut self, now: MonoTime) {
         for slot in 0..self.slots.len() {
-            self.slots[slot].targets =
-                self.peers.targets(slot, &self.me, self.config.max_holders, &self.config, now);
+            self.slots[slot].targets = self.peers.targets(now, slot, &self.config);
         }
     }
 
@@ -208,7 +203,7 @@
         out: &mut Vec<Action>,
     ) {
         let PeerMessage { from, incarnation, leaving, body } = message;
-        if !self.peers.heard(now, &from, incarnation, leaving) {
+        if !self.peers.heard(&from, incarnation, leaving) {
             return;
         }
         let answer = match body {
@@ -224,7 +219,10 @@
                 PeerAnswer::Done
             }
             PeerRequest::Acknowledge { shares } => self.acknowledge(&from, &shares),
-            PeerRequest::Promise { holder, share } => self.promise(now, &holder, share),
+            PeerRequest::Promise { holder, share } => {
+                self.sound_out(now, &holder, out);
+                self.promise(now, &holder, share)
+            }
         };
         let reply =
             PeerReply { incarnation: self.incarnation, leaving: self.leaving, body: answer };
@@ -233,7 +231,7 @@
 
     fn reply(&mut self, now: MonoTime, exchange: u64, reply: PeerReply, out: &mut Vec<Action>) {
         let Some(Exchange { to, sent, kind }) = self.exchanges.remove(&exchange) else { return };
-        if !self.peers.heard(now, &to, reply.incarnation, reply.leaving) {
+        if !self.peers.heard(&to, reply.incarnation, reply.leaving) {
             return;
         }
         match (kind, reply.body) {
@@ -278,6 +276,7 @@
             leaving: self.leaving,
             body: body(exchange),
         };
+        self.peers.asked(now, to, &self.config);
         self.exchanges.insert(exchange, Exchange { to: to.clone(), sent: now, kind });
         out.push(Action::Send { exchange, to: to.clone(), message });
     }
--- a/crates/limits/src/limiter/ownership.rs
+++ b/crates/limits/src/limiter/ownership.rs
@@ -115,7 +115,7 @@
     fn adopt(&mut self, now: MonoTime, index: usize, sent: MonoTime) {
         let Some(read) = self.slots[index].table.clone() else { return };
         for holder in read.table.holders() {
-            self.peers.meet(now, &holder);
+            self.peers.meet(&holder);
         }
         self.drop_old_revocations(index, &read.table);
         match read.table.share(&self.me) {
--- a/crates/limits/src/limiter/peers.rs
+++ b/crates/limits/src/limiter/peers.rs
@@ -19,8 +19,9 @@
 
 #[derive(Debug)]
 struct Peer {
-    first_known: MonoTime,
-    last_heard: Option<MonoTime>,
+    /// The first message since the last answer, while messages keep being sent.
+    unanswered_since: Option<MonoTime>,
+    last_asked: MonoTime,
     incarnation: Incarnation,
     absent_since: Option<MonoTime>,
     absent_last: Option<MonoTime>,
@@ -53,7 +54,7 @@
 
     pub(crate) fn set_live(&mut self, now: MonoTime, routers: Vec<RouterInfo>) {
         for router in &routers {
-            self.meet(now, &router.holder);
+            self.meet(&router.holder);
         }
         let present: BTreeSet<&Holder> = routers.iter().map(|router| &router.holder).collect();
         for (holder, peer) in &mut self.known {
@@ -69,14 +70,14 @@
         self.live = routers;
     }
 
-    /// Begins to know a holder, for counting its silence.
-    pub(crate) fn meet(&mut self, now: MonoTime, holder: &Holder) {
+    /// Begins to know a holder.
+    pub(crate) fn meet(&mut self, holder: &Holder) {
         if self.known.contains_key(holder) {
             return;
         }
         let peer = Peer {
-            first_known: now,
-            last_heard: None,
+            unanswered_since: None,
+            last_asked: MonoTime::ZERO,
             incarnation: Incarnation::default(),
             absent_since: None,
             absent_last: None,
@@ -85,22 +86,27 @@
         self.known.insert(holder.clone(), peer);
     }
 
+    /// Notes that a message is sent, which wants an answer.
+    pub(crate) fn asked(&mut self, now: MonoTime, holder: &Holder, config: &LimitsConfig) {
+        self.meet(holder);
+        let Some(peer) = self.known.get_mut(holder) else { return };
+        let lapsed = now.ms_since(peer.last_asked) >= config.silence_timeout_ms;
+        if lapsed || peer.unanswered_since.is_none() {
+            peer.unanswered_since = Some(now);
+        }
+        peer.last_asked = now;
+    }
+
     /// Notes a message. False when it comes from a run that was replaced.
-    pub(crate) fn heard(
-        &mut self,
-        now: MonoTime,
-        from: &Holder,
-        run: Incarnation,
-        leaving: bool,
-    ) -> bool {
-        self.meet(now, from);
+    pub(crate) fn heard(&mut self, from: &Holder, run: Incarnation, leaving: bool) -> bool {
+        self.meet(from);
         let Some(peer) = self.known.get_mut(from) else { return false };
         if run < peer.incarnation {
             return false;
         }
         peer.incarnation = run;
         peer.leaving = leaving;
-        peer.last_heard = Some(now);
+        peer.unanswered_since = None;
         true
     }
 
@@ -125,11 +131,13 @@
         self.known.get(holder).is_some_and(|peer| peer.leaving)
     }
 
-    /// Whether nothing was heard from the holder for the silence timeout.
+    /// Whether messages to the holder have gone unanswered for the silence timeout.
     pub(crate) fn is_silent(&self, now: MonoTime, holder: &Holder, config: &LimitsConfig) -> bool {
         let Some(peer) = self.known.get(holder) else { return false };
-        let since = peer.last_heard.unwrap_or(peer.first_known).max(self.awake_since);
-        now.ms_since(since) >= config.silence_timeout_ms
+        let Some(since) = peer.unanswered_since else { return false };
+        let timeout_ms = config.silence_timeout_ms;
+        now.ms_since(since.max(self.awake_since)) >= timeout_ms
+            && now.ms_since(peer.last_asked) < timeout_ms
     }
 
     /// Whether the live list has been without the holder for so long that it is dead.
@@ -138,23 +146,30 @@
     }
 
     /// The routers that should hold shares of a slot, first choice first.
-    pub(crate) fn targets(
+    pub(crate) fn targets(&self, now: MonoTime, slot: usize, config: &LimitsConfig) -> Vec<Holder> {
+        self.ranked(slot, config, |router| !self.is_silent(now, &router.holder, config))
+    }
+
+    /// The same, with those that don't answer.
+    pub(crate) fn candidates(&self, slot: usize, config: &LimitsConfig) -> Vec<Holder> {
+        self.ranked(slot, config, |_| true)
+    }
+
+    fn ranked(
         &self,
         slot: usize,
-        me: &Holder,
-        max: usize,
         config: &LimitsConfig,
-        now: MonoTime,
+        usable: impl Fn(&RouterInfo) -> bool,
     ) -> Vec<Holder> {
         let usable: Vec<&RouterInfo> = self
             .live
             .iter()
             .filter(|router| !router.leaving && !self.is_leaving(&router.holder))
-            .filter(|router| router.holder == *me || !self.is_silent(now, &router.holder, config))
+            .filter(|router| usable(router))
             .collect();
         let subject = format!("shares/{slot}");
         let ranked = rendezvous::rank(subject.as_bytes(), &usable, |r| &r.holder.address);
-        spread(ranked.into_iter().map(|index| usable[index]).collect(), max)
+        spread(ranked.into_iter().map(|index| usable[index]).collect(), config.max_holders)
     }
 }
 
--- a/crates/limits/src/limiter/witness.rs
+++ b/crates/limits/src/limiter/witness.rs
@@ -20,11 +20,14 @@
             return;
         }
         for (to, shares) in self.rounds() {
-            self.peers.meet(now, &to);
             let body = |_| PeerRequest::Acknowledge { shares };
             self.send(now, &to, ExchangeKind::Acknowledge, body, out);
         }
         for index in 0..self.slots.len() {
+            // The table of a slot that this router follows no longer may be old.
+            if !self.slots[index].concerns(&self.me) {
+                continue;
+            }
             self.pursue_revocations(now, index, out);
         }
     }
@@ -34,7 +37,8 @@
         let mut rounds: BTreeMap<Holder, Vec<ShareTerm>> = BTreeMap::new();
         for slot in self.slots.iter().filter(|slot| slot.concerns(&self.me)) {
             let holders = slot.table.iter().flat_map(|read| read.table.holders());
-            for holder in holders.chain(slot.targets.iter().cloned()) {
+            let candidates = self.peers.candidates(slot.index as usize, &self.config);
+            for holder in holders.chain(candidates) {
                 rounds.entry(holder).or_default();
             }
             // While a claim is under way, acknowledgements for the old term may no longer meet
@@ -81,6 +85,15 @@
         }
     }
 
+    /// Asks a holder for a sign of life, so that its silence can be told.
+    pub(super) fn sound_out(&mut self, now: MonoTime, holder: &Holder, out: &mut Vec<Action>) {
+        if *holder == self.me || self.peers.is_silent(now, holder, &self.config) {
+            return;
+        }
+        let body = |_| PeerRequest::Acknowledge { shares: Vec::new() };
+        self.send(now, holder, ExchangeKind::Acknowledge, body, out);
+    }
+
     /// Promises to acknowledge a share no more, unless its holder was heard lately.
     pub(super) fn promise(
         &mut self,
--- a/crates/limits/tests/calm.rs
+++ b/crates/limits/tests/calm.rs
@@ -39,3 +39,14 @@
     assert!(table.share(&world.holder(0)).is_none());
     assert_eq!(parts, PARTS);
 }
+
+#[test]
+fn idle_fleet_of_many_routers_revokes_nothing() {
+    let limits = (0..10).map(|team| team_limit(&format!("team-{team}"), 50_000, 150_000));
+    let config = LimitsConfig::new();
+    let mut world: World<Limiter> = World::new(5, 32, config, limits.collect());
+
+    world.run_until(40_000_000);
+
+    assert_eq!(world.promises_asked, 0, "routers were suspected that nobody had asked");
+}
--- a/crates/limits/tests/common/mod.rs
+++ b/crates/limits/tests/common/mod.rs
@@ -12,7 +12,7 @@
 use samphirespread_core::prelude::*;
 use samphirespread_limits::{
     Action, Call, Event, Holder, Limiter, LimitsConfig, ObjectState, PeerMessage, PeerReply,
-    RefuseReason, RouterInfo, TeamLimit, WriteOutcome,
+    PeerRequest, RefuseReason, RouterInfo, TeamLimit, WriteOutcome,
 };
 
 pub(crate) mod baselines;
@@ -139,6 +139,8 @@
     pub(crate) admitted: Vec<Admitted>,
     pub(crate) tally: Vec<Tally>,
     pub(crate) messages: u64,
+    pub(crate) promises_asked: u64,
+    pub(crate) message_bytes: u64,
     pub(crate) platform_reads: u64,
     pub(crate) platform_writes: u64,
     nodes: Vec<Node<A>>,
@@ -190,6 +192,8 @@
             admitted: Vec::new(),
             tally,
             messages: 0,
+            promises_asked: 0,
+            message_bytes: 0,
             platform_reads: 0,
             platform_writes: 0,
             nodes: Vec::new(),
@@ -332,6 +336,10 @@
             Action::Refuse { ticket, reason } => self.refused(ticket, reason),
             Action::Send { exchange, to, message } => {
                 self.messages += 1;
+                if matches!(message.body, PeerRequest::Promise { .. }) {
+                    self.promises_asked += 1;
+                }
+                self.message_bytes += message.encode().map_or(0, |bytes| bytes.len() as u64);
                 let wait_us = 50_000;
                 let unanswered = Event::Unanswered { exchange };
                 let at_us = self.now_us + wait_us;
