--- a/crates/bench/src/slopes/wire.rs
+++ b/crates/bench/src/slopes/wire.rs
@@ -14,7 +14,7 @@
 use samphirespread_core::prelude::*;
 use samphirespread_wire::{
     Connection, Handler, HelloSource, ReplySender, Secret, WireConfig,
-    message::{Hello, Lookup, LookupReply, PrefixHint, Reply, Request, Standing},
+    message::{Hello, Lookup, LookupReply, ObjectVersion, PrefixHint, Reply, Request, Standing},
     serve_connection,
 };
 use tokio::{
@@ -28,7 +28,7 @@
     process::{processor_ns, resident_bytes},
 };
 
-const CALLS: u64 = 2_000;
+const CALLS: u64 = 10_000;
 const SETTLE: Duration = Duration::from_millis(10);
 
 /// A byte stream that counts what passes both ways.
@@ -82,6 +82,7 @@
             name: InstanceName::new(self.0),
             incarnation: Incarnation(1_700_000_000_000),
             generation: Generation(1_000_000),
+            live_version: ObjectVersion::default(),
             leaving: false,
         }
     }
@@ -158,6 +159,7 @@
 }
 
 async fn measure(rows: &mut Vec<Measured>) -> Result<(), SlopeError> {
+    connections(rows).await?;
     let pair = connect().await?;
     rows.push(Measured::new("setting up a connection, bytes", 1, pair.setup_bytes as f64));
     for blocks in [0, 16, 64, 512] {
@@ -182,7 +184,7 @@
         rows.push(Measured::new("heartbeats, bytes both ways by number", beats, sent as f64));
     }
     pair.stop.cancel();
-    connections(rows).await
+    Ok(())
 }
 
 /// Memory of idle connections, both ends together.
@@ -206,7 +208,8 @@
     Ok(())
 }
 
-/// Bytes and processor time of lookups and heartbeats.
+/// Bytes and processor time of lookups and heartbeats, and memory of connections. Memory counts only
+/// if nothing was freed before.
 ///
 /// # Errors
 ///
