fairness: bound waiting bytes by team as well as entries

A queue of 1,024 long prompts could hold more memory than the process may use. The agent bounds waiting prompts and bodies at 64 MB; a full queue gives each team its weighted part of the bytes.

--- a/crates/agent/src/shared/admission.rs
+++ b/crates/agent/src/shared/admission.rs
@@ -61,6 +61,7 @@
         }
         let admission = Admission::new(&run.team, run.weight)
             .cost_tokens(cost_tokens(&run.work))
+            .size_bytes(size_bytes(&run.work))
             .priority(run.priority)
             .max_wait_ms(u64::from(run.queue_limit_ms));
         match state.queue.push(now, &admission, id) {
@@ -190,6 +191,14 @@
 
 const BYTES_PER_TOKEN: u64 = samphirespread_prefix::BYTES_PER_TOKEN as u64;
 
+fn size_bytes(work: &Work) -> u64 {
+    let bytes = match work {
+        Work::Model(work) => work.prompt.len() + work.sampling.len() + size_of_val(&*work.blocks),
+        Work::Service(work) => work.body.len(),
+    };
+    bytes as u64
+}
+
 fn cost_tokens(work: &Work) -> u64 {
     match work {
         Work::Model(work) => work.prompt_tokens + u64::from(work.max_output_tokens),
--- a/crates/agent/src/shared/mod.rs
+++ b/crates/agent/src/shared/mod.rs
@@ -35,6 +35,9 @@
 /// Bytes of ended answers that are kept at most for resuming.
 const MAX_KEPT_BYTES: usize = 32 * 1024 * 1024;
 
+/// Memory that waiting prompts and bodies take at most.
+const MAX_WAITING_BYTES: u64 = 64 * 1024 * 1024;
+
 const ENGINE_TIMEOUT_MS: u64 = 2_000;
 const POLL_TIMEOUT_MS: u64 = 1_000;
 
@@ -111,6 +114,7 @@
             EngineClientConfig::new(address.to_string()).timeout_ms(POLL_TIMEOUT_MS);
         let queue = QueueConfig::new(settings.queue.concurrency)
             .max_len(settings.queue.max_requests)
+            .max_bytes(MAX_WAITING_BYTES)
             .max_wait_ms(settings.queue.max_wait_ms);
         let state = State {
             attempts: AttemptTable::new(AttemptConfig::default()),
--- a/crates/fairness/src/config/mod.rs
+++ b/crates/fairness/src/config/mod.rs
@@ -25,6 +25,7 @@
     pub(crate) concurrency: usize,
     pub(crate) reserved_slots: usize,
     pub(crate) max_len: usize,
+    pub(crate) max_bytes: u64,
     pub(crate) max_wait_ms: u64,
     pub(crate) ageing_ms: u64,
     pub(crate) idle_credit_tokens: u64,
@@ -48,6 +49,7 @@
             concurrency,
             reserved_slots: 0,
             max_len: MAX_LEN,
+            max_bytes: u64::MAX,
             max_wait_ms: MAX_WAIT_MS,
             ageing_ms: AGEING_MS,
             idle_credit_tokens: IDLE_CREDIT_TOKENS,
@@ -86,6 +88,13 @@
         self
     }
 
+    /// Memory that waiting entries take at most.
+    #[must_use]
+    pub fn max_bytes(mut self, bytes: u64) -> Self {
+        self.max_bytes = bytes;
+        self
+    }
+
     /// Time that any entry waits at most.
     #[must_use]
     pub fn max_wait_ms(mut self, ms: u64) -> Self {
--- a/crates/fairness/src/lib.rs
+++ b/crates/fairness/src/lib.rs
@@ -45,7 +45,8 @@
 //! # Bounds
 //!
 //! An entry waits at most its limit and is then returned by [`Queue::expire`] with the
-//! time to come back. The queue holds at most [`Config::max_len`] entries. When it is
+//! time to come back. The queue holds at most [`Config::max_len`] entries and
+//! [`Config::max_bytes`]. When it is
 //! full, a team below its weighted part of the length displaces the last entry of the
 //! team that is furthest above its own part; any other team is refused. A flood by one team
 //! therefore never uses up the room of the others.
--- a/crates/fairness/src/queue/mod.rs
+++ b/crates/fairness/src/queue/mod.rs
@@ -48,6 +48,7 @@
     deadlines: BTreeSet<(MonoTime, Ticket)>,
     running: HashMap<Ticket, Charge>,
     running_tokens: u64,
+    queued_bytes: u64,
     dropped: Vec<Dropped<T>>,
     throughput: Throughput,
     slot_use: SlotUse,
@@ -71,6 +72,7 @@
             deadlines: BTreeSet::new(),
             running: HashMap::new(),
             running_tokens: 0,
+            queued_bytes: 0,
             dropped: Vec::new(),
             throughput: Throughput::default(),
             slot_use: SlotUse::default(),
@@ -138,14 +140,15 @@
         self.forget_idle(now);
         let id = self.team_id(admission, now);
         self.note_offer(now, id, admission.cost_tokens);
-        if self.len() >= self.config.max_len && !self.make_room(id) {
+        if !self.make_room(now, id, admission.size_bytes) {
             let retry_after_ms = self.retry_after_ms(id);
             return Err(Rejected { item, error: Error::Full, retry_after_ms });
         }
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
         self.enqueue(now, id, ticket, admission, item);
-        assert!(self.len() <= self.config.max_len, "the queue is bounded");
+        assert!(self.len() <= self.config.max_len, "the queue is bounded in entries");
+        assert!(self.queued_bytes <= self.config.max_bytes, "the queue is bounded in bytes");
         Ok(ticket)
     }
 
@@ -257,7 +260,9 @@
         let rank = Rank { effective_us: now.as_us().saturating_add(head_start_us), ticket };
         let deadline = now.plus_ms(admission.max_wait_ms.min(self.config.max_wait_ms));
         let cost_tokens = admission.cost_tokens;
-        let entry = Entry { item, cost_tokens, pushed_at: now, deadline };
+        let size_bytes = admission.size_bytes;
+        self.queued_bytes += size_bytes;
+        let entry = Entry { item, cost_tokens, size_bytes, pushed_at: now, deadline };
         self.update(id, |team| team.insert(rank, entry));
         if let Some(since) = self.teams.get_mut(&id).and_then(|team| team.idle_since.take()) {
             self.idle.remove(&(since, id));
@@ -299,7 +304,9 @@
     fn take(&mut self, ticket: Ticket) -> Entry<T> {
         let place = self.places.remove(&ticket).expect("the entry waits");
         self.deadlines.remove(&(place.deadline, ticket));
-        self.update(place.team, |team| team.remove(&place.rank))
+        let entry = self.update(place.team, |team| team.remove(&place.rank));
+        self.queued_bytes -= entry.size_bytes;
+        entry
     }
 
     fn charge(&mut self, now: MonoTime, id: TeamId, ticket: Ticket, tokens: u64) {
--- a/crates/fairness/src/queue/room.rs
+++ b/crates/fairness/src/queue/room.rs
@@ -1,13 +1,47 @@
 //! What happens on a full queue, and when callers should come back.
 
+use samphirespread_core::prelude::*;
+
 use crate::queue::{
     DropCause, Queue,
     team::{Team, TeamId},
 };
 
+/// What a queue is bounded in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Bound {
+    Entries,
+    Bytes,
+}
+
 impl<T> Queue<T> {
-    /// Drops an entry of the team furthest above its part, if this team is below its own.
-    pub(super) fn make_room(&mut self, id: TeamId) -> bool {
+    /// Makes room for an entry of the team. False when others have the better claim.
+    pub(super) fn make_room(&mut self, now: MonoTime, id: TeamId, size_bytes: u64) -> bool {
+        while let Some(bound) = self.broken_bound(size_bytes) {
+            let added = match bound {
+                Bound::Entries => 1,
+                Bound::Bytes => size_bytes,
+            };
+            if !self.displace(now, id, bound, added) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// The bound that one more entry would break.
+    fn broken_bound(&self, size_bytes: u64) -> Option<Bound> {
+        if self.len() >= self.config.max_len {
+            Some(Bound::Entries)
+        } else if self.queued_bytes.saturating_add(size_bytes) > self.config.max_bytes {
+            Some(Bound::Bytes)
+        } else {
+            None
+        }
+    }
+
+    /// Drops an entry of the team furthest above its part, if this team stays within its own.
+    fn displace(&mut self, now: MonoTime, id: TeamId, bound: Bound, added: u64) -> bool {
         let waiting_weight: u128 = self
             .teams
             .values()
@@ -15,18 +49,24 @@
             .map(|team| u128::from(team.weight))
             .sum();
         let excess = |team: &Team<T>| {
-            let part = self.weighted_part(self.config.max_len, team.weight, waiting_weight);
-            team.entries.len() as i64 - part as i64
+            let (used, total) = match bound {
+                Bound::Entries => (team.entries.len() as u64, self.config.max_len as u64),
+                Bound::Bytes => (team.queued_bytes, self.config.max_bytes),
+            };
+            let part = u128::from(total) * u128::from(team.weight) / waiting_weight;
+            i128::from(used) - i128::try_from(part.max(1)).unwrap_or(i128::MAX)
         };
-        if excess(&self.teams[&id]) >= 0 {
+        if excess(&self.teams[&id]) + i128::from(added) > 0 {
             return false;
         }
         let most_above = self.teams.values().max_by_key(|team| (excess(team), team.id));
         let Some(victim) = most_above.filter(|team| excess(team) > 0) else {
             return false;
         };
+        let victim_id = victim.id;
         let rank = *victim.entries.last_key_value().expect("a team above its part has entries").0;
         self.drop_entry(rank.ticket, DropCause::Displaced);
+        self.note_idle(now, victim_id);
         true
     }
 
--- a/crates/fairness/src/queue/team.rs
+++ b/crates/fairness/src/queue/team.rs
@@ -39,6 +39,7 @@
 pub(crate) struct Entry<T> {
     pub(crate) item: T,
     pub(crate) cost_tokens: u64,
+    pub(crate) size_bytes: u64,
     pub(crate) pushed_at: MonoTime,
     pub(crate) deadline: MonoTime,
 }
@@ -53,6 +54,7 @@
     pub(crate) activation: u64,
     pub(crate) entries: BTreeMap<Rank, Entry<T>>,
     pub(crate) queued_tokens: u64,
+    pub(crate) queued_bytes: u64,
     pub(crate) running: usize,
     pub(crate) slot_use: SlotUse,
     pub(crate) offered: Offered,
@@ -69,6 +71,7 @@
             activation: 0,
             entries: BTreeMap::new(),
             queued_tokens: 0,
+            queued_bytes: 0,
             running: 0,
             slot_use: SlotUse::default(),
             offered: Offered::default(),
@@ -82,6 +85,7 @@
 
     pub(crate) fn insert(&mut self, rank: Rank, entry: Entry<T>) {
         self.queued_tokens += entry.cost_tokens;
+        self.queued_bytes += entry.size_bytes;
         let earlier = self.entries.insert(rank, entry);
         assert!(earlier.is_none(), "a ticket is issued once");
     }
@@ -89,6 +93,7 @@
     pub(crate) fn remove(&mut self, rank: &Rank) -> Entry<T> {
         let entry = self.entries.remove(rank).expect("a waiting entry is in its team's queue");
         self.queued_tokens -= entry.cost_tokens;
+        self.queued_bytes -= entry.size_bytes;
         entry
     }
 
--- a/crates/fairness/src/queue/types.rs
+++ b/crates/fairness/src/queue/types.rs
@@ -14,6 +14,7 @@
     pub(crate) team: &'a TeamName,
     pub(crate) weight: u64,
     pub(crate) cost_tokens: u64,
+    pub(crate) size_bytes: u64,
     pub(crate) priority: u8,
     pub(crate) max_wait_ms: u64,
 }
@@ -23,7 +24,14 @@
     ///
     /// A weight of zero counts as one.
     pub fn new(team: &'a TeamName, weight: u64) -> Self {
-        Self { team, weight: weight.max(1), cost_tokens: 1, priority: 0, max_wait_ms: u64::MAX }
+        Self {
+            team,
+            weight: weight.max(1),
+            cost_tokens: 1,
+            size_bytes: 0,
+            priority: 0,
+            max_wait_ms: u64::MAX,
+        }
     }
 
     /// Estimated tokens of prompt and answer.
@@ -33,6 +41,13 @@
         self
     }
 
+    /// Memory that the entry takes while it waits.
+    #[must_use]
+    pub fn size_bytes(mut self, bytes: u64) -> Self {
+        self.size_bytes = bytes;
+        self
+    }
+
     /// Lower runs first within the team.
     #[must_use]
     pub fn priority(mut self, priority: u8) -> Self {
--- a/crates/fairness/tests/histories.rs
+++ b/crates/fairness/tests/histories.rs
@@ -8,12 +8,13 @@
 
 const CONCURRENCY: usize = 3;
 const MAX_LEN: usize = 12;
+const MAX_BYTES: u64 = 8_000;
 const MAX_WAIT_MS: u64 = 200;
 const AGEING_MS: u64 = 20;
 
 #[derive(Clone, Debug)]
 enum Step {
-    Push { team: usize, weight: u64, cost: u64, priority: u8 },
+    Push { team: usize, weight: u64, cost: u64, priority: u8, size: u64 },
     Pop,
     Complete { nth: usize, percent: u64 },
     Cancel { nth: usize },
@@ -22,8 +23,9 @@
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        4 => (0..5_usize, 1..50_u64, 1..5_000_u64, 0..4_u8)
-            .prop_map(|(team, weight, cost, priority)| Step::Push { team, weight, cost, priority }),
+        4 => (0..5_usize, 1..50_u64, 1..5_000_u64, 0..4_u8, 0..MAX_BYTES / 4).prop_map(
+            |(team, weight, cost, priority, size)| Step::Push { team, weight, cost, priority, size },
+        ),
         3 => Just(Step::Pop),
         2 => (0..CONCURRENCY, 0..200_u64).prop_map(|(nth, percent)| Step::Complete { nth, percent }),
         1 => (0..MAX_LEN).prop_map(|nth| Step::Cancel { nth }),
@@ -70,9 +72,11 @@
 
     fn apply(&mut self, queue: &mut Queue<u64>, teams: &[TeamName], step: &Step) {
         match *step {
-            Step::Push { team, weight, cost, priority } => {
-                let admission =
-                    Admission::new(&teams[team], weight).cost_tokens(cost).priority(priority);
+            Step::Push { team, weight, cost, priority, size } => {
+                let admission = Admission::new(&teams[team], weight)
+                    .cost_tokens(cost)
+                    .priority(priority)
+                    .size_bytes(size);
                 let number = self.next;
                 self.next += 1;
                 if let Ok(ticket) = queue.push(self.now, &admission, number) {
@@ -134,6 +138,7 @@
         let config = Config::new(CONCURRENCY)
             .reserved_slots(1)
             .max_len(MAX_LEN)
+            .max_bytes(MAX_BYTES)
             .max_wait_ms(MAX_WAIT_MS)
             .ageing_ms(AGEING_MS)
             .forget_ms(50);
--- a/crates/fairness/tests/queue.rs
+++ b/crates/fairness/tests/queue.rs
@@ -105,6 +105,24 @@
     assert_eq!((queue.team_len(&loud), queue.team_len(&quiet)), (5, 5));
 }
 
+#[test]
+fn a_flood_of_long_entries_does_not_use_up_the_bytes_of_others() {
+    let mut queue = Queue::new(Config::new(1).max_bytes(1_000));
+    let (loud, quiet) = (team("loud"), team("quiet"));
+    for item in 0..4 {
+        queue.push(at(0), &Admission::new(&loud, 10).size_bytes(250), item).unwrap();
+    }
+
+    let refused = queue.push(at(1), &Admission::new(&loud, 10).size_bytes(250), 4);
+    queue.push(at(1), &Admission::new(&quiet, 10).size_bytes(500), 100).unwrap();
+    let beyond_part = queue.push(at(1), &Admission::new(&quiet, 10).size_bytes(1), 101);
+
+    assert!(refused.is_err());
+    assert!(beyond_part.is_err());
+    let displaced: Vec<i32> = queue.expire(at(1)).into_iter().map(|entry| entry.item).collect();
+    assert_eq!(displaced, [3, 2]);
+}
+
 #[test]
 fn idle_time_is_not_saved_up() {
     let mut queue = Queue::new(Config::new(1).idle_credit_tokens(0).max_wait_ms(1_000_000));
