--- a/crates/cli/src/dev/mod.rs
+++ b/crates/cli/src/dev/mod.rs
@@ -18,7 +18,7 @@
     engine::{Engine, EngineConfig},
     platform::{Platform, PlatformConfig},
 };
-use serde_json::Value;
+use serde_json::{Value, json};
 use slog::Logger;
 use tokio::{task::JoinSet, time::sleep};
 use tokio_util::sync::CancellationToken;
@@ -56,7 +56,7 @@
     Agent(AgentError),
     /// the configuration can't be applied: {0}
     Submit(SubmitError),
-    /// the router knows no backend server after {wait_ms} ms
+    /// the router serves no request after {wait_ms} ms
     NotReady {
         /// The time that it was given.
         wait_ms: u128,
@@ -113,6 +113,7 @@
             router.run(token).await;
         });
         wait_ready(at.admin).await?;
+        wait_served(at.callers, &key).await?;
         Ok(Self { platform, engines, callers: at.callers, admin: at.admin, key, shutdown, tasks })
     }
 
@@ -227,6 +228,24 @@
     }
 }
 
+/// Waits until a request gets its answer. A new router owns no part of a team's rate yet.
+async fn wait_served(callers: SocketAddr, key: &KeyText) -> Result<(), DevError> {
+    let request = json!({ "model": MODEL, "prompt": "Dear Sir", "max_tokens": 1 });
+    let body = request.to_string();
+    for _ in 0..READY_POLLS {
+        let path = "/v1/completions";
+        if http::post(callers, path, key.expose(), &body, CALL_TIMEOUT_MS).await.is_ok() {
+            return Ok(());
+        }
+        sleep(READY_POLL).await;
+    }
+    Err(not_ready())
+}
+
+fn not_ready() -> DevError {
+    DevError::NotReady { wait_ms: READY_POLL.as_millis() * READY_POLLS as u128 }
+}
+
 /// Waits until the router has the configuration and knows every instance.
 async fn wait_ready(admin: SocketAddr) -> Result<(), DevError> {
     for _ in 0..READY_POLLS {
@@ -238,5 +257,5 @@
         }
         sleep(READY_POLL).await;
     }
-    Err(DevError::NotReady { wait_ms: READY_POLL.as_millis() * READY_POLLS as u128 })
+    Err(not_ready())
 }
--- a/crates/cli/src/http/mod.rs
+++ b/crates/cli/src/http/mod.rs
@@ -1,9 +1,10 @@
-//! Small reads from instances' admin ports.
+//! Small calls to instances.
 
 use std::{net::SocketAddr, time::Duration};
 
 use displaydoc::Display;
-use http_body_util::{BodyExt, Empty, Limited};
+use http::{Method, header};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -14,7 +15,7 @@
 /// The dump of a big router stays well below.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
-/// Why an instance's admin port gave no answer.
+/// Why an instance gave no answer.
 #[derive(Debug, Display)]
 #[non_exhaustive]
 pub enum AdminError {
@@ -44,18 +45,41 @@
 
 /// The state of the instance behind an admin port.
 pub(crate) async fn dump(admin: SocketAddr, timeout_ms: u64) -> Result<Value, AdminError> {
-    let answer = tokio::time::timeout(Duration::from_millis(timeout_ms), get(admin, "/dump"));
-    let bytes = answer.await.map_err(|_| AdminError::Timeout { timeout_ms })??;
+    let request = request(Method::GET, admin, "/dump").body(Full::default());
+    let bytes = call(request.expect("an address makes an URI"), timeout_ms).await?;
     serde_json::from_slice(&bytes)
         .map_err(|error| AdminError::Malformed { message: error.to_string() })
 }
 
-async fn get(address: SocketAddr, path: &str) -> Result<Bytes, AdminError> {
+/// Sends a JSON body with a caller's key and drops the answer.
+pub(crate) async fn post(
+    callers: SocketAddr,
+    path: &str,
+    key: &str,
+    body: &str,
+    timeout_ms: u64,
+) -> Result<(), AdminError> {
+    let request = request(Method::POST, callers, path)
+        .header(header::AUTHORIZATION, format!("Bearer {key}"))
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::from(body.to_owned()));
+    call(request.expect("an address makes an URI"), timeout_ms).await.map(drop)
+}
+
+fn request(method: Method, address: SocketAddr, path: &str) -> http::request::Builder {
+    http::Request::builder().method(method).uri(format!("http://{address}{path}"))
+}
+
+async fn call(request: http::Request<Full<Bytes>>, timeout_ms: u64) -> Result<Bytes, AdminError> {
+    let answer = tokio::time::timeout(Duration::from_millis(timeout_ms), exchange(request));
+    answer.await.map_err(|_| AdminError::Timeout { timeout_ms })?
+}
+
+async fn exchange(request: http::Request<Full<Bytes>>) -> Result<Bytes, AdminError> {
     let failed = |message: String| AdminError::Connection { message };
-    let client: Client<HttpConnector, Empty<Bytes>> =
+    let client: Client<HttpConnector, Full<Bytes>> =
         Client::builder(TokioExecutor::new()).build_http();
-    let uri = format!("http://{address}{path}").parse().expect("an address makes an URI");
-    let response = client.get(uri).await.map_err(|error| failed(error.to_string()))?;
+    let response = client.request(request).await.map_err(|error| failed(error.to_string()))?;
     let status = response.status();
     if !status.is_success() {
         return Err(AdminError::Status { status: status.as_u16() });
