Give a late lookup a second chance before a request is refused

Ruled out: sending blindly (a silent agent then makes "not run" unsure). Failing first: a_request_that_meets_only_paused_agents_is_served_once_they_answer was refused 3 of 3 times with 503 no_backend_server; with a second round of 1 s it passes 3 of 3. A failed try on the way: the test first used a prompt without blocks, which has one candidate and no lookup, and so passed on the old code too.

--- a/crates/router/src/fleet/lookup.rs
+++ b/crates/router/src/fleet/lookup.rs
@@ -14,6 +14,8 @@
 
 // Regions are within this round trip of each other; a slower answer is no use for a first token.
 const LOOKUP_TIMEOUT_MS: u64 = 150;
+// When nobody answers in that time, a late answer still beats a refusal.
+const LATE_LOOKUP_TIMEOUT_MS: u64 = 1_000;
 
 /// The candidate that would give the first token soonest, with what it said.
 pub(crate) struct Best<'a> {
@@ -34,17 +36,32 @@
     }
     let request =
         Request::Lookup(Lookup { blocks: prompt.blocks.to_vec(), prompt_tokens: prompt.tokens });
-    let replies = join_all(candidates.iter().map(|candidate| ask(pool, candidate, &request))).await;
+    let mut replies = ask_all(pool, candidates, &request, LOOKUP_TIMEOUT_MS).await;
+    if replies.iter().all(Option::is_none) {
+        replies = ask_all(pool, candidates, &request, LATE_LOOKUP_TIMEOUT_MS).await;
+    }
     let standings: Vec<Standing> = replies.iter().map(standing).collect();
     let prompt: Prompt<'_> = prompt.as_prompt();
     let best = choose(&prompt, &standings)?;
     Some(Best { candidate: &candidates[best], reply: replies.into_iter().nth(best).flatten() })
 }
 
+async fn ask_all<H: HelloSource>(
+    pool: &Pool<H>,
+    candidates: &[Candidate],
+    request: &Request,
+    limit_ms: u64,
+) -> Vec<Option<LookupReply>> {
+    let limit = Duration::from_millis(limit_ms);
+    let asked = candidates.iter().map(|candidate| ask(pool, candidate, request, limit));
+    join_all(asked).await
+}
+
 async fn ask<H: HelloSource>(
     pool: &Pool<H>,
     candidate: &Candidate,
     request: &Request,
+    limit: Duration,
 ) -> Option<LookupReply> {
     let exchange = async {
         let connection = pool.get(&candidate.address).await.ok()?;
@@ -53,7 +70,7 @@
             _ => None,
         }
     };
-    timeout(Duration::from_millis(LOOKUP_TIMEOUT_MS), exchange).await.ok().flatten()
+    timeout(limit, exchange).await.ok().flatten()
 }
 
 fn standing(reply: &Option<LookupReply>) -> Standing {
