--- a/crates/cli/tests/operate/main.rs
+++ b/crates/cli/tests/operate/main.rs
@@ -234,6 +234,24 @@
     assert_eq!(applied.generation.0, 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_platform_is_asked_again() {
+    let platform = platform().await;
+    platform.set_outage(Outage::Silent);
+    let client = client(&platform);
+    let waiting = tokio::spawn(async move {
+        let config = ConfigBuilder::new().team(TeamBuilder::new("desk")).build().unwrap();
+        submit(&client, Submission::new("first", config.documents()), policy()).await
+    });
+    // Longer than one call may take, so that one has most likely failed.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+
+    platform.set_outage(Outage::None);
+    let applied = waiting.await.unwrap().unwrap();
+
+    assert_eq!(applied.generation.0, 1);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn racing_operators_with_lost_answers_all_get_in_once() {
     const OPERATORS: usize = 8;
