--- a/crates/testkit/tests/chaos.rs
+++ b/crates/testkit/tests/chaos.rs
@@ -20,19 +20,15 @@
     service::ServiceConfig,
     text,
 };
-use samphirespread_testkit::{
-    DEFAULT_MODEL, DEFAULT_VERSION, Fleet, Signal,
-    steps::{busy_agent, request},
-};
+use samphirespread_testkit::{DEFAULT_MODEL, DEFAULT_VERSION, Fleet, Signal, steps::request};
 use tokio::task::JoinSet;
 
 const DEFAULT_SEED: u64 = 1;
 const DEFAULT_CASES: u64 = 8;
-const AGENTS: usize = 3;
 const CALLERS: usize = 6;
 const TOKENS: u32 = 150;
 
-/// What fails. All but the outages heal by themselves or when the step ends.
+/// What fails.
 #[derive(Clone, Copy, Debug)]
 enum Failure {
     KillAgent,
@@ -67,10 +63,20 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn streams_are_whole_and_calls_honest_through_random_failures() {
+    run(1).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn streams_are_whole_and_calls_honest_through_pairs_of_failures() {
+    run(2).await;
+}
+
+/// Brings failures about, so many at once, and checks what callers saw.
+async fn run(at_once: usize) {
     let seed = number("SAMPHIRESPREAD_SEED", DEFAULT_SEED);
     let cases = number("SAMPHIRESPREAD_CASES", DEFAULT_CASES);
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut fleet = start().await;
+    let mut fleet = start(at_once + 2).await;
     let stop = Arc::new(AtomicBool::new(false));
     let mut callers = JoinSet::new();
     for index in 0..CALLERS {
@@ -80,11 +86,16 @@
 
     let mut history = Vec::new();
     for _ in 0..cases {
-        let failure = FAILURES[rng.random_range(0..FAILURES.len())];
-        let agent = busy_or_any(&fleet, &mut rng);
-        history.push((failure, agent));
-        fail(&mut fleet, failure, agent, rng.random_range(100..800)).await;
-        tokio::time::sleep(Duration::from_millis(rng.random_range(300..900))).await;
+        let failures: Vec<(Failure, usize)> = draw(&fleet, at_once, &mut rng);
+        history.extend(failures.clone());
+        for (failure, agent) in &failures {
+            begin(&mut fleet, *failure, *agent).await;
+        }
+        pause_ms(rng.random_range(100..800)).await;
+        for (failure, agent) in &failures {
+            heal(&mut fleet, *failure, *agent).await;
+        }
+        pause_ms(rng.random_range(300..900)).await;
     }
     stop.store(true, Ordering::Relaxed);
     let mut seen = Seen::default();
@@ -103,15 +114,19 @@
     }
 }
 
+async fn pause_ms(ms: u64) {
+    tokio::time::sleep(Duration::from_millis(ms)).await;
+}
+
 fn number(variable: &str, default: u64) -> u64 {
     std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
-async fn start() -> Fleet {
+async fn start(agents: usize) -> Fleet {
     let engine = EngineConfig::new(DEFAULT_MODEL, DEFAULT_VERSION).decode_step_us(5_000);
     Fleet::builder()
         .routers(2)
-        .agents(AGENTS)
+        .agents(agents)
         .services(2)
         .engine(engine)
         .service(ServiceConfig::new().run_ms(20))
@@ -124,46 +139,45 @@
         .await
 }
 
-fn busy_or_any(fleet: &Fleet, rng: &mut StdRng) -> usize {
-    let any = rng.random_range(0..AGENTS);
-    let running = fleet.agents.iter().any(|agent| agent.engine.load().running > 0);
-    if running && rng.random() { busy_agent(fleet) } else { any }
+/// Failures that come at once, each at an agent of its own.
+fn draw(fleet: &Fleet, at_once: usize, rng: &mut StdRng) -> Vec<(Failure, usize)> {
+    let agents = fleet.agents.len();
+    let first = rng.random_range(0..agents);
+    let failures = (0..at_once).map(|index| {
+        let failure = FAILURES[rng.random_range(0..FAILURES.len())];
+        (failure, (first + index) % agents)
+    });
+    failures.collect()
 }
 
-/// Brings a failure about for a while and then heals it.
-async fn fail(fleet: &mut Fleet, failure: Failure, index: usize, for_ms: u64) {
+async fn begin(fleet: &mut Fleet, failure: Failure, index: usize) {
     let agent = &mut fleet.agents[index];
-    let pause = tokio::time::sleep(Duration::from_millis(for_ms));
     match failure {
-        Failure::KillAgent => {
-            agent.daemon.kill().await;
-            pause.await;
-            fleet.restart_agent(index).await;
-        }
-        Failure::FreezeAgent => {
-            agent.daemon.signal(Signal::Stop).await;
-            pause.await;
-            agent.daemon.signal(Signal::Cont).await;
-        }
-        Failure::CrashEngine => {
-            agent.engine.go_down().await.unwrap();
-            pause.await;
-            agent.engine.come_back().unwrap();
-        }
+        Failure::KillAgent => agent.daemon.kill().await,
+        Failure::FreezeAgent => agent.daemon.signal(Signal::Stop).await,
+        Failure::CrashEngine => agent.engine.go_down().await.unwrap(),
         Failure::SilenceAgent => agent.agent_link.as_ref().unwrap().silence(),
         Failure::SilenceEngine => agent.engine_link.as_ref().unwrap().silence(),
         Failure::CutAgent => agent.agent_link.as_ref().unwrap().cut(),
         Failure::LoseEvents => agent.engine.drop_next_events(20),
-        Failure::PlatformDown => {
-            fleet.platform.set_outage(Outage::Unavailable);
-            pause.await;
-            fleet.platform.set_outage(Outage::None);
-        }
-        Failure::PlatformSilent => {
-            fleet.platform.set_outage(Outage::Silent);
-            pause.await;
+        Failure::PlatformDown => fleet.platform.set_outage(Outage::Unavailable),
+        Failure::PlatformSilent => fleet.platform.set_outage(Outage::Silent),
+    }
+}
+
+/// Ends a failure. Connections that went silent stay so; new ones work anyway.
+async fn heal(fleet: &mut Fleet, failure: Failure, index: usize) {
+    match failure {
+        Failure::KillAgent => fleet.restart_agent(index).await,
+        Failure::FreezeAgent => fleet.agents[index].daemon.signal(Signal::Cont).await,
+        Failure::CrashEngine => fleet.agents[index].engine.come_back().unwrap(),
+        Failure::PlatformDown | Failure::PlatformSilent => {
             fleet.platform.set_outage(Outage::None);
         }
+        Failure::SilenceAgent
+        | Failure::SilenceEngine
+        | Failure::CutAgent
+        | Failure::LoseEvents => {}
     }
 }
 
@@ -189,7 +203,7 @@
     seen
 }
 
-/// Failures come one at a time and two agents are always well, so each stream must be whole.
+/// Failures heal and two agents are always well, so each stream must be whole.
 fn assert_stream(prompt: &str, answer: &CompletionAnswer, context: &str) {
     let whole = text::answer(prompt, TOKENS as usize);
     assert!(answer.is_complete(), "{context}: {prompt}: {answer:?}");
--- a/crates/testkit/tests/streams.rs
+++ b/crates/testkit/tests/streams.rs
@@ -135,3 +135,24 @@
     assert!(!answer.is_complete(), "{answer:?}");
     assert!(!answer.refusal.unwrap().not_run);
 }
+
+#[tokio::test]
+async fn two_frozen_agents_of_four_make_no_request_fail() {
+    let fleet = fleet().agents(4).start().await;
+    let caller = fleet.caller(0);
+    caller.complete(&request("Warm up.", 2)).await.unwrap();
+
+    for agent in &fleet.agents[..2] {
+        agent.daemon.signal(Signal::Stop).await;
+    }
+    let letters = (0..30).map(|index| request(&format!("Frozen letter {index}."), 3));
+    let answers = letters.map(|letter| {
+        let caller = caller.clone();
+        tokio::spawn(async move { (caller.complete(&letter).await.unwrap(), letter) })
+    });
+
+    for answer in answers.collect::<Vec<_>>() {
+        let (answer, letter) = answer.await.unwrap();
+        assert_whole(&answer, &letter.prompt, 3);
+    }
+}
