Ask all agents in turn before a request is given up, and wait for none that is frozen

Each lookup also waited for its slowest agent, so one frozen agent held first tokens back. Ruled out: sending blindly to an agent that has not answered. Change: lookups go on in rounds over all agents for 1.5 s, those that stayed silent get one late round, agents silent in a round in which others answered are left out for a second, and once one agent accepts the others have 40 ms. Every answer's load and hint now reach placement. The choice has a file of its own, run/choose.rs.

--- a/crates/router/src/fleet/lookup.rs
+++ b/crates/router/src/fleet/lookup.rs
@@ -2,83 +2,126 @@
 
 use std::time::Duration;
 
-use futures_util::future::join_all;
+use futures_util::{StreamExt, stream::FuturesUnordered};
 use samphirespread_prefix::{Prompt, Standing, choose};
 use samphirespread_wire::{
     HelloSource, Pool,
     message::{Lookup, LookupReply, Reply, Request},
 };
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use super::{Candidate, PromptRef};
 
 // Regions are within this round trip of each other; a slower answer is no use for a first token.
 const LOOKUP_TIMEOUT_MS: u64 = 150;
-// When nobody answers in that time, a late answer still beats a refusal.
+// For a round in which nobody else is left to ask.
 const LATE_LOOKUP_TIMEOUT_MS: u64 = 1_000;
+// Once one agent accepts, the others have this long, so that one that is frozen delays nobody.
+const GRACE_MS: u64 = 40;
 
-/// The candidate that would give the first token soonest, with what it said.
-pub(crate) struct Best<'a> {
-    pub(crate) candidate: &'a Candidate,
-    pub(crate) reply: Option<LookupReply>,
+/// How long answers are waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LookupPace {
+    /// As long as a good first token allows.
+    Prompt,
+    /// Longer, since there is nobody else.
+    Late,
 }
 
-/// Asks all candidates at once and returns the best, or `None` if none would take the prompt.
+/// What a round of lookups found. Places are those of the candidates.
+#[derive(Debug, Default)]
+pub(crate) struct Found {
+    /// The candidate that would give the first token soonest, if any would take the prompt.
+    pub(crate) best: Option<usize>,
+    /// The answers.
+    pub(crate) answers: Vec<Answer>,
+    /// Candidates that gave no answer for the whole time.
+    pub(crate) silent: Vec<usize>,
+}
+
+/// What one candidate answered.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) place: usize,
+    pub(crate) reply: LookupReply,
+}
+
+/// Asks all candidates at once and weighs their answers.
 ///
-/// One candidate alone is not asked, since the answer would change nothing.
-pub(crate) async fn look_up<'a, H: HelloSource>(
+/// One candidate alone is not asked in a prompt round, since the answer would change nothing.
+pub(crate) async fn look_up<H: HelloSource>(
     pool: &Pool<H>,
     prompt: &PromptRef<'_>,
-    candidates: &'a [Candidate],
-) -> Option<Best<'a>> {
-    if let [only] = candidates {
-        return Some(Best { candidate: only, reply: None });
+    candidates: &[Candidate],
+    pace: LookupPace,
+) -> Found {
+    if candidates.len() == 1 && pace == LookupPace::Prompt {
+        return Found { best: Some(0), ..Found::default() };
     }
     let request =
         Request::Lookup(Lookup { blocks: prompt.blocks.to_vec(), prompt_tokens: prompt.tokens });
-    let mut replies = ask_all(pool, candidates, &request, LOOKUP_TIMEOUT_MS).await;
-    if replies.iter().all(Option::is_none) {
-        replies = ask_all(pool, candidates, &request, LATE_LOOKUP_TIMEOUT_MS).await;
-    }
-    let standings: Vec<Standing> = replies.iter().map(standing).collect();
+    let mut found = ask_all(pool, candidates, &request, pace).await;
+    let standings: Vec<Standing> = found.answers.iter().map(standing).collect();
     let prompt: Prompt<'_> = prompt.as_prompt();
-    let best = choose(&prompt, &standings)?;
-    Some(Best { candidate: &candidates[best], reply: replies.into_iter().nth(best).flatten() })
+    found.best = choose(&prompt, &standings).map(|index| found.answers[index].place);
+    found
 }
 
 async fn ask_all<H: HelloSource>(
     pool: &Pool<H>,
     candidates: &[Candidate],
     request: &Request,
-    limit_ms: u64,
-) -> Vec<Option<LookupReply>> {
-    let limit = Duration::from_millis(limit_ms);
-    let asked = candidates.iter().map(|candidate| ask(pool, candidate, request, limit));
-    join_all(asked).await
+    pace: LookupPace,
+) -> Found {
+    let limit_ms = match pace {
+        LookupPace::Prompt => LOOKUP_TIMEOUT_MS,
+        LookupPace::Late => LATE_LOOKUP_TIMEOUT_MS,
+    };
+    let mut deadline = Instant::now() + Duration::from_millis(limit_ms);
+    let mut waiting: Vec<usize> = (0..candidates.len()).collect();
+    let mut found = Found::default();
+    let mut asked: FuturesUnordered<_> = candidates
+        .iter()
+        .enumerate()
+        .map(|(place, candidate)| async move { (place, ask(pool, candidate, request).await) })
+        .collect();
+    let mut in_grace = false;
+    while let Ok(Some((place, reply))) = timeout_at(deadline, asked.next()).await {
+        waiting.retain(|other| *other != place);
+        let Some(reply) = reply else {
+            found.silent.push(place);
+            continue;
+        };
+        if reply.takes_work && !in_grace {
+            in_grace = true;
+            deadline = deadline.min(Instant::now() + Duration::from_millis(GRACE_MS));
+        }
+        found.answers.push(Answer { place, reply });
+    }
+    if !in_grace {
+        found.silent.extend(waiting);
+    }
+    found
 }
 
 async fn ask<H: HelloSource>(
     pool: &Pool<H>,
     candidate: &Candidate,
     request: &Request,
-    limit: Duration,
 ) -> Option<LookupReply> {
-    let exchange = async {
-        let connection = pool.get(&candidate.address).await.ok()?;
-        match connection.call(request).await.ok()? {
-            Reply::Lookup(reply) => Some(reply),
-            _ => None,
-        }
-    };
-    timeout(limit, exchange).await.ok().flatten()
+    let connection = pool.get(&candidate.address).await.ok()?;
+    match connection.call(request).await.ok()? {
+        Reply::Lookup(reply) => Some(reply),
+        _ => None,
+    }
 }
 
-fn standing(reply: &Option<LookupReply>) -> Standing {
-    let Some(reply) = reply else { return Standing::default() };
+fn standing(answer: &Answer) -> Standing {
+    let standing = &answer.reply.standing;
     Standing {
-        cached_blocks: reply.standing.cached_blocks,
-        wait_ms: reply.standing.wait_ms,
-        prefill_us_per_token: reply.standing.prefill_us_per_token,
-        takes_work: reply.takes_work,
+        cached_blocks: standing.cached_blocks,
+        wait_ms: standing.wait_ms,
+        prefill_us_per_token: standing.prefill_us_per_token,
+        takes_work: answer.reply.takes_work,
     }
 }
--- a/crates/router/src/fleet/mod.rs
+++ b/crates/router/src/fleet/mod.rs
@@ -4,6 +4,6 @@
 mod placer;
 
 pub(crate) use self::{
-    lookup::look_up,
+    lookup::{LookupPace, look_up},
     placer::{Candidate, Placer, PromptRef, Report, RouteCount},
 };
--- a/crates/router/src/fleet/placer.rs
+++ b/crates/router/src/fleet/placer.rs
@@ -10,7 +10,7 @@
 use samphirespread_core::prelude::*;
 use samphirespread_platform::api::{LiveInstance, LiveList, LiveState, Role};
 use samphirespread_prefix::{
-    Hint, HomeConfig, HomePlacement, Placement, Prompt, Worker, WorkerSet,
+    Hint, HomeConfig, HomePlacement, MAX_CANDIDATES, Placement, Prompt, Worker, WorkerSet,
 };
 
 // An agent that refuses work is asked again after this; it may have come back by then.
@@ -106,15 +106,12 @@
             .filter(|name| usable(name))
             .collect();
         if names.is_empty() {
-            // The homes are out of reach, so the least loaded of the others has to recompute.
-            names.extend(
-                workers
-                    .workers()
-                    .iter()
-                    .filter(|worker| worker.takes_work && usable(&worker.name))
-                    .min_by_key(|worker| worker.expected_wait_ms(now))
-                    .map(|worker| &worker.name),
-            );
+            // The homes are out of reach, so others have to recompute.
+            let others = workers.workers().iter();
+            let mut others: Vec<_> =
+                others.filter(|worker| worker.takes_work && usable(&worker.name)).collect();
+            others.sort_by_key(|worker| worker.expected_wait_ms(now));
+            names.extend(others.into_iter().take(MAX_CANDIDATES).map(|worker| &worker.name));
         }
         let candidate = |name: &InstanceName| {
             let address = addresses.get(name)?.clone();
--- a/crates/router/src/run/mod.rs
+++ b/crates/router/src/run/mod.rs
@@ -1,5 +1,6 @@
 //! Carries out the actions of a request's state machine.
 
+mod choose;
 mod exchange;
 mod piece;
 mod runner;
--- a/crates/router/src/run/runner.rs
+++ b/crates/router/src/run/runner.rs
@@ -22,16 +22,12 @@
     piece::{CHANNEL_PIECES, Ending, Piece, Receiver, Sender},
 };
 use crate::{
-    fleet::{Candidate, PromptRef, Report, look_up},
+    fleet::{Candidate, PromptRef, Report},
     state::Shared,
 };
 
 // Doubled for each further try, so that an agent that restarts is met once it is back.
 const RESUME_BACKOFF_MS: u64 = 50;
-// An engine that crashed is back within seconds, or not soon.
-const BEGUN_WAIT_MS: u64 = 5_000;
-const BEGUN_POLL_MS: u64 = 100;
-const NO_BACKEND_RETRY_AFTER_MS: u32 = 1_000;
 
 /// A request that was admitted.
 pub(crate) struct Job {
@@ -90,26 +86,26 @@
     receiver
 }
 
-struct Runner {
-    shared: Arc<Shared>,
-    job: Job,
-    machine: RequestMachine,
-    pieces: Sender,
+pub(super) struct Runner {
+    pub(super) shared: Arc<Shared>,
+    pub(super) job: Job,
+    pub(super) machine: RequestMachine,
+    pub(super) pieces: Sender,
     blocks: Vec<BlockKey>,
     delivered_text: String,
     prompt_tokens: u64,
     output_tokens: u64,
-    exchange: Option<Exchange>,
-    target: Option<Target>,
+    pub(super) exchange: Option<Exchange>,
+    pub(super) target: Option<Target>,
     totals: Finished,
-    deadline: Instant,
+    pub(super) deadline: Instant,
 }
 
 /// The agent of the current attempt.
-struct Target {
-    candidate: Candidate,
-    connection: Option<Connection>,
-    incarnation: Incarnation,
+pub(super) struct Target {
+    pub(super) candidate: Candidate,
+    pub(super) connection: Option<Connection>,
+    pub(super) incarnation: Incarnation,
 }
 
 /// What a step of the runner leads to.
@@ -234,7 +230,7 @@
         self.shared.placer.learn(&self.job.route, &self.prompt(), agent, report, now);
     }
 
-    fn prompt(&self) -> PromptRef<'_> {
+    pub(super) fn prompt(&self) -> PromptRef<'_> {
         let block_tokens = match &self.job.work {
             JobWork::Model(model) => model.hasher.block_tokens(),
             JobWork::Service(_) => 0,
@@ -242,55 +238,6 @@
         PromptRef { blocks: &self.blocks, tokens: self.prompt_tokens, block_tokens }
     }
 
-    async fn choose(&mut self) -> Event {
-        let none = Event::NoneLeft { retry_after_ms: NO_BACKEND_RETRY_AFTER_MS };
-        self.exchange = None;
-        self.target = None;
-        let candidates = match self.candidates().await {
-            Ok(candidates) => candidates,
-            Err(event) => return event,
-        };
-        let now = self.shared.clock.now();
-        let Some(best) = look_up(&self.shared.pool, &self.prompt(), &candidates).await else {
-            return none;
-        };
-        let agent = best.candidate.name.clone();
-        if let Some(reply) = &best.reply {
-            self.shared.heard_generation(reply.generation);
-            let cost_ms = prefill_ms(&self.prompt(), &reply.standing);
-            self.shared.placer.note_sent(&self.job.route, &agent, cost_ms, now);
-        }
-        self.target = Some(Target {
-            candidate: best.candidate.clone(),
-            connection: None,
-            incarnation: Incarnation::default(),
-        });
-        Event::Chosen { agent }
-    }
-
-    /// Agents to ask. A request that has not run gets its refusal at once when none is left. One
-    /// that has begun waits for an agent, also for those that failed it, which may be back soon.
-    async fn candidates(&mut self) -> Result<Vec<Candidate>, Event> {
-        let placer = &self.shared.placer;
-        let ask = |tried: &[InstanceName]| {
-            placer.candidates(&self.job.route, &self.prompt(), tried, self.shared.clock.now())
-        };
-        let mut candidates = ask(self.machine.tried());
-        if !self.machine.may_have_run() {
-            return Ok(candidates);
-        }
-        let give_up = Instant::now() + Duration::from_millis(BEGUN_WAIT_MS);
-        while candidates.is_empty() && Instant::now() < give_up {
-            tokio::select! {
-                () = sleep(Duration::from_millis(BEGUN_POLL_MS)) => {}
-                () = self.pieces.closed() => return Err(Event::CallerGone),
-                () = sleep_until(self.deadline) => return Err(Event::DeadlinePassed),
-            }
-            candidates = ask(&[]);
-        }
-        Ok(candidates)
-    }
-
     async fn send_run(&mut self, attempt: AttemptId) -> Step {
         if self.has_whole_output() {
             return Step::Next(Event::Finished { attempt, lines: 0 });
@@ -423,14 +370,6 @@
     }
 }
 
-/// Time that the agent's engine will spend on the blocks that it lacks.
-fn prefill_ms(prompt: &PromptRef<'_>, standing: &Standing) -> u32 {
-    let cached_tokens = u64::from(standing.cached_blocks) * u64::from(prompt.block_tokens);
-    let missing_tokens = prompt.tokens.saturating_sub(cached_tokens);
-    let us = missing_tokens.saturating_mul(standing.prefill_us_per_token.into());
-    u32::try_from(us / 1_000).unwrap_or(u32::MAX)
-}
-
 impl JobWork {
     /// The prompt with output that was already delivered.
     fn prompt_text(&self, delivered: &[&str]) -> String {
