--- a/crates/agent/src/shared/prefill.rs
+++ b/crates/agent/src/shared/prefill.rs
@@ -9,7 +9,7 @@
 const MIN_PREFILLING: usize = 2;
 
 /// Attempts that may prefill at once, however long they take.
-const MAX_LONG_PREFILLING: usize = 3;
+const MAX_LONG_PREFILLING: usize = 6;
 
 /// Prefill that may be outstanding at the engine.
 ///
