--- a/crates/limits/tests/common/mod.rs
+++ b/crates/limits/tests/common/mod.rs
@@ -12,13 +12,17 @@
 use samphirespread_core::prelude::*;
 use samphirespread_limits::{
     Action, Call, Event, Holder, Limiter, LimitsConfig, ObjectState, PeerMessage, PeerReply,
-    RefuseReason, RouterInfo, TeamLimit, WriteOutcome,
+    PeerRequest, RefuseReason, RouterInfo, TeamLimit, WriteOutcome,
 };
 
+pub(crate) mod baselines;
 pub(crate) mod checker;
 
 /// What a world drives: the limiter, or something simpler to compare it with.
 pub(crate) trait Admission {
+    /// Whether all runs read one clock.
+    const SHARED_CLOCK: bool = false;
+
     fn start(config: &LimitsConfig, me: Holder, run: Incarnation, now: MonoTime) -> Self;
     fn handle(&mut self, now: MonoTime, event: Event) -> Vec<Action>;
 }
@@ -135,6 +139,8 @@
     pub(crate) admitted: Vec<Admitted>,
     pub(crate) tally: Vec<Tally>,
     pub(crate) messages: u64,
+    pub(crate) promises_asked: u64,
+    pub(crate) message_bytes: u64,
     pub(crate) platform_reads: u64,
     pub(crate) platform_writes: u64,
     nodes: Vec<Node<A>>,
@@ -147,6 +153,7 @@
     version: u64,
     outage_until_us: u64,
     cut: BTreeMap<(usize, usize), u64>,
+    cut_platform: BTreeMap<usize, u64>,
     live_history: Vec<(u64, Vec<RouterInfo>)>,
     replies_to: BTreeMap<u64, (usize, u64, u64)>,
     pending: BTreeMap<u64, Pending>,
@@ -185,6 +192,8 @@
             admitted: Vec::new(),
             tally,
             messages: 0,
+            promises_asked: 0,
+            message_bytes: 0,
             platform_reads: 0,
             platform_writes: 0,
             nodes: Vec::new(),
@@ -197,6 +206,7 @@
             version: 0,
             outage_until_us: 0,
             cut: BTreeMap::new(),
+            cut_platform: BTreeMap::new(),
             live_history: Vec::new(),
             replies_to: BTreeMap::new(),
             pending: BTreeMap::new(),
@@ -238,7 +248,7 @@
         let now_us = self.now_us;
         let entry = &mut self.nodes[node];
         entry.run = run;
-        entry.origin_us = now_us;
+        entry.origin_us = if A::SHARED_CLOCK { 0 } else { now_us };
         entry.ppm = ppm;
         entry.paused_until_us = 0;
         let holder = entry.holder.clone();
@@ -326,6 +336,10 @@
             Action::Refuse { ticket, reason } => self.refused(ticket, reason),
             Action::Send { exchange, to, message } => {
                 self.messages += 1;
+                if matches!(message.body, PeerRequest::Promise { .. }) {
+                    self.promises_asked += 1;
+                }
+                self.message_bytes += message.encode().map_or(0, |bytes| bytes.len() as u64);
                 let wait_us = 50_000;
                 let unanswered = Event::Unanswered { exchange };
                 let at_us = self.now_us + wait_us;
@@ -430,7 +444,8 @@
     }
 
     fn platform(&mut self, node: usize, run: u64, op: Op) {
-        let down = self.outage_until_us > self.now_us;
+        let cut = self.cut_platform.get(&node).is_some_and(|until| *until > self.now_us);
+        let down = cut || self.outage_until_us > self.now_us;
         let (event, answered) = match op {
             Op::Read { call, slot } => {
                 let state = match self.objects.get(&slot) {
@@ -627,6 +642,11 @@
         self.cut.insert((a.min(b), a.max(b)), self.now_us + for_us);
     }
 
+    /// Cuts one router off from the platform; its peers still reach it.
+    pub(crate) fn cut_from_platform(&mut self, node: usize, for_us: u64) {
+        self.cut_platform.insert(node, self.now_us + for_us);
+    }
+
     pub(crate) fn isolate(&mut self, node: usize, for_us: u64) {
         for other in 0..self.nodes.len() {
             if other != node {
--- a/crates/router/src/limits/mod.rs
+++ b/crates/router/src/limits/mod.rs
@@ -147,6 +147,11 @@
         answered.await.ok()
     }
 
+    /// Whether this router can admit requests of every team whose shares concern it.
+    pub(crate) async fn is_ready(&self) -> bool {
+        self.snapshot().await.is_some_and(|snapshot| snapshot.can_admit)
+    }
+
     fn event(&self, event: Event) {
         let _ = self.commands.send(Command::Event(event));
     }
