--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -36,10 +36,12 @@
 //!
 //! One event costs a few comparisons and no allocation, apart from the list of agents that were tried.
 
+mod event;
 mod machine;
 mod spec;
 
 pub use crate::{
-    machine::{Action, Event, Outcome, RequestMachine},
+    event::{Action, Event, Outcome},
+    machine::RequestMachine,
     spec::{GiveUpReason, RequestSpec},
 };
--- a/crates/router/src/api/generate.rs
+++ b/crates/router/src/api/generate.rs
@@ -14,11 +14,11 @@
 use samphirespread_core::prelude::*;
 use samphirespread_dispatch::RequestSpec;
 use samphirespread_prefix::{DEFAULT_BLOCK_BYTES, PrefixHasher};
-use slog::o;
 
 use super::{
     access,
     answer::{self, AnswerStyle, Meter},
+    caller::Caller,
     error::ApiError,
     openai::{GenerateBody, Kind},
     service::read_body,
@@ -142,23 +142,8 @@
         sampling: body.sampling_text(),
         model,
     };
-    Ok(Job {
-        spec: RequestSpec::model(id)
-            .idempotent(chosen.route.idempotent)
-            .max_attempts(shared.settings.request.max_attempts),
-        generation: snapshot.generation(),
-        route: chosen.route.name.clone(),
-        team: chosen.team.clone(),
-        weight: weight(snapshot, &chosen.team),
-        priority: chosen.route.priority,
-        work: JobWork::Model(work),
-        log: shared.log.new(o!("request" => id.to_string(), "team" => chosen.team.to_string())),
-    })
-}
-
-/// The team's weight in queues: its rate.
-pub(super) fn weight(snapshot: &Snapshot, team: &TeamName) -> u64 {
-    snapshot.team(team).map_or(1, |team| team.rate_tokens_per_s.max(1))
+    let caller = Caller { route: chosen.route, team: &chosen.team, snapshot };
+    Ok(caller.job(shared, id, RequestSpec::model(id), JobWork::Model(work)))
 }
 
 // All sets of a route are taken to have blocks of one size, since a prompt has one chain of keys.
--- a/crates/router/src/api/mod.rs
+++ b/crates/router/src/api/mod.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod answer;
+mod caller;
 mod error;
 mod generate;
 mod headers;
--- a/crates/router/src/api/service.rs
+++ b/crates/router/src/api/service.rs
@@ -17,13 +17,12 @@
 use samphirespread_core::prelude::*;
 use samphirespread_dispatch::{Outcome, RequestSpec};
 use samphirespread_wire::message::{ServiceHead, ServiceWork};
-use slog::o;
 use tokio::time::timeout;
 
-use super::{access, answer::Meter, error::ApiError, generate::weight, headers};
+use super::{access, answer::Meter, caller::Caller, error::ApiError, headers};
 use crate::{
     claim::{Claim, ClaimError},
-    run::{Ending, Job, JobWork, Piece, Receiver, start},
+    run::{Ending, JobWork, Piece, Receiver, start},
     state::Shared,
 };
 
@@ -89,7 +88,9 @@
     let meter = Meter::new(Arc::clone(shared), chosen.team.clone(), route, arrived)
         .with_grant(grant, chosen.cost_tokens);
     let work = service_work(&parts, path, body);
-    let pieces = start(Arc::clone(shared), job(shared, &snapshot, &chosen, work, id));
+    let caller = Caller { route: chosen.route, team: &chosen.team, snapshot: &snapshot };
+    let job = caller.job(shared, id, RequestSpec::service(id), JobWork::Service(work));
+    let pieces = start(Arc::clone(shared), job);
     answer(pieces, meter, claim).await
 }
 
@@ -158,27 +159,6 @@
     }
 }
 
-fn job(
-    shared: &Shared,
-    snapshot: &Snapshot,
-    chosen: &Chosen<'_>,
-    work: ServiceWork,
-    id: RequestId,
-) -> Job {
-    Job {
-        spec: RequestSpec::service(id)
-            .idempotent(chosen.route.idempotent)
-            .max_attempts(shared.settings.request.max_attempts),
-        generation: snapshot.generation(),
-        route: chosen.route.name.clone(),
-        team: chosen.team.clone(),
-        weight: weight(snapshot, &chosen.team),
-        priority: chosen.route.priority,
-        work: JobWork::Service(work),
-        log: shared.log.new(o!("request" => id.to_string(), "team" => chosen.team.to_string())),
-    }
-}
-
 async fn answer(
     mut pieces: Receiver,
     mut meter: Meter,
