Count on the blocks of running prompts at the agent

Cause: Residency::expect and settle were never called, so prompts with one new prefix that arrived during its prefill each looked like a miss and could go to several engines.

An attempt is counted on from its start at the engine until it ends, in the one place where every attempt ends. Ruled out: counting such blocks as cached in the prefill backlog and in the measured speed as well; a prompt that waits behind the prefill of its own prefix would show a few missing tokens and a long time, and distort the speed. Residency::cached_blocks gives the count without them.

Before: the_blocks_of_a_running_prompt_count_until_it_ends failed (0 blocks while the prompt ran). After: it passes; cargo test -p samphirespread-agent -p samphirespread-prefix passes.

--- a/crates/agent/src/shared/admission.rs
+++ b/crates/agent/src/shared/admission.rs
@@ -173,17 +173,27 @@
         self.heat.observe(&work.blocks, cost_us, now);
     }
 
-    /// Counts a started attempt as prefilling, and returns the tokens that it misses.
+    /// Counts a started attempt as prefilling, and returns the tokens that it misses. Until it
+    /// ends, its blocks count as cached for prompts that come after it.
     pub(super) fn begin_prefill(&mut self, run: &Run) -> u64 {
         let Work::Model(work) = &run.work else { return 0 };
         let missing_tokens = self.missing_tokens(work);
         self.prefill.begin(missing_tokens);
+        self.residency.expect(&work.blocks);
         missing_tokens
     }
 
-    /// Tokens of a prompt that the engine will have to compute.
+    /// Counts no longer on the blocks of an attempt that ended. Those that the engine cached
+    /// are known from its events, or will be soon.
+    pub(super) fn settle(&mut self, run: &Run) {
+        let Work::Model(work) = &run.work else { return };
+        self.residency.settle(&work.blocks);
+    }
+
+    /// Tokens of a prompt that the engine would have to compute now. Blocks that another attempt
+    /// is still prefilling count as missing, since the engine's time for them is yet to pass.
     fn missing_tokens(&self, work: &ModelWork) -> u64 {
-        let cached = u64::from(self.residency.leading_blocks(&work.blocks));
+        let cached = u64::from(self.residency.cached_blocks(&work.blocks));
         let block_tokens = u64::from(work.block_bytes).div_ceil(BYTES_PER_TOKEN);
         work.prompt_tokens.saturating_sub(cached * block_tokens)
     }
--- a/crates/agent/src/shared/mod.rs
+++ b/crates/agent/src/shared/mod.rs
@@ -187,7 +187,7 @@
                     reply: failed("the agent failed within the attempt"),
                     tokens: 0,
                 });
-                shared.finish(&live, ticket, outcome);
+                shared.finish(&run, &live, ticket, outcome);
             });
         }
         self.drop_waiting(&mut state, now);
@@ -220,7 +220,7 @@
     }
 
     /// Ends a started attempt, frees its slot and starts what waits.
-    fn finish(self: &Arc<Self>, live: &Live, ticket: Ticket, outcome: Outcome) {
+    fn finish(self: &Arc<Self>, run: &Run, live: &Live, ticket: Ticket, outcome: Outcome) {
         let now = self.clock.now();
         {
             let mut state = self.lock();
@@ -235,6 +235,7 @@
                     (reply, tokens)
                 }
             };
+            state.settle(run);
             state.queue.complete(now, ticket, tokens);
             self.log_end(live, &reply);
             live.end(reply);
--- a/crates/agent/tests/model.rs
+++ b/crates/agent/tests/model.rs
@@ -242,6 +242,27 @@
     until(async || lookup(&connection, &blocks).await.standing.cached_blocks == 0).await;
 }
 
+#[tokio::test]
+async fn the_blocks_of_a_running_prompt_count_until_it_ends() {
+    let engine = Engine::start(config().prefill_us_per_token(10_000)).await.unwrap();
+    let agent = TestAgent::start("model", engine.address(), "").await;
+    let connection = agent.connect().await;
+    let prompt = "ledger ".repeat(4_000);
+    let blocks = model_work(&prompt, 1).blocks;
+
+    let mut replies = open_run(&connection, &model_run(1, &prompt, 1)).await;
+    let accepted = replies.next().await.unwrap();
+    let while_it_runs = lookup(&connection, &blocks).await.standing;
+    connection.call(&Request::Cancel(attempt(1))).await.unwrap();
+    let answer = read_answer(&mut replies).await;
+    let after = lookup(&connection, &blocks).await.standing;
+
+    assert!(matches!(accepted, Some(Reply::Accepted(_))));
+    assert_eq!(while_it_runs.cached_blocks, 3);
+    assert!(answer.may_have_run());
+    assert_eq!(after.cached_blocks, 0);
+}
+
 #[tokio::test]
 async fn a_leaving_agent_refuses_new_work_and_finishes_what_runs() {
     let engine = slow_engine().await;
--- a/crates/prefix/src/residency.rs
+++ b/crates/prefix/src/residency.rs
@@ -115,6 +115,14 @@
         self.uncertain = false;
     }
 
+    /// Leading blocks of a prompt that are believed to be cached now.
+    ///
+    /// Blocks that are only expected don't count: the engine still has work to do for them.
+    pub fn cached_blocks(&self, blocks: &[BlockKey]) -> u32 {
+        let missing = blocks.iter().position(|key| !self.blocks.contains(key));
+        missing.unwrap_or(blocks.len()) as u32
+    }
+
     /// Leading blocks of a prompt that are believed to be cached, or that a prompt which was
     /// accepted before will have cached by then.
     pub fn leading_blocks(&self, blocks: &[BlockKey]) -> u32 {
@@ -133,7 +141,7 @@
         }
     }
 
-    /// Takes back [`Residency::expect`], once the prompt is prefilled or will not be.
+    /// Takes back [`Residency::expect`], once the prompt's blocks show in the index or won't.
     pub fn settle(&mut self, blocks: &[BlockKey]) {
         for key in blocks {
             let Some(count) = self.expected.get_mut(key) else { continue };
