Hash a prompt's blocks once

Cause: the prompt was copied and hashed a second time for the run order of every first attempt. Ruled out: keeping the text of the order between attempts (it changes with the output). Tests of router, agent and the real daemons pass (none failed).

--- a/crates/router/src/run/runner.rs
+++ b/crates/router/src/run/runner.rs
@@ -68,7 +68,7 @@
         let deadline = Instant::now() + Duration::from_millis(shared.settings.request.deadline_ms);
         let runner = Runner {
             machine: RequestMachine::new(job.spec.clone()),
-            blocks: job.work.blocks(&job.work.prompt_text(&[])),
+            blocks: job.work.blocks(),
             delivered_text: String::new(),
             prompt_tokens: job.work.prompt_tokens(),
             output_tokens: 0,
@@ -328,7 +328,12 @@
             JobWork::Service(service) => return Work::Service(service.clone()),
             JobWork::Model(model) => model,
         };
-        let prompt = self.job.work.prompt_text(&[&self.delivered_text]);
+        let prompt = format!("{}{}", model.prompt, self.delivered_text);
+        // Only delivered output adds blocks to those that are known.
+        let blocks = match self.delivered_text.as_str() {
+            "" => self.blocks.clone(),
+            _ => model.hasher.blocks(prompt.as_bytes()),
+        };
         let output_tokens = u32::try_from(self.output_tokens).unwrap_or(u32::MAX);
         Work::Model(ModelWork {
             model: model.model.clone(),
@@ -337,7 +342,7 @@
             prompt_tokens: tokens_of(prompt.len()),
             max_output_tokens: model.max_output_tokens.saturating_sub(output_tokens),
             sampling: model.sampling.clone(),
-            blocks: self.job.work.blocks(&prompt),
+            blocks,
             block_bytes: model.hasher.bytes_per_block(),
             prompt,
         })
@@ -371,19 +376,10 @@
 }
 
 impl JobWork {
-    /// The prompt with output that was already delivered.
-    fn prompt_text(&self, delivered: &[&str]) -> String {
-        let Self::Model(model) = self else { return String::new() };
-        let mut text = model.prompt.clone();
-        for piece in delivered {
-            text.push_str(piece);
-        }
-        text
-    }
-
-    fn blocks(&self, prompt: &str) -> Vec<BlockKey> {
+    /// The keys of the prompt's blocks.
+    fn blocks(&self) -> Vec<BlockKey> {
         match self {
-            Self::Model(model) => model.hasher.blocks(prompt.as_bytes()),
+            Self::Model(model) => model.hasher.blocks(model.prompt.as_bytes()),
             Self::Service(_) => Vec::new(),
         }
     }
