Count only attempts without output, and forgive agents that an order got lost on the way to

Failing first: attempts_that_bring_the_answer_forward_are_not_counted. Ruled out: no bound on attempts (a storm would last until the deadline); the default is now 12 attempts without output, as the settings' example says.

--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -80,6 +80,8 @@
     // Lines of the current attempt, which follow those of earlier attempts.
     attempt_lines: u64,
     resumes: u32,
+    // Attempts since the last line. One that brought the answer forward was no waste.
+    fruitless_attempts: u32,
     // Set by the first attempt whose fate is not known to be "never ran".
     may_have_run: bool,
     retry_after_ms: Option<u32>,
@@ -215,6 +217,7 @@
             delivered_lines: 0,
             attempt_lines: 0,
             resumes: 0,
+            fruitless_attempts: 0,
             may_have_run: false,
             retry_after_ms: None,
             ended: false,
@@ -250,6 +253,7 @@
         self.attempt_lines += 1;
         self.delivered_lines += 1;
         self.resumes = 0;
+        self.fruitless_attempts = 0;
         actions.push(Action::Deliver);
         Transition(State::running())
     }
@@ -285,8 +289,9 @@
         if self.may_have_run && !self.spec.idempotent {
             return self.give_up(GiveUpReason::NoBackend, actions);
         }
+        self.fruitless_attempts += 1;
         let stuck = self.delivered_lines > 0 && !self.spec.continues;
-        if stuck || self.number + 1 >= self.spec.max_attempts {
+        if stuck || self.fruitless_attempts >= self.spec.max_attempts {
             return self.give_up(GiveUpReason::Busy, actions);
         }
         self.number += 1;
--- a/crates/dispatch/src/spec.rs
+++ b/crates/dispatch/src/spec.rs
@@ -39,7 +39,7 @@
         self
     }
 
-    /// Attempts at most, one at least.
+    /// Attempts at most without a line between them, one at least.
     #[must_use]
     pub fn max_attempts(mut self, count: u32) -> Self {
         self.max_attempts = count.max(1);
--- /dev/null
+++ b/crates/dispatch/tests/attempts.rs
@@ -0,0 +1,45 @@
+//! How many attempts a request gets.
+
+use samphirespread_core::prelude::*;
+use samphirespread_dispatch::{Action, Event, Outcome, RequestMachine, RequestSpec};
+
+const MAX_ATTEMPTS: u32 = 3;
+
+fn request() -> RequestMachine {
+    let id = RequestId { origin: 1, serial: 1 };
+    let mut machine = RequestMachine::new(RequestSpec::model(id).max_attempts(MAX_ATTEMPTS));
+    machine.handle(&Event::Start);
+    machine
+}
+
+/// Runs one attempt that fails after so many lines, and returns the last action.
+fn fail_after(machine: &mut RequestMachine, lines: u64) -> Action {
+    machine.handle(&Event::Chosen { agent: InstanceName::new("a1") });
+    let attempt = machine.attempt();
+    for seq in 0..lines {
+        machine.handle(&Event::Line { attempt, seq });
+    }
+    let actions = machine.handle(&Event::Failed { attempt, may_have_run: true });
+    actions.last().cloned().unwrap()
+}
+
+#[test]
+fn attempts_that_bring_the_answer_forward_are_not_counted() {
+    let mut machine = request();
+
+    let last = (0..20).map(|_| fail_after(&mut machine, 2)).last();
+
+    assert_eq!(last, Some(Action::Choose));
+    assert_eq!(machine.delivered_lines(), 40);
+}
+
+#[test]
+fn attempts_without_a_line_are_bounded() {
+    let mut machine = request();
+    fail_after(&mut machine, 5);
+
+    let actions: Vec<Action> = (1..MAX_ATTEMPTS).map(|_| fail_after(&mut machine, 0)).collect();
+
+    assert_eq!(actions[0], Action::Choose);
+    assert!(matches!(actions[1], Action::End(Outcome::Interrupted { .. })), "{actions:?}");
+}
--- a/crates/router/src/run/choose.rs
+++ b/crates/router/src/run/choose.rs
@@ -26,7 +26,8 @@
     pub(super) async fn choose(&mut self) -> Event {
         self.exchange = None;
         self.target = None;
-        let tried = self.machine.tried().to_vec();
+        let tried = self.machine.tried().iter();
+        let tried = tried.filter(|agent| !self.forgiven.contains(agent)).cloned().collect();
         if let Some(agent) = self.ask_in_rounds(tried).await {
             return Event::Chosen { agent };
         }
--- a/crates/router/src/run/runner.rs
+++ b/crates/router/src/run/runner.rs
@@ -74,6 +74,7 @@
             output_tokens: 0,
             exchange: None,
             target: None,
+            forgiven: Vec::new(),
             totals: Finished::default(),
             deadline,
             shared,
@@ -97,6 +98,8 @@
     output_tokens: u64,
     pub(super) exchange: Option<Exchange>,
     pub(super) target: Option<Target>,
+    // Agents that a run order got lost on the way to. They are as good as others.
+    pub(super) forgiven: Vec<InstanceName>,
     totals: Finished,
     pub(super) deadline: Instant,
 }
@@ -215,6 +218,9 @@
                 if let (true, Some(target)) = (down, &self.target) {
                     self.shared.placer.suspend(&target.candidate.name, self.shared.clock.now());
                 }
+                if let (NotRunReason::Unknown, Some(target)) = (reason, &self.target) {
+                    self.forgiven.push(target.candidate.name.clone());
+                }
                 if reason == NotRunReason::Stale {
                     self.shared.config_news.notify_one();
                 }
--- a/crates/settings/src/router/mod.rs
+++ b/crates/settings/src/router/mod.rs
@@ -22,7 +22,7 @@
 ///
 /// let settings = RouterSettings::parse(&RouterSettings::example()).unwrap();
 ///
-/// assert_eq!(settings.request.max_attempts, 4);
+/// assert_eq!(settings.request.max_attempts, 12);
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RouterSettings {
@@ -83,7 +83,7 @@
     pub header_timeout_ms: u64,
     /// Time at most in an agent's queue.
     pub queue_limit_ms: u32,
-    /// Attempts at most.
+    /// Attempts at most without output between them.
     pub max_attempts: u32,
     /// Time at most from the request to the end of its answer.
     pub deadline_ms: u64,
@@ -259,7 +259,7 @@
         number_key("max_prompt_tokens", (1, 1 << 30), "tokens", "262144", "Longer is refused."),
         ms_key("header_timeout_ms", (10, DAY_MS), "10000", "Slower headers are refused."),
         ms_key("queue_limit_ms", (1, DAY_MS), "5000", "Time at most in an agent's queue."),
-        number_key("max_attempts", (1, 100), "attempts", "4", "Attempts at most."),
+        number_key("max_attempts", (1, 100), "attempts", "12", "Attempts without output at most."),
         ms_key("deadline_ms", (100, DAY_MS), "600000", "Time at most to the end of the answer."),
     ],
 };
