fairness: let the share test run for long, teams of equal weight included

With SAMPHIRESPREAD_CASES=20000 SAMPHIRESPREAD_SEED=99 the test stopped after 19,493 cases with too many rejects: teams were named by their weights, and inputs with equal weights were thrown away. They are named by position now and nothing is rejected, which is stricter. 20,000 cases pass with that seed.

--- a/crates/fairness/tests/histories.rs
+++ b/crates/fairness/tests/histories.rs
@@ -165,9 +165,7 @@
     ) {
         let max_cost = 5_000.0;
         let teams: Vec<TeamName> =
-            weights.iter().map(|weight| TeamName::new(format!("team-{weight}"))).collect();
-        let distinct: BTreeSet<&TeamName> = teams.iter().collect();
-        prop_assume!(distinct.len() == teams.len());
+            (0..weights.len()).map(|n| TeamName::new(format!("team-{n}"))).collect();
         let config = Config::new(1).max_len(100_000).max_wait_ms(u64::MAX).idle_credit_tokens(0);
         let mut queue = Queue::new(config);
         for &(estimate, actual) in &costs {
