Name a sample of a prompt's blocks in lookups

Cause: a lookup carried all block keys of the prompt, 663 bytes both ways at 64 blocks, which is most of what a router spends on control at the target size.

A lookup now names at most eight blocks with their depths: the last one, the powers of two, and the shallowest others. The agent answers with the depth down to which all sampled blocks are cached. The deepest cached sample alone was ruled out: after an eviction in the middle it would promise more than the engine reuses. Agents count heat on sampled blocks, and tell hints as depths; the run order still carries all keys. The replay quantises its lookups in the same way.

--- a/crates/agent/src/shared/admission.rs
+++ b/crates/agent/src/shared/admission.rs
@@ -4,6 +4,7 @@
 
 use samphirespread_core::prelude::*;
 use samphirespread_fairness::Admission;
+use samphirespread_prefix::Hint;
 use samphirespread_settings::BackendKind;
 use samphirespread_wire::message::{
     Failed, Lookup, LookupReply, ModelWork, NotRunReason, PrefixHint, Reply, Resume, Run, Standing,
@@ -123,8 +124,9 @@
     pub(crate) fn lookup(&self, lookup: &Lookup) -> LookupReply {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.heat.observe(&lookup.blocks, 0, now);
-        let standing = state.standing_for(now, &lookup.blocks);
+        let hint = state.heat.observe_sample(&lookup.sampled, now);
+        let cached_blocks = state.residency.leading_depth(&lookup.sampled);
+        let standing = state.standing_with(cached_blocks, hint);
         let takes_work = !state.leaving && state.engine.takes_work();
         LookupReply { generation: state.configuration.generation(), standing, takes_work }
     }
@@ -147,10 +149,13 @@
     }
 
     fn standing_for(&self, now: MonoTime, blocks: &[BlockKey]) -> Standing {
-        let hint = self.heat.hint(blocks, now);
+        self.standing_with(self.residency.leading_blocks(blocks), self.heat.hint(blocks, now))
+    }
+
+    fn standing_with(&self, cached_blocks: u32, hint: Hint) -> Standing {
         let prefill_ms = self.speed.time_ms(self.prefill.tokens());
         Standing {
-            cached_blocks: self.residency.leading_blocks(blocks),
+            cached_blocks,
             wait_ms: self.queue.wait_ms().saturating_add(prefill_ms),
             prefill_us_per_token: self.speed.us_per_token(),
             hint: PrefixHint { shared_blocks: hint.shared_blocks, replicas: hint.replicas },
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -6,7 +6,7 @@
 
 use samphirespread_agent::{Agent, AgentError};
 use samphirespread_core::prelude::*;
-use samphirespread_prefix::PrefixHasher;
+use samphirespread_prefix::{PrefixHasher, sample};
 use samphirespread_settings::AgentSettings;
 use samphirespread_standin::text::prompt_tokens;
 use samphirespread_wire::{
@@ -89,7 +89,7 @@
 }
 
 pub(crate) async fn lookup(connection: &Connection, blocks: &[BlockKey]) -> LookupReply {
-    let lookup = Lookup { blocks: blocks.to_vec(), prompt_tokens: 0 };
+    let lookup = Lookup { sampled: sample(blocks), prompt_tokens: 0 };
     match connection.call(&Request::Lookup(lookup)).await.unwrap() {
         Reply::Lookup(reply) => reply,
         other => panic!("{other:?} to a lookup"),
--- a/crates/bench/src/replay/engine.rs
+++ b/crates/bench/src/replay/engine.rs
@@ -7,7 +7,7 @@
 
 use samphirespread_core::prelude::*;
 use samphirespread_engine::api::{BlockList, CacheChange, CacheEvent};
-use samphirespread_prefix::{Heat, HeatConfig, Hint, Prompt, Residency, Standing};
+use samphirespread_prefix::{Heat, HeatConfig, Hint, Prompt, Residency, SampledBlock, Standing};
 
 use super::{
     cache::LruCache,
@@ -88,6 +88,16 @@
         }
     }
 
+    /// What the agent answers to a lookup.
+    pub(crate) fn sampled_standing(&self, sampled: &[SampledBlock], now_us: u64) -> Standing {
+        let cached_blocks = self.residency.leading_depth(sampled);
+        Standing { cached_blocks, ..self.standing(&[], now_us) }
+    }
+
+    pub(crate) fn observe_sample(&mut self, sampled: &[SampledBlock], now_us: u64) -> Hint {
+        self.heat.observe_sample(sampled, MonoTime::from_us(now_us))
+    }
+
     /// What would really happen to a prompt.
     pub(crate) fn exact_standing(&self, blocks: &[BlockKey], now_us: u64) -> Standing {
         Standing {
--- a/crates/bench/src/replay/flow.rs
+++ b/crates/bench/src/replay/flow.rs
@@ -6,7 +6,7 @@
 use samphirespread_core::prelude::*;
 use samphirespread_engine::api::CacheEvent;
 use samphirespread_prefix::{
-    Applied, BlockSource, Candidates, Hint, Prompt, Standing, block_source, choose,
+    Applied, BlockSource, Candidates, Hint, Prompt, Standing, block_source, choose, sample,
 };
 
 use super::{
@@ -100,8 +100,9 @@
     pub(crate) fn look_up(&mut self, request: usize, slot: usize, worker: usize) {
         let blocks = Rc::clone(&self.requests[request].blocks);
         let attempt = self.requests[request].attempt;
-        let standing = self.workers[worker].standing(&blocks, self.now_us);
-        let hint = self.workers[worker].observe(&blocks, 0, self.now_us);
+        let sampled = sample(&blocks);
+        let standing = self.workers[worker].sampled_standing(&sampled, self.now_us);
+        let hint = self.workers[worker].observe_sample(&sampled, self.now_us);
         self.outcome.control.bytes += LOOKUP_REPLY_BYTES;
         let delay_us = self.delay_us(request, worker);
         self.after(delay_us, Event::LookupReply { request, attempt, slot, standing, hint });
--- a/crates/bench/src/slopes/wire.rs
+++ b/crates/bench/src/slopes/wire.rs
@@ -12,6 +12,7 @@
 };
 
 use samphirespread_core::prelude::*;
+use samphirespread_prefix::sample;
 use samphirespread_wire::{
     Connection, Handler, HelloSource, ReplySender, Secret, WireConfig,
     message::{Hello, Lookup, LookupReply, ObjectVersion, PrefixHint, Reply, Request, Standing},
@@ -118,7 +119,7 @@
 fn lookup(blocks: usize, serial: u64) -> Request {
     let key = |index: u64| BlockKey((serial << 20 | index).wrapping_mul(0x9e37_79b9_7f4a_7c15));
     Request::Lookup(Lookup {
-        blocks: (0..blocks as u64).map(key).collect(),
+        sampled: sample(&(0..blocks as u64).map(key).collect::<Vec<_>>()),
         prompt_tokens: blocks as u64 * 2_048,
     })
 }
--- a/crates/prefix/src/heat.rs
+++ b/crates/prefix/src/heat.rs
@@ -3,6 +3,7 @@
 use samphirespread_core::prelude::*;
 
 use crate::{
+    SampledBlock,
     decay::{Decaying, steady_sum},
     key_map::TwoGenerations,
 };
@@ -120,6 +121,14 @@
         self.hint(blocks, now)
     }
 
+    /// As [`Heat::observe`] for a lookup, which names a sample of the prompt's blocks.
+    pub fn observe_sample(&mut self, sampled: &[SampledBlock], now: MonoTime) -> Hint {
+        let keys: Vec<BlockKey> = sampled.iter().map(|block| block.key).collect();
+        let hint = self.observe(&keys, 0, now);
+        let last = (hint.shared_blocks as usize).checked_sub(1);
+        Hint { shared_blocks: last.map_or(0, |index| sampled[index].depth), ..hint }
+    }
+
     /// The hint for a prompt that was observed.
     pub fn hint(&self, blocks: &[BlockKey], now: MonoTime) -> Hint {
         let half_life_ms = self.config.half_life_ms;
--- a/crates/prefix/src/lib.rs
+++ b/crates/prefix/src/lib.rs
@@ -39,6 +39,7 @@
 //! # Parts
 //!
 //! - [`PrefixHasher`] gives the keys of a prompt's blocks, salted by team, model and version.
+//! - [`sample`] chooses the few blocks of a prompt that a lookup names.
 //! - [`Residency`] is the agent's index of its engine's cache.
 //! - [`Heat`] is the agent's record of which prefixes are shared and how hot they are. Its hints
 //!   travel to routers on answers.
@@ -62,6 +63,7 @@
 mod key_map;
 mod placement;
 mod residency;
+mod sample;
 
 pub use crate::{
     error::PrefixError,
@@ -73,4 +75,5 @@
         MAX_CANDIDATES, Placement, Prompt, RoundRobin, Standing, Worker, WorkerSet, choose,
     },
     residency::{Applied, Residency},
+    sample::{MAX_SAMPLED_BLOCKS, SampledBlock, sample},
 };
--- a/crates/prefix/src/residency.rs
+++ b/crates/prefix/src/residency.rs
@@ -5,7 +5,10 @@
 use samphirespread_core::prelude::*;
 use samphirespread_engine::api::{BlockList, CacheChange, CacheEvent};
 
-use crate::key_map::{KeyMap, KeySet};
+use crate::{
+    SampledBlock,
+    key_map::{KeyMap, KeySet},
+};
 
 /// Events at most that are kept between a gap and the re-read that mends it.
 const MAX_KEPT_EVENTS: usize = 4_096;
@@ -126,11 +129,24 @@
     /// Leading blocks of a prompt that are believed to be cached, or that a prompt which was
     /// accepted before will have cached by then.
     pub fn leading_blocks(&self, blocks: &[BlockKey]) -> u32 {
-        let known = |key| self.blocks.contains(key) || self.expected.contains_key(key);
-        let missing = blocks.iter().position(|key| !known(key));
+        let missing = blocks.iter().position(|key| !self.counts_on(key));
         missing.unwrap_or(blocks.len()) as u32
     }
 
+    /// The depth down to which all sampled blocks of a prompt count as in
+    /// [`Residency::leading_blocks`].
+    ///
+    /// An engine that has a block has the prefix before it, as long as it evicts prefixes from
+    /// their ends, so this is at most the number of leading blocks then.
+    pub fn leading_depth(&self, sampled: &[SampledBlock]) -> u32 {
+        let leading = sampled.iter().take_while(|block| self.counts_on(&block.key));
+        leading.last().map_or(0, |block| block.depth)
+    }
+
+    fn counts_on(&self, key: &BlockKey) -> bool {
+        self.blocks.contains(key) || self.expected.contains_key(key)
+    }
+
     /// Counts on the blocks of a prompt that was accepted and not yet prefilled.
     ///
     /// Without this, several prompts with one new prefix would each look like a miss, and go to
--- a/crates/router/src/fleet/lookup.rs
+++ b/crates/router/src/fleet/lookup.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use samphirespread_prefix::{Prompt, Standing, choose};
+use samphirespread_prefix::{Prompt, Standing, choose, sample};
 use samphirespread_wire::{
     HelloSource, Pool,
     message::{Lookup, LookupReply, Reply, Request},
@@ -33,7 +33,7 @@
         return Some(Best { candidate: only, reply: None });
     }
     let request =
-        Request::Lookup(Lookup { blocks: prompt.blocks.to_vec(), prompt_tokens: prompt.tokens });
+        Request::Lookup(Lookup { sampled: sample(prompt.blocks), prompt_tokens: prompt.tokens });
     let replies = join_all(candidates.iter().map(|candidate| ask(pool, candidate, &request))).await;
     let standings: Vec<Standing> = replies.iter().map(standing).collect();
     let prompt: Prompt<'_> = prompt.as_prompt();
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -6,6 +6,7 @@
 use samphirespread_core::prelude::*;
 use samphirespread_membership::LiveChange;
 pub use samphirespread_platform::api::ObjectVersion;
+pub use samphirespread_prefix::SampledBlock;
 use serde::{Deserialize, Serialize};
 
 pub use self::output::Output;
@@ -101,8 +102,8 @@
 /// Asks an agent how well it could serve a prompt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lookup {
-    /// The keys of the prompt's blocks, first block first.
-    pub blocks: Vec<BlockKey>,
+    /// A few blocks of the prompt, shallowest first and the last one among them.
+    pub sampled: Vec<SampledBlock>,
     /// Tokens of the whole prompt.
     pub prompt_tokens: u64,
 }
@@ -110,7 +111,8 @@
 /// How well an agent could serve a prompt.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Standing {
-    /// Leading blocks of the prompt that are cached.
+    /// Leading blocks of the prompt that are cached; in the answer to a lookup, the depth down to
+    /// which all sampled blocks are.
     pub cached_blocks: u32,
     /// Estimated wait for the first token, without the prefill of this prompt.
     pub wait_ms: u32,
