--- a/crates/bench/src/slopes/wire.rs
+++ b/crates/bench/src/slopes/wire.rs
@@ -15,7 +15,10 @@
 use samphirespread_prefix::sample;
 use samphirespread_wire::{
     Connection, Handler, HelloSource, ReplySender, Secret, WireConfig,
-    message::{Hello, Lookup, LookupReply, ObjectVersion, PrefixHint, Reply, Request, Standing},
+    message::{
+        AgentConfig, Hello, Lookup, LookupReply, ObjectVersion, PrefixHint, Reply, Request,
+        Standing, WantedWeights,
+    },
     serve_connection,
 };
 use tokio::{
@@ -184,6 +187,22 @@
         let sent = pair.bytes.load(Ordering::Relaxed) - bytes;
         rows.push(Measured::new("heartbeats, bytes both ways by number", beats, sent as f64));
     }
+    let tell = Request::TellAgent(AgentConfig {
+        generation: Generation(1_000_000),
+        weights: Some(WantedWeights {
+            model: ModelName::new("model-35"),
+            version: WeightsVersion::new("v1"),
+        }),
+    });
+    for tells in [500, 1_000, 2_000] {
+        let bytes = pair.bytes.load(Ordering::Relaxed);
+        for _ in 0..tells {
+            pair.connection.call(&tell).await.map_err(failed)?;
+        }
+        let sent = pair.bytes.load(Ordering::Relaxed) - bytes;
+        let what = "telling an agent of a configuration, bytes both ways by number";
+        rows.push(Measured::new(what, tells, sent as f64));
+    }
     pair.stop.cancel();
     Ok(())
 }
