--- a/crates/bench/src/slopes/wire.rs
+++ b/crates/bench/src/slopes/wire.rs
@@ -12,9 +12,13 @@
 };
 
 use samphirespread_core::prelude::*;
+use samphirespread_prefix::sample;
 use samphirespread_wire::{
     Connection, Handler, HelloSource, ReplySender, Secret, WireConfig,
-    message::{Hello, Lookup, LookupReply, ObjectVersion, PrefixHint, Reply, Request, Standing},
+    message::{
+        AgentConfig, Hello, Lookup, LookupReply, ObjectVersion, PrefixHint, Reply, Request,
+        Standing, WantedWeights,
+    },
     serve_connection,
 };
 use tokio::{
@@ -118,7 +122,7 @@
 fn lookup(blocks: usize, serial: u64) -> Request {
     let key = |index: u64| BlockKey((serial << 20 | index).wrapping_mul(0x9e37_79b9_7f4a_7c15));
     Request::Lookup(Lookup {
-        blocks: (0..blocks as u64).map(key).collect(),
+        sampled: sample(&(0..blocks as u64).map(key).collect::<Vec<_>>()),
         prompt_tokens: blocks as u64 * 2_048,
     })
 }
@@ -183,6 +187,22 @@
         let sent = pair.bytes.load(Ordering::Relaxed) - bytes;
         rows.push(Measured::new("heartbeats, bytes both ways by number", beats, sent as f64));
     }
+    let tell = Request::TellAgent(AgentConfig {
+        generation: Generation(1_000_000),
+        weights: Some(WantedWeights {
+            model: ModelName::new("model-35"),
+            version: WeightsVersion::new("v1"),
+        }),
+    });
+    for tells in [500, 1_000, 2_000] {
+        let bytes = pair.bytes.load(Ordering::Relaxed);
+        for _ in 0..tells {
+            pair.connection.call(&tell).await.map_err(failed)?;
+        }
+        let sent = pair.bytes.load(Ordering::Relaxed) - bytes;
+        let what = "telling an agent of a configuration, bytes both ways by number";
+        rows.push(Measured::new(what, tells, sent as f64));
+    }
     pair.stop.cancel();
     Ok(())
 }
--- a/crates/router/src/fleet/lookup.rs
+++ b/crates/router/src/fleet/lookup.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use futures_util::{StreamExt, stream::FuturesUnordered};
-use samphirespread_prefix::{Prompt, Standing, choose};
+use samphirespread_prefix::{Prompt, Standing, choose, sample};
 use samphirespread_wire::{
     HelloSource, Pool,
     message::{Lookup, LookupReply, Reply, Request},
@@ -59,7 +59,7 @@
         return Found { best: Some(0), ..Found::default() };
     }
     let request =
-        Request::Lookup(Lookup { blocks: prompt.blocks.to_vec(), prompt_tokens: prompt.tokens });
+        Request::Lookup(Lookup { sampled: sample(prompt.blocks), prompt_tokens: prompt.tokens });
     let mut found = ask_all(pool, candidates, &request, pace).await;
     let standings: Vec<Standing> = found.answers.iter().map(standing).collect();
     let prompt: Prompt<'_> = prompt.as_prompt();
