--- a/crates/agent/src/metrics/mod.rs
+++ b/crates/agent/src/metrics/mod.rs
@@ -111,15 +111,7 @@
     }
 
     pub(crate) fn count_not_run(&self, reason: NotRunReason) {
-        let outcome = match reason {
-            NotRunReason::Busy => "busy",
-            NotRunReason::Miss => "miss",
-            NotRunReason::Leaving => "leaving",
-            NotRunReason::EngineDown => "engine_down",
-            NotRunReason::Stale => "stale",
-            NotRunReason::QueueTimeout => "queue_timeout",
-            NotRunReason::Unknown => "unknown",
-        };
+        let outcome = reason.as_str();
         self.not_run.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
--- a/crates/router/src/metrics.rs
+++ b/crates/router/src/metrics.rs
@@ -94,7 +94,7 @@
     }
 
     pub(crate) fn note_not_run(&self, reason: NotRunReason) {
-        let labels = ReasonLabels { reason: format!("{reason:?}").to_lowercase() };
+        let labels = ReasonLabels { reason: reason.as_str().to_owned() };
         self.not_run.get_or_create(&labels).inc();
     }
 
--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -47,7 +47,22 @@
     NotRun(NotRun),
     /// A piece of the answer of a model.
     Output(Output),
-    /// The head of the answer of a plain service.
+    impl NotRunReason {
+    /// The reason as metrics and logs name it.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Busy => "busy",
+            Self::Miss => "miss",
+            Self::Leaving => "leaving",
+            Self::EngineDown => "engine_down",
+            Self::Stale => "stale",
+            Self::QueueTimeout => "queue_timeout",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// The head of the answer of a plain service.
     ServiceHead(ServiceHead),
     /// A piece of the body of a plain service's answer.
     ServiceBody {
