--- a/crates/wire/src/message/mod.rs
+++ b/crates/wire/src/message/mod.rs
@@ -47,22 +47,7 @@
     NotRun(NotRun),
     /// A piece of the answer of a model.
     Output(Output),
-    impl NotRunReason {
-    /// The reason as metrics and logs name it.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Busy => "busy",
-            Self::Miss => "miss",
-            Self::Leaving => "leaving",
-            Self::EngineDown => "engine_down",
-            Self::Stale => "stale",
-            Self::QueueTimeout => "queue_timeout",
-            Self::Unknown => "unknown",
-        }
-    }
-}
-
-/// The head of the answer of a plain service.
+    /// The head of the answer of a plain service.
     ServiceHead(ServiceHead),
     /// A piece of the body of a plain service's answer.
     ServiceBody {
@@ -277,6 +262,21 @@
     Unknown,
 }
 
+impl NotRunReason {
+    /// The reason as metrics and logs name it.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Busy => "busy",
+            Self::Miss => "miss",
+            Self::Leaving => "leaving",
+            Self::EngineDown => "engine_down",
+            Self::Stale => "stale",
+            Self::QueueTimeout => "queue_timeout",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// The head of the answer of a plain service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceHead {
