--- a/crates/testkit/tests/configuration.rs
+++ b/crates/testkit/tests/configuration.rs
@@ -3,7 +3,10 @@
 
 use std::time::Duration;
 
-use samphirespread_standin::{caller::CompletionRequest, platform::Outage};
+use samphirespread_standin::{
+    caller::{CompletionAnswer, CompletionRequest},
+    platform::Outage,
+};
 use samphirespread_testkit::{DEFAULT_MODEL, DEFAULT_TEAM, Fleet, FleetBuilder, Signal};
 use tokio::time::sleep;
 
@@ -58,6 +61,20 @@
     panic!("router {router} never reached generation {expected}");
 }
 
+/// Freezes router 0, withdraws the key through router 1, cuts the platform off, and sends a request
+/// that router 0 meets when it thaws.
+async fn answer_after_freeze(fleet: &mut Fleet) -> CompletionAnswer {
+    fleet.routers[0].daemon.signal(Signal::Stop).await;
+    let withdrawn = fleet.withdraw_keys(DEFAULT_TEAM);
+    wait_for_generation(fleet, 1, withdrawn.0).await;
+    fleet.platform.set_outage(Outage::Silent);
+    sleep(Duration::from_millis(2 * STALE_CONFIG_MS)).await;
+    let caller = fleet.caller(0);
+    let answered = tokio::spawn(async move { caller.complete(&request()).await });
+    fleet.routers[0].daemon.signal(Signal::Cont).await;
+    answered.await.unwrap().unwrap()
+}
+
 #[tokio::test]
 async fn a_withdrawn_key_stops_on_connections_that_stay_open() {
     let mut fleet = builder(3).start().await;
@@ -91,16 +108,8 @@
 async fn a_router_that_was_frozen_does_not_take_a_key_withdrawn_meanwhile() {
     let mut fleet = builder(2).start().await;
     wait_for_code(&fleet, 0, "ok").await;
-    fleet.routers[0].daemon.signal(Signal::Stop).await;
-    let withdrawn = fleet.withdraw_keys(DEFAULT_TEAM);
-    wait_for_generation(&fleet, 1, withdrawn.0).await;
-    fleet.platform.set_outage(Outage::Silent);
-    sleep(Duration::from_millis(2 * STALE_CONFIG_MS)).await;
 
-    let caller = fleet.caller(0);
-    let answered = tokio::spawn(async move { caller.complete(&request()).await });
-    fleet.routers[0].daemon.signal(Signal::Cont).await;
-    let answer = answered.await.unwrap().unwrap();
+    let answer = answer_after_freeze(&mut fleet).await;
 
     let code = answer.refusal.map(|refusal| refusal.code);
     assert!(
@@ -116,16 +125,8 @@
     wait_for_code(&fleet, 0, "ok").await;
     fleet.platform.set_list_frozen(true);
     fleet.add_router().await;
-    fleet.routers[0].daemon.signal(Signal::Stop).await;
-    let withdrawn = fleet.withdraw_keys(DEFAULT_TEAM);
-    wait_for_generation(&fleet, 1, withdrawn.0).await;
-    fleet.platform.set_outage(Outage::Silent);
-    sleep(Duration::from_millis(2 * STALE_CONFIG_MS)).await;
 
-    let caller = fleet.caller(0);
-    let answered = tokio::spawn(async move { caller.complete(&request()).await });
-    fleet.routers[0].daemon.signal(Signal::Cont).await;
-    let answer = answered.await.unwrap().unwrap();
+    let answer = answer_after_freeze(&mut fleet).await;
 
     assert_eq!(answer.refusal.unwrap().code, "stale_configuration");
 }
