--- a/crates/testkit/tests/whole_path.rs
+++ b/crates/testkit/tests/whole_path.rs
@@ -4,6 +4,10 @@
 use http::Method;
 use samphirespread_standin::{caller::CompletionRequest, text};
 use samphirespread_testkit::{DEFAULT_MODEL, Fleet};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 #[tokio::test]
 async fn a_stream_comes_back_whole() {
@@ -77,3 +81,28 @@
     );
     assert!(after.is_complete(), "{after:?}");
 }
+
+#[tokio::test]
+async fn slow_and_huge_headers_are_cut_and_the_router_serves_on() {
+    let builder = Fleet::builder().routers(1).agents(1);
+    let builder = builder.router_setting("request", "header_timeout_ms", "100");
+    let fleet = builder.router_setting("request", "max_header_bytes", "8192").start().await;
+    let address = fleet.routers[0].daemon.callers();
+    let mut slow = TcpStream::connect(address).await.unwrap();
+    let mut huge = TcpStream::connect(address).await.unwrap();
+
+    slow.write_all(b"GET /v1/models HTTP/1.1\r\nhost: a\r\n").await.unwrap();
+    let mut slow_answer = Vec::new();
+    slow.read_to_end(&mut slow_answer).await.unwrap();
+    let header = format!("GET /v1/models HTTP/1.1\r\nx-long: {}", "x".repeat(20_000));
+    // The router may cut the connection before it has taken all.
+    let _ = huge.write_all(header.as_bytes()).await;
+    let mut huge_answer = [0; 12];
+    let huge_answered = huge.read_exact(&mut huge_answer).await;
+    let request = CompletionRequest::new(DEFAULT_MODEL, "Still there?", 3);
+    let after = fleet.caller(0).complete(&request).await.unwrap();
+
+    assert!(!String::from_utf8_lossy(&slow_answer).contains("200"), "{slow_answer:?}");
+    assert!(huge_answered.is_err() || huge_answer == *b"HTTP/1.1 431", "{huge_answer:?}");
+    assert!(after.is_complete(), "{after:?}");
+}
