Read an agent's standing for placement in one place, and the run's number from core

Cause: a last read of the whole change found two pieces written twice. The router turned a standing into a report in exchange.rs and again in choose.rs; the agent had its own copy of core's fresh_incarnation.

--- a/crates/agent/src/shared/mod.rs
+++ b/crates/agent/src/shared/mod.rs
@@ -8,11 +8,13 @@
     collections::{HashMap, VecDeque},
     panic::AssertUnwindSafe,
     sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicU64},
-    time::{SystemTime, UNIX_EPOCH},
 };
 
 use futures_util::FutureExt;
-use samphirespread_core::{prelude::*, time::Clock};
+use samphirespread_core::{
+    prelude::*,
+    time::{Clock, fresh_incarnation},
+};
 use samphirespread_engine::{EngineClient, EngineClientConfig, api::LoadedWeights};
 use samphirespread_fairness::{Config as QueueConfig, DropCause, Popped, Queue, Ticket};
 use samphirespread_prefix::{Heat, HeatConfig, Residency};
@@ -416,8 +418,3 @@
         Work::Service(work) => service::run(shared, work, live).await,
     }
 }
-
-fn fresh_incarnation() -> Incarnation {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Incarnation(u64::try_from(since_epoch.as_micros()).unwrap_or(u64::MAX))
-}
--- a/crates/router/src/fleet/placer.rs
+++ b/crates/router/src/fleet/placer.rs
@@ -12,6 +12,7 @@
 use samphirespread_prefix::{
     Hint, HomeConfig, HomePlacement, MAX_CANDIDATES, Placement, Prompt, Worker, WorkerSet,
 };
+use samphirespread_wire::message::Standing;
 
 // An agent that refuses work is asked again after this; it may have come back by then.
 const SUSPENSION_MS: u64 = 1_000;
@@ -184,8 +185,17 @@
 /// What an agent reported about itself.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Report {
-    pub(crate) wait_ms: u32,
-    pub(crate) hint: Option<Hint>,
+    wait_ms: u32,
+    hint: Option<Hint>,
+}
+
+impl From<&Standing> for Report {
+    fn from(standing: &Standing) -> Self {
+        let hint = standing.hint;
+        let hint = (hint.shared_blocks > 0)
+            .then_some(Hint { shared_blocks: hint.shared_blocks, replicas: hint.replicas });
+        Self { wait_ms: standing.wait_ms, hint }
+    }
 }
 
 /// Workers of one route.
--- a/crates/router/src/run/choose.rs
+++ b/crates/router/src/run/choose.rs
@@ -4,7 +4,6 @@
 
 use samphirespread_core::prelude::*;
 use samphirespread_dispatch::Event;
-use samphirespread_prefix::Hint;
 use samphirespread_wire::message::Standing;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -89,11 +88,7 @@
         silent.extend(found.silent.iter().map(|place| candidates[*place].clone()));
         let now = self.shared.clock.now();
         for answer in &found.answers {
-            let standing = &answer.reply.standing;
-            let hint = standing.hint;
-            let hint = (hint.shared_blocks > 0)
-                .then_some(Hint { shared_blocks: hint.shared_blocks, replicas: hint.replicas });
-            let report = Report { wait_ms: standing.wait_ms, hint };
+            let report = Report::from(&answer.reply.standing);
             let agent = &candidates[answer.place].name;
             self.shared.placer.learn(&self.job.route, &self.prompt(), agent, report, now);
             self.shared.heard_generation(answer.reply.generation);
--- a/crates/router/src/run/exchange.rs
+++ b/crates/router/src/run/exchange.rs
@@ -2,7 +2,6 @@
 
 use samphirespread_core::prelude::*;
 use samphirespread_dispatch::Event;
-use samphirespread_prefix::Hint;
 use samphirespread_wire::{
     Connection, ReplyStream, WireError,
     message::{Finished, NotRunReason, Reply, Request, Standing},
@@ -106,13 +105,3 @@
         Arrival { event, piece: Some(piece), news: None }
     }
 }
-
-impl News {
-    /// The hint for placement.
-    pub(crate) fn hint(&self) -> Option<Hint> {
-        let (Self::Standing(standing) | Self::Refuses(standing, _)) = self else { return None };
-        let hint = standing.hint;
-        (hint.shared_blocks > 0)
-            .then_some(Hint { shared_blocks: hint.shared_blocks, replicas: hint.replicas })
-    }
-}
--- a/crates/router/src/run/runner.rs
+++ b/crates/router/src/run/runner.rs
@@ -210,9 +210,9 @@
         let Some(news) = arrival.news else { return };
         match news {
             News::Finished(finished) => self.totals = finished,
-            News::Standing(standing) => self.learn(&standing, news),
+            News::Standing(standing) => self.learn(&standing),
             News::Refuses(standing, reason) => {
-                self.learn(&standing, news);
+                self.learn(&standing);
                 self.shared.metrics.note_not_run(reason);
                 let down = matches!(reason, NotRunReason::Leaving | NotRunReason::EngineDown);
                 if let (true, Some(target)) = (down, &self.target) {
@@ -228,11 +228,11 @@
         }
     }
 
-    fn learn(&self, standing: &Standing, news: News) {
+    fn learn(&self, standing: &Standing) {
         let Some(target) = &self.target else { return };
-        let report = Report { wait_ms: standing.wait_ms, hint: news.hint() };
         let now = self.shared.clock.now();
         let agent = &target.candidate.name;
+        let report = Report::from(standing);
         self.shared.placer.learn(&self.job.route, &self.prompt(), agent, report, now);
     }
 
