--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -70,24 +70,34 @@
 }
 
 /// The clock of a daemon. Decision crates take [`MonoTime`] values instead.
+///
+/// It counts the time during which the machine was suspended, so that a bound on the age of
+/// what a process believes holds across a suspension too.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin: std::time::Instant,
+    origin_us: u64,
 }
 
 impl Clock {
     /// A clock whose origin is now.
     pub fn start() -> Self {
-        Self { origin: std::time::Instant::now() }
+        Self { origin_us: boot_us() }
     }
 
     /// The current instant.
     pub fn now(&self) -> MonoTime {
-        let elapsed: Duration = self.origin.elapsed();
-        MonoTime::from_us(u64::try_from(elapsed.as_micros()).unwrap_or(u64::MAX))
+        MonoTime::from_us(boot_us().saturating_sub(self.origin_us))
     }
 }
 
+/// Microseconds since the machine started, suspensions included.
+fn boot_us() -> u64 {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    let nanoseconds = u64::try_from(time.tv_nsec).unwrap_or(0);
+    seconds.saturating_mul(1_000_000).saturating_add(nanoseconds / 1_000)
+}
+
 /// A number for this run of the process that is higher than those of earlier runs at the same
 /// address, as long as the wall clock there has not gone back by more than the time between two
 /// starts.
--- /dev/null
+++ b/crates/gateway/src/conduct.rs
@@ -0,0 +1,107 @@
+//! Conducts the rollout of weights: one router at a time says which engine loads next.
+
+use samphirespread_core::prelude::*;
+use samphirespread_routing::{
+    model::Standing,
+    rollout::{Candidate, Phase, at_once, next},
+};
+use slog::info;
+
+use crate::{
+    fleet::Server,
+    gateway::Core,
+    state::{Grant, State},
+};
+
+/// A router that was not heard for this long does not conduct.
+const ROUTER_SILENT_MS: u64 = 500;
+/// An engine that was asked to load and does not say that it does is asked again until then.
+const GRANT_LIFETIME_MS: u64 = 1_500;
+
+/// The engines of all services.
+pub(crate) fn engines(state: &State) -> impl Iterator<Item = &Server> {
+    let services = state.table.iter().flat_map(|table| &table.configuration().services);
+    services
+        .filter(|service| service.engine.is_some())
+        .flat_map(|service| state.fleet.of_service(&service.name))
+}
+
+/// Whether this router hears enough sidecars to conduct.
+pub(crate) fn can_conduct(state: &State, now: MonoTime) -> bool {
+    let (mut heard, mut all) = (0, 0);
+    for server in engines(state) {
+        all += 1;
+        heard += usize::from(server.fresh_state(now).is_some());
+    }
+    all > 0 && 2 * heard >= all && !state.is_draining
+}
+
+/// Whether this router is the one that conducts now.
+fn conducts(core: &Core, state: &State, now: MonoTime) -> bool {
+    let has_precedence = |(name, router): (&InstanceName, &crate::state::OtherRouter)| {
+        let is_heard = router.silent_ms(now) <= ROUTER_SILENT_MS;
+        let offers = router.report.as_ref().is_some_and(|(report, _)| report.can_conduct);
+        is_heard && offers && *name < core.name
+    };
+    can_conduct(state, now) && !state.routers.iter().any(has_precedence)
+}
+
+/// Decides which engines load. Returns whether there is news for their sidecars.
+pub(crate) fn conduct(core: &Core, state: &mut State, now: MonoTime) -> bool {
+    settle_grants(state, now);
+    if !conducts(core, state, now) {
+        return false;
+    }
+    let mut grants = Vec::new();
+    for (model, newest) in &state.weights {
+        let candidates = candidates(state, model, now);
+        let at_once = at_once(candidates.len());
+        for index in next(&candidates, newest.version, at_once) {
+            grants.push((
+                candidates[index].id.clone(),
+                Grant { model: model.clone(), version: newest.version, at: now },
+            ));
+        }
+    }
+    for (id, grant) in &grants {
+        info!(core.log, "rollout: engine is to load"; "server" => &**id,
+            "model" => %grant.model, "version" => grant.version);
+        state.granted.insert(id.clone(), grant.clone());
+    }
+    !grants.is_empty()
+}
+
+fn candidates(state: &State, model: &ModelName, now: MonoTime) -> Vec<Candidate> {
+    engines(state)
+        .filter(|server| server.entry.standing == Standing::Ready)
+        .filter_map(|server| {
+            let version = server.version(model)?;
+            Some(Candidate {
+                id: server.entry.id.clone(),
+                failure_domain: server.entry.failure_domain.clone(),
+                version,
+                phase: phase(state, server, now),
+            })
+        })
+        .collect()
+}
+
+fn phase(state: &State, server: &Server, now: MonoTime) -> Phase {
+    match server.fresh_state(now) {
+        None => Phase::Unreachable,
+        Some(reported) if reported.is_loading => Phase::Loading,
+        Some(_) if state.granted.contains_key(&server.entry.id) => Phase::Loading,
+        Some(_) => Phase::Serving,
+    }
+}
+
+/// Drops grants that have been carried out, taken up or left unanswered for too long.
+fn settle_grants(state: &mut State, now: MonoTime) {
+    let fleet = &state.fleet;
+    state.granted.retain(|id, grant| {
+        let Some(server) = fleet.get(id) else { return false };
+        let is_done = server.version(&grant.model).is_some_and(|held| held >= grant.version);
+        let is_taken_up = server.fresh_state(now).is_some_and(|reported| reported.is_loading);
+        !is_done && !is_taken_up && now.ms_since(grant.at) < GRANT_LIFETIME_MS
+    });
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,106 @@
+//! The gateway as a whole.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use samphirespread_adapter::Store;
+use samphirespread_core::{
+    prelude::*,
+    time::{Clock, fresh_incarnation},
+};
+use samphirespread_settings::GatewaySettings;
+use slog::{Logger, info};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::Notify,
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{BindError, metrics::Metrics, serve, state::State, sync};
+
+/// An entry router.
+#[derive(Debug)]
+pub struct Gateway {
+    pub(crate) core: Arc<Core>,
+    callers: TcpListener,
+    readiness: TcpListener,
+    admin: TcpListener,
+}
+
+/// What the tasks of a gateway share.
+#[derive(Debug)]
+pub(crate) struct Core {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) log: Logger,
+    pub(crate) clock: Clock,
+    pub(crate) name: InstanceName,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) store: Store,
+    pub(crate) socket: UdpSocket,
+    pub(crate) metrics: Metrics,
+    /// Wakes the task that speaks to other processes.
+    pub(crate) told: Notify,
+    state: Mutex<State>,
+}
+
+impl Core {
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn now(&self) -> MonoTime {
+        self.clock.now()
+    }
+}
+
+impl Gateway {
+    /// Opens all ports.
+    ///
+    /// # Errors
+    ///
+    /// When a port can't be opened.
+    pub async fn bind(settings: GatewaySettings, log: Logger) -> Result<Self, BindError> {
+        let callers = listen(settings.listen.callers).await?;
+        let readiness = listen(settings.listen.readiness).await?;
+        let admin = listen(settings.listen.admin).await?;
+        let address = settings.listen.peers;
+        let socket = UdpSocket::bind(address)
+            .await
+            .map_err(|error| BindError::Port { address, message: error.to_string() })?;
+        let clock = Clock::start();
+        let core = Core {
+            name: InstanceName::new(&*settings.instance.name),
+            incarnation: fresh_incarnation(),
+            store: Store::new(settings.store.address, settings.store.timeout_ms),
+            socket,
+            metrics: Metrics::default(),
+            told: Notify::new(),
+            state: Mutex::new(State::new(&settings, clock.now())),
+            clock,
+            settings,
+            log,
+        };
+        Ok(Self { core: Arc::new(core), callers, readiness, admin })
+    }
+
+    /// Serves until `shutdown`, then drains. Returns whether every request had its answer.
+    pub async fn run(self, shutdown: CancellationToken) -> bool {
+        let Self { core, callers, readiness, admin } = self;
+        info!(core.log, "started"; "instance" => %core.name,
+            "failure_domain" => &*core.settings.instance.failure_domain,
+            "incarnation" => core.incarnation.0, "callers" => %core.settings.listen.callers);
+        let stop = CancellationToken::new();
+        sync::spawn(&core, &stop);
+        serve::spawn_readiness(&core, readiness, &stop);
+        serve::spawn_admin(&core, admin, &stop);
+        let is_clean = serve::callers(&core, callers, shutdown).await;
+        stop.cancel();
+        info!(core.log, "stopped"; "cause" => "signal", "requests_cut" => !is_clean);
+        is_clean
+    }
+}
+
+async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, BindError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| BindError::Port { address, message: error.to_string() })
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,39 @@
+//! The entry daemon: takes callers' requests and forwards them straight to backend servers.
+//!
+//! ```no_run
+//! use samphirespread_gateway::Gateway;
+//! use samphirespread_settings::GatewaySettings;
+//! use tokio_util::sync::CancellationToken;
+//!
+//! # async fn example(log: slog::Logger) -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = GatewaySettings::parse(&GatewaySettings::example())?;
+//! Gateway::bind(settings, log).await?.run(CancellationToken::new()).await;
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! Decisions are made in `samphirespread-routing`; this crate carries them out. One runtime on one
+//! thread runs everything, and no lock is held across an await.
+
+mod access;
+mod admin;
+mod answers;
+mod body;
+mod cache_follow;
+mod conduct;
+mod error;
+mod events;
+mod fleet;
+mod gateway;
+mod handle;
+mod metrics;
+mod peers;
+mod relay;
+mod run;
+mod select;
+mod serve;
+mod state;
+mod story;
+mod sync;
+
+pub use crate::{error::BindError, gateway::Gateway};
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,102 @@
+//! Counters and histograms.
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// The shortest span that histograms tell apart, in seconds.
+const SHORTEST_S: f64 = 0.001;
+/// Buckets, each twice as long as the one before it.
+const BUCKETS: u16 = 15;
+
+/// The cause of a counted event.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Cause {
+    pub(crate) cause: &'static str,
+}
+
+/// All metrics of a gateway.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests by how they ended.
+    pub(crate) ended: Family<Cause, Counter>,
+    /// Refusals by their reason.
+    pub(crate) not_run: Family<Cause, Counter>,
+    /// Sends beyond the first of a request, by what led to them.
+    pub(crate) repeats: Family<Cause, Counter>,
+    /// Calls to the store that failed, by the kind of failure.
+    pub(crate) store_failures: Family<Cause, Counter>,
+    /// Connections opened to backend servers.
+    pub(crate) connections: Counter,
+    /// Requests that run.
+    pub(crate) in_flight: Gauge,
+    /// Seconds from a request to the first event of its answer.
+    pub(crate) first_event_s: Histogram,
+    /// Seconds that a call to the store took.
+    pub(crate) store_call_s: Histogram,
+    /// Seconds since the store was last read, at each request.
+    pub(crate) contact_age_s: Histogram,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let histogram = || Histogram::new(exponential_buckets(SHORTEST_S, 2.0, BUCKETS));
+        let mut metrics = Self {
+            registry: Registry::with_prefix("samphirespread"),
+            ended: Family::default(),
+            not_run: Family::default(),
+            repeats: Family::default(),
+            store_failures: Family::default(),
+            connections: Counter::default(),
+            in_flight: Gauge::default(),
+            first_event_s: histogram(),
+            store_call_s: histogram(),
+            contact_age_s: histogram(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests by how they ended", self.ended.clone());
+        registry.register("not_run", "Refusals by reason", self.not_run.clone());
+        registry.register("repeats", "Sends beyond the first", self.repeats.clone());
+        registry.register("store_failures", "Failed store calls", self.store_failures.clone());
+        registry.register("server_connections", "Connections opened", self.connections.clone());
+        registry.register("in_flight", "Requests that run", self.in_flight.clone());
+        registry.register("first_event_seconds", "To first event", self.first_event_s.clone());
+        registry.register("store_call_seconds", "Calls to the store", self.store_call_s.clone());
+        registry.register("contact_age_seconds", "Age of contact", self.contact_age_s.clone());
+    }
+
+    /// The metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let mut text = String::new();
+        match encode(&mut text, &self.registry) {
+            Ok(()) => text,
+            Err(error) => format!("# metrics can't be written: {error}\n"),
+        }
+    }
+}
+
+/// Counts an event by its cause.
+pub(crate) fn count(family: &Family<Cause, Counter>, cause: &'static str) {
+    family.get_or_create(&Cause { cause }).inc();
+}
+
+/// Milliseconds in the unit of histograms.
+#[expect(clippy::cast_precision_loss, reason = "spans are short")]
+pub(crate) fn seconds(ms: u64) -> f64 {
+    ms as f64 / 1_000.0
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,161 @@
+//! Datagrams to and from the system's other processes.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use samphirespread_core::prelude::*;
+use samphirespread_peer::{
+    Datagram, Directive, EngineReport, LoadDirective, MAX_DATAGRAM_BYTES, NamedWeights,
+    RouterReport, TeamUsage, decode, encode,
+};
+use samphirespread_routing::quota::TeamKey;
+use slog::{info, warn};
+use tokio::time;
+
+use crate::{conduct, gateway::Core, state::State};
+
+/// Time between two reports to the other routers.
+const REPORT_MS: u64 = 100;
+/// Reports between two directives to each sidecar.
+const REPORTS_A_DIRECTIVE: u64 = 5;
+
+/// Takes in datagrams.
+pub(crate) async fn receive(core: Arc<Core>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match core.socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                warn!(core.log, "receiving failed"; "error" => %error);
+                time::sleep(Duration::from_millis(REPORT_MS)).await;
+                continue;
+            }
+        };
+        match decode(&buffer[..length]) {
+            Ok(Datagram::Router(report)) => take_router(&core, report),
+            Ok(Datagram::Engine(report)) => take_engine(&core, from, report),
+            Ok(Datagram::Directive(_)) => {
+                warn!(core.log, "datagram of another role"; "from" => %from);
+            }
+            Err(error) => {
+                warn!(core.log, "datagram left out"; "from" => %from, "error" => %error);
+            }
+        }
+    }
+}
+
+fn take_router(core: &Core, report: RouterReport) {
+    let now = core.now();
+    let mut state = core.state();
+    for named in &report.weights {
+        let learnt = MonoTime::from_us(now.as_us().saturating_sub(named.age_ms * 1_000));
+        if state.learn_weights(&named.model, named.version, learnt) {
+            info!(core.log, "weights named"; "model" => %named.model, "version" => named.version,
+                "source" => report.from.as_str(), "age_ms" => named.age_ms);
+            core.told.notify_one();
+        }
+    }
+    if !state.routers.contains_key(&report.from) {
+        return;
+    }
+    let totals = report.usage.iter().map(|usage| (TeamKey(usage.team), usage.total));
+    state.quotas.heard(&report.from, report.incarnation, totals, now);
+    if let Some(router) = state.routers.get_mut(&report.from) {
+        let is_older = router.report.as_ref().is_some_and(|(known, _)| {
+            (known.incarnation, known.sent) > (report.incarnation, report.sent)
+        });
+        if !is_older {
+            router.report = Some((report, now));
+        }
+    }
+}
+
+fn take_engine(core: &Core, from: SocketAddr, report: EngineReport) {
+    let now = core.now();
+    let mut state = core.state();
+    let was_known = state.fleet.reported(from.ip(), report, now).is_some();
+    if was_known && conduct::conduct(core, &mut state, now) {
+        core.told.notify_one();
+    }
+}
+
+/// Sends reports and directives.
+pub(crate) async fn send(core: Arc<Core>) {
+    let mut round: u64 = 0;
+    let mut due = core.now();
+    loop {
+        let wait_ms = due.ms_since(core.now());
+        let was_told = tokio::select! {
+            () = time::sleep(Duration::from_millis(wait_ms)) => false,
+            () = core.told.notified() => true,
+        };
+        let now = core.now();
+        let mut outgoing = Vec::new();
+        {
+            let mut state = core.state();
+            conduct::conduct(&core, &mut state, now);
+            directives(&core, &state, round, &mut outgoing);
+            if !was_told {
+                reports(&core, &state, now, &mut outgoing);
+            }
+        }
+        for (address, bytes) in outgoing {
+            if let Err(error) = core.socket.send_to(&bytes, address).await {
+                warn!(core.log, "datagram not sent"; "to" => %address, "error" => %error);
+            }
+        }
+        if !was_told {
+            round += 1;
+            due = now.plus_ms(REPORT_MS);
+        }
+    }
+}
+
+fn reports(core: &Core, state: &State, now: MonoTime, outgoing: &mut Vec<(SocketAddr, Vec<u8>)>) {
+    let weights: Vec<NamedWeights> = state
+        .weights
+        .iter()
+        .map(|(model, newest)| NamedWeights {
+            model: model.clone(),
+            version: newest.version,
+            age_ms: now.ms_since(newest.learnt),
+        })
+        .collect();
+    let usage: Vec<TeamUsage> =
+        state.quotas.totals().map(|(team, total)| TeamUsage { team: team.0, total }).collect();
+    let generation = state.table.as_ref().map_or(0, |table| table.configuration().generation);
+    let can_conduct = conduct::can_conduct(state, now);
+    for router in state.routers.values() {
+        let report = RouterReport {
+            from: core.name.clone(),
+            incarnation: core.incarnation,
+            sent: now,
+            echo: router.report.as_ref().map(|(report, _)| report.sent),
+            contact_age_ms: Some(state.contact.age_ms(now)),
+            generation,
+            weights: weights.clone(),
+            usage: usage.clone(),
+            can_conduct,
+        };
+        outgoing.push((router.address, encode(&Datagram::Router(report))));
+    }
+}
+
+/// Directives to the sidecars whose turn it is, and to all that are to load.
+fn directives(core: &Core, state: &State, round: u64, outgoing: &mut Vec<(SocketAddr, Vec<u8>)>) {
+    let port = core.settings.listen.peers.port();
+    for (index, server) in (0_u64..).zip(conduct::engines(state)) {
+        let grant = state.granted.get(&server.entry.id);
+        let is_due = (round + index) % REPORTS_A_DIRECTIVE == 0;
+        if grant.is_none() && !is_due {
+            continue;
+        }
+        let directive = Directive {
+            from: core.name.clone(),
+            server_id: server.entry.id.to_string(),
+            load: grant
+                .map(|grant| LoadDirective { model: grant.model.clone(), version: grant.version }),
+        };
+        let address = SocketAddr::new(server.entry.address.ip(), port);
+        outgoing.push((address, encode(&Datagram::Directive(directive))));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/run.rs
@@ -0,0 +1,441 @@
+//! The attempts of one request: choosing, sending, and what a failure allows.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use samphirespread_adapter::headers::{self, AnswerFacts, Instructions, RequestFacts};
+use samphirespread_core::prelude::*;
+use samphirespread_outbound::{Connection, IdleLimits, SendError};
+use samphirespread_routing::model::{RouteKind, Service};
+use tokio::time;
+
+use crate::{
+    access::Grant,
+    answers::NotRun,
+    gateway::Core,
+    metrics::{self, count},
+    select::{Demand, Place, Selected, select},
+    story::{Step, Story},
+};
+
+/// Time to open a connection to a backend server.
+const OPEN_TIMEOUT_MS: u64 = 300;
+/// Sends of one request at the most, those that a server refused among them.
+const MAX_SENDS: u32 = 4;
+/// Less time than this is not worth a send.
+const SHORTEST_SEND_MS: u64 = 10;
+/// How long a connection rests where the server does not tell.
+const DEFAULT_REST_MS: u64 = 4_000;
+/// A connection rests no longer than this.
+const LONGEST_REST_MS: u64 = 30_000;
+/// A connection is given up this long before the server would close it.
+const REST_MARGIN_MS: u64 = 900;
+/// When to come back where no server can be named that will be free sooner.
+const RETRY_AFTER_MS: u64 = 400;
+
+/// A request on its way.
+#[derive(Debug)]
+pub(crate) struct Run {
+    pub(crate) core: Arc<Core>,
+    pub(crate) grant: Grant,
+    pub(crate) facts: RequestFacts,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) arrival: MonoTime,
+    /// When the answer is due: the caller's deadline or the route's timeout.
+    pub(crate) deadline: MonoTime,
+    pub(crate) story: Story,
+    tried: Vec<Arc<str>>,
+    sends: u32,
+    /// Servers on which the request has run or may have run.
+    ran: u32,
+}
+
+/// The head of an answer, with what it takes to read the rest.
+#[derive(Debug)]
+pub(crate) struct Live {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) facts: AnswerFacts,
+    pub(crate) body: Incoming,
+    pub(crate) lease: Lease,
+    connection: Connection,
+    max_idle: usize,
+}
+
+/// What an attempt came to.
+#[derive(Debug)]
+pub(crate) enum Attempt {
+    /// A server answers.
+    Answer(Box<Live>),
+    /// The request has not run anywhere.
+    NotRun { reason: NotRun, retry_after_ms: u64 },
+    /// It may have run.
+    Unknown { status: StatusCode, cause: &'static str },
+}
+
+/// What one send came to.
+enum Sent {
+    Answer(Box<Live>),
+    /// Certain that it has not run; another server may be asked.
+    NotRun,
+    /// It may have run.
+    Failed(&'static str),
+    /// The request's time is over.
+    TimedOut,
+}
+
+/// A place at a server, given back when dropped.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    core: Arc<Core>,
+    pub(crate) server: Arc<str>,
+    unread_tokens: u64,
+}
+
+impl Lease {
+    fn take(core: &Arc<Core>, selected: &Selected, unread_tokens: u64, footprint: u64) -> Self {
+        let now = core.now();
+        if let Some(server) = core.state().fleet.get_mut(&selected.id) {
+            server.in_flight += 1;
+            server.unread_tokens += unread_tokens;
+            server.new_tokens += footprint;
+            server.remember_parts(&selected.part_keys, now);
+        }
+        Self { core: core.clone(), server: selected.id.clone(), unread_tokens }
+    }
+
+    /// The server has read the prompt.
+    pub(crate) fn first_event(&mut self) {
+        let tokens = std::mem::take(&mut self.unread_tokens);
+        if let Some(server) = self.core.state().fleet.get_mut(&self.server) {
+            server.unread_tokens = server.unread_tokens.saturating_sub(tokens);
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        let tokens = self.unread_tokens;
+        if let Some(server) = self.core.state().fleet.get_mut(&self.server) {
+            server.in_flight = server.in_flight.saturating_sub(1);
+            server.unread_tokens = server.unread_tokens.saturating_sub(tokens);
+        }
+    }
+}
+
+impl Live {
+    /// Keeps the connection for another request, once the body was read to its end.
+    pub(crate) fn keep_connection(self) {
+        let Self { facts, connection, lease, max_idle, .. } = self;
+        if facts.closes {
+            return;
+        }
+        let rest_ms = facts
+            .keep_alive_ms
+            .map_or(DEFAULT_REST_MS, |ms| ms.saturating_sub(REST_MARGIN_MS))
+            .min(LONGEST_REST_MS);
+        let now_ms = lease.core.now().as_ms();
+        if let Some(server) = lease.core.state().fleet.get_mut(&lease.server) {
+            let limits = IdleLimits { max_connections: max_idle };
+            server.idle.put(connection, now_ms + rest_ms, limits);
+        }
+    }
+}
+
+impl Run {
+    #[expect(clippy::too_many_arguments, reason = "the parts of one request")]
+    pub(crate) fn new(
+        core: Arc<Core>,
+        grant: Grant,
+        facts: RequestFacts,
+        parts: http::request::Parts,
+        body: Bytes,
+        arrival: MonoTime,
+        deadline: MonoTime,
+        story: Story,
+    ) -> Self {
+        Self {
+            core,
+            grant,
+            facts,
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            arrival,
+            deadline,
+            story,
+            tried: Vec::new(),
+            sends: 0,
+            ran: 0,
+        }
+    }
+
+    /// Whether the request may run once more, now that an attempt has failed.
+    pub(crate) fn may_repeat(&self) -> bool {
+        self.grant.route.is_idempotent()
+            && self.ran < self.grant.route.max_attempts
+            && self.left_ms() > SHORTEST_SEND_MS
+    }
+
+    /// Time until the answer is due.
+    pub(crate) fn left_ms(&self) -> u64 {
+        self.deadline.ms_since(self.core.now())
+    }
+
+    /// Whether the request may have run somewhere.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.ran > 0
+    }
+
+    /// Tries servers until one answers, or the request has to be given up.
+    pub(crate) async fn attempt(&mut self, last_event_id: Option<u64>) -> Attempt {
+        loop {
+            if self.left_ms() <= SHORTEST_SEND_MS {
+                return self.given_up(NotRun::NoTimeLeft, "deadline");
+            }
+            let Some((service, selected)) = self.choose() else {
+                return self.given_up(NotRun::NoServer, "no other server");
+            };
+            if self.sends >= MAX_SENDS {
+                return self.given_up(NotRun::ServersRefused, "too many sends");
+            }
+            if self.sends > 0 && !self.may_send_again(&service) {
+                return self.given_up(NotRun::RetryBudget, "retry budget");
+            }
+            match self.send(&selected, last_event_id).await {
+                Sent::Answer(live) => return Attempt::Answer(live),
+                Sent::NotRun => {}
+                Sent::Failed(cause) => {
+                    if !self.may_repeat() {
+                        return Attempt::Unknown { status: StatusCode::BAD_GATEWAY, cause };
+                    }
+                }
+                Sent::TimedOut => {
+                    let status = StatusCode::GATEWAY_TIMEOUT;
+                    return Attempt::Unknown { status, cause: "timeout" };
+                }
+            }
+        }
+    }
+
+    fn given_up(&self, reason: NotRun, cause: &'static str) -> Attempt {
+        if self.may_have_run() {
+            return Attempt::Unknown { status: StatusCode::BAD_GATEWAY, cause };
+        }
+        Attempt::NotRun { reason, retry_after_ms: RETRY_AFTER_MS }
+    }
+
+    fn choose(&mut self) -> Option<(Service, Selected)> {
+        let table = self.grant.table.clone();
+        let id = self.facts.id.as_deref().unwrap_or_default();
+        let service = table.service(table.upstream(&self.grant.route, id)?)?.clone();
+        let now = self.core.now();
+        let state = self.core.state();
+        let demand = Demand {
+            service: &service,
+            generation: self.facts.generation.as_ref(),
+            dedicated_team: self.grant.dedicated_team(),
+            body_bytes: self.body.len(),
+            tried: &self.tried,
+        };
+        let place = Place {
+            failure_domain: &self.core.settings.instance.failure_domain,
+            rollout_ms: self.core.settings.bounds.rollout_ms,
+            list_age_ms: state.contact.age_ms(now),
+        };
+        let selected = select(&state, &demand, &place, now);
+        drop(state);
+        let selected = selected?;
+        self.story.step(now, selected.step.clone());
+        Some((service, selected))
+    }
+
+    fn may_send_again(&mut self, service: &Service) -> bool {
+        let now = self.core.now();
+        let mut state = self.core.state();
+        let limits = state.retry_limits(&self.core.settings);
+        let budget = state.retries.entry(service.name.clone()).or_default();
+        let may = budget.try_spend(&limits, now);
+        drop(state);
+        if may {
+            count(&self.core.metrics.repeats, "sent_again");
+        } else {
+            self.story.step(now, Step::BudgetSpent { slack: limits.slack });
+        }
+        may
+    }
+
+    async fn send(&mut self, selected: &Selected, last_event_id: Option<u64>) -> Sent {
+        let unread = self.facts.generation.as_ref().map_or(0, |work| work.prompt_tokens);
+        let footprint = self.facts.generation.as_ref().map_or(0, |work| work.footprint_tokens());
+        let lease = Lease::take(&self.core, selected, unread, footprint);
+        self.tried.push(selected.id.clone());
+        let rested = self.rested_connection(selected);
+        let is_rested = rested.is_some();
+        let connection = match rested {
+            Some(connection) => connection,
+            None => match self.open(selected).await {
+                Some(connection) => connection,
+                None => return Sent::NotRun,
+            },
+        };
+        match self.exchange(connection, selected, lease, last_event_id).await {
+            Ok(sent) => sent,
+            Err(lease) if is_rested => {
+                // The server closed the rested connection before the request was written.
+                let Some(connection) = self.open(selected).await else { return Sent::NotRun };
+                self.exchange(connection, selected, lease, last_event_id)
+                    .await
+                    .unwrap_or(Sent::NotRun)
+            }
+            Err(_) => Sent::NotRun,
+        }
+    }
+
+    fn rested_connection(&self, selected: &Selected) -> Option<Connection> {
+        let now_ms = self.core.now().as_ms();
+        self.core.state().fleet.get_mut(&selected.id)?.idle.take(now_ms)
+    }
+
+    async fn open(&mut self, selected: &Selected) -> Option<Connection> {
+        self.core.metrics.connections.inc();
+        let timeout_ms = OPEN_TIMEOUT_MS.min(self.left_ms());
+        match Connection::open(selected.address, timeout_ms).await {
+            Ok(connection) => Some(connection),
+            Err(error) => {
+                let now = self.core.now();
+                let mut state = self.core.state();
+                let server = state.fleet.get_mut(&selected.id);
+                let avoid_ms = server.map_or(0, |server| server.suspicion.unreachable(now));
+                drop(state);
+                let server = selected.id.clone();
+                let error = error.to_string();
+                self.story.step(now, Step::NoConnection { server, error, avoid_ms });
+                None
+            }
+        }
+    }
+
+    /// Sends the request and reads the head of the answer. Gives the lease back if no byte was sent.
+    async fn exchange(
+        &mut self,
+        mut connection: Connection,
+        selected: &Selected,
+        lease: Lease,
+        last_event_id: Option<u64>,
+    ) -> Result<Sent, Lease> {
+        let Some(request) = self.request(selected, last_event_id) else {
+            return Ok(Sent::NotRun);
+        };
+        // From here on the server may get the request, whatever becomes of this task.
+        self.sends += 1;
+        self.ran += 1;
+        let left = Duration::from_millis(self.left_ms());
+        let response = match time::timeout(left, connection.send(request)).await {
+            Ok(Ok(response)) => response,
+            Ok(Err(SendError::NotSent)) => {
+                self.sends -= 1;
+                self.ran -= 1;
+                return Err(lease);
+            }
+            Ok(Err(error)) => return Ok(self.broke_off(selected, error.to_string())),
+            Err(_) => return Ok(Sent::TimedOut),
+        };
+        let (parts, body) = response.into_parts();
+        let facts = headers::answer_facts(parts.status, &parts.headers);
+        if facts.request_id.is_some() && facts.request_id != self.facts.id {
+            return Ok(self.broke_off(selected, "the answer is to another request".to_owned()));
+        }
+        if facts.not_run {
+            self.ran -= 1;
+            let step =
+                Step::SaidNotRun { server: selected.id.clone(), status: parts.status.as_u16() };
+            self.story.step(self.core.now(), step);
+            return Ok(Sent::NotRun);
+        }
+        if parts.status.is_success() && !is_genuine(&facts, &parts.headers) {
+            return Ok(self.broke_off(selected, "a success without a signature".to_owned()));
+        }
+        self.answered(selected, &facts);
+        Ok(Sent::Answer(Box::new(Live {
+            status: parts.status,
+            headers: parts.headers,
+            facts,
+            body,
+            lease,
+            connection,
+            max_idle: selected.max_idle,
+        })))
+    }
+
+    fn request(
+        &self,
+        selected: &Selected,
+        last_event_id: Option<u64>,
+    ) -> Option<Request<Full<Bytes>>> {
+        let urgency = (self.grant.route.kind == RouteKind::Stream).then(|| self.grant.priority());
+        let instructions = Instructions {
+            deadline_ms: self.left_ms(),
+            server_id: &selected.id,
+            team: self.grant.team.as_ref().map(|team| team.name.as_str()),
+            urgency,
+            engine: selected.engine.clone(),
+            last_event_id: last_event_id.or(self.facts.last_event_id),
+        };
+        let mut forwarded = headers::forwarded(&self.headers, &instructions);
+        if !forwarded.contains_key(header::HOST)
+            && let Some(host) = self.headers.get(header::HOST)
+        {
+            forwarded.insert(header::HOST, host.clone());
+        }
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = forwarded;
+        Some(request)
+    }
+
+    fn broke_off(&mut self, selected: &Selected, cause: String) -> Sent {
+        let now = self.core.now();
+        if let Some(server) = self.core.state().fleet.get_mut(&selected.id) {
+            server.suspicion.broke_off(now);
+        }
+        let may_repeat = self.may_repeat();
+        let server = selected.id.clone();
+        self.story.step(now, Step::Failed { server, cause, may_repeat });
+        Sent::Failed("the server broke off")
+    }
+
+    fn answered(&self, selected: &Selected, facts: &AnswerFacts) {
+        let now = self.core.now();
+        let mut state = self.core.state();
+        if let Some(server) = state.fleet.get_mut(&selected.id) {
+            server.suspicion.succeeded();
+            if let Some(load) = facts.load {
+                server.foreign_load = (load.saturating_sub(server.in_flight), now);
+            }
+        }
+    }
+
+    /// Notes how long the first event took, for histogram and log. Later events change nothing.
+    pub(crate) fn note_event(&mut self) {
+        if self.story.first_event_ms().is_some() {
+            return;
+        }
+        let now = self.core.now();
+        self.story.first_event(now);
+        let took_ms = now.ms_since(self.arrival);
+        self.core.metrics.first_event_s.observe(metrics::seconds(took_ms));
+    }
+}
+
+fn is_genuine(facts: &AnswerFacts, headers: &HeaderMap) -> bool {
+    facts.is_sealed && !headers.contains_key(header::CONTENT_ENCODING)
+}
--- /dev/null
+++ b/crates/gateway/src/select.rs
@@ -0,0 +1,276 @@
+//! Gathers what is known of the backend servers of a service and chooses one.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use samphirespread_adapter::headers::EngineInstructions;
+use samphirespread_core::prelude::*;
+use samphirespread_routing::{
+    choice::{EngineView, Estimate, ServerView, Work, choose_engine, choose_server},
+    model::{Generation, PromptPart, Service, Standing, cache_salt},
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{fleet::Server, state::State, story::Step};
+
+/// What a router has sent since an engine's last report stands for what the others have sent too.
+const OTHER_ROUTERS_FACTOR: u64 = 2;
+/// Requests begin on older weights no later than this before the bound.
+const ROLLOUT_MARGIN_MS: u64 = 1_200;
+/// Load that a server told with an answer counts for this long.
+const FOREIGN_LOAD_LIFETIME_MS: u64 = 300;
+
+/// The backend server for one send.
+#[derive(Clone, Debug)]
+pub(crate) struct Selected {
+    pub(crate) id: Arc<str>,
+    pub(crate) address: SocketAddr,
+    /// What an engine is told besides.
+    pub(crate) engine: Option<EngineInstructions>,
+    /// Connections that may rest there.
+    pub(crate) max_idle: usize,
+    /// Keys of the prompt's shared parts, which the engine will hold.
+    pub(crate) part_keys: Vec<u64>,
+    /// The decision, for the log.
+    pub(crate) step: Step,
+}
+
+/// What is asked.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Demand<'a> {
+    pub(crate) service: &'a Service,
+    pub(crate) generation: Option<&'a Generation>,
+    pub(crate) dedicated_team: Option<&'a TeamName>,
+    pub(crate) body_bytes: usize,
+    /// Servers that are out of the question.
+    pub(crate) tried: &'a [Arc<str>],
+}
+
+/// Where this router is, and its bounds.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Place<'a> {
+    pub(crate) failure_domain: &'a str,
+    pub(crate) rollout_ms: u64,
+    pub(crate) list_age_ms: u64,
+}
+
+/// Chooses the backend server for one send.
+pub(crate) fn select(
+    state: &State,
+    demand: &Demand<'_>,
+    place: &Place<'_>,
+    now: MonoTime,
+) -> Option<Selected> {
+    let servers: Vec<&Server> = state
+        .fleet
+        .of_service(&demand.service.name)
+        .filter(|server| is_eligible(server, demand.tried, now))
+        .collect();
+    match (demand.service.engine.as_ref(), demand.generation) {
+        (Some(_), Some(generation)) => {
+            select_engine(state, demand, generation, place, &servers, now)
+        }
+        _ => select_server(state, demand, place, &servers, now),
+    }
+}
+
+fn is_eligible(server: &Server, tried: &[Arc<str>], now: MonoTime) -> bool {
+    let is_loading = server.fresh_state(now).is_some_and(|state| state.is_loading);
+    server.entry.standing == Standing::Ready && !is_loading && !tried.contains(&server.entry.id)
+}
+
+fn select_server(
+    state: &State,
+    demand: &Demand<'_>,
+    place: &Place<'_>,
+    servers: &[&Server],
+    now: MonoTime,
+) -> Option<Selected> {
+    let view = |server: &&Server| {
+        let (foreign, told) = server.foreign_load;
+        let is_recent = now.ms_since(told) <= FOREIGN_LOAD_LIFETIME_MS;
+        Some(ServerView {
+            is_near: *server.entry.failure_domain == *place.failure_domain,
+            is_avoided: server.suspicion.is_avoided(now),
+            load: server.in_flight + if is_recent { foreign } else { 0 },
+            slots: server.entry.slots,
+        })
+    };
+    let views: Vec<Option<ServerView>> = servers.iter().map(view).collect();
+    let index = choose_server(&views)?;
+    let server = servers[index];
+    let is_near = views[index].is_some_and(|view| view.is_near);
+    Some(Selected {
+        id: server.entry.id.clone(),
+        address: server.entry.address,
+        engine: None,
+        max_idle: max_idle(state, demand.service),
+        part_keys: Vec::new(),
+        step: chose(server, servers.len(), is_near, true, None, None, place, now),
+    })
+}
+
+fn select_engine(
+    state: &State,
+    demand: &Demand<'_>,
+    generation: &Generation,
+    place: &Place<'_>,
+    servers: &[&Server],
+    now: MonoTime,
+) -> Option<Selected> {
+    let newest = state.weights.get(&generation.model);
+    let must_be_newest = newest
+        .is_some_and(|newest| now.ms_since(newest.learnt) + ROLLOUT_MARGIN_MS > place.rollout_ms);
+    let wanted_version = newest.map_or(0, |newest| newest.version);
+    let order = homes(servers, generation);
+    let mut views: Vec<Option<EngineView>> = vec![None; servers.len()];
+    let mut rank_of_newest = 0;
+    for index in order {
+        let server = servers[index];
+        let Some(version) = server.version(&generation.model) else { continue };
+        let is_newest = version >= wanted_version;
+        if must_be_newest && !is_newest {
+            continue;
+        }
+        let salt = cache_salt(version, demand.dedicated_team);
+        let keys = part_keys(&salt, generation.shared_parts());
+        let mut view = engine_view(server, generation, &keys, place, now);
+        view.is_newest = is_newest;
+        view.home_rank = rank_of_newest;
+        rank_of_newest += usize::from(is_newest);
+        views[index] = Some(view);
+    }
+    let version_of = |index: usize| servers[index].version(&generation.model).unwrap_or(0);
+    let stored = |salt: &str| {
+        if state.cache_is_up {
+            state.cache.leading_tokens(salt, generation.shared_parts())
+        } else {
+            0
+        }
+    };
+    let salt = cache_salt(wanted_version, demand.dedicated_team);
+    let work = Work {
+        prompt_tokens: generation.prompt_tokens,
+        shared_tokens: generation.shared_tokens(),
+        stored_tokens: stored(&salt),
+        footprint_tokens: generation.footprint_tokens(),
+        body_bytes: demand.body_bytes,
+    };
+    let (index, estimate) = choose_engine(&views, &work)?;
+    let server = servers[index];
+    let version = version_of(index);
+    let salt = cache_salt(version, demand.dedicated_team);
+    let stored_tokens = stored(&salt);
+    let store = state.table.as_ref().and_then(|table| {
+        let services = &table.configuration().services;
+        services.iter().find_map(|service| service.cache_store.as_ref())
+    });
+    let store = store.filter(|_| state.cache_is_up).map(|store| store.address);
+    let part_keys = part_keys(&salt, generation.shared_parts());
+    let view = views[index]?;
+    let candidates = views.iter().flatten().count();
+    Some(Selected {
+        id: server.entry.id.clone(),
+        address: server.entry.address,
+        engine: Some(EngineInstructions {
+            version,
+            salt,
+            fetch_from: store.filter(|_| stored_tokens > 0),
+            save_to: store.filter(|_| stored_tokens < work.shared_tokens),
+        }),
+        max_idle: max_idle(state, demand.service),
+        part_keys,
+        step: chose(
+            server,
+            candidates,
+            view.is_near,
+            view.is_newest,
+            Some(version),
+            Some(estimate),
+            place,
+            now,
+        ),
+    })
+}
+
+fn engine_view(
+    server: &Server,
+    generation: &Generation,
+    keys: &[u64],
+    place: &Place<'_>,
+    now: MonoTime,
+) -> EngineView {
+    let reported = server.fresh_state(now);
+    let parts = generation.shared_parts();
+    let held = parts.iter().zip(keys).take_while(|(_, key)| server.holds_part(**key, now));
+    let resident_tokens = held.map(|(part, _)| part.tokens).sum();
+    let sent_tokens = server.new_tokens * OTHER_ROUTERS_FACTOR;
+    EngineView {
+        is_near: *server.entry.failure_domain == *place.failure_domain,
+        is_newest: true,
+        is_avoided: server.suspicion.is_avoided(now) || server.is_reported_gone(now),
+        running: reported.map_or(server.in_flight, |state| state.running),
+        waiting: reported.map_or(0, |state| state.waiting),
+        used_tokens: reported.map_or(0, |state| state.used_tokens) + sent_tokens,
+        memory_tokens: reported.map_or(u64::MAX, |state| state.memory_tokens),
+        unread_tokens: server.unread_tokens * OTHER_ROUTERS_FACTOR,
+        resident_tokens,
+        home_rank: 0,
+    }
+}
+
+/// The servers in the order in which they are preferred for a prompt's shared parts.
+fn homes(servers: &[&Server], generation: &Generation) -> Vec<usize> {
+    let subject = generation.shared_parts().last().or(generation.parts.last());
+    let subject = subject.map_or("", |part| &part.id);
+    rendezvous::rank(subject.as_bytes(), servers, |server| &server.entry.id)
+}
+
+/// Keys of parts, each covering the parts before it.
+fn part_keys(salt: &str, parts: &[PromptPart]) -> Vec<u64> {
+    let mut key = xxh3_64_with_seed(salt.as_bytes(), 0);
+    parts
+        .iter()
+        .map(|part| {
+            key = xxh3_64_with_seed(part.id.as_bytes(), key);
+            key
+        })
+        .collect()
+}
+
+/// This router's part of the connections that a server takes, less those in use at a change.
+fn max_idle(state: &State, service: &Service) -> usize {
+    (service.max_connections / (state.routers.len() + 2)).max(1)
+}
+
+#[expect(clippy::too_many_arguments, reason = "one line of the log")]
+fn chose(
+    server: &Server,
+    candidates: usize,
+    near: bool,
+    newest: bool,
+    version: Option<u64>,
+    estimate: Option<Estimate>,
+    place: &Place<'_>,
+    now: MonoTime,
+) -> Step {
+    Step::Chose {
+        server: server.entry.id.clone(),
+        candidates,
+        near,
+        newest,
+        version,
+        first_event_ms: estimate.map_or(0, |estimate| whole(estimate.first_event_ms)),
+        cost_ms: estimate.map_or(0, |estimate| whole(estimate.cost_ms)),
+        report_age_ms: server.report.as_ref().map(|report| now.ms_since(report.heard)),
+        list_age_ms: place.list_age_ms,
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "an estimate is positive and short"
+)]
+fn whole(ms: f64) -> u64 {
+    ms as u64
+}
--- /dev/null
+++ b/crates/gateway/src/state.rs
@@ -0,0 +1,138 @@
+//! What a gateway believes, behind one lock that is never held across an await.
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use samphirespread_core::prelude::*;
+use samphirespread_membership::Contact;
+use samphirespread_peer::RouterReport;
+use samphirespread_routing::{
+    cache::StoreContents,
+    model::ServiceName,
+    quota::Quotas,
+    retry::{RetryBudget, RetryLimits},
+    table::Table,
+};
+use samphirespread_settings::GatewaySettings;
+
+use crate::fleet::Fleet;
+
+/// Withheld from the bound on withdrawn keys: the way of a request to a backend server.
+const WITHDRAWAL_MARGIN_MS: u64 = 400;
+/// Routers that may start within one window of the quotas, whose first allowances the slack covers.
+const STARTS_A_WINDOW: f64 = 4.0;
+
+/// Everything that a gateway believes.
+#[derive(Debug)]
+pub(crate) struct State {
+    /// The configuration in force.
+    pub(crate) table: Option<Arc<Table>>,
+    /// When the store was last read.
+    pub(crate) contact: Contact,
+    /// The backend servers.
+    pub(crate) fleet: Fleet,
+    /// Whether the list of backend servers was read at all.
+    pub(crate) has_fleet: bool,
+    /// What teams have used.
+    pub(crate) quotas: Quotas,
+    /// Repeats, for each service.
+    pub(crate) retries: HashMap<ServiceName, RetryBudget>,
+    /// The newest weights of each model.
+    pub(crate) weights: HashMap<ModelName, Newest>,
+    /// What the store of cached parts holds.
+    pub(crate) cache: StoreContents,
+    /// Whether the store of cached parts answers.
+    pub(crate) cache_is_up: bool,
+    /// The other routers.
+    pub(crate) routers: HashMap<InstanceName, OtherRouter>,
+    /// Loads that were asked for and not confirmed yet.
+    pub(crate) granted: HashMap<Arc<str>, Grant>,
+    /// Whether this process is leaving.
+    pub(crate) is_draining: bool,
+    /// Entries of the store that could not be read, so that each is logged once.
+    pub(crate) unreadable: HashSet<String>,
+}
+
+/// The newest weights of a model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Newest {
+    pub(crate) version: u64,
+    pub(crate) learnt: MonoTime,
+}
+
+/// Another router.
+#[derive(Clone, Debug)]
+pub(crate) struct OtherRouter {
+    pub(crate) address: SocketAddr,
+    /// Its entry's revision, for removing it.
+    pub(crate) revision: u64,
+    pub(crate) report: Option<(RouterReport, MonoTime)>,
+    /// When it was first known, for judging its silence.
+    pub(crate) known_since: MonoTime,
+}
+
+/// A load that was asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Grant {
+    pub(crate) model: ModelName,
+    pub(crate) version: u64,
+    pub(crate) at: MonoTime,
+}
+
+impl State {
+    pub(crate) fn new(settings: &GatewaySettings, now: MonoTime) -> Self {
+        let withdrawal_ms = settings.bounds.key_withdrawal_ms.saturating_sub(WITHDRAWAL_MARGIN_MS);
+        Self {
+            table: None,
+            contact: Contact::new(withdrawal_ms),
+            fleet: Fleet::default(),
+            has_fleet: false,
+            quotas: Quotas::new(now, settings.bounds.quota_slack / STARTS_A_WINDOW),
+            retries: HashMap::new(),
+            weights: HashMap::new(),
+            cache: StoreContents::default(),
+            cache_is_up: false,
+            routers: HashMap::new(),
+            granted: HashMap::new(),
+            is_draining: false,
+            unreadable: HashSet::new(),
+        }
+    }
+
+    /// Whether callers should be sent here.
+    pub(crate) fn is_ready(&self, now: MonoTime) -> bool {
+        let knows_enough = self.table.is_some() && self.has_fleet;
+        knows_enough && !self.is_draining && !self.contact.is_stale(now)
+    }
+
+    /// This router's part of the bound on repeats.
+    ///
+    /// The slack is halved, so that routers that restart and begin a new count stay inside it.
+    pub(crate) fn retry_limits(&self, settings: &GatewaySettings) -> RetryLimits {
+        let routers = u64::try_from(self.routers.len() + 1).unwrap_or(u64::MAX);
+        RetryLimits {
+            ratio: settings.bounds.retry_ratio,
+            window_ms: settings.bounds.retry_window_ms,
+            slack: settings.bounds.retry_slack / 2 / routers,
+        }
+    }
+
+    /// Takes in that a version was named. Returns whether it is news.
+    pub(crate) fn learn_weights(
+        &mut self,
+        model: &ModelName,
+        version: u64,
+        learnt: MonoTime,
+    ) -> bool {
+        match self.weights.get(model) {
+            Some(known) if known.version >= version => false,
+            _ => {
+                self.weights.insert(model.clone(), Newest { version, learnt });
+                true
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/story.rs
@@ -0,0 +1,203 @@
+//! The log of one request: a single line when it went well, otherwise every decision on the way.
+
+use std::sync::Arc;
+
+use samphirespread_core::prelude::*;
+use slog::{Logger, info, warn};
+
+use crate::answers::NotRun;
+
+/// Steps kept of one request; later ones are counted only.
+const MAX_STEPS: usize = 24;
+
+/// One decision or event of a request.
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    /// A backend server was chosen.
+    Chose {
+        server: Arc<str>,
+        candidates: usize,
+        near: bool,
+        newest: bool,
+        version: Option<u64>,
+        first_event_ms: u64,
+        cost_ms: u64,
+        report_age_ms: Option<u64>,
+        list_age_ms: u64,
+    },
+    /// No connection could be opened.
+    NoConnection { server: Arc<str>, error: String, avoid_ms: u64 },
+    /// The server said that it has not run the request.
+    SaidNotRun { server: Arc<str>, status: u16 },
+    /// The server failed the request, or its answer was of no use.
+    Failed { server: Arc<str>, cause: String, may_repeat: bool },
+    /// A repeat was not allowed by the budget.
+    BudgetSpent { slack: u64 },
+    /// A stream goes on elsewhere after an event.
+    Resumes { after: u64 },
+}
+
+/// How a request ended.
+#[derive(Clone, Debug)]
+pub(crate) enum End {
+    /// The answer of a backend server was delivered.
+    Served { status: u16 },
+    /// It was wrong.
+    Denied { status: u16, cause: &'static str },
+    /// It has not run.
+    NotRun { reason: NotRun, retry_after_ms: u64 },
+    /// It may have run; the caller was told so.
+    Unknown { status: u16, cause: &'static str },
+    /// The caller left first.
+    CallerGone,
+    /// A stream ended early.
+    Cut { cause: &'static str },
+}
+
+/// The log of one request.
+#[derive(Debug)]
+pub(crate) struct Story {
+    log: Logger,
+    id: String,
+    route: Option<Arc<str>>,
+    team: Option<TeamName>,
+    generation: u64,
+    contact_age_ms: u64,
+    began: MonoTime,
+    server: Option<Arc<str>>,
+    version: Option<u64>,
+    first_event: Option<MonoTime>,
+    steps: Vec<(MonoTime, Step)>,
+    steps_left_out: usize,
+    is_ended: bool,
+}
+
+impl Story {
+    pub(crate) fn new(log: &Logger, id: &str, began: MonoTime) -> Self {
+        Self {
+            log: log.clone(),
+            id: id.to_owned(),
+            route: None,
+            team: None,
+            generation: 0,
+            contact_age_ms: 0,
+            began,
+            server: None,
+            version: None,
+            first_event: None,
+            steps: Vec::new(),
+            steps_left_out: 0,
+            is_ended: false,
+        }
+    }
+
+    pub(crate) fn granted(
+        &mut self,
+        route: &Arc<str>,
+        team: Option<&TeamName>,
+        generation: u64,
+        contact_age_ms: u64,
+    ) {
+        self.route = Some(route.clone());
+        self.team = team.cloned();
+        self.generation = generation;
+        self.contact_age_ms = contact_age_ms;
+    }
+
+    pub(crate) fn step(&mut self, at: MonoTime, step: Step) {
+        if let Step::Chose { server, version, .. } = &step {
+            self.server = Some(server.clone());
+            self.version = *version;
+        }
+        if self.steps.len() < MAX_STEPS {
+            self.steps.push((at, step));
+        } else {
+            self.steps_left_out += 1;
+        }
+    }
+
+    pub(crate) fn first_event(&mut self, at: MonoTime) {
+        self.first_event.get_or_insert(at);
+    }
+
+    /// Time from the request to its first event.
+    pub(crate) fn first_event_ms(&self) -> Option<u64> {
+        self.first_event.map(|at| at.ms_since(self.began))
+    }
+
+    /// Writes the log of the request.
+    pub(crate) fn end(&mut self, now: MonoTime, end: &End, is_late: bool) {
+        if std::mem::replace(&mut self.is_ended, true) {
+            return;
+        }
+        let is_calm = matches!(end, End::Served { .. }) && self.steps.len() <= 1 && !is_late;
+        if !is_calm {
+            self.write_steps();
+        }
+        self.write_end(now, end, is_late);
+    }
+
+    fn write_end(&self, now: MonoTime, end: &End, is_late: bool) {
+        let took_ms = now.ms_since(self.began);
+        let (outcome, detail, status, retry_after_ms) = match end {
+            End::Served { status } => ("served", "", *status, None),
+            End::Denied { status, cause } => ("denied", *cause, *status, None),
+            End::NotRun { reason, retry_after_ms } => {
+                ("not_run", reason.name(), 0, Some(*retry_after_ms))
+            }
+            End::Unknown { status, cause } => ("unknown", *cause, *status, None),
+            End::CallerGone => ("caller_gone", "", 0, None),
+            End::Cut { cause } => ("cut", *cause, 0, None),
+        };
+        info!(self.log, "request ended"; "request" => &self.id, "outcome" => outcome,
+            "cause" => detail, "status" => status, "retry_after_ms" => retry_after_ms,
+            "route" => self.route.as_deref(), "team" => self.team.as_ref().map(TeamName::as_str),
+            "server" => self.server.as_deref(), "version" => self.version,
+            "generation" => self.generation, "contact_age_ms" => self.contact_age_ms,
+            "first_event_ms" => self.first_event_ms(), "took_ms" => took_ms, "late" => is_late,
+            "steps" => self.steps.len() + self.steps_left_out);
+    }
+
+    fn write_steps(&self) {
+        for (at, step) in &self.steps {
+            let at_ms = at.ms_since(self.began);
+            match step {
+                Step::Chose {
+                    server,
+                    candidates,
+                    near,
+                    newest,
+                    version,
+                    first_event_ms,
+                    cost_ms,
+                    report_age_ms,
+                    list_age_ms,
+                } => info!(self.log, "server chosen"; "request" => &self.id, "at_ms" => at_ms,
+                    "server" => &**server, "candidates" => candidates, "near" => near,
+                    "newest" => newest, "version" => version, "expected_ms" => first_event_ms,
+                    "cost_ms" => cost_ms, "report_age_ms" => report_age_ms,
+                    "list_age_ms" => list_age_ms),
+                Step::NoConnection { server, error, avoid_ms } => {
+                    warn!(self.log, "no connection"; "request" => &self.id, "at_ms" => at_ms,
+                        "server" => &**server, "error" => error, "avoid_ms" => avoid_ms);
+                }
+                Step::SaidNotRun { server, status } => {
+                    info!(self.log, "server refused"; "request" => &self.id, "at_ms" => at_ms,
+                        "server" => &**server, "status" => status);
+                }
+                Step::Failed { server, cause, may_repeat } => {
+                    warn!(self.log, "server failed"; "request" => &self.id, "at_ms" => at_ms,
+                        "server" => &**server, "cause" => cause, "may_repeat" => may_repeat);
+                }
+                Step::BudgetSpent { slack } => {
+                    info!(self.log, "no repeat: budget spent"; "request" => &self.id,
+                        "at_ms" => at_ms, "slack" => slack);
+                }
+                Step::Resumes { after } => {
+                    info!(self.log, "stream resumes"; "request" => &self.id, "at_ms" => at_ms,
+                        "after_event" => after);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/sync.rs
@@ -0,0 +1,381 @@
+//! Keeps what the gateway believes in step with the store.
+
+use std::{sync::Arc, time::Duration};
+
+use samphirespread_adapter::{
+    Changes, DecodeError, Kind, Listing, Object, StoreError, Written, backend_servers,
+    configuration,
+    objects::{CONFIGURATION_NAME, Change},
+    weights,
+};
+use samphirespread_core::prelude::*;
+use samphirespread_routing::{
+    model::{BackendServer, Standing},
+    table::Table,
+};
+use serde_json::json;
+use slog::{info, warn};
+use tokio::{task::JoinSet, time};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    cache_follow,
+    fleet::FleetNews,
+    gateway::Core,
+    metrics::{self, count},
+    peers,
+    state::OtherRouter,
+};
+
+/// The longest wait of a watch for new weights.
+const WEIGHTS_WAIT_MS: u64 = 2_000;
+/// Pause after a failed call.
+const PAUSE_MS: u64 = 200;
+/// Rounds of reads between two reads of the list of routers.
+const ROUNDS_A_ROUTERS_READ: u64 = 3;
+/// Entries that lapsed during an outage of the store are back this long after it.
+const LAPSED_RETURN_MS: u64 = 2_000;
+/// A router that was not heard for this long is taken off the list.
+const ROUTER_REMOVED_AFTER_MS: u64 = 12_000;
+/// Time between two clean-ups of idle connections.
+const PRUNE_MS: u64 = 1_000;
+
+/// Starts all tasks. They end with `stop`.
+pub(crate) fn spawn(core: &Arc<Core>, stop: &CancellationToken) {
+    let core = core.clone();
+    let stop = stop.clone();
+    tokio::spawn(async move {
+        let mut tasks = JoinSet::new();
+        tasks.spawn(poll(core.clone()));
+        tasks.spawn(watch_weights(core.clone()));
+        tasks.spawn(cache_follow::follow(core.clone()));
+        tasks.spawn(peers::receive(core.clone()));
+        tasks.spawn(peers::send(core.clone()));
+        tasks.spawn(prune(core));
+        stop.cancelled().await;
+        // Dropping the set ends its tasks.
+        drop(tasks);
+    });
+}
+
+async fn prune(core: Arc<Core>) {
+    loop {
+        time::sleep(Duration::from_millis(PRUNE_MS)).await;
+        let now = core.now();
+        core.state().fleet.prune(now);
+    }
+}
+
+/// Reads the configuration and the lists, again and again.
+async fn poll(core: Arc<Core>) {
+    let mut poller = Poller { core, is_up: true, listed: None, missing_until: MonoTime::ZERO };
+    let mut round = 0;
+    loop {
+        let began = poller.core.now();
+        let reads_routers = round % ROUNDS_A_ROUTERS_READ == 0;
+        let core = poller.core.clone();
+        let (configuration, servers, routers) = tokio::join!(
+            core.store.get(Kind::Configuration, CONFIGURATION_NAME),
+            core.store.list(Kind::BackendServers),
+            async { if reads_routers { Some(core.store.list(Kind::Routers).await) } else { None } },
+        );
+        let is_up = configuration.is_ok() && servers.is_ok();
+        poller.take_configuration(configuration, began);
+        poller.take_servers(servers, began);
+        if let Some(routers) = routers {
+            poller.take_routers(routers).await;
+        }
+        poller.note(is_up);
+        round += 1;
+        let poll_ms = core.settings.store.poll_ms;
+        let pause_ms =
+            if is_up { poll_ms.saturating_sub(core.now().ms_since(began)) } else { PAUSE_MS };
+        time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+}
+
+struct Poller {
+    core: Arc<Core>,
+    is_up: bool,
+    /// When the last successful read of the list of servers began.
+    listed: Option<MonoTime>,
+    /// Until then servers that are missing on the list are kept.
+    missing_until: MonoTime,
+}
+
+impl Poller {
+    fn note(&mut self, is_up: bool) {
+        if std::mem::replace(&mut self.is_up, is_up) == is_up {
+            return;
+        }
+        let age_ms = self.core.state().contact.age_ms(self.core.now());
+        if is_up {
+            info!(self.core.log, "store regained");
+        } else {
+            warn!(self.core.log, "store lost"; "contact_age_ms" => age_ms);
+        }
+    }
+
+    fn failed(&self, call: &'static str, error: &StoreError) {
+        count(&self.core.metrics.store_failures, call);
+        if self.is_up {
+            warn!(self.core.log, "store call failed"; "call" => call, "error" => %error);
+        }
+    }
+
+    fn take_configuration(&self, read: Result<Option<Object>, StoreError>, began: MonoTime) {
+        let object = match read {
+            Ok(object) => object,
+            Err(error) => return self.failed("configuration", &error),
+        };
+        let took_ms = self.core.now().ms_since(began);
+        self.core.metrics.store_call_s.observe(metrics::seconds(took_ms));
+        let Some(object) = object else {
+            self.core.state().contact.platform_answered(began);
+            return;
+        };
+        match configuration::decode(&object.spec) {
+            Ok(decoded) => {
+                adopt(&self.core, decoded);
+                // A configuration that can't be read leaves what is in force unconfirmed.
+                self.core.state().contact.platform_answered(began);
+            }
+            Err(error) => log_unreadable(&self.core, "configuration", &error),
+        }
+    }
+
+    fn take_servers(&mut self, read: Result<Listing, StoreError>, began: MonoTime) {
+        let listing = match read {
+            Ok(listing) => listing,
+            Err(error) => return self.failed("servers", &error),
+        };
+        let outage_ms = 2 * self.core.settings.store.poll_ms;
+        if self.listed.is_some_and(|listed| began.ms_since(listed) > outage_ms) {
+            self.missing_until = began.plus_ms(LAPSED_RETURN_MS);
+        }
+        self.listed = Some(began);
+        let keeps_missing = began < self.missing_until;
+        let entries = readable_servers(&self.core, listing);
+        let mut state = self.core.state();
+        let news = state.fleet.replace(entries, keeps_missing);
+        state.has_fleet = true;
+        drop(state);
+        for item in news {
+            match item {
+                FleetNews::Appeared(id) => {
+                    info!(self.core.log, "server appeared"; "server" => &*id)
+                }
+                FleetNews::Draining(id) => info!(self.core.log, "server drains"; "server" => &*id),
+                FleetNews::Gone(id) => info!(self.core.log, "server gone"; "server" => &*id),
+                FleetNews::Restarted(id) => {
+                    info!(self.core.log, "server restarted"; "server" => &*id);
+                }
+            }
+        }
+    }
+
+    async fn take_routers(&self, read: Result<Listing, StoreError>) {
+        let listing = match read {
+            Ok(listing) => listing,
+            Err(error) => return self.failed("routers", &error),
+        };
+        let own = self.core.name.as_str();
+        let is_registered = listing
+            .objects
+            .iter()
+            .any(|object| object.name == own && address_of(object) == Some(self.own_address()));
+        if !is_registered {
+            self.register(&listing).await;
+        }
+        let silent = self.set_routers(&listing);
+        for (name, revision) in silent {
+            self.remove_router(&name, revision).await;
+        }
+    }
+
+    fn own_address(&self) -> std::net::SocketAddr {
+        self.core.settings.listen.peers
+    }
+
+    async fn register(&self, listing: &Listing) {
+        let own = self.core.name.as_str();
+        let spec = json!({ "address": self.own_address().to_string() });
+        let known = listing.objects.iter().find(|object| object.name == own);
+        let written = match known {
+            Some(object) => {
+                self.core.store.replace(Kind::Routers, own, object.revision, &spec).await
+            }
+            None => self.core.store.create(Kind::Routers, own, &spec).await,
+        };
+        match written {
+            Ok(Written::Done) => info!(self.core.log, "registered"; "name" => own),
+            // The next read shows what stands there.
+            Ok(other) => info!(self.core.log, "not registered yet"; "answer" => ?other),
+            Err(error) => self.failed("register", &error),
+        }
+    }
+
+    /// Takes over the list. Returns the routers to take off it.
+    fn set_routers(&self, listing: &Listing) -> Vec<(InstanceName, u64)> {
+        let now = self.core.now();
+        let mut state = self.core.state();
+        let mut routers = std::mem::take(&mut state.routers);
+        for object in &listing.objects {
+            let name = InstanceName::new(&object.name);
+            let Some(address) = address_of(object) else { continue };
+            if name == self.core.name {
+                continue;
+            }
+            let known = routers.remove(&name).filter(|router| router.address == address);
+            let router = match known {
+                Some(router) => OtherRouter { revision: object.revision, ..router },
+                None => {
+                    info!(self.core.log, "router appeared"; "router" => %name,
+                        "address" => %address);
+                    let revision = object.revision;
+                    OtherRouter { address, revision, report: None, known_since: now }
+                }
+            };
+            state.routers.insert(name, router);
+        }
+        for name in routers.keys() {
+            info!(self.core.log, "router gone"; "router" => %name);
+        }
+        let names: Vec<InstanceName> = state.routers.keys().cloned().collect();
+        state.quotas.set_routers(&names, now);
+        state
+            .routers
+            .iter()
+            .filter(|(_, router)| router.silent_ms(now) > ROUTER_REMOVED_AFTER_MS)
+            .map(|(name, router)| (name.clone(), router.revision))
+            .collect()
+    }
+
+    async fn remove_router(&self, name: &InstanceName, revision: u64) {
+        match self.core.store.remove(Kind::Routers, name.as_str(), revision).await {
+            Ok(answer) => {
+                info!(self.core.log, "silent router removed"; "router" => %name,
+                    "answer" => ?answer);
+            }
+            Err(error) => self.failed("remove_router", &error),
+        }
+    }
+}
+
+impl OtherRouter {
+    /// Time since it was last heard.
+    pub(crate) fn silent_ms(&self, now: MonoTime) -> u64 {
+        let heard = self.report.as_ref().map_or(self.known_since, |(_, heard)| *heard);
+        now.ms_since(heard)
+    }
+}
+
+fn address_of(object: &Object) -> Option<std::net::SocketAddr> {
+    object.spec.get("address")?.as_str()?.parse().ok()
+}
+
+/// Puts a configuration in force, unless a newer one is.
+fn adopt(core: &Core, decoded: configuration::Decoded) {
+    let configuration::Decoded { configuration, unreadable } = decoded;
+    for error in &unreadable {
+        log_unreadable(core, "configuration", error);
+    }
+    let now = core.now();
+    let mut state = core.state();
+    let known = state.table.as_ref().map(|table| table.configuration().generation);
+    if known.is_some_and(|known| known >= configuration.generation) {
+        return;
+    }
+    info!(core.log, "configuration adopted"; "generation" => configuration.generation,
+        "before" => known, "routes" => configuration.routes.len(),
+        "services" => configuration.services.len(), "teams" => configuration.teams.len());
+    let quotas = configuration.teams.iter().map(|team| (&team.name, team.quota));
+    state.quotas.set_teams(quotas, now);
+    state.table = Some(Arc::new(Table::new(configuration)));
+}
+
+fn readable_servers(core: &Core, listing: Listing) -> Vec<BackendServer> {
+    for error in &listing.unreadable {
+        log_unreadable(core, "server", error);
+    }
+    let mut servers = Vec::with_capacity(listing.objects.len());
+    for object in listing.objects {
+        match backend_servers::decode(&object.name, &object.spec) {
+            Ok(mut server) => {
+                if object.is_deleting {
+                    server.standing = Standing::Draining;
+                }
+                servers.push(server);
+            }
+            Err(error) => log_unreadable(core, &object.name, &error),
+        }
+    }
+    servers
+}
+
+/// Logs an entry that can't be read, once.
+fn log_unreadable(core: &Core, name: &str, error: &DecodeError) {
+    /// Entries that are remembered; past that they may be logged again.
+    const MAX_REMEMBERED: usize = 1_000;
+    let mut state = core.state();
+    if state.unreadable.len() >= MAX_REMEMBERED {
+        state.unreadable.clear();
+    }
+    if state.unreadable.insert(format!("{name}: {error}")) {
+        warn!(core.log, "entry left out"; "entry" => name, "error" => %error);
+    }
+}
+
+/// Follows the newest weights.
+async fn watch_weights(core: Arc<Core>) {
+    let mut revision = None;
+    loop {
+        let result = match revision {
+            None => list_weights(&core).await,
+            Some(revision) => {
+                let watched = core.store.watch(Kind::Weights, revision, WEIGHTS_WAIT_MS).await;
+                watched.map(|changes| take_weight_changes(&core, changes))
+            }
+        };
+        match result {
+            Ok(next) => revision = Some(next),
+            Err(error) => {
+                revision = None;
+                count(&core.metrics.store_failures, "weights");
+                info!(core.log, "weights not followed"; "error" => %error);
+                time::sleep(Duration::from_millis(PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn list_weights(core: &Core) -> Result<u64, StoreError> {
+    let listing = core.store.list(Kind::Weights).await?;
+    for object in &listing.objects {
+        take_weights(core, object);
+    }
+    Ok(listing.revision)
+}
+
+fn take_weight_changes(core: &Core, changes: Changes) -> u64 {
+    for change in changes.changes {
+        if let Change::Set(object) = change {
+            take_weights(core, &object);
+        }
+    }
+    changes.revision
+}
+
+fn take_weights(core: &Core, object: &Object) {
+    match weights::decode(&object.spec) {
+        Ok(named) => {
+            let now = core.now();
+            if core.state().learn_weights(&named.model, named.version, now) {
+                info!(core.log, "weights named"; "model" => %named.model,
+                    "version" => named.version, "source" => "store");
+                core.told.notify_one();
+            }
+        }
+        Err(error) => log_unreadable(core, &object.name, &error),
+    }
+}
--- /dev/null
+++ b/crates/routing/src/choice.rs
@@ -0,0 +1,169 @@
+//! Choice of the backend server for one request.
+//!
+//! Each server gets an estimate of the time to the first event in milliseconds, plus what choosing
+//! it costs besides, also in milliseconds, and the lowest sum wins. Cost: one pass over the servers
+//! of a service.
+
+/// Prompt tokens that an engine reads in a millisecond, at the slower of today's deployments.
+const READ_TOKENS_PER_MS: f64 = 112.0;
+/// Time from an idle engine's admission to its first event.
+const FIRST_EVENT_MS: f64 = 45.0;
+/// What each running request adds to that.
+const RUNNING_MS: f64 = 1.0;
+/// What each request that waits at the engine adds.
+const WAITING_MS: f64 = 25.0;
+/// Time to fetch the shared parts of a prompt from the store.
+const FETCH_MS: f64 = 8.0;
+/// Added to an engine that is not the first choice for the prompt's parts.
+const AWAY_MS: f64 = 6.0;
+/// Added for a body that crosses failure domains, for each kilobyte.
+const CROSS_DOMAIN_MS_PER_KB: f64 = 1.0;
+/// Added for a failure domain other than the router's, whatever the body.
+const CROSS_DOMAIN_MS: f64 = 3.0;
+/// Added to an engine whose weights are not the newest: a fifth of the answer's worth.
+const OLD_WEIGHTS_MS: f64 = 80.0;
+/// Added to an engine whose memory the request would overfill.
+const FULL_MS: f64 = 2_000.0;
+/// Added to a server that failed lately.
+const AVOIDED_MS: f64 = 5_000.0;
+/// The part of an engine's memory up to which it is filled without a penalty.
+const COMFORTABLE_PART: f64 = 0.85;
+/// Added for each request beyond the slots of a plain server.
+const QUEUED_CALL_MS: f64 = 20.0;
+/// Added for each request that a plain server runs.
+const RUNNING_CALL_MS: f64 = 4.0;
+
+/// What one request asks of an engine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Work {
+    /// The length of the prompt.
+    pub prompt_tokens: u64,
+    /// The part of it that other requests have too.
+    pub shared_tokens: u64,
+    /// Shared tokens that the store of cached parts can hand out.
+    pub stored_tokens: u64,
+    /// Memory while it runs.
+    pub footprint_tokens: u64,
+    /// The request body.
+    pub body_bytes: usize,
+}
+
+/// One engine, as the router sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EngineView {
+    /// Whether it is in the router's failure domain.
+    pub is_near: bool,
+    /// Whether it holds the newest weights.
+    pub is_newest: bool,
+    /// Whether it failed lately.
+    pub is_avoided: bool,
+    /// Requests that run there.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Memory that running requests hold, with those sent since the last report.
+    pub used_tokens: u64,
+    /// All of its memory.
+    pub memory_tokens: u64,
+    /// Prompt tokens that were sent there and have not led to a first event.
+    pub unread_tokens: u64,
+    /// Shared tokens of this prompt that it is believed to hold.
+    pub resident_tokens: u64,
+    /// Its place among the engines in the order of preference for this prompt's parts.
+    pub home_rank: usize,
+}
+
+/// The estimated time to the first event, and what is added to weigh one engine against another.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// Milliseconds to the first event.
+    pub first_event_ms: f64,
+    /// The estimate and all additions.
+    pub cost_ms: f64,
+}
+
+/// The estimate for one engine.
+pub fn estimate(view: &EngineView, work: &Work) -> Estimate {
+    let held = work.shared_tokens.min(view.resident_tokens.max(work.stored_tokens));
+    let read_ms = tokens(work.prompt_tokens.saturating_sub(held)) / READ_TOKENS_PER_MS;
+    let fetches = work.stored_tokens > view.resident_tokens;
+    let fetch_ms = if fetches { FETCH_MS } else { 0.0 };
+    let queue_ms = tokens(view.unread_tokens) / READ_TOKENS_PER_MS;
+    let load_ms = f64::from(view.running) * RUNNING_MS + f64::from(view.waiting) * WAITING_MS;
+    let first_event_ms = FIRST_EVENT_MS + read_ms + fetch_ms + queue_ms + load_ms;
+    Estimate { first_event_ms, cost_ms: first_event_ms + additions(view, work) }
+}
+
+/// The index of the engine to choose.
+pub fn choose_engine(views: &[Option<EngineView>], work: &Work) -> Option<(usize, Estimate)> {
+    let estimates = views.iter().enumerate().filter_map(|(index, view)| {
+        let view = view.as_ref()?;
+        Some((index, estimate(view, work)))
+    });
+    estimates.min_by(|a, b| a.1.cost_ms.total_cmp(&b.1.cost_ms))
+}
+
+fn additions(view: &EngineView, work: &Work) -> f64 {
+    let mut added = 0.0;
+    if view.home_rank > 0 {
+        added += AWAY_MS;
+    }
+    if !view.is_near {
+        added += CROSS_DOMAIN_MS + bytes(work.body_bytes) / 1_000.0 * CROSS_DOMAIN_MS_PER_KB;
+    }
+    if !view.is_newest {
+        added += OLD_WEIGHTS_MS;
+    }
+    let filled = tokens(view.used_tokens + work.footprint_tokens);
+    if filled > COMFORTABLE_PART * tokens(view.memory_tokens) {
+        added += FULL_MS;
+    }
+    if view.is_avoided {
+        added += AVOIDED_MS;
+    }
+    added
+}
+
+/// One plain server, as the router sees it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServerView {
+    /// Whether it is in the router's failure domain.
+    pub is_near: bool,
+    /// Whether it failed lately.
+    pub is_avoided: bool,
+    /// Requests that run or wait there.
+    pub load: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// The index of the plain server to choose.
+pub fn choose_server(views: &[Option<ServerView>]) -> Option<usize> {
+    let costs = views.iter().enumerate().filter_map(|(index, view)| {
+        let view = view.as_ref()?;
+        Some((index, server_cost(view)))
+    });
+    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
+}
+
+fn server_cost(view: &ServerView) -> f64 {
+    let queued = (view.load + 1).saturating_sub(view.slots);
+    let mut cost = f64::from(view.load) * RUNNING_CALL_MS + f64::from(queued) * QUEUED_CALL_MS;
+    if !view.is_near {
+        cost += CROSS_DOMAIN_MS;
+    }
+    if view.is_avoided {
+        cost += AVOIDED_MS;
+    }
+    cost
+}
+
+#[expect(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
+fn tokens(tokens: u64) -> f64 {
+    tokens as f64
+}
+
+#[expect(clippy::cast_precision_loss, reason = "bodies are far below 2^52")]
+fn bytes(bytes: usize) -> f64 {
+    bytes as f64
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,29 @@
+//! Decisions of an entry router: which route, which backend server, whether a team may, whether to
+//! try again, and which backend server loads new weights next.
+//!
+//! ```
+//! use samphirespread_core::prelude::*;
+//! use samphirespread_routing::retry::{RetryBudget, RetryLimits};
+//!
+//! let limits = RetryLimits { ratio: 0.2, window_ms: 10_000, slack: 0 };
+//! let mut budget = RetryBudget::default();
+//! for _ in 0..10 {
+//!     budget.count_request(MonoTime::from_ms(5));
+//! }
+//!
+//! assert!(budget.try_spend(&limits, MonoTime::from_ms(6)));
+//! assert!(budget.try_spend(&limits, MonoTime::from_ms(6)));
+//! assert!(!budget.try_spend(&limits, MonoTime::from_ms(6)));
+//! ```
+//!
+//! Nothing here reads a clock or a socket: events and the current instant go in, a decision comes
+//! out. Each module says what it costs.
+
+pub mod cache;
+pub mod choice;
+pub mod model;
+pub mod quota;
+pub mod retry;
+pub mod rollout;
+pub mod suspicion;
+pub mod table;
--- /dev/null
+++ b/crates/routing/src/rollout.rs
@@ -0,0 +1,75 @@
+//! Which backend servers load newer weights next.
+//!
+//! One router at a time conducts the rollout; should two take themselves for the conductor, more
+//! servers load at once than meant, which is slower but never wrong, since the order itself is given
+//! by the one process beside each server. Cost: one sort of the servers for each look.
+
+use std::{collections::HashMap, sync::Arc};
+
+/// Servers load together in about this many groups.
+const GROUPS: usize = 6;
+
+/// Where a server stands in the rollout.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It takes requests.
+    Serving,
+    /// It has been told to load, or loads.
+    Loading,
+    /// Nobody can give it an order now.
+    Unreachable,
+}
+
+/// One server, as the conductor sees it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Candidate {
+    /// The server.
+    pub id: Arc<str>,
+    /// Its failure domain.
+    pub failure_domain: Arc<str>,
+    /// The version it holds.
+    pub version: u64,
+    /// Where it stands.
+    pub phase: Phase,
+}
+
+/// The number of servers that load at once.
+pub fn at_once(servers: usize) -> usize {
+    servers.div_ceil(GROUPS).max(1)
+}
+
+/// The servers that are to load `target` now, by their index.
+///
+/// The oldest versions go first, and the failure domains take turns.
+pub fn next(candidates: &[Candidate], target: u64, at_once: usize) -> Vec<usize> {
+    let loading = candidates.iter().filter(|candidate| candidate.phase == Phase::Loading).count();
+    let free = at_once.saturating_sub(loading);
+    let mut waiting: Vec<usize> = candidates
+        .iter()
+        .enumerate()
+        .filter(|(_, candidate)| candidate.phase == Phase::Serving && candidate.version < target)
+        .map(|(index, _)| index)
+        .collect();
+    waiting.sort_by(|&a, &b| candidates[a].id.cmp(&candidates[b].id));
+    let turns = turns(candidates, &waiting, target);
+    waiting.sort_by_key(|index| (candidates[*index].version, turns[index]));
+    waiting.truncate(free);
+    waiting
+}
+
+/// How many servers of its failure domain are done, load or go before each waiting server.
+fn turns(candidates: &[Candidate], waiting: &[usize], target: u64) -> HashMap<usize, usize> {
+    let mut taken: HashMap<&str, usize> = HashMap::new();
+    for candidate in candidates {
+        if candidate.phase == Phase::Loading || candidate.version >= target {
+            *taken.entry(&candidate.failure_domain).or_default() += 1;
+        }
+    }
+    let mut turns = HashMap::new();
+    for &index in waiting {
+        let turn = taken.entry(&candidates[index].failure_domain).or_default();
+        turns.insert(index, *turn);
+        *turn += 1;
+    }
+    turns
+}
--- /dev/null
+++ b/crates/routing/src/table.rs
@@ -0,0 +1,93 @@
+//! Route lookup and key lookup of one configuration.
+//!
+//! A lookup costs one hash of the host and one comparison for each route of that host.
+
+use std::collections::HashMap;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::model::{Configuration, KeyDigest, Route, Service, ServiceName, Team};
+
+/// A configuration, indexed for serving.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    configuration: Configuration,
+    routes_by_host: HashMap<String, Vec<usize>>,
+    teams_by_key: HashMap<KeyDigest, usize>,
+    services: HashMap<ServiceName, usize>,
+}
+
+impl Table {
+    /// Indexes a configuration.
+    pub fn new(configuration: Configuration) -> Self {
+        let mut routes_by_host: HashMap<String, Vec<usize>> = HashMap::new();
+        for (index, route) in configuration.routes.iter().enumerate() {
+            routes_by_host.entry(route.host.to_ascii_lowercase()).or_default().push(index);
+        }
+        for indices in routes_by_host.values_mut() {
+            indices.sort_by_key(|&index| {
+                std::cmp::Reverse(configuration.routes[index].path_prefix.len())
+            });
+        }
+        let mut teams_by_key = HashMap::new();
+        for (index, team) in configuration.teams.iter().enumerate() {
+            teams_by_key.extend(team.keys.iter().map(|key| (*key, index)));
+        }
+        let services = configuration
+            .services
+            .iter()
+            .enumerate()
+            .map(|(index, service)| (service.name.clone(), index))
+            .collect();
+        Self { configuration, routes_by_host, teams_by_key, services }
+    }
+
+    /// The configuration.
+    pub fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// The route with the longest prefix of `path` on `host`, whose port is not looked at.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let indices = self.routes_by_host.get(&name.to_ascii_lowercase())?;
+        indices
+            .iter()
+            .map(|&index| &self.configuration.routes[index])
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+
+    /// The team that holds a key.
+    pub fn team(&self, key: &str) -> Option<&Team> {
+        let index = self.teams_by_key.get(&KeyDigest::of(key))?;
+        Some(&self.configuration.teams[*index])
+    }
+
+    /// Whether requests need a key at all.
+    pub fn has_teams(&self) -> bool {
+        !self.configuration.teams.is_empty()
+    }
+
+    /// A service by its name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.get(name).map(|&index| &self.configuration.services[index])
+    }
+
+    /// The service for one request of a route, in proportion to the weights.
+    ///
+    /// The same request id always gives the same service.
+    pub fn upstream<'a>(&self, route: &'a Route, request_id: &str) -> Option<&'a ServiceName> {
+        let total: u64 = route.upstreams.iter().map(|upstream| upstream.weight).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut point = xxh3_64(request_id.as_bytes()) % total;
+        for upstream in &route.upstreams {
+            if point < upstream.weight {
+                return Some(&upstream.service);
+            }
+            point -= upstream.weight;
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/settings/src/gateway/mod.rs
@@ -0,0 +1,239 @@
+//! Settings of a gateway.
+
+use std::net::SocketAddr;
+
+use crate::{
+    check::{Values, check},
+    common::{
+        self, DAY_MS, InstanceSettings, LogSettings, address_key, ms_key, number_key, remote_key,
+    },
+    error::SettingsErrors,
+    example,
+    schema::{KeySpec, Kind, Preset, Schema, SectionSpec},
+};
+
+/// Settings of a gateway.
+///
+/// # Examples
+///
+/// ```
+/// use samphirespread_settings::GatewaySettings;
+///
+/// let settings = GatewaySettings::parse(&GatewaySettings::example()).unwrap();
+///
+/// assert_eq!(settings.bounds.key_withdrawal_ms, 5_000);
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Who and where this process is.
+    pub instance: InstanceSettings,
+    /// Where the process takes connections.
+    pub listen: GatewayListen,
+    /// The store of configuration and registrations.
+    pub store: StoreSettings,
+    /// What operators are promised.
+    pub bounds: BoundsSettings,
+    /// Logging.
+    pub log: LogSettings,
+}
+
+/// Where a gateway takes connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GatewayListen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question whether to send callers.
+    pub readiness: SocketAddr,
+    /// For datagrams of other processes of the system.
+    pub peers: SocketAddr,
+    /// For operators: metrics and dump.
+    pub admin: SocketAddr,
+}
+
+/// The store of configuration and registrations.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreSettings {
+    /// Where it answers.
+    pub address: SocketAddr,
+    /// A call without an answer fails after this.
+    pub timeout_ms: u64,
+    /// Time between two reads of what may change.
+    pub poll_ms: u64,
+}
+
+/// What operators are promised.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BoundsSettings {
+    /// A withdrawn key stops working within this time.
+    pub key_withdrawal_ms: u64,
+    /// A leaving backend server gets no new work after this time.
+    pub server_drain_ms: u64,
+    /// A process is ended this long after it was asked to leave.
+    pub grace_ms: u64,
+    /// No request begins on older weights after this time.
+    pub rollout_ms: u64,
+    /// Repeated sends allowed for each request, over all routers.
+    pub retry_ratio: f64,
+    /// The window over which repeats are counted.
+    pub retry_window_ms: u64,
+    /// Repeats allowed on top in each window, over all routers.
+    pub retry_slack: u64,
+    /// What teams may use beyond their quota in a window, over all routers.
+    pub quota_slack: f64,
+}
+
+impl GatewaySettings {
+    /// Parses the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// All faults of the text, each with line, section, key and what is allowed.
+    pub fn parse(text: &str) -> Result<Self, SettingsErrors> {
+        let values = check(SCHEMA, text)?;
+        Ok(Self::build(&values))
+    }
+
+    /// A file that shows every key with its default.
+    pub fn example() -> String {
+        example::example(SCHEMA)
+    }
+
+    fn build(values: &Values) -> Self {
+        Self {
+            instance: common::instance(values),
+            listen: GatewayListen {
+                callers: values.get("listen", "callers"),
+                readiness: values.get("listen", "readiness"),
+                peers: values.get("listen", "peers"),
+                admin: values.get("listen", "admin"),
+            },
+            store: StoreSettings {
+                address: values.get("store", "address"),
+                timeout_ms: values.get("store", "timeout_ms"),
+                poll_ms: values.get("store", "poll_ms"),
+            },
+            bounds: bounds(values),
+            log: common::log(values),
+        }
+    }
+}
+
+fn bounds(values: &Values) -> BoundsSettings {
+    BoundsSettings {
+        key_withdrawal_ms: values.get("bounds", "key_withdrawal_ms"),
+        server_drain_ms: values.get("bounds", "server_drain_ms"),
+        grace_ms: seconds_as_ms(values.get("bounds", "grace_s")),
+        rollout_ms: values.get("bounds", "rollout_ms"),
+        retry_ratio: values.get("bounds", "retry_ratio"),
+        retry_window_ms: seconds_as_ms(values.get("bounds", "retry_window_s")),
+        retry_slack: values.get("bounds", "retry_slack"),
+        quota_slack: values.get("bounds", "quota_slack"),
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the schema bounds the number"
+)]
+fn seconds_as_ms(seconds: f64) -> u64 {
+    (seconds * 1_000.0) as u64
+}
+
+const fn decimal_key(
+    name: &'static str,
+    (min, max): (f64, f64),
+    unit: &'static str,
+    default: &'static str,
+    doc: &'static str,
+) -> KeySpec {
+    KeySpec { name, kind: Kind::Decimal { min, max, unit }, preset: Preset::Default(default), doc }
+}
+
+const SCHEMA: Schema = &[
+    common::INSTANCE,
+    SectionSpec {
+        name: "listen",
+        optional: false,
+        doc: "Where the process takes connections. Port 0 lets the kernel choose.",
+        keys: &[
+            address_key("callers", "0.0.0.0:8080", "For callers."),
+            address_key("readiness", "0.0.0.0:8081", "For the balancer's readiness checks."),
+            address_key("peers", "0.0.0.0:7600", "For datagrams of the system's processes."),
+            address_key("admin", "127.0.0.1:7615", "For operators: metrics and dump."),
+        ],
+    },
+    SectionSpec {
+        name: "store",
+        optional: false,
+        doc: "The store of configuration and registrations.",
+        keys: &[
+            remote_key("address", "127.0.0.1:8601", "Where it answers."),
+            ms_key("timeout_ms", (10, 60_000), "800", "A call without an answer fails after this."),
+            ms_key("poll_ms", (50, 60_000), "900", "Time between two reads of what may change."),
+        ],
+    },
+    BOUNDS,
+    common::LOG,
+];
+
+const BOUNDS: SectionSpec = SectionSpec {
+    name: "bounds",
+    optional: false,
+    doc: "What operators are promised.",
+    keys: &[
+        ms_key(
+            "key_withdrawal_ms",
+            (100, DAY_MS),
+            "5000",
+            "A withdrawn key stops working within this time.",
+        ),
+        ms_key(
+            "server_drain_ms",
+            (100, DAY_MS),
+            "2000",
+            "A leaving backend server gets no new work after this time.",
+        ),
+        decimal_key(
+            "grace_s",
+            (0.1, 86_400.0),
+            "seconds",
+            "8",
+            "The process is ended this long after it was asked to leave.",
+        ),
+        ms_key(
+            "rollout_ms",
+            (100, DAY_MS),
+            "12000",
+            "No request begins on older weights after this time.",
+        ),
+        decimal_key(
+            "retry_ratio",
+            (0.0, 100.0),
+            "repeats",
+            "0.2",
+            "Repeated sends for each request, over all routers.",
+        ),
+        decimal_key(
+            "retry_window_s",
+            (0.1, 86_400.0),
+            "seconds",
+            "10",
+            "The window over which repeats are counted.",
+        ),
+        number_key(
+            "retry_slack",
+            (0, 1_000_000),
+            "repeats",
+            "56",
+            "Repeats on top in each window, over all routers.",
+        ),
+        decimal_key(
+            "quota_slack",
+            (0.0, 1e12),
+            "tokens",
+            "0",
+            "What teams may use beyond their quota in a window, over all routers.",
+        ),
+    ],
+};
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -54,8 +54,10 @@
 mod common;
 mod error;
 mod example;
+mod gateway;
 mod router;
 mod schema;
+mod sidecar;
 
 pub use crate::{
     agent::AgentPeers,
@@ -65,8 +67,10 @@
         SecuritySettings, TlsSettings,
     },
     error::{SettingsError, SettingsErrors},
+    gateway::{BoundsSettings, GatewayListen, GatewaySettings, StoreSettings},
     router::{
         LimitsSettings, PlatformSettings, RequestSettings, RouterListen, RouterPeers,
         RouterSettings,
     },
+    sidecar::{EngineSettings, SidecarListen, SidecarSettings},
 };
--- a/crates/settings/src/schema/mod.rs
+++ b/crates/settings/src/schema/mod.rs
@@ -60,6 +60,8 @@
     RemoteAddresses,
     /// A whole number.
     Integer { min: u64, max: u64, unit: &'static str },
+    /// A number with or without a fraction.
+    Decimal { min: f64, max: f64, unit: &'static str },
     /// One of these words.
     Choice(&'static [&'static str]),
     /// The path of a file.
@@ -76,6 +78,9 @@
             Self::RemoteAddress => is_remote(value),
             Self::RemoteAddresses => items(value).all(is_remote),
             Self::Integer { min, max, .. } => is_integer(value, *min, *max),
+            Self::Decimal { min, max, .. } => {
+                value.parse::<f64>().is_ok_and(|number| (*min..=*max).contains(&number))
+            }
             Self::Choice(words) => words.contains(&value),
             Self::Path => !value.is_empty(),
             Self::Secret { min_chars } => value.chars().count() >= *min_chars,
@@ -99,6 +104,9 @@
             Self::Integer { min, max, unit } => {
                 write!(f, "a whole number of {unit} from {min} to {max}")
             }
+            Self::Decimal { min, max, unit } => {
+                write!(f, "a number of {unit} from {min} to {max}")
+            }
             Self::Choice(words) => write!(f, "one of {}", words.join(", ")),
             Self::Path => f.write_str("the path of a file"),
             Self::Secret { min_chars } => write!(f, "at least {min_chars} characters"),
--- /dev/null
+++ b/crates/sidecar/src/engine.rs
@@ -0,0 +1,122 @@
+//! Calls to the engine.
+
+use std::{error::Error, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use samphirespread_adapter::{
+    DecodeError,
+    engine::{self, LoadOrder, OrderAnswer, Report},
+    paths,
+};
+use samphirespread_outbound::Connection;
+use tokio::time;
+
+/// The largest answer that is read; a report has a few hundred bytes.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+
+/// A call that failed.
+#[derive(Debug, Display)]
+#[non_exhaustive]
+pub(crate) enum EngineError {
+    /// no answer within {timeout_ms} ms
+    Silent {
+        /// The time that was allowed.
+        timeout_ms: u64,
+    },
+    /// no exchange: {0}
+    Broken(String),
+    /// unexpected status {0}
+    Status(u16),
+    /// unreadable answer: {0}
+    Malformed(DecodeError),
+}
+
+impl Error for EngineError {}
+
+/// The engine beside this process.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    address: SocketAddr,
+    timeout_ms: u64,
+    idle: Option<Connection>,
+}
+
+impl Engine {
+    pub(crate) fn new(address: SocketAddr, timeout_ms: u64) -> Self {
+        Self { address, timeout_ms, idle: None }
+    }
+
+    /// Reads the engine's report.
+    pub(crate) async fn report(&mut self) -> Result<Report, EngineError> {
+        let (status, body) =
+            self.call(Method::GET, paths::ENGINE_REPORT, None, Bytes::new()).await?;
+        if status != StatusCode::OK {
+            return Err(EngineError::Status(status.as_u16()));
+        }
+        engine::decode_report(&body).map_err(EngineError::Malformed)
+    }
+
+    /// Gives an order. Without an answer it may still be carried out.
+    pub(crate) async fn order(
+        &mut self,
+        server_id: &str,
+        order: &LoadOrder<'_>,
+    ) -> Result<OrderAnswer, EngineError> {
+        let body = engine::encode_order(order).into();
+        let (status, _) =
+            self.call(Method::POST, paths::ENGINE_ORDER, Some(server_id), body).await?;
+        Ok(engine::order_answer(status))
+    }
+
+    async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        server_id: Option<&str>,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), EngineError> {
+        let timeout_ms = self.timeout_ms;
+        let exchange = self.exchange(method, path, server_id, body);
+        time::timeout(Duration::from_millis(timeout_ms), exchange)
+            .await
+            .map_err(|_| EngineError::Silent { timeout_ms })?
+    }
+
+    async fn exchange(
+        &mut self,
+        method: Method,
+        path: &str,
+        server_id: Option<&str>,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), EngineError> {
+        let broken = |error: &dyn Error| EngineError::Broken(error.to_string());
+        // Taken out, so that a call that is given up takes its connection with it.
+        let mut connection = match self.idle.take().filter(Connection::is_reusable) {
+            Some(connection) => connection,
+            None => Connection::open(self.address, self.timeout_ms)
+                .await
+                .map_err(|error| broken(&error))?,
+        };
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.address.to_string())
+            .header(header::CONTENT_TYPE, "application/json");
+        if let Some(id) = server_id {
+            request = request.header(engine::EXPECT_SERVER_HEADER, id);
+        }
+        let request = request.body(Full::new(body)).map_err(|error| broken(&error))?;
+        let response = connection.send(request).await.map_err(|error| broken(&error))?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(|error| EngineError::Broken(error.to_string()))?
+            .to_bytes();
+        self.idle = Some(connection);
+        Ok((status, body))
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/lib.rs
@@ -0,0 +1,23 @@
+//! The process beside a model engine: it reports the engine's state to routers and is the only one
+//! that gives the engine orders.
+//!
+//! ```no_run
+//! use samphirespread_settings::SidecarSettings;
+//! use samphirespread_sidecar::Sidecar;
+//! use tokio_util::sync::CancellationToken;
+//!
+//! # async fn example(log: slog::Logger) -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = SidecarSettings::parse(&SidecarSettings::example())?;
+//! Sidecar::bind(settings, log).await?.run(CancellationToken::new()).await;
+//! # Ok(())
+//! # }
+//! ```
+//!
+//! Routers ask for reports with each directive. A report goes out at once when the engine's weights
+//! or its readiness change, and a few times a second besides.
+
+mod engine;
+mod routers;
+mod sidecar;
+
+pub use crate::sidecar::{BindError, Sidecar};
--- /dev/null
+++ b/crates/sidecar/src/sidecar.rs
@@ -0,0 +1,296 @@
+//! The sidecar's two tasks: one speaks with routers, one with the engine.
+
+use std::{
+    error::Error,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use displaydoc::Display;
+use samphirespread_adapter::engine::{LoadOrder, OrderAnswer, Report};
+use samphirespread_core::{
+    prelude::*,
+    time::{Clock, fresh_incarnation},
+};
+use samphirespread_peer::{
+    Datagram, EngineReport, EngineState, HeldWeights, LoadDirective, MAX_DATAGRAM_BYTES, decode,
+    encode,
+};
+use samphirespread_settings::SidecarSettings;
+use slog::{Logger, info, warn};
+use tokio::{net::UdpSocket, sync::Notify, time};
+use tokio_util::sync::CancellationToken;
+
+use crate::{engine::Engine, routers::Routers};
+
+/// Time between two reads of the report while the engine loads.
+const LOADING_REPORT_MS: u64 = 20;
+/// Time between two reports to routers when nothing but the load changes.
+const PUSH_MS: u64 = 200;
+/// Reads in a row that fail before the engine counts as gone.
+const FAILURES_UNTIL_GONE: u32 = 2;
+
+/// A port that can't be opened.
+#[derive(Debug, Display)]
+#[non_exhaustive]
+pub enum BindError {
+    /// {address}: {message}
+    Port {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        message: String,
+    },
+}
+
+impl Error for BindError {}
+
+/// The sidecar of one engine.
+#[derive(Debug)]
+pub struct Sidecar {
+    settings: SidecarSettings,
+    log: Logger,
+    clock: Clock,
+    incarnation: Incarnation,
+    socket: UdpSocket,
+    shared: Mutex<Shared>,
+    work: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    routers: Routers,
+    state: Option<EngineState>,
+    sequence: u64,
+}
+
+impl Sidecar {
+    /// Opens the port for routers.
+    ///
+    /// # Errors
+    ///
+    /// When the port can't be opened.
+    pub async fn bind(settings: SidecarSettings, log: Logger) -> Result<Self, BindError> {
+        let address = settings.listen.peers;
+        let socket = UdpSocket::bind(address)
+            .await
+            .map_err(|error| BindError::Port { address, message: error.to_string() })?;
+        Ok(Self {
+            settings,
+            log,
+            clock: Clock::start(),
+            incarnation: fresh_incarnation(),
+            socket,
+            shared: Mutex::default(),
+            work: Notify::new(),
+        })
+    }
+
+    /// Runs until `shutdown`.
+    pub async fn run(self, shutdown: CancellationToken) {
+        info!(self.log, "started"; "instance" => &*self.settings.instance.name,
+            "engine" => %self.settings.engine.address, "incarnation" => self.incarnation.0);
+        let sidecar = Arc::new(self);
+        tokio::select! {
+            () = sidecar.receive() => {}
+            () = sidecar.follow_engine() => {}
+            () = shutdown.cancelled() => {}
+        }
+        info!(sidecar.log, "stopped"; "cause" => "signal");
+    }
+
+    /// Takes in what routers say.
+    async fn receive(&self) {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            let (length, from) = match self.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                Err(error) => {
+                    warn!(self.log, "receiving failed"; "error" => %error);
+                    time::sleep(Duration::from_millis(PUSH_MS)).await;
+                    continue;
+                }
+            };
+            match decode(&buffer[..length]) {
+                Ok(Datagram::Directive(directive)) => {
+                    let heard = self.lock().routers.directed(from, directive, self.clock.now());
+                    if heard.is_new {
+                        info!(self.log, "router heard"; "address" => %from);
+                        self.push(&[from]).await;
+                    }
+                    if heard.has_work {
+                        self.work.notify_one();
+                    }
+                }
+                Ok(_) => warn!(self.log, "datagram of another role"; "from" => %from),
+                Err(error) => {
+                    warn!(self.log, "datagram left out"; "from" => %from, "error" => %error);
+                }
+            }
+        }
+    }
+
+    /// Reads the engine's report, tells routers, and gives orders.
+    async fn follow_engine(&self) {
+        let mut engine = Engine::new(self.settings.engine.address, self.settings.engine.timeout_ms);
+        let mut failures = 0;
+        let mut pushed = self.clock.now();
+        loop {
+            let report = engine.report().await;
+            failures = if report.is_ok() { 0 } else { failures + 1 };
+            let state = match &report {
+                Ok(report) => Some(state(report)),
+                Err(error) if failures >= FAILURES_UNTIL_GONE => {
+                    if self.lock().state.is_some() {
+                        warn!(self.log, "engine lost"; "error" => %error, "failures" => failures);
+                    }
+                    None
+                }
+                Err(_) => self.lock().state.clone(),
+            };
+            let is_due = self.clock.now().ms_since(pushed) >= PUSH_MS;
+            if self.replace(state) || is_due {
+                pushed = self.clock.now();
+                self.push_all().await;
+            }
+            if let Ok(report) = &report {
+                self.load_if_wanted(&mut engine, report).await;
+            }
+            self.rest().await;
+        }
+    }
+
+    async fn rest(&self) {
+        let is_loading = self.lock().state.as_ref().is_some_and(|state| state.is_loading);
+        let rest_ms = if is_loading { LOADING_REPORT_MS } else { self.settings.engine.report_ms };
+        let rest = time::sleep(Duration::from_millis(rest_ms));
+        tokio::select! {
+            () = rest => {}
+            () = self.work.notified() => {}
+        }
+    }
+
+    /// Orders the engine to load what routers want, unless it holds or does that already.
+    async fn load_if_wanted(&self, engine: &mut Engine, report: &Report) {
+        let wanted = {
+            let shared = self.lock();
+            shared
+                .routers
+                .wanted(self.clock.now())
+                .map(|(load, server_id)| (load.clone(), server_id.to_owned()))
+        };
+        let Some((load, server_id)) = wanted else { return };
+        if report.is_busy || !is_older(report, &load) {
+            return;
+        }
+        self.mark_loading();
+        self.push_all().await;
+        self.order(engine, report, &load, &server_id).await;
+    }
+
+    async fn order(
+        &self,
+        engine: &mut Engine,
+        report: &Report,
+        load: &LoadDirective,
+        server_id: &str,
+    ) {
+        // Versions only rise, and only this process orders this engine, so the version itself is
+        // a fencing token that survives restarts without being stored.
+        let order = LoadOrder {
+            model: &load.model,
+            version: load.version,
+            holder: &self.settings.instance.name,
+            fencing_token: load.version,
+            after_orders: report.orders_accepted,
+        };
+        match engine.order(server_id, &order).await {
+            Ok(answer @ (OrderAnswer::Accepted | OrderAnswer::AlreadyHolds)) => {
+                info!(self.log, "order given"; "model" => %load.model, "version" => load.version,
+                    "after_orders" => report.orders_accepted, "answer" => ?answer);
+            }
+            Ok(answer) => {
+                warn!(self.log, "order refused"; "model" => %load.model, "version" => load.version,
+                    "after_orders" => report.orders_accepted, "answer" => ?answer);
+            }
+            Err(error) => {
+                warn!(self.log, "order without an answer"; "model" => %load.model,
+                    "version" => load.version, "after_orders" => report.orders_accepted,
+                    "error" => %error);
+            }
+        }
+    }
+
+    fn mark_loading(&self) {
+        if let Some(state) = &mut self.lock().state {
+            state.is_loading = true;
+        }
+    }
+
+    /// Takes over a new state. Returns whether routers should hear of it at once.
+    fn replace(&self, state: Option<EngineState>) -> bool {
+        let mut shared = self.lock();
+        let is_news = match (&shared.state, &state) {
+            (Some(old), Some(new)) => {
+                old.models != new.models
+                    || old.is_loading != new.is_loading
+                    || old.started_unix_ms != new.started_unix_ms
+            }
+            (None, None) => false,
+            _ => true,
+        };
+        if is_news {
+            info!(self.log, "engine changed"; "state" => ?state);
+        }
+        shared.state = state;
+        is_news
+    }
+
+    async fn push_all(&self) {
+        let addresses = self.lock().routers.addresses();
+        self.push(&addresses).await;
+    }
+
+    async fn push(&self, addresses: &[SocketAddr]) {
+        let bytes = {
+            let mut shared = self.lock();
+            shared.sequence += 1;
+            encode(&Datagram::Engine(EngineReport {
+                from: InstanceName::new(&*self.settings.instance.name),
+                incarnation: self.incarnation,
+                sequence: shared.sequence,
+                state: shared.state.clone(),
+            }))
+        };
+        for address in addresses {
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                warn!(self.log, "report not sent"; "to" => %address, "error" => %error);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn state(report: &Report) -> EngineState {
+    let held = |model: &samphirespread_routing::model::LoadedModel| HeldWeights {
+        model: model.model.clone(),
+        version: model.version,
+    };
+    EngineState {
+        started_unix_ms: report.started_unix_ms,
+        models: report.models.iter().map(held).collect(),
+        is_loading: report.is_busy,
+        running: report.running,
+        waiting: report.waiting,
+        used_tokens: report.used_tokens,
+        memory_tokens: report.memory_tokens,
+    }
+}
+
+fn is_older(report: &Report, load: &LoadDirective) -> bool {
+    report.models.iter().any(|model| model.model == load.model && model.version < load.version)
+}
