Keep a bound for each version of weights

Cause: the bound on older weights was counted from the newest version alone, so a version named every five seconds gave the one before the last ever more time (VERSION at 12,011 ms on v1 while v4 was newest). Ruled out: a lost watch (the router learnt v2 4 ms after it was named). Test: each_version_keeps_its_own_bound_when_newer_ones_overtake_it. It also showed that turns of failure domains counted engines that hold newer weights; mended.

--- a/crates/gateway/src/conduct.rs
+++ b/crates/gateway/src/conduct.rs
@@ -53,13 +53,13 @@
         return false;
     }
     let mut grants = Vec::new();
-    for (model, newest) in &state.weights {
+    for (model, named) in &state.weights {
         let candidates = candidates(state, model, now);
         let at_once = at_once(candidates.len());
-        for index in next(&candidates, newest.version, at_once) {
+        for index in next(&candidates, named.newest(), at_once) {
             grants.push((
                 candidates[index].id.clone(),
-                Grant { model: model.clone(), version: newest.version, at: now },
+                Grant { model: model.clone(), version: named.newest(), at: now },
             ));
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -114,10 +114,10 @@
     let weights: Vec<NamedWeights> = state
         .weights
         .iter()
-        .map(|(model, newest)| NamedWeights {
+        .map(|(model, named)| NamedWeights {
             model: model.clone(),
-            version: newest.version,
-            age_ms: now.ms_since(newest.learnt),
+            version: named.newest(),
+            age_ms: named.newest_age_ms(now),
         })
         .collect();
     let usage: Vec<TeamUsage> =
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -7,6 +7,7 @@
 use samphirespread_routing::{
     choice::{EngineView, Estimate, ServerView, Work, choose_engine, choose_server},
     model::{Generation, PromptPart, Service, Standing, cache_salt},
+    rollout::NamedVersions,
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -117,10 +118,10 @@
     servers: &[&Server],
     now: MonoTime,
 ) -> Option<Selected> {
-    let newest = state.weights.get(&generation.model);
-    let must_be_newest = newest
-        .is_some_and(|newest| now.ms_since(newest.learnt) + ROLLOUT_MARGIN_MS > place.rollout_ms);
-    let wanted_version = newest.map_or(0, |newest| newest.version);
+    let named = state.weights.get(&generation.model);
+    let bound_ms = place.rollout_ms.saturating_sub(ROLLOUT_MARGIN_MS);
+    let oldest_allowed = named.map_or(0, |named| named.oldest_allowed(now, bound_ms));
+    let wanted_version = named.map_or(0, NamedVersions::newest);
     let order = homes(servers, generation);
     let mut views: Vec<Option<EngineView>> = vec![None; servers.len()];
     let mut rank_of_newest = 0;
@@ -128,7 +129,7 @@
         let server = servers[index];
         let Some(version) = server.version(&generation.model) else { continue };
         let is_newest = version >= wanted_version;
-        if must_be_newest && !is_newest {
+        if version < oldest_allowed {
             continue;
         }
         let salt = cache_salt(version, demand.dedicated_team);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
     model::ServiceName,
     quota::Quotas,
     retry::{RetryBudget, RetryLimits},
+    rollout::NamedVersions,
     table::Table,
 };
 use samphirespread_settings::GatewaySettings;
@@ -40,8 +41,8 @@
     pub(crate) quotas: Quotas,
     /// Repeats, for each service.
     pub(crate) retries: HashMap<ServiceName, RetryBudget>,
-    /// The newest weights of each model.
-    pub(crate) weights: HashMap<ModelName, Newest>,
+    /// The weights of each model that operators have named.
+    pub(crate) weights: HashMap<ModelName, NamedVersions>,
     /// What the store of cached parts holds.
     pub(crate) cache: StoreContents,
     /// Whether the store of cached parts answers.
@@ -56,13 +57,6 @@
     pub(crate) unreadable: HashSet<String>,
 }
 
-/// The newest weights of a model.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Newest {
-    pub(crate) version: u64,
-    pub(crate) learnt: MonoTime,
-}
-
 /// Another router.
 #[derive(Clone, Debug)]
 pub(crate) struct OtherRouter {
@@ -127,12 +121,9 @@
         version: u64,
         learnt: MonoTime,
     ) -> bool {
-        match self.weights.get(model) {
-            Some(known) if known.version >= version => false,
-            _ => {
-                self.weights.insert(model.clone(), Newest { version, learnt });
-                true
-            }
+        if let Some(known) = self.weights.get_mut(model) {
+            return known.learn(version, learnt);
         }
+        self.weights.entry(model.clone()).or_default().learn(version, learnt)
     }
 }
--- a/crates/routing/src/rollout.rs
+++ b/crates/routing/src/rollout.rs
@@ -6,6 +6,8 @@
 
 use std::{collections::HashMap, sync::Arc};
 
+use samphirespread_core::prelude::*;
+
 /// Servers load together in about this many groups.
 const GROUPS: usize = 6;
 
@@ -50,7 +52,8 @@
         .filter(|(_, candidate)| candidate.phase == Phase::Serving && candidate.version < target)
         .map(|(index, _)| index)
         .collect();
-    waiting.sort_by(|&a, &b| candidates[a].id.cmp(&candidates[b].id));
+    let order = |index: &usize| (candidates[*index].version, &candidates[*index].id);
+    waiting.sort_by(|a, b| order(a).cmp(&order(b)));
     let turns = turns(candidates, &waiting, target);
     waiting.sort_by_key(|index| (candidates[*index].version, turns[index]));
     waiting.truncate(free);
@@ -73,3 +76,46 @@
     }
     turns
 }
+
+/// Versions of one model that are remembered; older ones are long out of bounds.
+const MAX_REMEMBERED: usize = 16;
+
+/// The versions of one model that operators have named, and when that was learnt.
+///
+/// Each version has its own bound: a newer one that is named meanwhile gives the ones before it no
+/// more time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct NamedVersions {
+    /// Rising in version and never falling in time.
+    named: Vec<(u64, MonoTime)>,
+}
+
+impl NamedVersions {
+    /// Takes in a version. Returns whether it is newer than all before it.
+    pub fn learn(&mut self, version: u64, learnt: MonoTime) -> bool {
+        if version <= self.newest() {
+            return false;
+        }
+        self.named.push((version, learnt));
+        if self.named.len() > MAX_REMEMBERED {
+            self.named.remove(0);
+        }
+        true
+    }
+
+    /// The newest version; zero before one was named.
+    pub fn newest(&self) -> u64 {
+        self.named.last().map_or(0, |(version, _)| *version)
+    }
+
+    /// Time since the newest version was learnt.
+    pub fn newest_age_ms(&self, now: MonoTime) -> u64 {
+        self.named.last().map_or(0, |(_, learnt)| now.ms_since(*learnt))
+    }
+
+    /// The lowest version on which a request may still begin.
+    pub fn oldest_allowed(&self, now: MonoTime, bound_ms: u64) -> u64 {
+        let is_due = |(_, learnt): &&(u64, MonoTime)| now.ms_since(*learnt) >= bound_ms;
+        self.named.iter().rev().find(is_due).map_or(0, |(version, _)| *version)
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/rollout.rs
@@ -0,0 +1,75 @@
+//! Which engine loads newer weights next, and on which versions requests may begin.
+
+use samphirespread_core::prelude::*;
+use samphirespread_routing::rollout::{Candidate, NamedVersions, Phase, at_once, next};
+
+const BOUND_MS: u64 = 12_000;
+
+fn engine(id: &str, failure_domain: &str, version: u64, phase: Phase) -> Candidate {
+    Candidate { id: id.into(), failure_domain: failure_domain.into(), version, phase }
+}
+
+fn named(versions: &[(u64, u64)]) -> NamedVersions {
+    let mut named = NamedVersions::default();
+    for (version, at_ms) in versions {
+        named.learn(*version, MonoTime::from_ms(*at_ms));
+    }
+    named
+}
+
+/// Versions that come faster than a rollout ends, as operators name them on a busy day.
+#[test]
+fn each_version_keeps_its_own_bound_when_newer_ones_overtake_it() {
+    let versions = named(&[(1, 0), (2, 20_000), (3, 24_800), (4, 29_600)]);
+
+    let before = versions.oldest_allowed(MonoTime::from_ms(31_900), BOUND_MS);
+    let after = versions.oldest_allowed(MonoTime::from_ms(32_000), BOUND_MS);
+
+    assert_eq!(before, 1);
+    assert_eq!(after, 2);
+    assert_eq!(versions.newest(), 4);
+}
+
+#[test]
+fn an_older_version_is_no_news() {
+    let mut versions = named(&[(3, 0)]);
+
+    let is_news = versions.learn(2, MonoTime::from_ms(50));
+
+    assert!(!is_news);
+    assert_eq!(versions.newest(), 3);
+}
+
+#[test]
+fn the_oldest_weights_go_first_and_failure_domains_take_turns() {
+    let engines = [
+        engine("a1", "a", 2, Phase::Serving),
+        engine("a2", "a", 1, Phase::Serving),
+        engine("a3", "a", 1, Phase::Serving),
+        engine("b1", "b", 1, Phase::Serving),
+        engine("c1", "c", 1, Phase::Unreachable),
+    ];
+
+    let chosen = next(&engines, 3, 3);
+
+    let ids: Vec<&str> = chosen.iter().map(|index| &*engines[*index].id).collect();
+    assert_eq!(ids, ["a2", "b1", "a3"]);
+}
+
+#[test]
+fn engines_that_load_count_against_the_number_at_once() {
+    let engines = [
+        engine("a1", "a", 1, Phase::Loading),
+        engine("a2", "a", 1, Phase::Serving),
+        engine("b1", "b", 1, Phase::Serving),
+    ];
+
+    let chosen = next(&engines, 2, 2);
+
+    assert_eq!(chosen.len(), 1);
+}
+
+#[test]
+fn the_number_at_once_grows_with_the_engines() {
+    assert_eq!([1, 9, 18, 47, 58].map(at_once), [1, 2, 3, 8, 10]);
+}
