Tell routers that start when versions of weights were named

Cause: a router that starts took every version it found for new, so after a kill of all routers requests began on weights 12 s after newer ones were named. Ruled out: the rollout itself (workers still waited their turn). The conducting router records the time of naming in the store, one write a version; routers tell each other the ages of all versions they remember. Test: word_of_an_earlier_naming_counts.

--- a/crates/core/src/time.rs
+++ b/crates/core/src/time.rs
@@ -58,6 +58,12 @@
         Self { us: self.us.saturating_add(us) }
     }
 
+    /// The instant that many milliseconds earlier, or the origin.
+    #[must_use]
+    pub const fn minus_ms(self, ms: u64) -> Self {
+        Self { us: self.us.saturating_sub(ms.saturating_mul(1_000)) }
+    }
+
     /// Microseconds since `earlier`, or zero if `earlier` is later.
     pub const fn us_since(self, earlier: Self) -> u64 {
         self.us.saturating_sub(earlier.us)
@@ -75,18 +81,24 @@
 /// what a process believes holds across a suspension too.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    origin_us: u64,
+    started_boot_us: u64,
+    start: MonoTime,
 }
 
 impl Clock {
     /// A clock whose origin is now.
     pub fn start() -> Self {
-        Self { origin_us: boot_us() }
+        Self::start_at(MonoTime::ZERO)
+    }
+
+    /// A clock that shows `start` now, so that instants before the start can be told.
+    pub fn start_at(start: MonoTime) -> Self {
+        Self { started_boot_us: boot_us(), start }
     }
 
     /// The current instant.
     pub fn now(&self) -> MonoTime {
-        MonoTime::from_us(boot_us().saturating_sub(self.origin_us))
+        self.start.plus_us(boot_us().saturating_sub(self.started_boot_us))
     }
 }
 
--- a/crates/gateway/src/conduct.rs
+++ b/crates/gateway/src/conduct.rs
@@ -37,7 +37,7 @@
 }
 
 /// Whether this router is the one that conducts now.
-fn conducts(core: &Core, state: &State, now: MonoTime) -> bool {
+pub(crate) fn conducts(core: &Core, state: &State, now: MonoTime) -> bool {
     let has_precedence = |(name, router): (&InstanceName, &crate::state::OtherRouter)| {
         let is_heard = router.silent_ms(now) <= ROUTER_SILENT_MS;
         let offers = router.report.as_ref().is_some_and(|(report, _)| report.can_conduct);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -231,10 +231,6 @@
         ids.iter().filter_map(|id| self.servers.get(id))
     }
 
-    /// All servers.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = &Server> {
-        self.servers.values()
-    }
 
     /// Closes idle connections that have expired.
     pub(crate) fn prune(&mut self, now: MonoTime) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,9 @@
 
 use crate::{BindError, metrics::Metrics, serve, state::State, sync};
 
+/// What the clock shows at the start: room for instants that others tell of from before it.
+const CLOCK_START_MS: u64 = 3_600_000;
+
 /// An entry router.
 #[derive(Debug)]
 pub struct Gateway {
@@ -66,7 +69,7 @@
         let socket = UdpSocket::bind(address)
             .await
             .map_err(|error| BindError::Port { address, message: error.to_string() })?;
-        let clock = Clock::start();
+        let clock = Clock::start_at(MonoTime::from_ms(CLOCK_START_MS));
         let core = Core {
             name: InstanceName::new(&*settings.instance.name),
             incarnation: fresh_incarnation(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,5 +35,6 @@
 mod state;
 mod story;
 mod sync;
+mod weights;
 
 pub use crate::{error::BindError, gateway::Gateway};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,7 @@
     Datagram, Directive, EngineReport, LoadDirective, MAX_DATAGRAM_BYTES, NamedWeights,
     RouterReport, TeamUsage, decode, encode,
 };
-use samphirespread_routing::quota::TeamKey;
+use samphirespread_routing::{quota::TeamKey, rollout::NamedVersions};
 use slog::{info, warn};
 use tokio::time;
 
@@ -47,8 +47,8 @@
     let now = core.now();
     let mut state = core.state();
     for named in &report.weights {
-        let learnt = MonoTime::from_us(now.as_us().saturating_sub(named.age_ms * 1_000));
-        if state.learn_weights(&named.model, named.version, learnt) {
+        let named_by = now.minus_ms(named.age_ms);
+        if state.learn_weights(&named.model, named.version, named_by) {
             info!(core.log, "weights named"; "model" => %named.model, "version" => named.version,
                 "source" => report.from.as_str(), "age_ms" => named.age_ms);
             core.told.notify_one();
@@ -111,15 +111,16 @@
 }
 
 fn reports(core: &Core, state: &State, now: MonoTime, outgoing: &mut Vec<(SocketAddr, Vec<u8>)>) {
-    let weights: Vec<NamedWeights> = state
-        .weights
-        .iter()
-        .map(|(model, named)| NamedWeights {
+    let ages = |(model, named): (&ModelName, &NamedVersions)| {
+        let model = model.clone();
+        let ages: Vec<(u64, u64)> = named.ages_ms(now).collect();
+        ages.into_iter().map(move |(version, age_ms)| NamedWeights {
             model: model.clone(),
-            version: named.newest(),
-            age_ms: named.newest_age_ms(now),
+            version,
+            age_ms,
         })
-        .collect();
+    };
+    let weights: Vec<NamedWeights> = state.weights.iter().flat_map(ages).collect();
     let usage: Vec<TeamUsage> =
         state.quotas.totals().map(|(team, total)| TeamUsage { team: team.0, total }).collect();
     let generation = state.table.as_ref().map_or(0, |table| table.configuration().generation);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -114,16 +114,16 @@
         }
     }
 
-    /// Takes in that a version was named. Returns whether it is news.
+    /// Takes in that a version had been named by an instant. Returns whether it is the newest now.
     pub(crate) fn learn_weights(
         &mut self,
         model: &ModelName,
         version: u64,
-        learnt: MonoTime,
+        named_by: MonoTime,
     ) -> bool {
         if let Some(known) = self.weights.get_mut(model) {
-            return known.learn(version, learnt);
+            return known.learn(version, named_by);
         }
-        self.weights.entry(model.clone()).or_default().learn(version, learnt)
+        self.weights.entry(model.clone()).or_default().learn(version, named_by)
     }
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -3,10 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use samphirespread_adapter::{
-    Changes, DecodeError, Kind, Listing, Object, StoreError, Written, backend_servers,
-    configuration,
-    objects::{CONFIGURATION_NAME, Change},
-    weights,
+    DecodeError, Kind, Listing, Object, StoreError, Written, backend_servers, configuration,
+    objects::CONFIGURATION_NAME,
 };
 use samphirespread_core::prelude::*;
 use samphirespread_routing::{
@@ -25,10 +23,9 @@
     metrics::{self, count},
     peers,
     state::OtherRouter,
+    weights,
 };
 
-/// The longest wait of a watch for new weights.
-const WEIGHTS_WAIT_MS: u64 = 2_000;
 /// Pause after a failed call.
 const PAUSE_MS: u64 = 200;
 /// Rounds of reads between two reads of the list of routers.
@@ -47,7 +44,8 @@
     tokio::spawn(async move {
         let mut tasks = JoinSet::new();
         tasks.spawn(poll(core.clone()));
-        tasks.spawn(watch_weights(core.clone()));
+        tasks.spawn(weights::follow(core.clone()));
+        tasks.spawn(weights::record(core.clone()));
         tasks.spawn(cache_follow::follow(core.clone()));
         tasks.spawn(peers::receive(core.clone()));
         tasks.spawn(peers::send(core.clone()));
@@ -314,7 +312,7 @@
 }
 
 /// Logs an entry that can't be read, once.
-fn log_unreadable(core: &Core, name: &str, error: &DecodeError) {
+pub(crate) fn log_unreadable(core: &Core, name: &str, error: &DecodeError) {
     /// Entries that are remembered; past that they may be logged again.
     const MAX_REMEMBERED: usize = 1_000;
     let mut state = core.state();
@@ -325,57 +323,3 @@
         warn!(core.log, "entry left out"; "entry" => name, "error" => %error);
     }
 }
-
-/// Follows the newest weights.
-async fn watch_weights(core: Arc<Core>) {
-    let mut revision = None;
-    loop {
-        let result = match revision {
-            None => list_weights(&core).await,
-            Some(revision) => {
-                let watched = core.store.watch(Kind::Weights, revision, WEIGHTS_WAIT_MS).await;
-                watched.map(|changes| take_weight_changes(&core, changes))
-            }
-        };
-        match result {
-            Ok(next) => revision = Some(next),
-            Err(error) => {
-                revision = None;
-                count(&core.metrics.store_failures, "weights");
-                info!(core.log, "weights not followed"; "error" => %error);
-                time::sleep(Duration::from_millis(PAUSE_MS)).await;
-            }
-        }
-    }
-}
-
-async fn list_weights(core: &Core) -> Result<u64, StoreError> {
-    let listing = core.store.list(Kind::Weights).await?;
-    for object in &listing.objects {
-        take_weights(core, object);
-    }
-    Ok(listing.revision)
-}
-
-fn take_weight_changes(core: &Core, changes: Changes) -> u64 {
-    for change in changes.changes {
-        if let Change::Set(object) = change {
-            take_weights(core, &object);
-        }
-    }
-    changes.revision
-}
-
-fn take_weights(core: &Core, object: &Object) {
-    match weights::decode(&object.spec) {
-        Ok(named) => {
-            let now = core.now();
-            if core.state().learn_weights(&named.model, named.version, now) {
-                info!(core.log, "weights named"; "model" => %named.model,
-                    "version" => named.version, "source" => "store");
-                core.told.notify_one();
-            }
-        }
-        Err(error) => log_unreadable(core, &object.name, &error),
-    }
-}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -59,7 +59,7 @@
     pub contact_age_ms: Option<u64>,
     /// The generation of the sender's configuration.
     pub generation: u64,
-    /// The newest weights that the sender knows.
+    /// The weights that the sender knows to have been named.
     pub weights: Vec<NamedWeights>,
     /// What the sender has admitted in this run.
     pub usage: Vec<TeamUsage>,
@@ -74,7 +74,7 @@
     pub model: ModelName,
     /// The version.
     pub version: u64,
-    /// Time since the sender learnt of it, in milliseconds.
+    /// Time since it was named, as far as the sender knows, in milliseconds.
     pub age_ms: u64,
 }
 
--- a/crates/routing/src/rollout.rs
+++ b/crates/routing/src/rollout.rs
@@ -4,7 +4,10 @@
 //! servers load at once than meant, which is slower but never wrong, since the order itself is given
 //! by the one process beside each server. Cost: one sort of the servers for each look.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
 
 use samphirespread_core::prelude::*;
 
@@ -78,44 +81,44 @@
 }
 
 /// Versions of one model that are remembered; older ones are long out of bounds.
-const MAX_REMEMBERED: usize = 16;
+const MAX_REMEMBERED: usize = 8;
 
-/// The versions of one model that operators have named, and when that was learnt.
+/// The versions of one model that operators have named, and when that was at the latest.
 ///
 /// Each version has its own bound: a newer one that is named meanwhile gives the ones before it no
 /// more time.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct NamedVersions {
-    /// Rising in version and never falling in time.
-    named: Vec<(u64, MonoTime)>,
+    named: BTreeMap<u64, MonoTime>,
 }
 
 impl NamedVersions {
-    /// Takes in a version. Returns whether it is newer than all before it.
-    pub fn learn(&mut self, version: u64, learnt: MonoTime) -> bool {
-        if version <= self.newest() {
-            return false;
-        }
-        self.named.push((version, learnt));
+    /// Takes in that a version had been named by an instant. The earliest word counts.
+    ///
+    /// Returns whether the version is newer than all before it.
+    pub fn learn(&mut self, version: u64, named_by: MonoTime) -> bool {
+        let is_news = version > self.newest();
+        let known = self.named.entry(version).or_insert(named_by);
+        *known = named_by.min(*known);
         if self.named.len() > MAX_REMEMBERED {
-            self.named.remove(0);
+            self.named.pop_first();
         }
-        true
+        is_news
     }
 
     /// The newest version; zero before one was named.
     pub fn newest(&self) -> u64 {
-        self.named.last().map_or(0, |(version, _)| *version)
+        self.named.last_key_value().map_or(0, |(version, _)| *version)
     }
 
-    /// Time since the newest version was learnt.
-    pub fn newest_age_ms(&self, now: MonoTime) -> u64 {
-        self.named.last().map_or(0, |(_, learnt)| now.ms_since(*learnt))
+    /// All remembered versions with the time since each was named.
+    pub fn ages_ms(&self, now: MonoTime) -> impl Iterator<Item = (u64, u64)> + '_ {
+        self.named.iter().map(move |(version, named_by)| (*version, now.ms_since(*named_by)))
     }
 
     /// The lowest version on which a request may still begin.
     pub fn oldest_allowed(&self, now: MonoTime, bound_ms: u64) -> u64 {
-        let is_due = |(_, learnt): &&(u64, MonoTime)| now.ms_since(*learnt) >= bound_ms;
+        let is_due = |(_, named_by): &(&u64, &MonoTime)| now.ms_since(**named_by) >= bound_ms;
         self.named.iter().rev().find(is_due).map_or(0, |(version, _)| *version)
     }
 }
--- a/crates/routing/tests/rollout.rs
+++ b/crates/routing/tests/rollout.rs
@@ -40,6 +40,19 @@
     assert_eq!(versions.newest(), 3);
 }
 
+/// A router that restarts hears from another one, or from the store, when versions were named.
+#[test]
+fn word_of_an_earlier_naming_counts() {
+    let mut versions = named(&[(4, 30_000)]);
+
+    versions.learn(4, MonoTime::from_ms(21_000));
+    versions.learn(3, MonoTime::from_ms(17_000));
+
+    assert_eq!(versions.newest(), 4);
+    assert_eq!(versions.oldest_allowed(MonoTime::from_ms(30_000), BOUND_MS), 3);
+    assert_eq!(versions.oldest_allowed(MonoTime::from_ms(33_000), BOUND_MS), 4);
+}
+
 #[test]
 fn the_oldest_weights_go_first_and_failure_domains_take_turns() {
     let engines = [
