List what the store of cached parts holds when following it begins

Cause: a router that restarts followed events from now on, took the store for empty and had every prompt read and saved again.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -231,7 +231,6 @@
         ids.iter().filter_map(|id| self.servers.get(id))
     }
 
-
     /// Closes idle connections that have expired.
     pub(crate) fn prune(&mut self, now: MonoTime) {
         for server in self.servers.values_mut() {
--- a/crates/routing/src/cache.rs
+++ b/crates/routing/src/cache.rs
@@ -25,6 +25,15 @@
 }
 
 impl StoreContents {
+    /// Takes over the full list of what one run of the store holds, as salt and part.
+    pub fn replace(&mut self, epoch: u64, held: impl IntoIterator<Item = (String, String)>) {
+        self.clear();
+        self.epoch = Some(epoch);
+        for (salt, part) in held {
+            self.held.entry(salt).or_default().insert(part);
+        }
+    }
+
     /// Takes in events of one run of the store.
     ///
     /// Another run begins empty. After a gap the rest still holds: a wrong entry costs a fetch that
