--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -29,7 +29,7 @@
     pub(crate) suspicion: Suspicion,
     /// Requests of this router that are there.
     pub(crate) in_flight: u32,
-    /// Prompt tokens of this router's requests that have not led to a first event.
+    /// Prompt tokens that the engine has yet to read for this router's requests.
     pub(crate) unread_tokens: u64,
     /// Memory of this router's requests that were sent since the last report.
     pub(crate) new_tokens: u64,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -99,7 +99,8 @@
 }
 
 impl Lease {
-    fn take(core: &Arc<Core>, selected: &Selected, unread_tokens: u64, footprint: u64) -> Self {
+    fn take(core: &Arc<Core>, selected: &Selected, footprint: u64) -> Self {
+        let unread_tokens = selected.read_tokens;
         let now = core.now();
         if let Some(server) = core.state().fleet.get_mut(&selected.id) {
             server.in_flight += 1;
@@ -273,9 +274,8 @@
     }
 
     async fn send(&mut self, selected: &Selected, last_event_id: Option<u64>) -> Sent {
-        let unread = self.facts.generation.as_ref().map_or(0, |work| work.prompt_tokens);
         let footprint = self.facts.generation.as_ref().map_or(0, |work| work.footprint_tokens());
-        let lease = Lease::take(&self.core, selected, unread, footprint);
+        let lease = Lease::take(&self.core, selected, footprint);
         self.tried.push(selected.id.clone());
         let rested = self.rested_connection(selected);
         let is_rested = rested.is_some();
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -31,6 +31,8 @@
     pub(crate) max_idle: usize,
     /// Keys of the prompt's shared parts, which the engine will hold.
     pub(crate) part_keys: Vec<u64>,
+    /// Prompt tokens that an engine will have to read.
+    pub(crate) read_tokens: u64,
     /// The decision, for the log.
     pub(crate) step: Step,
 }
@@ -106,6 +108,7 @@
         engine: None,
         max_idle: max_idle(state, demand.service),
         part_keys: Vec::new(),
+        read_tokens: 0,
         step: chose(server, servers.len(), is_near, true, None, None, place, now),
     })
 }
@@ -180,6 +183,7 @@
         }),
         max_idle: max_idle(state, demand.service),
         part_keys,
+        read_tokens: estimate.read_tokens,
         step: chose(
             server,
             candidates,
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -65,7 +65,7 @@
     pub used_tokens: u64,
     /// All of its memory.
     pub memory_tokens: u64,
-    /// Prompt tokens that were sent there and have not led to a first event.
+    /// Prompt tokens that it has yet to read.
     pub unread_tokens: u64,
     /// Shared tokens of this prompt that it is believed to hold.
     pub resident_tokens: u64,
@@ -76,6 +76,8 @@
 /// The estimated time to the first event, and what is added to weigh one engine against another.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
+    /// Prompt tokens that the engine will have to read.
+    pub read_tokens: u64,
     /// Milliseconds to the first event.
     pub first_event_ms: f64,
     /// The estimate and all additions.
@@ -85,13 +87,15 @@
 /// The estimate for one engine.
 pub fn estimate(view: &EngineView, work: &Work) -> Estimate {
     let held = work.shared_tokens.min(view.resident_tokens.max(work.stored_tokens));
-    let read_ms = tokens(work.prompt_tokens.saturating_sub(held)) / READ_TOKENS_PER_MS;
+    let read_tokens = work.prompt_tokens.saturating_sub(held);
+    let read_ms = tokens(read_tokens) / READ_TOKENS_PER_MS;
     let fetches = work.stored_tokens > view.resident_tokens;
     let fetch_ms = if fetches { FETCH_MS } else { 0.0 };
     let queue_ms = tokens(view.unread_tokens) / READ_TOKENS_PER_MS;
     let load_ms = f64::from(view.running) * RUNNING_MS + f64::from(view.waiting) * WAITING_MS;
     let first_event_ms = FIRST_EVENT_MS + read_ms + fetch_ms + queue_ms + load_ms;
-    Estimate { first_event_ms, cost_ms: first_event_ms + additions(view, work) }
+    let cost_ms = first_event_ms + additions(view, work);
+    Estimate { read_tokens, first_event_ms, cost_ms }
 }
 
 /// The index of the engine to choose.
