Keep a prompt's parts at one engine of the whole fleet while it keeps up

Cause: homes within each failure domain made three copies of each subject; the engines' memory holds fewer, so most requests fetched their parts, and the one link of the store carried every prompt: first events took 0.3 to 1.1 s once routers knew what the store holds. Test: parts_stay_at_one_engine_of_the_fleet_while_it_keeps_up.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -243,7 +243,6 @@
             service: &service,
             generation: self.facts.generation.as_ref(),
             dedicated_team: self.grant.dedicated_team(),
-            body_bytes: self.body.len(),
             tried: &self.tried,
         };
         let place = Place {
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -43,7 +43,6 @@
     pub(crate) service: &'a Service,
     pub(crate) generation: Option<&'a Generation>,
     pub(crate) dedicated_team: Option<&'a TeamName>,
-    pub(crate) body_bytes: usize,
     /// Servers that are out of the question.
     pub(crate) tried: &'a [Arc<str>],
 }
@@ -157,7 +156,6 @@
         shared_tokens: generation.shared_tokens(),
         stored_tokens: stored(&salt),
         footprint_tokens: generation.footprint_tokens(),
-        body_bytes: demand.body_bytes,
     };
     let (index, estimate) = choose_engine(&views, &work)?;
     let server = servers[index];
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -14,12 +14,11 @@
 const WAITING_MS: f64 = 25.0;
 /// Time to fetch the shared parts of a prompt from the store.
 const FETCH_MS: f64 = 8.0;
-/// Added to an engine that is not the first choice for the prompt's parts.
-const AWAY_MS: f64 = 6.0;
-/// Added for a body that crosses failure domains, for each kilobyte.
-const CROSS_DOMAIN_MS_PER_KB: f64 = 1.0;
-/// Added for a failure domain other than the router's, whatever the body.
-const CROSS_DOMAIN_MS: f64 = 3.0;
+/// Added to an engine that is not the first choice for the prompt's parts: what a further copy of
+/// them does to the memory of the engines and to the link of the store.
+const AWAY_MS: f64 = 40.0;
+/// Added for another failure domain than the router's.
+const CROSS_DOMAIN_MS: f64 = 2.0;
 /// Added to an engine whose weights are not the newest: a fifth of the answer's worth.
 const OLD_WEIGHTS_MS: f64 = 80.0;
 /// Added to an engine whose memory the request would overfill.
@@ -44,8 +43,6 @@
     pub stored_tokens: u64,
     /// Memory while it runs.
     pub footprint_tokens: u64,
-    /// The request body.
-    pub body_bytes: usize,
 }
 
 /// One engine, as the router sees it.
@@ -113,7 +110,7 @@
         added += AWAY_MS;
     }
     if !view.is_near {
-        added += CROSS_DOMAIN_MS + bytes(work.body_bytes) / 1_000.0 * CROSS_DOMAIN_MS_PER_KB;
+        added += CROSS_DOMAIN_MS;
     }
     if !view.is_newest {
         added += OLD_WEIGHTS_MS;
@@ -166,8 +163,3 @@
 fn tokens(tokens: u64) -> f64 {
     tokens as f64
 }
-
-#[expect(clippy::cast_precision_loss, reason = "bodies are far below 2^52")]
-fn bytes(bytes: usize) -> f64 {
-    bytes as f64
-}
--- /dev/null
+++ b/crates/routing/tests/choice.rs
@@ -0,0 +1,90 @@
+//! Choice of the engine or plain server for one request.
+
+use samphirespread_routing::choice::{EngineView, ServerView, Work, choose_engine, choose_server};
+
+const MEMORY_TOKENS: u64 = 160_000;
+
+/// A classification: a long shared prompt that the store holds, and a part of its own.
+fn classification() -> Work {
+    Work {
+        prompt_tokens: 9_190,
+        shared_tokens: 6_300,
+        stored_tokens: 6_300,
+        footprint_tokens: 9_250,
+    }
+}
+
+fn idle_engine() -> EngineView {
+    EngineView {
+        is_near: true,
+        is_newest: true,
+        is_avoided: false,
+        running: 0,
+        waiting: 0,
+        used_tokens: 0,
+        memory_tokens: MEMORY_TOKENS,
+        unread_tokens: 0,
+        resident_tokens: 0,
+        home_rank: 1,
+    }
+}
+
+fn home() -> EngineView {
+    EngineView { home_rank: 0, ..idle_engine() }
+}
+
+fn chosen(views: &[EngineView]) -> usize {
+    let views: Vec<Option<EngineView>> = views.iter().copied().map(Some).collect();
+    choose_engine(&views, &classification()).expect("there is an engine").0
+}
+
+/// Many hot subjects before a store with one link: a copy of the parts in each failure domain would
+/// push the others out of memory, and the store's link would carry every prompt.
+#[test]
+fn parts_stay_at_one_engine_of_the_fleet_while_it_keeps_up() {
+    let far_home = EngineView { is_near: false, running: 10, ..home() };
+
+    assert_eq!(chosen(&[idle_engine(), far_home]), 1);
+}
+
+/// One subject gets much of the traffic.
+#[test]
+fn a_home_with_a_long_queue_is_left() {
+    let busy_home = EngineView { unread_tokens: 8_000, running: 20, ..home() };
+
+    assert_eq!(chosen(&[idle_engine(), busy_home]), 0);
+}
+
+#[test]
+fn older_weights_are_used_when_engines_with_newer_ones_are_behind() {
+    let old = EngineView { is_newest: false, ..home() };
+    let new = EngineView { unread_tokens: 20_000, ..idle_engine() };
+    let idle_new = idle_engine();
+
+    assert_eq!(chosen(&[old, new]), 0);
+    assert_eq!(chosen(&[old, idle_new]), 1);
+}
+
+#[test]
+fn an_engine_without_memory_or_trust_comes_last() {
+    let full = EngineView { used_tokens: MEMORY_TOKENS - 1_000, ..home() };
+    let avoided = EngineView { is_avoided: true, ..home() };
+    let busy = EngineView { unread_tokens: 100_000, ..idle_engine() };
+
+    assert_eq!(chosen(&[full, avoided, busy]), 2);
+}
+
+#[test]
+fn nothing_is_chosen_among_nothing() {
+    assert!(choose_engine(&[None, None], &classification()).is_none());
+    assert!(choose_server(&[]).is_none());
+}
+
+#[test]
+fn a_plain_server_nearby_is_left_when_its_slots_are_taken() {
+    let near = |load| Some(ServerView { is_near: true, is_avoided: false, load, slots: 6 });
+    let far = |load| Some(ServerView { is_near: false, is_avoided: false, load, slots: 6 });
+
+    assert_eq!(choose_server(&[near(0), far(0)]), Some(0));
+    assert_eq!(choose_server(&[near(6), far(1)]), Some(1));
+}
