--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,6 @@
 mod cache_follow;
 mod conduct;
 mod error;
-mod events;
 mod fleet;
 mod gateway;
 mod handle;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,11 +5,11 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use samphirespread_routing::events::EventSplitter;
 use tokio::{sync::mpsc, time};
 
 use crate::{
     body::{Piece, StreamBroken},
-    events::EventSplitter,
     run::{Attempt, Live, Run},
     story::{End, Step},
 };
--- a/crates/gateway/src/events.rs
+++ b/crates/routing/src/events.rs
@@ -8,27 +8,28 @@
 
 /// One event, with its id if it has one.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct StreamEvent {
+pub struct StreamEvent {
     /// The bytes of the event as they came, with the empty line that ends it.
-    pub(crate) bytes: Bytes,
+    pub bytes: Bytes,
     /// The event's number.
-    pub(crate) id: Option<u64>,
+    pub id: Option<u64>,
 }
 
 /// Bytes that are not yet a whole event.
 #[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
+pub struct EventSplitter {
     held: BytesMut,
     searched: usize,
 }
 
 impl EventSplitter {
-    pub(crate) fn push(&mut self, bytes: &[u8]) {
+    /// Takes in bytes as they come.
+    pub fn push(&mut self, bytes: &[u8]) {
         self.held.extend_from_slice(bytes);
     }
 
     /// The next whole event.
-    pub(crate) fn next_event(&mut self) -> Option<StreamEvent> {
+    pub fn next_event(&mut self) -> Option<StreamEvent> {
         let start = self.searched.saturating_sub(3);
         let Some(end) = end_of_event(&self.held[start..]) else {
             self.searched = self.held.len();
@@ -41,17 +42,17 @@
     }
 
     /// Whether an event has begun and not ended.
-    pub(crate) fn holds_part(&self) -> bool {
+    pub fn holds_part(&self) -> bool {
         !self.held.is_empty()
     }
 
     /// Whether an event is longer than any that is served.
-    pub(crate) fn is_overfull(&self) -> bool {
+    pub fn is_overfull(&self) -> bool {
         self.held.len() > MAX_EVENT_BYTES
     }
 
     /// Drops an event that was not whole.
-    pub(crate) fn clear(&mut self) {
+    pub fn clear(&mut self) {
         self.held.clear();
         self.searched = 0;
     }
--- /dev/null
+++ b/crates/routing/tests/events.rs
@@ -0,0 +1,52 @@
+//! Splitting a stream into whole events.
+
+use samphirespread_routing::events::EventSplitter;
+
+fn split(pieces: &[&str]) -> (Vec<(String, Option<u64>)>, bool) {
+    let mut splitter = EventSplitter::default();
+    let mut events = Vec::new();
+    for piece in pieces {
+        splitter.push(piece.as_bytes());
+        while let Some(event) = splitter.next_event() {
+            events.push((String::from_utf8_lossy(&event.bytes).into_owned(), event.id));
+        }
+    }
+    (events, splitter.holds_part())
+}
+
+#[test]
+fn events_keep_their_bytes_however_they_are_cut() {
+    let stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    let whole = split(&[stream]);
+
+    for cut in 1..stream.len() {
+        let (head, tail) = stream.split_at(cut);
+        assert_eq!(split(&[head, tail]), whole, "cut at {cut}");
+    }
+    assert_eq!(whole.0.len(), 2);
+    assert_eq!(whole.0[1], ("id: 2\ndata: b\n\n".to_owned(), Some(2)));
+}
+
+/// A server that stops in the middle of an event.
+#[test]
+fn a_part_of_an_event_is_held_back() {
+    let (events, holds_part) = split(&["id: 1\ndata: a\n\nid: 2\nda"]);
+
+    assert_eq!(events.len(), 1);
+    assert!(holds_part);
+}
+
+#[test]
+fn a_line_before_the_id_and_carriage_returns_are_allowed() {
+    let (events, _) = split(&["version: 3\r\nid: 9\r\ndata: x\r\n\r\n"]);
+
+    assert_eq!(events[0].1, Some(9));
+}
+
+#[test]
+fn an_event_without_an_id_passes() {
+    let (events, holds_part) = split(&["data: x\n\n"]);
+
+    assert_eq!(events, [("data: x\n\n".to_owned(), None)]);
+    assert!(!holds_part);
+}
--- /dev/null
+++ b/crates/routing/tests/quota.rs
@@ -0,0 +1,264 @@
+//! Quotas of teams over several routers that report to each other, with an outside count of what
+//! they admit.
+
+use std::collections::VecDeque;
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use samphirespread_core::prelude::*;
+use samphirespread_routing::{
+    model::Quota,
+    quota::{Quotas, TeamKey},
+};
+
+const RATE_PER_S: f64 = 100_000.0;
+const BURST: f64 = 100_000.0;
+const WINDOW_MS: u64 = 8_000;
+/// What a window may hold beyond rate and burst.
+const OVERAGE: f64 = 0.1;
+const SLACK: f64 = 110_000.0;
+const REPORT_MS: u64 = 100;
+const STEP_MS: u64 = 5;
+const COST: f64 = 9_000.0;
+
+fn team() -> TeamName {
+    TeamName::new("desk")
+}
+
+fn quota() -> Quota {
+    Quota { rate_per_s: RATE_PER_S, burst: BURST, in_tokens: true, default_tokens: 200.0 }
+}
+
+fn name(index: usize) -> InstanceName {
+    InstanceName::new(format!("r{index}"))
+}
+
+/// Reports on their way: when they arrive, from whom, to whom, run and total.
+struct Flight {
+    at_ms: u64,
+    from: usize,
+    to: usize,
+    incarnation: Incarnation,
+    total: f64,
+}
+
+/// Several routers, their reports, and everything that was admitted.
+struct Fleet {
+    routers: Vec<Quotas>,
+    incarnations: Vec<Incarnation>,
+    cut: Vec<bool>,
+    flights: Vec<Flight>,
+    admitted: VecDeque<(u64, f64)>,
+    admitted_in_window: f64,
+    worst: f64,
+    all_admitted: f64,
+    asked: usize,
+    refused: usize,
+}
+
+impl Fleet {
+    fn new(routers: usize) -> Self {
+        Self {
+            routers: (0..routers).map(|index| start(index, routers, 0)).collect(),
+            incarnations: vec![Incarnation(1); routers],
+            cut: vec![false; routers],
+            flights: Vec::new(),
+            admitted: VecDeque::new(),
+            admitted_in_window: 0.0,
+            worst: 0.0,
+            all_admitted: 0.0,
+            asked: 0,
+            refused: 0,
+        }
+    }
+
+    fn restart(&mut self, index: usize, now_ms: u64) {
+        self.incarnations[index].0 += 1;
+        self.routers[index] = start(index, self.routers.len(), now_ms);
+        self.flights.retain(|flight| flight.to != index);
+    }
+
+    fn ask(&mut self, index: usize, now_ms: u64) -> Option<u64> {
+        let now = MonoTime::from_ms(now_ms);
+        self.asked += 1;
+        match self.routers[index].admit(&team(), COST, now) {
+            Ok(()) => {
+                self.admitted.push_back((now_ms, COST));
+                self.admitted_in_window += COST;
+                self.all_admitted += COST;
+                None
+            }
+            Err(over) => {
+                self.refused += 1;
+                Some(over.retry_after_ms)
+            }
+        }
+    }
+
+    fn report(&mut self, now_ms: u64, random: &mut SmallRng) {
+        for from in 0..self.routers.len() {
+            let total = self.routers[from].totals().next().map_or(0.0, |(_, total)| total);
+            for to in 0..self.routers.len() {
+                let is_lost = random.random_bool(0.02);
+                if to == from || self.cut[from] || self.cut[to] || is_lost {
+                    continue;
+                }
+                let at_ms = now_ms + random.random_range(1..20);
+                let incarnation = self.incarnations[from];
+                self.flights.push(Flight { at_ms, from, to, incarnation, total });
+            }
+        }
+    }
+
+    fn deliver(&mut self, now_ms: u64) {
+        let now = MonoTime::from_ms(now_ms);
+        let (due, later) = std::mem::take(&mut self.flights)
+            .into_iter()
+            .partition(|flight| flight.at_ms <= now_ms);
+        self.flights = later;
+        let due: Vec<Flight> = due;
+        for flight in due {
+            let totals = [(TeamKey::of(&team()), flight.total)];
+            self.routers[flight.to].heard(&name(flight.from), flight.incarnation, totals, now);
+        }
+    }
+
+    fn slide(&mut self, now_ms: u64) {
+        while let Some((at_ms, cost)) = self.admitted.front().copied() {
+            if now_ms - at_ms < WINDOW_MS {
+                break;
+            }
+            self.admitted_in_window -= cost;
+            self.admitted.pop_front();
+        }
+        self.worst = self.worst.max(self.admitted_in_window);
+    }
+}
+
+fn start(index: usize, routers: usize, now_ms: u64) -> Quotas {
+    let now = MonoTime::from_ms(now_ms);
+    let mut quotas = Quotas::new(now, SLACK / 4.0);
+    let others: Vec<InstanceName> =
+        (0..routers).filter(|other| *other != index).map(name).collect();
+    quotas.set_routers(&others, now);
+    quotas.set_teams([(&team(), quota())], now);
+    quotas
+}
+
+fn allowed() -> f64 {
+    let window_s = f64::from(u32::try_from(WINDOW_MS).unwrap()) / 1_000.0;
+    (RATE_PER_S * window_s + BURST) * (1.0 + OVERAGE) + SLACK
+}
+
+/// Plays demand of `times` the rate for half a minute, and calls `disturb` at each step.
+fn play(seed: u64, times: f64, mut disturb: impl FnMut(&mut Fleet, u64, &mut SmallRng)) -> Fleet {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut fleet = Fleet::new(5);
+    let chance = times * RATE_PER_S / COST * 0.001 * STEP_MS as f64;
+    for step in 0..6_000 {
+        let now_ms = 1_000 + step * STEP_MS;
+        disturb(&mut fleet, now_ms, &mut random);
+        fleet.deliver(now_ms);
+        if now_ms % REPORT_MS == 0 {
+            fleet.report(now_ms, &mut random);
+        }
+        let mut asks = chance;
+        while asks > 0.0 {
+            if random.random_bool(asks.min(1.0)) {
+                // Callers are spread unevenly over the routers.
+                let index = random.random_range(0..5).min(random.random_range(0..5));
+                fleet.ask(index, now_ms);
+            }
+            asks -= 1.0;
+        }
+        fleet.slide(now_ms);
+    }
+    fleet
+}
+
+#[test]
+fn a_team_inside_its_rate_is_not_refused_though_its_callers_are_uneven() {
+    for seed in 0..10 {
+        let fleet = play(seed, 0.6, |_, _, _| {});
+
+        // Refusals are those of the first second, before the buckets have filled.
+        let share = f64::from(u32::try_from(fleet.refused).unwrap())
+            / f64::from(u32::try_from(fleet.asked).unwrap());
+        assert!(share < 0.02, "seed {seed}: {} of {}", fleet.refused, fleet.asked);
+    }
+}
+
+/// One team sends many times its rate.
+#[test]
+fn a_team_in_flood_gets_its_rate_and_no_more() {
+    for seed in 0..10 {
+        let fleet = play(seed, 7.5, |_, _, _| {});
+
+        assert!(fleet.worst <= allowed(), "seed {seed}: {} of {}", fleet.worst, allowed());
+        assert!(fleet.all_admitted > 0.95 * RATE_PER_S * 30.0, "seed {seed}");
+    }
+}
+
+#[test]
+fn routers_that_are_cut_off_admit_no_more_in_sum() {
+    for seed in 0..10 {
+        let fleet = play(seed, 5.0, |fleet, now_ms, random| {
+            if now_ms % 4_000 == 0 {
+                fleet.cut = (0..5).map(|_| random.random_bool(0.4)).collect();
+            }
+        });
+
+        assert!(fleet.worst <= allowed(), "seed {seed}: {} of {}", fleet.worst, allowed());
+    }
+}
+
+#[test]
+fn routers_that_restart_one_by_one_or_in_a_herd_admit_no_more_in_sum() {
+    for seed in 0..10 {
+        let fleet = play(seed, 5.0, |fleet, now_ms, random| {
+            if now_ms % 9_000 == 0 {
+                (0..5).for_each(|index| fleet.restart(index, now_ms));
+            } else if now_ms % 2_000 == 0 {
+                fleet.restart(random.random_range(0..5), now_ms);
+            }
+        });
+
+        assert!(fleet.worst <= allowed(), "seed {seed}: {} of {}", fleet.worst, allowed());
+        assert!(fleet.all_admitted > 0.75 * RATE_PER_S * 30.0, "seed {seed}");
+    }
+}
+
+/// Callers that come back when they were told to are served, in the order in which they asked.
+#[test]
+fn the_time_to_come_back_is_true() {
+    let mut quotas = start(0, 1, 0);
+    let mut now_ms = 10_000;
+    while quotas.admit(&team(), COST, MonoTime::from_ms(now_ms)).is_ok() {}
+    let told: Vec<u64> = (0..3)
+        .map(|_| {
+            let refused = quotas.admit(&team(), COST, MonoTime::from_ms(now_ms)).unwrap_err();
+            now_ms + refused.retry_after_ms
+        })
+        .collect();
+
+    assert!(told.windows(2).all(|pair| pair[0] < pair[1]));
+    for at_ms in told {
+        now_ms = at_ms;
+        assert!(quotas.admit(&team(), COST, MonoTime::from_ms(now_ms)).is_ok());
+    }
+}
+
+#[test]
+fn a_refund_gives_back_what_was_charged() {
+    let mut quotas = start(0, 1, 0);
+    let now = MonoTime::from_ms(5_000);
+    let mut admitted = 0;
+    while quotas.admit(&team(), COST, now).is_ok() {
+        admitted += 1;
+    }
+
+    quotas.refund(&team(), COST);
+
+    assert!(admitted > 0);
+    assert!(quotas.admit(&team(), COST, now).is_ok());
+    assert!(quotas.admit(&team(), COST, now).is_err());
+}
