--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,10 @@
 //! The gateway as a whole.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
 
 use samphirespread_adapter::Store;
 use samphirespread_core::{
@@ -29,10 +33,25 @@
     admin: TcpListener,
 }
 
+/// Where a gateway listens, with the ports that the kernel chose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub struct Addresses {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For readiness checks.
+    pub readiness: SocketAddr,
+    /// For operators.
+    pub admin: SocketAddr,
+    /// For datagrams of other processes.
+    pub peers: SocketAddr,
+}
+
 /// What the tasks of a gateway share.
 #[derive(Debug)]
 pub(crate) struct Core {
     pub(crate) settings: GatewaySettings,
+    pub(crate) addresses: Addresses,
     pub(crate) log: Logger,
     pub(crate) clock: Clock,
     pub(crate) name: InstanceName,
@@ -66,9 +85,13 @@
         let readiness = listen(settings.listen.readiness).await?;
         let admin = listen(settings.listen.admin).await?;
         let address = settings.listen.peers;
-        let socket = UdpSocket::bind(address)
-            .await
-            .map_err(|error| BindError::Port { address, message: error.to_string() })?;
+        let socket = UdpSocket::bind(address).await.map_err(|error| at(address, &error))?;
+        let addresses = Addresses {
+            callers: local(&settings.listen.callers, callers.local_addr())?,
+            readiness: local(&settings.listen.readiness, readiness.local_addr())?,
+            admin: local(&settings.listen.admin, admin.local_addr())?,
+            peers: local(&address, socket.local_addr())?,
+        };
         let clock = Clock::start_at(MonoTime::from_ms(CLOCK_START_MS));
         let core = Core {
             name: InstanceName::new(&*settings.instance.name),
@@ -80,17 +103,23 @@
             state: Mutex::new(State::new(&settings, clock.now())),
             clock,
             settings,
+            addresses,
             log,
         };
         Ok(Self { core: Arc::new(core), callers, readiness, admin })
     }
 
+    /// Where it listens.
+    pub fn addresses(&self) -> Addresses {
+        self.core.addresses
+    }
+
     /// Serves until `shutdown`, then drains. Returns whether every request had its answer.
     pub async fn run(self, shutdown: CancellationToken) -> bool {
         let Self { core, callers, readiness, admin } = self;
         info!(core.log, "started"; "instance" => %core.name,
             "failure_domain" => &*core.settings.instance.failure_domain,
-            "incarnation" => core.incarnation.0, "callers" => %core.settings.listen.callers);
+            "incarnation" => core.incarnation.0, "callers" => %core.addresses.callers);
         let stop = CancellationToken::new();
         sync::spawn(&core, &stop);
         serve::spawn_readiness(&core, readiness, &stop);
@@ -102,8 +131,14 @@
     }
 }
 
-async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, BindError> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|error| BindError::Port { address, message: error.to_string() })
+async fn listen(address: SocketAddr) -> Result<TcpListener, BindError> {
+    TcpListener::bind(address).await.map_err(|error| at(address, &error))
+}
+
+fn local(asked: &SocketAddr, bound: io::Result<SocketAddr>) -> Result<SocketAddr, BindError> {
+    bound.map_err(|error| at(*asked, &error))
+}
+
+fn at(address: SocketAddr, error: &io::Error) -> BindError {
+    BindError::Port { address, message: error.to_string() }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,4 +36,7 @@
 mod sync;
 mod weights;
 
-pub use crate::{error::BindError, gateway::Gateway};
+pub use crate::{
+    error::BindError,
+    gateway::{Addresses, Gateway},
+};
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -143,7 +143,7 @@
 
 /// Directives to the sidecars whose turn it is, and to all that are to load.
 fn directives(core: &Core, state: &State, round: u64, outgoing: &mut Vec<(SocketAddr, Vec<u8>)>) {
-    let port = core.settings.listen.peers.port();
+    let port = core.addresses.peers.port();
     for (index, server) in (0_u64..).zip(conduct::engines(state)) {
         let grant = state.granted.get(&server.entry.id);
         let is_due = (round + index) % REPORTS_A_DIRECTIVE == 0;
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -192,7 +192,7 @@
     }
 
     fn own_address(&self) -> std::net::SocketAddr {
-        self.core.settings.listen.peers
+        self.core.addresses.peers
     }
 
     async fn register(&self, listing: &Listing) {
--- /dev/null
+++ b/crates/gateway/tests/gateway/main.rs
@@ -0,0 +1,5 @@
+//! Tests of a real gateway on loopback in front of stand-ins.
+
+mod serving;
+mod store;
+mod support;
--- /dev/null
+++ b/crates/gateway/tests/gateway/store.rs
@@ -0,0 +1,161 @@
+//! A gateway while the store is slow, down, forgetful, or changes under it.
+
+use http::StatusCode;
+use samphirespread_standin::published::{Behaviour, StoreFault};
+use serde_json::json;
+
+use crate::support::{
+    KEY, call, configuration, eventually, send, settings, start_gateway, start_site,
+};
+
+fn without_key() -> serde_json::Value {
+    let mut changed = configuration();
+    changed["version"] = json!(2);
+    changed["tenants"][0]["apiKeys"] = json!([]);
+    changed
+}
+
+#[tokio::test]
+async fn a_withdrawn_key_stops_working() {
+    let site = start_site(configuration()).await;
+    assert_eq!(site.send(call("/issue/a", "q1")).await.status, StatusCode::OK);
+
+    site.store.put("config", "main", without_key());
+    eventually(|| {
+        let adopted = |line: &serde_json::Value| line["msg"] == "configuration adopted";
+        site.gateway.log.lines().into_iter().find(|line| adopted(line) && line["generation"] == 2)
+    })
+    .await;
+
+    assert_eq!(site.send(call("/issue/a", "q2")).await.status, StatusCode::UNAUTHORIZED);
+    assert_eq!(site.ran(), 1);
+}
+
+/// The withdrawal is the last thing before the store falls silent, and nobody reads it.
+#[tokio::test]
+async fn a_gateway_that_is_out_of_touch_trusts_no_key() {
+    for fault in [None, Some(StoreFault::Unavailable), Some(StoreFault::OverRate)] {
+        let site = start_site(configuration()).await;
+        match fault {
+            Some(fault) => site.store.set_fault(fault),
+            None => site.store.set_frozen(true),
+        }
+
+        let mut refused = None;
+        for number in 0..2_000 {
+            let answer = site.send(call("/issue/a", &format!("q{number}"))).await;
+            if answer.status != StatusCode::OK {
+                refused = Some(answer);
+                break;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+        }
+        let refused = refused.expect("the key goes on working");
+        let before = site.ran();
+        let again = site.send(call("/issue/a", "again")).await;
+
+        assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE, "{fault:?}");
+        assert!(refused.headers.contains_key("retry-after"));
+        assert_eq!(again.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert_eq!(site.ran(), before);
+    }
+}
+
+#[tokio::test]
+async fn a_gateway_is_back_when_the_store_is() {
+    let site = start_site(configuration()).await;
+    site.store.set_fault(StoreFault::Unavailable);
+    eventually(|| site.gateway.log.lines().into_iter().find(|line| line["msg"] == "store lost"))
+        .await;
+
+    site.store.set_fault(StoreFault::None);
+    site.store.forget_history();
+    eventually(|| {
+        site.gateway.log.lines().into_iter().find(|line| line["msg"] == "store regained")
+    })
+    .await;
+
+    assert_eq!(site.send(call("/issue/a", "q1")).await.status, StatusCode::OK);
+}
+
+#[tokio::test]
+async fn an_older_configuration_is_never_adopted() {
+    let site = start_site(without_key()).await;
+
+    site.store.put("config", "main", configuration());
+    let calls = site.store.calls();
+    eventually(|| (site.store.calls() > calls + 20).then_some(())).await;
+
+    assert_eq!(site.send(call("/issue/a", "q1")).await.status, StatusCode::UNAUTHORIZED);
+}
+
+#[tokio::test]
+async fn new_weights_are_learnt_after_the_history_was_dropped() {
+    let site = start_site(configuration()).await;
+
+    site.store.put(
+        "versions",
+        crate::support::MODEL,
+        json!({ "model": crate::support::MODEL, "version": 2 }),
+    );
+    site.store.forget_history();
+    site.store.put(
+        "versions",
+        crate::support::MODEL,
+        json!({ "model": crate::support::MODEL, "version": 3 }),
+    );
+
+    eventually(|| {
+        let named = |line: &serde_json::Value| line["msg"] == "weights named";
+        site.gateway.log.lines().into_iter().find(|line| named(line) && line["version"] == 3)
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_gateway_registers_though_the_answers_to_its_writes_are_lost() {
+    let site = start_site(configuration()).await;
+    site.store.remove("samphirespread-routers", "r1");
+    site.store.set_fault(StoreFault::LoseWriteAnswers);
+
+    let spec = eventually(|| site.store.spec("samphirespread-routers", "r1")).await;
+
+    assert_eq!(spec["address"], site.gateway.addresses.peers.to_string());
+    assert_eq!(site.send(call("/issue/a", "q1")).await.status, StatusCode::OK);
+}
+
+/// The request is at its server when the process is asked to leave.
+#[tokio::test]
+async fn a_graceful_shutdown_cuts_no_request() {
+    let site = start_site(configuration()).await;
+    site.workers.iter().for_each(|worker| worker.expect([Behaviour::AnswerAfterMs(300)]));
+    let callers = site.gateway.addresses.callers;
+    let running = tokio::spawn(async move { send(callers, call("/issue/a", "q1")).await });
+    eventually(|| (site.ran() == 1).then_some(())).await;
+
+    site.gateway.begin_to_leave();
+    let during = send(callers, call("/issue/a", "q2")).await.expect("an answer");
+    let is_clean = site.gateway.leave().await;
+
+    let answer = running.await.unwrap().expect("an answer");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(during.status, StatusCode::OK);
+    assert_eq!(during.headers["connection"], "close");
+    assert!(is_clean);
+}
+
+#[tokio::test]
+async fn a_gateway_without_a_configuration_says_that_nothing_ran() {
+    let store = samphirespread_standin::published::ObjectStore::start().unwrap();
+    let started = tokio::spawn(start_gateway(settings(store.address())));
+    tokio::task::yield_now().await;
+
+    store.put("config", "main", configuration());
+    let gateway = started.await.unwrap();
+    let answer = send(gateway.addresses.callers, call("/issue/a", "q1")).await.expect("an answer");
+
+    // There is a configuration and no server.
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.headers.contains_key("retry-after"));
+    assert!(!KEY.is_empty());
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/support.rs
@@ -0,0 +1,251 @@
+//! A gateway in front of stand-ins that speak the published form.
+
+use std::{
+    io::Write,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use samphirespread_gateway::{Addresses, Gateway};
+use samphirespread_outbound::Connection;
+use samphirespread_settings::{GatewaySettings, LogFormat, LogLevel, LogSettings};
+use samphirespread_standin::published::{ObjectStore, Worker, WorkerConfig};
+use serde_json::{Value, json};
+use tokio::{task::JoinHandle, time};
+use tokio_util::sync::CancellationToken;
+
+pub(crate) const KEY: &str = "key-of-the-desk";
+pub(crate) const OTHER_KEY: &str = "key-of-another";
+pub(crate) const MODEL: &str = "reader";
+/// How long a test waits for something to become true before it fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(10);
+
+/// Everything that one test needs.
+pub(crate) struct Site {
+    pub(crate) store: ObjectStore,
+    pub(crate) workers: Vec<Worker>,
+    pub(crate) gateway: Running,
+}
+
+/// A gateway that runs.
+pub(crate) struct Running {
+    pub(crate) addresses: Addresses,
+    pub(crate) log: LogText,
+    shutdown: CancellationToken,
+    task: JoinHandle<bool>,
+}
+
+/// What a gateway logged.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LogText(Arc<Mutex<Vec<u8>>>);
+
+impl Write for LogText {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+impl LogText {
+    /// All lines so far.
+    pub(crate) fn lines(&self) -> Vec<Value> {
+        let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
+        text.lines().filter_map(|line| serde_json::from_str(line).ok()).collect()
+    }
+
+    /// Waits until there is a line of a request with that message.
+    pub(crate) async fn line(&self, message: &str, request: &str) -> Value {
+        eventually(|| {
+            let is_it = |line: &Value| line["msg"] == message && line["request"] == request;
+            self.lines().into_iter().find(is_it)
+        })
+        .await
+    }
+}
+
+impl Running {
+    /// Asks it to leave, and waits until it has.
+    pub(crate) async fn leave(self) -> bool {
+        self.shutdown.cancel();
+        self.task.await.unwrap()
+    }
+
+    /// Asks it to leave.
+    pub(crate) fn begin_to_leave(&self) {
+        self.shutdown.cancel();
+    }
+}
+
+/// The configuration of all tests, which a test may change.
+pub(crate) fn configuration() -> Value {
+    let route = |name: &str, prefix: &str, kind: &str| {
+        json!({ "name": name, "hostname": "desk.example", "pathPrefix": prefix, "routeType": kind,
+                "timeoutMs": 3000, "targetLatencyMs": 300, "priority": 1, "service": "desk",
+                "maxAttempts": 2, "anonymous": false, "resumable": false })
+    };
+    let mut stream = route("stream", "/stream/", "stream");
+    stream["service"] = json!("engines");
+    let mut resumable = stream.clone();
+    resumable["name"] = json!("resumable");
+    resumable["pathPrefix"] = json!("/resumable/");
+    resumable["resumable"] = json!(true);
+    json!({
+        "version": 1,
+        "routes": [route("lookup", "/lookup/", "safe"), route("issue", "/issue/", "unsafe"),
+                   stream, resumable],
+        "services": [
+            { "name": "desk", "maxConns": 100 },
+            { "name": "engines", "maxConns": 100, "engine": { "slots": 8,
+              "kvCapacityTokens": 90000, "tokenKvBytes": 100, "linkMbps": 1000.0 } }
+        ],
+        "limits": { "maxBodyBytes": 10000 },
+        "tenants": [
+            { "name": "desk-team", "apiKeys": [KEY], "unit": "tokens", "uncachedTokens": 10 },
+            { "name": "other-team", "apiKeys": [OTHER_KEY], "unit": "tokens", "uncachedTokens": 10,
+              "ratePerS": 100, "burst": 100 }
+        ]
+    })
+}
+
+pub(crate) fn settings(store: SocketAddr) -> GatewaySettings {
+    let text = format!(
+        "[instance]\nname = r1\nregion = khomas\nfailure_domain = khomas-1\n\
+         [listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
+         admin = 127.0.0.1:0\n\
+         [store]\naddress = {store}\ntimeout_ms = 300\npoll_ms = 50\n\
+         [bounds]\nkey_withdrawal_ms = 1400\ngrace_s = 8\n"
+    );
+    GatewaySettings::parse(&text).unwrap()
+}
+
+/// Starts a gateway, and waits until it takes callers.
+pub(crate) async fn start_gateway(settings: GatewaySettings) -> Running {
+    let log = LogText::default();
+    let log_settings = LogSettings { format: LogFormat::Json, level: LogLevel::Info };
+    let root = samphirespread_logging::to(&log_settings, log.clone());
+    let gateway = Gateway::bind(settings, root).await.unwrap();
+    let addresses = gateway.addresses();
+    let shutdown = CancellationToken::new();
+    let task = tokio::spawn(gateway.run(shutdown.clone()));
+    let running = Running { addresses, log, shutdown, task };
+    wait_until_ready(addresses.readiness).await;
+    running
+}
+
+/// A store with that configuration, two plain servers, two engines, and a gateway.
+pub(crate) async fn start_site(configuration: Value) -> Site {
+    let store = ObjectStore::start().unwrap();
+    store.put("config", "main", configuration);
+    store.put("versions", MODEL, json!({ "model": MODEL, "version": 1 }));
+    let workers = vec![
+        Worker::start(WorkerConfig::new("d1", "desk")).unwrap(),
+        Worker::start(WorkerConfig::new("d2", "desk")).unwrap(),
+        Worker::start(WorkerConfig::new("e1", "engines").model(MODEL, 1)).unwrap(),
+        Worker::start(WorkerConfig::new("e2", "engines").model(MODEL, 1)).unwrap(),
+    ];
+    for worker in &workers {
+        store.put("servers", worker.id(), worker.entry("ready"));
+    }
+    let gateway = start_gateway(settings(store.address())).await;
+    Site { store, workers, gateway }
+}
+
+impl Site {
+    /// Requests that ran on all workers.
+    pub(crate) fn ran(&self) -> usize {
+        self.workers.iter().map(Worker::ran).sum()
+    }
+
+    pub(crate) async fn send(&self, request: Request<Full<Bytes>>) -> Answer {
+        send(self.gateway.addresses.callers, request).await.expect("an answer")
+    }
+}
+
+async fn wait_until_ready(readiness: SocketAddr) {
+    for _ in 0..2_000 {
+        let request = Request::get("/-/ready").body(Full::default()).unwrap();
+        if send(readiness, request).await.is_some_and(|answer| answer.status == StatusCode::OK) {
+            return;
+        }
+        time::sleep(POLL).await;
+    }
+    panic!("the gateway does not get ready");
+}
+
+/// A request with an id, a key and a deadline.
+pub(crate) fn request(method: &str, path: &str, id: &str) -> http::request::Builder {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "desk.example")
+        .header("x-samphirespread-attempt-id", id)
+        .header("x-samphirespread-deadline-ms", "3000")
+        .header("authorization", format!("Token {KEY}"))
+}
+
+/// A request to an engine.
+pub(crate) fn generation(path: &str, id: &str) -> Request<Full<Bytes>> {
+    request("POST", path, id)
+        .header("x-samphirespread-model", MODEL)
+        .header("x-samphirespread-token-usage", "30,5")
+        .header("x-samphirespread-prompt-prefix", "a:10,b:20")
+        .body(Full::from("a prompt"))
+        .unwrap()
+}
+
+/// A plain request.
+pub(crate) fn call(path: &str, id: &str) -> Request<Full<Bytes>> {
+    request("POST", path, id).body(Full::from("a call")).unwrap()
+}
+
+/// An answer, and whether its body was whole.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: String,
+    pub(crate) is_whole: bool,
+}
+
+/// Sends on a new connection. None when there was no answer.
+pub(crate) async fn send(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Answer> {
+    let mut connection = Connection::open(address, 1_000).await.ok()?;
+    let response = connection.send(request).await.ok()?;
+    let (parts, mut incoming) = response.into_parts();
+    let mut body = Vec::new();
+    let mut is_whole = true;
+    while let Some(frame) = incoming.frame().await {
+        match frame {
+            Ok(frame) => body.extend_from_slice(&frame.into_data().unwrap_or_default()),
+            Err(_) => {
+                is_whole = false;
+                break;
+            }
+        }
+    }
+    let body = String::from_utf8(body).unwrap();
+    Some(Answer { status: parts.status, headers: parts.headers, body, is_whole })
+}
+
+/// Waits until something is there.
+pub(crate) async fn eventually<T>(mut look: impl FnMut() -> Option<T>) -> T {
+    time::timeout(PATIENCE, async {
+        loop {
+            if let Some(found) = look() {
+                return found;
+            }
+            time::sleep(POLL).await;
+        }
+    })
+    .await
+    .expect("it does not become true")
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod kept_cache;
 pub mod link;
 pub mod platform;
+pub mod published;
 pub mod record;
 mod server;
 pub mod service;
--- /dev/null
+++ b/crates/standin/src/published/worker.rs
@@ -0,0 +1,330 @@
+//! A backend server that answers as it is told to, and records what it was sent.
+
+use std::{
+    collections::VecDeque,
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use axum::{
+    Router,
+    body::{Body, Bytes},
+    extract::State,
+    http::{HeaderMap, Method, StatusCode, Uri},
+    response::{Extension, IntoResponse, Response},
+};
+use futures_util::stream;
+use serde_json::{Value, json};
+use tokio::time;
+
+use crate::server::{LostAnswer, Server};
+
+const REQUEST_ID: &str = "x-samphirespread-attempt-id";
+const EXPECT_SERVER: &str = "x-samphirespread-expect-instance";
+const EXPECT_VERSION: &str = "x-samphirespread-expect-version";
+const SEAL: &str = "x-samphirespread-response-seal";
+const NOT_RUN: &str = "x-samphirespread-not-executed";
+/// Events of a whole stream.
+pub(crate) const STREAM_EVENTS: u64 = 5;
+
+/// How one request is treated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// It runs and is answered.
+    Answer,
+    /// It runs and is answered after a while.
+    AnswerAfterMs(u64),
+    /// It does not run, and the answer says so.
+    Refuse,
+    /// It runs and fails.
+    Fail,
+    /// It runs and the connection is closed without an answer.
+    BreakOff,
+    /// It runs and gets the answer to another request.
+    AnswerAnother,
+    /// It runs and the answer lacks its signature.
+    AnswerUnsigned,
+    /// It runs and its stream is cut after that many events, in the middle of the next one.
+    CutStreamAfter(u64),
+}
+
+/// A request as it came.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// All headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// Whether it ran.
+    pub ran: bool,
+}
+
+impl Received {
+    /// A header as text, empty if it is not there.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+}
+
+/// What a worker is.
+#[derive(Clone, Debug)]
+pub struct WorkerConfig {
+    id: String,
+    service: String,
+    failure_domain: String,
+    model: Option<(String, u64)>,
+}
+
+impl WorkerConfig {
+    /// A worker of a plain service.
+    pub fn new(id: &str, service: &str) -> Self {
+        Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            failure_domain: "khomas-1".to_owned(),
+            model: None,
+        }
+    }
+
+    /// Sets its failure domain.
+    #[must_use]
+    pub fn failure_domain(mut self, failure_domain: &str) -> Self {
+        failure_domain.clone_into(&mut self.failure_domain);
+        self
+    }
+
+    /// Makes it an engine that holds a version of a model.
+    #[must_use]
+    pub fn model(mut self, model: &str, version: u64) -> Self {
+        self.model = Some((model.to_owned(), version));
+        self
+    }
+}
+
+/// A worker.
+#[derive(Debug)]
+pub struct Worker {
+    server: Server,
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    config: WorkerConfig,
+    state: Mutex<WorkerState>,
+}
+
+#[derive(Debug, Default)]
+struct WorkerState {
+    version: u64,
+    orders: u64,
+    next: VecDeque<Behaviour>,
+    received: Vec<Received>,
+}
+
+impl Worker {
+    /// Starts a worker that answers everything.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be had.
+    pub fn start(config: WorkerConfig) -> io::Result<Self> {
+        let version = config.model.as_ref().map_or(0, |(_, version)| *version);
+        let state = WorkerState { version, ..WorkerState::default() };
+        let inner = Arc::new(Inner { config, state: Mutex::new(state) });
+        let router = Router::new().fallback(serve).with_state(inner.clone());
+        Ok(Self { server: Server::start(router)?, inner })
+    }
+
+    /// Where it answers.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Its id.
+    pub fn id(&self) -> &str {
+        &self.inner.config.id
+    }
+
+    /// Its entry in the store, ready or draining.
+    pub fn entry(&self, state: &str) -> Value {
+        let config = &self.inner.config;
+        let models: Vec<Value> = config
+            .model
+            .iter()
+            .map(|(name, _)| json!({ "name": name, "version": self.version(), "adapters": [] }))
+            .collect();
+        json!({ "service": config.service, "address": self.address().to_string(),
+                "zone": config.failure_domain, "version": "v1", "slots": 6, "state": state,
+                "models": models, "seq": 1, "born": 1 })
+    }
+
+    /// Treats the next requests that way, then answers again.
+    pub fn expect(&self, behaviours: impl IntoIterator<Item = Behaviour>) {
+        self.inner.lock().next.extend(behaviours);
+    }
+
+    /// What it was sent.
+    pub fn received(&self) -> Vec<Received> {
+        self.inner.lock().received.clone()
+    }
+
+    /// Requests that ran.
+    pub fn ran(&self) -> usize {
+        self.inner.lock().received.iter().filter(|received| received.ran).count()
+    }
+
+    /// The version of its weights.
+    pub fn version(&self) -> u64 {
+        self.inner.lock().version
+    }
+
+    /// Refuses connections until [`resume`](Self::resume).
+    pub async fn stop(&self) {
+        self.server.stop().await;
+    }
+
+    /// Takes connections again.
+    ///
+    /// # Errors
+    ///
+    /// When the port can't be had again.
+    pub fn resume(&self) -> io::Result<()> {
+        self.server.resume()
+    }
+
+    /// While frozen, connections stay open and nothing moves.
+    pub fn set_frozen(&self, frozen: bool) {
+        self.server.set_frozen(frozen);
+    }
+}
+
+impl Inner {
+    fn lock(&self) -> MutexGuard<'_, WorkerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn serve(
+    State(inner): State<Arc<Inner>>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+) -> Response {
+    match uri.path() {
+        "/-/report" => return report(&inner),
+        "/-/order" => return order(&inner, &body),
+        _ => {}
+    }
+    let mut received = Received { method, uri, headers, body, ran: false };
+    let behaviour = match misdirected(&inner, &received) {
+        true => None,
+        false => Some(inner.lock().next.pop_front().unwrap_or(Behaviour::Answer)),
+    };
+    received.ran = behaviour.is_some_and(|behaviour| behaviour != Behaviour::Refuse);
+    inner.lock().received.push(received.clone());
+    match behaviour {
+        None => (StatusCode::MISDIRECTED_REQUEST, [(NOT_RUN, "1")]).into_response(),
+        Some(behaviour) => treat(&received, behaviour).await,
+    }
+}
+
+fn misdirected(inner: &Inner, received: &Received) -> bool {
+    let expected = received.header(EXPECT_SERVER);
+    let version = received.header(EXPECT_VERSION);
+    let is_other = !expected.is_empty() && expected != inner.config.id;
+    is_other || (!version.is_empty() && version != inner.lock().version.to_string())
+}
+
+async fn treat(received: &Received, behaviour: Behaviour) -> Response {
+    let id = received.header(REQUEST_ID).to_owned();
+    match behaviour {
+        Behaviour::Answer => answer(received, &id),
+        Behaviour::AnswerAfterMs(delay_ms) => {
+            time::sleep(Duration::from_millis(delay_ms)).await;
+            answer(received, &id)
+        }
+        Behaviour::Refuse => {
+            (StatusCode::SERVICE_UNAVAILABLE, [(NOT_RUN, "1".to_owned()), (REQUEST_ID, id)])
+                .into_response()
+        }
+        Behaviour::Fail => {
+            let headers = [(SEAL, "seal".to_owned()), (REQUEST_ID, id)];
+            (StatusCode::INTERNAL_SERVER_ERROR, headers, "failed").into_response()
+        }
+        Behaviour::BreakOff => (Extension(LostAnswer), ()).into_response(),
+        Behaviour::AnswerAnother => answer(received, "another"),
+        Behaviour::AnswerUnsigned => ([(REQUEST_ID, id)], "unsigned").into_response(),
+        Behaviour::CutStreamAfter(events) => {
+            let body = Body::from_stream(events_of(received, Some(events)));
+            ([(SEAL, "seal".to_owned()), (REQUEST_ID, id)], body).into_response()
+        }
+    }
+}
+
+fn answer(received: &Received, id: &str) -> Response {
+    let headers = [(SEAL, "seal".to_owned()), (REQUEST_ID, id.to_owned())];
+    if received.header("x-samphirespread-model").is_empty() {
+        return (headers, "answered").into_response();
+    }
+    (headers, Body::from_stream(events_of(received, None))).into_response()
+}
+
+/// The events of a stream after the one that the request names, cut after some.
+fn events_of(
+    received: &Received,
+    cut_after: Option<u64>,
+) -> impl stream::Stream<Item = io::Result<String>> + use<> {
+    let last: u64 = received.header("last-event-id").parse().unwrap_or(0);
+    let mut pieces: Vec<io::Result<String>> = Vec::new();
+    for number in last + 1..=STREAM_EVENTS {
+        if cut_after.is_some_and(|events| number > last + events) {
+            pieces.push(Ok(format!("id: {number}\nda")));
+            pieces.push(Err(io::Error::other("cut")));
+            break;
+        }
+        pieces.push(Ok(format!("id: {number}\ndata: piece {number}\n\n")));
+    }
+    // The pause lets what came before a cut reach the router.
+    stream::unfold(pieces.into_iter(), |mut pieces| async move {
+        let piece = pieces.next()?;
+        time::sleep(Duration::from_millis(2)).await;
+        Some((piece, pieces))
+    })
+}
+
+fn report(inner: &Inner) -> Response {
+    let state = inner.lock();
+    let name = inner.config.model.as_ref().map_or("", |(name, _)| name);
+    let report = json!({ "stage": "unified", "born": 1,
+        "models": [{ "name": name, "version": state.version, "adapters": [] }],
+        "busy": false, "seq": state.orders, "numWaiting": 0, "numRunning": 0, "kvUsed": 0,
+        "kvTotal": 90_000, "handles": 0 });
+    axum::Json(report).into_response()
+}
+
+fn order(inner: &Inner, body: &Bytes) -> Response {
+    let Ok(order) = serde_json::from_slice::<Value>(body) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let mut state = inner.lock();
+    if order["expect"].as_u64().is_some_and(|expected| expected != state.orders) {
+        return StatusCode::CONFLICT.into_response();
+    }
+    let Some(version) = order["version"].as_u64() else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    if version == state.version {
+        return StatusCode::OK.into_response();
+    }
+    state.orders += 1;
+    state.version = version;
+    StatusCode::ACCEPTED.into_response()
+}
