Let a request above its team's whole burst in when the bucket is full

Cause: the bucket never holds what such a request costs, so it was refused for good. First try, taken back: any request enters while the bucket is above zero. Test: a_request_above_the_whole_burst_gets_in_when_the_bucket_is_full.

--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -9,6 +9,9 @@
 //! routers that are cut off from each other admit no more than the rate in sum. A router that is
 //! alone among `n` fills at `1/n` of the rate.
 //!
+//! A request that costs more than the whole burst is let in by a bucket that is nearly full, and the
+//! debt is paid back by those after it.
+//!
 //! The overshoot is bounded by what the team asks for within one report's delay, plus one burst for
 //! each team when a cut begins.
 //!
@@ -23,6 +26,9 @@
 /// A router whose report is older than this is taken to use its equal part.
 const SILENT_AFTER_MS: u64 = 500;
 
+/// The part of its burst that a bucket must hold to let in a request that costs more than that.
+const PART_FOR_LARGE: f64 = 0.9;
+
 /// A team, as reports between routers name it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TeamKey(pub u64);
@@ -37,7 +43,7 @@
 /// A request that is over the quota.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct OverQuota {
-    /// When the bucket will hold what the request asks for.
+    /// When the bucket will let the request in.
     pub retry_after_ms: u64,
     /// What the bucket held.
     pub level: f64,
@@ -144,7 +150,7 @@
     ///
     /// # Errors
     ///
-    /// [`OverQuota`] when the bucket does not hold the cost.
+    /// [`OverQuota`] when the bucket does not hold enough.
     pub fn admit(&mut self, team: &TeamName, cost: f64, now: MonoTime) -> Result<(), OverQuota> {
         self.advance(now);
         let filling = self.filling(now);
@@ -226,7 +232,7 @@
     fn fill(&mut self, elapsed_s: f64, filling: f64) {
         let most = self.quota.burst * filling;
         let filled = self.level + self.quota.rate_per_s * filling * elapsed_s;
-        self.level = filled.min(most.max(0.0)).max(-self.quota.burst);
+        self.level = filled.min(most.max(0.0));
     }
 
     fn peer_reported(&mut self, from: &InstanceName, total: f64, is_new_run: bool, is_first: bool) {
@@ -241,13 +247,14 @@
     }
 
     fn admit(&mut self, cost: f64, filling: f64, now: MonoTime) -> Result<(), OverQuota> {
-        if !self.quota.is_limited() || cost <= self.level {
+        let needed = cost.min(PART_FOR_LARGE * self.quota.burst * filling);
+        if !self.quota.is_limited() || needed <= self.level {
             self.level -= cost;
             self.own_total += cost;
             return Ok(());
         }
         let rate_per_ms = (self.quota.rate_per_s * filling / 1_000.0).max(f64::MIN_POSITIVE);
-        let missing_ms = whole_ms((cost - self.level) / rate_per_ms);
+        let missing_ms = whole_ms((needed - self.level) / rate_per_ms);
         let behind_others = self.promised.plus_ms(whole_ms(cost / rate_per_ms));
         let back = now.plus_ms(missing_ms).max(behind_others);
         self.promised = back;
--- a/crates/routing/tests/quota.rs
+++ b/crates/routing/tests/quota.rs
@@ -247,6 +247,19 @@
     }
 }
 
+/// A lowered rate leaves a burst that is smaller than the largest prompts.
+#[test]
+fn a_request_above_the_whole_burst_gets_in_when_the_bucket_is_full() {
+    let mut quotas = start(0, 1, 0);
+    let large = 2.0 * BURST;
+    let refused = quotas.admit(&team(), large, MonoTime::from_ms(100)).unwrap_err();
+    let back_ms = 100 + refused.retry_after_ms;
+
+    assert!(quotas.admit(&team(), large, MonoTime::from_ms(back_ms)).is_ok());
+    assert!(quotas.admit(&team(), COST, MonoTime::from_ms(back_ms + 900)).is_err());
+    assert!(quotas.admit(&team(), COST, MonoTime::from_ms(back_ms + 1_400)).is_ok());
+}
+
 #[test]
 fn a_refund_gives_back_what_was_charged() {
     let mut quotas = start(0, 1, 0);
