Spread cached parts over all stores that the configuration names

Cause: routers used the first store only, and 26 routers that waited for its events got 429 beyond 12, which counted as the store lost.

--- a/crates/gateway/src/cache_follow.rs
+++ b/crates/gateway/src/cache_follow.rs
@@ -1,8 +1,9 @@
-//! Follows the events of the store of cached parts, which also shows whether it answers.
+//! Follows the events of the stores of cached parts, which also shows whether they answer.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use displaydoc::Display;
 use http::{Request, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use samphirespread_adapter::{
@@ -10,9 +11,8 @@
     paths,
 };
 use samphirespread_outbound::Connection;
-use samphirespread_routing::model::CacheStore;
 use slog::{info, warn};
-use tokio::time;
+use tokio::{task::JoinSet, time};
 
 use crate::gateway::Core;
 
@@ -26,21 +26,49 @@
 const PAUSE_MS: u64 = 300;
 /// Pause between two calls, which lets events gather.
 const GATHER_MS: u64 = 150;
+/// With more routers than this, calls don't wait: a store holds only a few that do.
+const MAX_WAITING_ROUTERS: usize = 8;
+/// Pause between two calls that don't wait.
+const POLL_MS: u64 = 700;
+/// Time between two looks at the configuration for other stores.
+const LOOK_MS: u64 = 500;
 /// The largest answer.
 const MAX_ANSWER_BYTES: usize = 4 * 1024 * 1024;
 
-/// Follows the store that the configuration names, for as long as the process runs.
+/// Follows the stores that the configuration names, for as long as the process runs.
 pub(crate) async fn follow(core: Arc<Core>) {
-    let mut follower = Follower { core, position: None, connection: None };
+    let mut followed = HashMap::new();
     loop {
-        let Some(store) = store(&follower.core) else {
-            time::sleep(Duration::from_millis(PAUSE_MS)).await;
-            continue;
-        };
+        let stores = stores(&core);
+        followed.retain(|address, _| stores.contains(address));
+        for address in stores {
+            followed.entry(address).or_insert_with(|| {
+                let mut tasks = JoinSet::new();
+                tasks.spawn(follow_one(core.clone(), address));
+                tasks
+            });
+        }
+        core.state().caches.retain(|address, _| followed.contains_key(address));
+        time::sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+}
+
+fn stores(core: &Core) -> Vec<SocketAddr> {
+    let state = core.state();
+    let services = state.table.iter().flat_map(|table| &table.configuration().services);
+    services.filter_map(|service| Some(service.cache_store.as_ref()?.address)).collect()
+}
+
+async fn follow_one(core: Arc<Core>, address: SocketAddr) {
+    let mut follower = Follower { core, address, position: None, connection: None };
+    loop {
+        let waits = follower.core.state().routers.len() < MAX_WAITING_ROUTERS;
         let limit = Duration::from_millis(OPEN_TIMEOUT_MS + WAIT_MS + TIMEOUT_MS);
-        let outcome = time::timeout(limit, follower.step(&store)).await;
-        let pause_ms = match outcome.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
-            Ok(()) => GATHER_MS,
+        let outcome = time::timeout(limit, follower.step(waits)).await;
+        let pause_ms = match outcome.unwrap_or(Err(FollowError::Silent)) {
+            Ok(()) if waits => GATHER_MS,
+            // The store answers, and others take what it can hold.
+            Ok(()) | Err(FollowError::TooMany) => POLL_MS,
             Err(error) => {
                 follower.lost(&error);
                 PAUSE_MS
@@ -50,8 +78,26 @@
     }
 }
 
+/// A call that failed.
+#[derive(Debug, Display)]
+enum FollowError {
+    /// no answer in time
+    Silent,
+    /// too many calls wait at the store
+    TooMany,
+    /// {0}
+    Failed(String),
+}
+
+impl FollowError {
+    fn failed(error: &dyn std::error::Error) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
 struct Follower {
     core: Arc<Core>,
+    address: SocketAddr,
     /// Where to go on, once the full list was read.
     position: Option<Position>,
     connection: Option<Connection>,
@@ -65,72 +111,75 @@
 
 impl Follower {
     /// Reads the full list, or the next events.
-    async fn step(&mut self, store: &CacheStore) -> Result<(), String> {
+    async fn step(&mut self, waits: bool) -> Result<(), FollowError> {
         let Some(position) = self.position else {
-            return self.list(store).await;
+            return self.list().await;
         };
-        let body = self.call(store, &paths::cache_events(position.next)).await?;
-        let events = cache_events::decode(&body).map_err(|error| error.to_string())?;
+        let body = self.call(&paths::cache_events(position.next), waits).await?;
+        let events = cache_events::decode(&body).map_err(|error| FollowError::failed(&error))?;
         if events.epoch != position.epoch || events.has_gap {
-            info!(self.core.log, "cache store to be listed"; "epoch" => events.epoch,
-                "epoch_before" => position.epoch, "has_gap" => events.has_gap);
+            info!(self.core.log, "cache store to be listed"; "store" => %self.address,
+                "epoch" => events.epoch, "epoch_before" => position.epoch,
+                "has_gap" => events.has_gap);
             self.position = None;
             return Ok(());
         }
         self.position = Some(Position { epoch: events.epoch, next: events.next });
-        self.core.state().cache.apply(events.epoch, events.events);
+        let mut state = self.core.state();
+        let cache = state.caches.entry(self.address).or_default();
+        cache.contents.apply(events.epoch, events.events);
         Ok(())
     }
 
-    async fn list(&mut self, store: &CacheStore) -> Result<(), String> {
-        let body = self.call(store, paths::CACHE_LIST).await?;
-        let list = cache_events::decode_list(&body).map_err(|error| error.to_string())?;
-        info!(self.core.log, "cache store reached"; "epoch" => list.epoch, "next" => list.next,
-            "parts" => list.held.len());
+    async fn list(&mut self) -> Result<(), FollowError> {
+        let body = self.call(paths::CACHE_LIST, false).await?;
+        let list = cache_events::decode_list(&body).map_err(|error| FollowError::failed(&error))?;
+        info!(self.core.log, "cache store reached"; "store" => %self.address,
+            "epoch" => list.epoch, "next" => list.next, "parts" => list.held.len());
         self.position = Some(Position { epoch: list.epoch, next: list.next });
         let mut state = self.core.state();
-        state.cache.replace(list.epoch, list.held);
-        state.cache_is_up = true;
+        let cache = state.caches.entry(self.address).or_default();
+        cache.contents.replace(list.epoch, list.held);
+        cache.is_up = true;
         Ok(())
     }
 
-    fn lost(&mut self, error: &str) {
+    fn lost(&mut self, error: &FollowError) {
         self.position = None;
         let mut state = self.core.state();
-        if std::mem::replace(&mut state.cache_is_up, false) {
-            warn!(self.core.log, "cache store lost"; "error" => error);
+        let cache = state.caches.entry(self.address).or_default();
+        if std::mem::replace(&mut cache.is_up, false) {
+            warn!(self.core.log, "cache store lost"; "store" => %self.address, "error" => %error);
         }
     }
 
-    async fn call(&mut self, store: &CacheStore, path: &str) -> Result<Bytes, String> {
+    async fn call(&mut self, path: &str, waits: bool) -> Result<Bytes, FollowError> {
         // Taken out, so that a call that is given up takes its connection with it.
         let mut connection = match self.connection.take().filter(Connection::is_reusable) {
             Some(connection) => connection,
-            None => Connection::open(store.address, OPEN_TIMEOUT_MS)
+            None => Connection::open(self.address, OPEN_TIMEOUT_MS)
                 .await
-                .map_err(|error| error.to_string())?,
+                .map_err(|error| FollowError::failed(&error))?,
         };
+        let wait_ms = if waits { WAIT_MS } else { 0 };
         let request = Request::get(path)
-            .header(header::HOST, store.address.to_string())
-            .header(WAIT_HEADER, WAIT_MS)
+            .header(header::HOST, self.address.to_string())
+            .header(WAIT_HEADER, wait_ms)
             .body(Full::new(Bytes::new()))
-            .map_err(|error| error.to_string())?;
-        let response = connection.send(request).await.map_err(|error| error.to_string())?;
-        if response.status() != StatusCode::OK {
-            return Err(format!("status {}", response.status().as_u16()));
-        }
+            .map_err(|error| FollowError::failed(&error))?;
+        let response =
+            connection.send(request).await.map_err(|error| FollowError::failed(&error))?;
+        let status = response.status();
         let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
             .collect()
             .await
-            .map_err(|error| error.to_string())?
+            .map_err(|error| FollowError::Failed(error.to_string()))?
             .to_bytes();
         self.connection = Some(connection);
-        Ok(body)
+        match status {
+            StatusCode::OK => Ok(body),
+            StatusCode::TOO_MANY_REQUESTS => Err(FollowError::TooMany),
+            other => Err(FollowError::Failed(format!("status {}", other.as_u16()))),
+        }
     }
 }
-
-fn store(core: &Core) -> Option<CacheStore> {
-    let state = core.state();
-    let services = &state.table.as_ref()?.configuration().services;
-    services.iter().find_map(|service| service.cache_store.clone())
-}
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -11,7 +11,11 @@
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::{fleet::Server, state::State, story::Step};
+use crate::{
+    fleet::Server,
+    state::{CacheState, State},
+    story::Step,
+};
 
 /// What a router has sent since an engine's last report stands for what the others have sent too.
 const OTHER_ROUTERS_FACTOR: u64 = 2;
@@ -143,12 +147,10 @@
         views[index] = Some(view);
     }
     let version_of = |index: usize| servers[index].version(&generation.model).unwrap_or(0);
+    let store = cache_store(state, generation);
     let stored = |salt: &str| {
-        if state.cache_is_up {
-            state.cache.leading_tokens(salt, generation.shared_parts())
-        } else {
-            0
-        }
+        let shared = generation.shared_parts();
+        store.map_or(0, |(_, cache)| cache.contents.leading_tokens(salt, shared))
     };
     let salt = cache_salt(wanted_version, demand.dedicated_team);
     let work = Work {
@@ -162,11 +164,7 @@
     let version = version_of(index);
     let salt = cache_salt(version, demand.dedicated_team);
     let stored_tokens = stored(&salt);
-    let store = state.table.as_ref().and_then(|table| {
-        let services = &table.configuration().services;
-        services.iter().find_map(|service| service.cache_store.as_ref())
-    });
-    let store = store.filter(|_| state.cache_is_up).map(|store| store.address);
+    let store = store.map(|(address, _)| address);
     let part_keys = part_keys(&salt, generation.shared_parts());
     let view = views[index]?;
     let candidates = views.iter().flatten().count();
@@ -221,11 +219,26 @@
     }
 }
 
+/// The store that keeps the parts of this prompt: one of those that answer, the same for all routers.
+fn cache_store<'a>(
+    state: &'a State,
+    generation: &Generation,
+) -> Option<(SocketAddr, &'a CacheState)> {
+    let subject = subject(generation).as_bytes();
+    let up = state.caches.iter().filter(|(_, cache)| cache.is_up);
+    up.max_by_key(|(address, _)| rendezvous::score(subject, &address.to_string()))
+        .map(|(address, cache)| (*address, cache))
+}
+
+/// The part of a prompt that decides where its shared parts are kept.
+fn subject(generation: &Generation) -> &str {
+    let part = generation.shared_parts().last().or(generation.parts.last());
+    part.map_or("", |part| &part.id)
+}
+
 /// The servers in the order in which they are preferred for a prompt's shared parts.
 fn homes(servers: &[&Server], generation: &Generation) -> Vec<usize> {
-    let subject = generation.shared_parts().last().or(generation.parts.last());
-    let subject = subject.map_or("", |part| &part.id);
-    rendezvous::rank(subject.as_bytes(), servers, |server| &server.entry.id)
+    rendezvous::rank(subject(generation).as_bytes(), servers, |server| &server.entry.id)
 }
 
 /// Keys of parts, each covering the parts before it.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -43,10 +43,8 @@
     pub(crate) retries: HashMap<ServiceName, RetryBudget>,
     /// The weights of each model that operators have named.
     pub(crate) weights: HashMap<ModelName, NamedVersions>,
-    /// What the store of cached parts holds.
-    pub(crate) cache: StoreContents,
-    /// Whether the store of cached parts answers.
-    pub(crate) cache_is_up: bool,
+    /// The stores of cached parts, by where they answer.
+    pub(crate) caches: HashMap<SocketAddr, CacheState>,
     /// The other routers.
     pub(crate) routers: HashMap<InstanceName, OtherRouter>,
     /// Loads that were asked for and not confirmed yet.
@@ -57,6 +55,14 @@
     pub(crate) unreadable: HashSet<String>,
 }
 
+/// What is known of a store of cached parts.
+#[derive(Debug, Default)]
+pub(crate) struct CacheState {
+    pub(crate) contents: StoreContents,
+    /// Whether it answers.
+    pub(crate) is_up: bool,
+}
+
 /// Another router.
 #[derive(Clone, Debug)]
 pub(crate) struct OtherRouter {
@@ -87,8 +93,7 @@
             quotas: Quotas::new(now, settings.bounds.quota_slack / STARTS_A_WINDOW),
             retries: HashMap::new(),
             weights: HashMap::new(),
-            cache: StoreContents::default(),
-            cache_is_up: false,
+            caches: HashMap::new(),
             routers: HashMap::new(),
             granted: HashMap::new(),
             is_draining: false,
