Send the newest weights as many requests as their engines can read

Cause: routers hear an engine's load 200 ms late; in that time all of them sent to the few engines that had just loaded, whose queues then took a second. The more routers, the worse. Each router now knows its part of the demand and gives the newest engines what they can read.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -102,12 +102,15 @@
     fn take(core: &Arc<Core>, selected: &Selected, footprint: u64) -> Self {
         let unread_tokens = selected.read_tokens;
         let now = core.now();
-        if let Some(server) = core.state().fleet.get_mut(&selected.id) {
+        let mut state = core.state();
+        state.demand.count(unread_tokens, now);
+        if let Some(server) = state.fleet.get_mut(&selected.id) {
             server.in_flight += 1;
             server.unread_tokens += unread_tokens;
             server.new_tokens += footprint;
             server.remember_parts(&selected.part_keys, now);
         }
+        drop(state);
         Self { core: core.clone(), server: selected.id.clone(), unread_tokens }
     }
 
@@ -244,6 +247,7 @@
             generation: self.facts.generation.as_ref(),
             dedicated_team: self.grant.dedicated_team(),
             tried: &self.tried,
+            request_id: id,
         };
         let place = Place {
             failure_domain: &self.core.settings.instance.failure_domain,
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -5,7 +5,10 @@
 use samphirespread_adapter::headers::EngineInstructions;
 use samphirespread_core::prelude::*;
 use samphirespread_routing::{
-    choice::{EngineView, Estimate, ServerView, Work, choose_engine, choose_server},
+    choice::{
+        EngineView, Estimate, READ_TOKENS_PER_MS, ServerView, Work, choose_engine, choose_server,
+    },
+    demand::share_within_capacity,
     model::{Generation, PromptPart, Service, Standing, cache_salt},
     rollout::NamedVersions,
 };
@@ -21,6 +24,8 @@
 const OTHER_ROUTERS_FACTOR: u64 = 2;
 /// Requests begin on older weights no later than this before the bound.
 const ROLLOUT_MARGIN_MS: u64 = 1_200;
+/// Steps in which a share of the requests is told.
+const SHARE_STEPS: u64 = 1_000;
 /// Load that a server told with an answer counts for this long.
 const FOREIGN_LOAD_LIFETIME_MS: u64 = 300;
 
@@ -49,6 +54,8 @@
     pub(crate) dedicated_team: Option<&'a TeamName>,
     /// Servers that are out of the question.
     pub(crate) tried: &'a [Arc<str>],
+    /// The caller's id of the request.
+    pub(crate) request_id: &'a str,
 }
 
 /// Where this router is, and its bounds.
@@ -158,6 +165,7 @@
         shared_tokens: generation.shared_tokens(),
         stored_tokens: stored(&salt),
         footprint_tokens: generation.footprint_tokens(),
+        prefers_newest: prefers_newest(state, demand.request_id, rank_of_newest, now),
     };
     let (index, estimate) = choose_engine(&views, &work)?;
     let server = servers[index];
@@ -219,6 +227,17 @@
     }
 }
 
+/// Whether a request is among those that the engines with the newest weights have room for.
+fn prefers_newest(state: &State, request_id: &str, engines: usize, now: MonoTime) -> bool {
+    let routers = f64::from(u32::try_from(state.routers.len() + 1).unwrap_or(u32::MAX));
+    let demand = state.demand.tokens_per_ms(now) * routers;
+    let share = share_within_capacity(engines, READ_TOKENS_PER_MS, demand);
+    let point = xxh3_64_with_seed(request_id.as_bytes(), 0) % SHARE_STEPS;
+    #[expect(clippy::cast_precision_loss, reason = "there are few steps")]
+    let point = point as f64 / SHARE_STEPS as f64;
+    point < share
+}
+
 /// The store that keeps the parts of this prompt: one of those that answer, the same for all routers.
 fn cache_store<'a>(
     state: &'a State,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,6 +11,7 @@
 use samphirespread_peer::RouterReport;
 use samphirespread_routing::{
     cache::StoreContents,
+    demand::ReadDemand,
     model::ServiceName,
     quota::Quotas,
     retry::{RetryBudget, RetryLimits},
@@ -43,6 +44,8 @@
     pub(crate) retries: HashMap<ServiceName, RetryBudget>,
     /// The weights of each model that operators have named.
     pub(crate) weights: HashMap<ModelName, NamedVersions>,
+    /// Prompt tokens that this router sends to be read.
+    pub(crate) demand: ReadDemand,
     /// The stores of cached parts, by where they answer.
     pub(crate) caches: HashMap<SocketAddr, CacheState>,
     /// The other routers.
@@ -93,6 +96,7 @@
             quotas: Quotas::new(now, settings.bounds.quota_slack / STARTS_A_WINDOW),
             retries: HashMap::new(),
             weights: HashMap::new(),
+            demand: ReadDemand::default(),
             caches: HashMap::new(),
             routers: HashMap::new(),
             granted: HashMap::new(),
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -5,7 +5,7 @@
 //! of a service.
 
 /// Prompt tokens that an engine reads in a millisecond, at the slower of today's deployments.
-const READ_TOKENS_PER_MS: f64 = 112.0;
+pub const READ_TOKENS_PER_MS: f64 = 112.0;
 /// Time from an idle engine's admission to its first event.
 const FIRST_EVENT_MS: f64 = 45.0;
 /// What each running request adds to that.
@@ -19,8 +19,10 @@
 const AWAY_MS: f64 = 40.0;
 /// Added for another failure domain than the router's.
 const CROSS_DOMAIN_MS: f64 = 2.0;
-/// Added to an engine whose weights are not the newest: a fifth of the answer's worth.
-const OLD_WEIGHTS_MS: f64 = 80.0;
+/// Added to an engine whose weights are not the newest, for a request that should go to those.
+const OLD_WEIGHTS_MS: f64 = 150.0;
+/// Added to an engine with the newest weights, for a request beyond what such engines can take.
+const BEYOND_SHARE_MS: f64 = 60.0;
 /// Added to an engine whose memory the request would overfill.
 const FULL_MS: f64 = 2_000.0;
 /// Added to a server that failed lately.
@@ -43,6 +45,8 @@
     pub stored_tokens: u64,
     /// Memory while it runs.
     pub footprint_tokens: u64,
+    /// Whether the engines with the newest weights have room for it.
+    pub prefers_newest: bool,
 }
 
 /// One engine, as the router sees it.
@@ -112,8 +116,10 @@
     if !view.is_near {
         added += CROSS_DOMAIN_MS;
     }
-    if !view.is_newest {
-        added += OLD_WEIGHTS_MS;
+    match (work.prefers_newest, view.is_newest) {
+        (true, false) => added += OLD_WEIGHTS_MS,
+        (false, true) => added += BEYOND_SHARE_MS,
+        _ => {}
     }
     let filled = tokens(view.used_tokens + work.footprint_tokens);
     if filled > COMFORTABLE_PART * tokens(view.memory_tokens) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -21,6 +21,7 @@
 
 pub mod cache;
 pub mod choice;
+pub mod demand;
 pub mod events;
 pub mod model;
 pub mod quota;
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -11,6 +11,7 @@
         shared_tokens: 6_300,
         stored_tokens: 6_300,
         footprint_tokens: 9_250,
+        prefers_newest: true,
     }
 }
 
@@ -65,6 +66,18 @@
     assert_eq!(chosen(&[old, idle_new]), 1);
 }
 
+/// Few engines hold the newest weights yet, and their share of the requests is taken.
+#[test]
+fn a_request_beyond_the_share_of_the_newest_weights_goes_to_older_ones() {
+    let old = EngineView { is_newest: false, ..idle_engine() };
+    let new = idle_engine();
+    let views = [Some(old), Some(new)];
+    let beyond = Work { prefers_newest: false, ..classification() };
+
+    assert_eq!(choose_engine(&views, &beyond).unwrap().0, 0);
+    assert_eq!(choose_engine(&[None, Some(new)], &beyond).unwrap().0, 1);
+}
+
 #[test]
 fn an_engine_without_memory_or_trust_comes_last() {
     let full = EngineView { used_tokens: MEMORY_TOKENS - 1_000, ..home() };
