Let one router read the store for those that hear it

Now the first router that reaches the store reads; the others take its word, count its age back from their own echoed time, and read for themselves when a copy differs or nobody confirms it. A router that is cut off from the store gets configuration and list from the router that told of them. Echoes now name the run.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -61,6 +61,8 @@
     pub(crate) metrics: Metrics,
     /// Wakes the task that speaks to other processes.
     pub(crate) told: Notify,
+    /// Wakes the task that reads the store.
+    pub(crate) news: Notify,
     state: Mutex<State>,
 }
 
@@ -100,6 +102,7 @@
             socket,
             metrics: Metrics::default(),
             told: Notify::new(),
+            news: Notify::new(),
             state: Mutex::new(State::new(&settings, clock.now())),
             clock,
             settings,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,11 +7,15 @@
     Datagram, Directive, EngineReport, LoadDirective, MAX_DATAGRAM_BYTES, NamedWeights,
     RouterReport, TeamUsage, decode, encode,
 };
-use samphirespread_routing::{quota::TeamKey, rollout::NamedVersions};
+use samphirespread_routing::{
+    freshness::{Copy, Echo},
+    quota::TeamKey,
+    rollout::NamedVersions,
+};
 use slog::{info, warn};
 use tokio::time;
 
-use crate::{conduct, gateway::Core, state::State};
+use crate::{conduct, gateway::Core, reads, state::State};
 
 /// Time between two reports to the other routers.
 const REPORT_MS: u64 = 100;
@@ -55,8 +59,15 @@
         }
     }
     if !state.routers.contains_key(&report.from) {
+        // It is not on this router's list yet, which another read will show.
+        state.reads.routers = Copy::default();
+        core.news.notify_one();
         return;
     }
+    let admin = state.routers.get(&report.from).and_then(|router| router.admin);
+    if reads::heard(core, &mut state, &report, admin) {
+        core.news.notify_one();
+    }
     let totals = report.usage.iter().map(|usage| (TeamKey(usage.team), usage.total));
     state.quotas.heard(&report.from, report.incarnation, totals, now);
     if let Some(router) = state.routers.get_mut(&report.from) {
@@ -123,16 +134,20 @@
     let weights: Vec<NamedWeights> = state.weights.iter().flat_map(ages).collect();
     let usage: Vec<TeamUsage> =
         state.quotas.totals().map(|(team, total)| TeamUsage { team: team.0, total }).collect();
-    let generation = state.table.as_ref().map_or(0, |table| table.configuration().generation);
     let can_conduct = conduct::can_conduct(state, now);
     for router in state.routers.values() {
         let report = RouterReport {
             from: core.name.clone(),
             incarnation: core.incarnation,
             sent: now,
-            echo: router.report.as_ref().map(|(report, _)| report.sent),
-            contact_age_ms: Some(state.contact.age_ms(now)),
-            generation,
+            echo: router
+                .report
+                .as_ref()
+                .map(|(report, _)| Echo { incarnation: report.incarnation, sent: report.sent }),
+            reads_store: state.reads.is_up && state.table.is_some(),
+            configuration: state.reads.configuration.word(now),
+            servers: state.reads.servers.word(now),
+            routers: state.reads.routers.word(now),
             weights: weights.clone(),
             usage: usage.clone(),
             can_conduct,
--- /dev/null
+++ b/crates/gateway/src/reads.rs
@@ -0,0 +1,87 @@
+//! Who reads the store, and what a router learns from the reads of others.
+//!
+//! One router of those that hear each other reads the configuration and the lists again and again;
+//! the others take its word that their copies are current, and read for themselves when a copy
+//! differs or the word does not come. A router that can't reach the store gets what differs from the
+//! router that told of it.
+
+use std::net::SocketAddr;
+
+use samphirespread_core::prelude::*;
+use samphirespread_peer::RouterReport;
+use samphirespread_routing::freshness::Copy;
+
+use crate::{gateway::Core, state::State};
+
+/// A router that was not heard for this long does not read for others.
+const READER_SILENT_MS: u64 = 500;
+
+/// The copies of a router and how it keeps them.
+#[derive(Debug)]
+pub(crate) struct Reads {
+    /// Whether the last own read succeeded.
+    pub(crate) is_up: bool,
+    pub(crate) configuration: Copy,
+    pub(crate) servers: Copy,
+    pub(crate) routers: Copy,
+    /// Another router's address, for reading there what the store won't give.
+    pub(crate) wanted_from: Option<SocketAddr>,
+}
+
+impl Default for Reads {
+    fn default() -> Self {
+        Self {
+            is_up: true,
+            configuration: Copy::default(),
+            servers: Copy::default(),
+            routers: Copy::default(),
+            wanted_from: None,
+        }
+    }
+}
+
+impl Reads {
+    /// Time since the oldest copy was confirmed.
+    pub(crate) fn oldest_age_ms(&self, now: MonoTime) -> u64 {
+        let copies = [self.configuration, self.servers, self.routers];
+        copies.iter().map(|copy| copy.age_ms(now)).max().unwrap_or(u64::MAX)
+    }
+}
+
+/// Whether this router is the one that reads for all that it hears.
+pub(crate) fn leads(core: &Core, state: &State, now: MonoTime) -> bool {
+    let reads_for_us = |(name, router): (&InstanceName, &crate::state::OtherRouter)| {
+        let is_heard = router.silent_ms(now) <= READER_SILENT_MS;
+        let reads = router.report.as_ref().is_some_and(|(report, _)| report.reads_store);
+        let comes_first = !state.reads.is_up || *name < core.name;
+        is_heard && reads && comes_first
+    };
+    !state.routers.iter().any(reads_for_us)
+}
+
+/// Takes in what another router knows. Returns whether there is something to read.
+pub(crate) fn heard(
+    core: &Core,
+    state: &mut State,
+    report: &RouterReport,
+    admin: Option<SocketAddr>,
+) -> bool {
+    // A report that answers an earlier run of this process tells the time of another clock.
+    let Some(echo) = report.echo.and_then(|echo| echo.of(core.incarnation)) else { return false };
+    let reads = &mut state.reads;
+    // An older generation is never adopted, so only a higher one is news.
+    let is_behind = report.configuration.mark < reads.configuration.mark();
+    let news = [
+        !is_behind && reads.configuration.heard(report.configuration, echo),
+        reads.servers.heard(report.servers, echo),
+        reads.routers.heard(report.routers, echo),
+    ];
+    if let Some(confirmed) = reads.configuration.confirmed() {
+        state.contact.platform_answered(confirmed);
+    }
+    let has_news = news.contains(&true);
+    if has_news {
+        state.reads.wanted_from = admin;
+    }
+    has_news
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,6 +6,7 @@
     sync::Arc,
 };
 
+use samphirespread_adapter::Object;
 use samphirespread_core::prelude::*;
 use samphirespread_membership::Contact;
 use samphirespread_peer::RouterReport;
@@ -20,7 +21,7 @@
 };
 use samphirespread_settings::GatewaySettings;
 
-use crate::fleet::Fleet;
+use crate::{fleet::Fleet, reads::Reads};
 
 /// Withheld from the bound on withdrawn keys: the way of a request to a backend server.
 const WITHDRAWAL_MARGIN_MS: u64 = 400;
@@ -32,8 +33,14 @@
 pub(crate) struct State {
     /// The configuration in force.
     pub(crate) table: Option<Arc<Table>>,
-    /// When the store was last read.
+    /// When the store was last read, by this router or another one whose copy is the same.
     pub(crate) contact: Contact,
+    /// This router's copies of what the store holds.
+    pub(crate) reads: Reads,
+    /// The configuration as it was read.
+    pub(crate) configuration_object: Option<Arc<Object>>,
+    /// The list of backend servers as it was read.
+    pub(crate) server_objects: Arc<Vec<Object>>,
     /// The backend servers.
     pub(crate) fleet: Fleet,
     /// Whether the list of backend servers was read at all.
@@ -70,6 +77,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct OtherRouter {
     pub(crate) address: SocketAddr,
+    /// Where it answers operators and other routers.
+    pub(crate) admin: Option<SocketAddr>,
     /// Its entry's revision, for removing it.
     pub(crate) revision: u64,
     pub(crate) report: Option<(RouterReport, MonoTime)>,
@@ -91,6 +100,9 @@
         Self {
             table: None,
             contact: Contact::new(withdrawal_ms),
+            reads: Reads::default(),
+            configuration_object: None,
+            server_objects: Arc::default(),
             fleet: Fleet::default(),
             has_fleet: false,
             quotas: Quotas::new(now, settings.bounds.quota_slack / STARTS_A_WINDOW),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -1,6 +1,11 @@
 //! Keeps what the gateway believes in step with the store.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use samphirespread_adapter::{
     DecodeError, Kind, Listing, Object, StoreError, Written, backend_servers, configuration,
@@ -15,19 +20,26 @@
 use slog::{info, warn};
 use tokio::{task::JoinSet, time};
 use tokio_util::sync::CancellationToken;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    cache_follow,
+    cache_follow, copies,
     fleet::FleetNews,
     gateway::Core,
     metrics::{self, count},
-    peers,
+    peers, reads,
     state::OtherRouter,
     weights,
 };
 
 /// Pause after a failed call.
 const PAUSE_MS: u64 = 200;
+/// Copies that nobody confirms for this long beyond the time between two reads are read again.
+const UNCONFIRMED_MS: u64 = 600;
+/// Time between two looks whether to read.
+const LOOK_MS: u64 = 100;
+/// Pause between two reads that other routers' news bring about.
+const NEWS_PAUSE_MS: u64 = 150;
 /// Rounds of reads between two reads of the list of routers.
 const ROUNDS_A_ROUTERS_READ: u64 = 3;
 /// Entries that lapsed during an outage of the store are back this long after it.
@@ -64,31 +76,30 @@
     }
 }
 
-/// Reads the configuration and the lists, again and again.
+/// Keeps the copies current: by reading the store when this router leads, when another router tells
+/// of a copy that differs, and when nobody confirms the own ones.
 async fn poll(core: Arc<Core>) {
     let mut poller = Poller { core, is_up: true, listed: None, missing_until: MonoTime::ZERO };
-    let mut round = 0;
+    let mut round: u64 = 0;
+    let mut last = None;
     loop {
-        let began = poller.core.now();
-        let reads_routers = round % ROUNDS_A_ROUTERS_READ == 0;
         let core = poller.core.clone();
-        let (configuration, servers, routers) = tokio::join!(
-            core.store.get(Kind::Configuration, CONFIGURATION_NAME),
-            core.store.list(Kind::BackendServers),
-            async { if reads_routers { Some(core.store.list(Kind::Routers).await) } else { None } },
-        );
-        let is_up = configuration.is_ok() && servers.is_ok();
-        poller.take_configuration(configuration, began);
-        poller.take_servers(servers, began);
-        if let Some(routers) = routers {
-            poller.take_routers(routers).await;
+        let wait_ms = poller.wait_ms(last);
+        let had_news = tokio::select! {
+            () = time::sleep(Duration::from_millis(wait_ms)) => false,
+            () = core.news.notified() => true,
+        };
+        let now = core.now();
+        if !had_news && poller.wait_ms(last) > 0 {
+            continue;
         }
-        poller.note(is_up);
+        if had_news && last.is_some_and(|last| now.ms_since(last) < NEWS_PAUSE_MS) {
+            time::sleep(Duration::from_millis(NEWS_PAUSE_MS)).await;
+        }
+        last = Some(now);
+        let reads_routers = had_news || round % ROUNDS_A_ROUTERS_READ == 0;
+        poller.read(reads_routers).await;
         round += 1;
-        let poll_ms = core.settings.store.poll_ms;
-        let pause_ms =
-            if is_up { poll_ms.saturating_sub(core.now().ms_since(began)) } else { PAUSE_MS };
-        time::sleep(Duration::from_millis(pause_ms)).await;
     }
 }
 
@@ -102,6 +113,71 @@
 }
 
 impl Poller {
+    /// Time until the next look whether to read.
+    fn wait_ms(&self, last: Option<MonoTime>) -> u64 {
+        let Some(last) = last else { return 0 };
+        let now = self.core.now();
+        let poll_ms = self.core.settings.store.poll_ms;
+        let state = self.core.state();
+        let since_last_ms = now.ms_since(last);
+        let due_in_ms = if reads::leads(&self.core, &state, now) {
+            let pause_ms = if state.reads.is_up { poll_ms } else { PAUSE_MS };
+            pause_ms.saturating_sub(since_last_ms)
+        } else {
+            let confirmed_ms = state.reads.oldest_age_ms(now).min(since_last_ms);
+            (poll_ms + UNCONFIRMED_MS).saturating_sub(confirmed_ms)
+        };
+        due_in_ms.min(LOOK_MS)
+    }
+
+    /// Reads the configuration and the lists.
+    async fn read(&mut self, reads_routers: bool) {
+        let core = self.core.clone();
+        let began = core.now();
+        let (configuration, servers, routers) = tokio::join!(
+            core.store.get(Kind::Configuration, CONFIGURATION_NAME),
+            core.store.list(Kind::BackendServers),
+            async { if reads_routers { Some(core.store.list(Kind::Routers).await) } else { None } },
+        );
+        let is_up = configuration.is_ok() && servers.is_ok();
+        self.take_configuration(configuration, began);
+        self.take_servers(servers, began);
+        if let Some(routers) = routers {
+            self.take_routers(routers, began).await;
+        }
+        self.note(is_up);
+        let wanted_from = {
+            let mut state = core.state();
+            state.reads.is_up = is_up;
+            state.reads.wanted_from.take()
+        };
+        if let Some(address) = wanted_from.filter(|_| !is_up) {
+            self.read_from_router(address).await;
+        }
+    }
+
+    /// Reads from another router what the store won't give.
+    async fn read_from_router(&mut self, address: SocketAddr) {
+        let began = self.core.now();
+        let copies = match copies::fetch(address).await {
+            Ok(copies) => copies,
+            Err(error) => {
+                info!(self.core.log, "copies not had"; "router" => %address, "error" => %error);
+                return;
+            }
+        };
+        info!(self.core.log, "copies had from a router"; "router" => %address,
+            "configuration_age_ms" => copies.configuration_age_ms,
+            "servers_age_ms" => copies.servers_age_ms);
+        if let Some(object) = copies.configuration {
+            let read_began = began.minus_ms(copies.configuration_age_ms);
+            self.take_configuration_object(Object::clone(&object), read_began);
+        }
+        let read_began = began.minus_ms(copies.servers_age_ms);
+        let objects = Vec::clone(&copies.servers);
+        self.take_server_objects(objects, read_began);
+    }
+
     fn note(&mut self, is_up: bool) {
         if std::mem::replace(&mut self.is_up, is_up) == is_up {
             return;
@@ -128,16 +204,17 @@
         };
         let took_ms = self.core.now().ms_since(began);
         self.core.metrics.store_call_s.observe(metrics::seconds(took_ms));
-        let Some(object) = object else {
-            self.core.state().contact.platform_answered(began);
-            return;
-        };
+        match object {
+            Some(object) => self.take_configuration_object(object, began),
+            // There is nothing to be out of touch with.
+            None => self.core.state().contact.platform_answered(began),
+        }
+    }
+
+    fn take_configuration_object(&self, object: Object, began: MonoTime) {
         match configuration::decode(&object.spec) {
-            Ok(decoded) => {
-                adopt(&self.core, decoded);
-                // A configuration that can't be read leaves what is in force unconfirmed.
-                self.core.state().contact.platform_answered(began);
-            }
+            Ok(decoded) => adopt(&self.core, decoded, object, began),
+            // A configuration that can't be read leaves what is in force unconfirmed.
             Err(error) => log_unreadable(&self.core, "configuration", &error),
         }
     }
@@ -147,21 +224,34 @@
             Ok(listing) => listing,
             Err(error) => return self.failed("servers", &error),
         };
-        let outage_ms = 2 * self.core.settings.store.poll_ms;
+        for error in &listing.unreadable {
+            log_unreadable(&self.core, "server", error);
+        }
+        let outage_ms = 2 * self.core.settings.store.poll_ms + UNCONFIRMED_MS;
         if self.listed.is_some_and(|listed| began.ms_since(listed) > outage_ms) {
             self.missing_until = began.plus_ms(LAPSED_RETURN_MS);
         }
+        self.take_server_objects(listing.objects, began);
+    }
+
+    fn take_server_objects(&mut self, objects: Vec<Object>, began: MonoTime) {
+        let entries = readable_servers(&self.core, &objects);
+        let mark = mark_of_servers(&entries);
+        let mut state = self.core.state();
+        if state.reads.servers.confirmed() > Some(began) && state.reads.servers.mark() == mark {
+            return;
+        }
         self.listed = Some(began);
         let keeps_missing = began < self.missing_until;
-        let entries = readable_servers(&self.core, listing);
-        let mut state = self.core.state();
         let news = state.fleet.replace(entries, keeps_missing);
         state.has_fleet = true;
+        state.reads.servers.read(mark, began);
+        state.server_objects = Arc::new(objects);
         drop(state);
         for item in news {
             match item {
                 FleetNews::Appeared(id) => {
-                    info!(self.core.log, "server appeared"; "server" => &*id)
+                    info!(self.core.log, "server appeared"; "server" => &*id);
                 }
                 FleetNews::Draining(id) => info!(self.core.log, "server drains"; "server" => &*id),
                 FleetNews::Gone(id) => info!(self.core.log, "server gone"; "server" => &*id),
@@ -172,7 +262,7 @@
         }
     }
 
-    async fn take_routers(&self, read: Result<Listing, StoreError>) {
+    async fn take_routers(&self, read: Result<Listing, StoreError>, began: MonoTime) {
         let listing = match read {
             Ok(listing) => listing,
             Err(error) => return self.failed("routers", &error),
@@ -185,19 +275,22 @@
         if !is_registered {
             self.register(&listing).await;
         }
-        let silent = self.set_routers(&listing);
+        let silent = self.set_routers(&listing, began);
         for (name, revision) in silent {
             self.remove_router(&name, revision).await;
         }
     }
 
-    fn own_address(&self) -> std::net::SocketAddr {
+    fn own_address(&self) -> SocketAddr {
         self.core.addresses.peers
     }
 
     async fn register(&self, listing: &Listing) {
         let own = self.core.name.as_str();
-        let spec = json!({ "address": self.own_address().to_string() });
+        let spec = json!({
+            "address": self.own_address().to_string(),
+            "admin": self.core.addresses.admin.to_string(),
+        });
         let known = listing.objects.iter().find(|object| object.name == own);
         let written = match known {
             Some(object) => {
@@ -214,13 +307,15 @@
     }
 
     /// Takes over the list. Returns the routers to take off it.
-    fn set_routers(&self, listing: &Listing) -> Vec<(InstanceName, u64)> {
+    fn set_routers(&self, listing: &Listing, began: MonoTime) -> Vec<(InstanceName, u64)> {
         let now = self.core.now();
         let mut state = self.core.state();
+        state.reads.routers.read(mark_of(&listing.objects), began);
         let mut routers = std::mem::take(&mut state.routers);
         for object in &listing.objects {
             let name = InstanceName::new(&object.name);
             let Some(address) = address_of(object) else { continue };
+            let admin = address_in(object, "admin");
             if name == self.core.name {
                 continue;
             }
@@ -231,7 +326,7 @@
                     info!(self.core.log, "router appeared"; "router" => %name,
                         "address" => %address);
                     let revision = object.revision;
-                    OtherRouter { address, revision, report: None, known_since: now }
+                    OtherRouter { address, admin, revision, report: None, known_since: now }
                 }
             };
             state.routers.insert(name, router);
@@ -268,36 +363,66 @@
     }
 }
 
-fn address_of(object: &Object) -> Option<std::net::SocketAddr> {
-    object.spec.get("address")?.as_str()?.parse().ok()
+fn address_of(object: &Object) -> Option<SocketAddr> {
+    address_in(object, "address")
+}
+
+fn address_in(object: &Object, field: &str) -> Option<SocketAddr> {
+    object.spec.get(field)?.as_str()?.parse().ok()
+}
+
+/// Equal for equal lists of routers.
+fn mark_of(objects: &[Object]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for object in objects {
+        object.name.hash(&mut hasher);
+        object.spec.to_string().hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
+/// Equal for equal lists of servers. Their weights don't count: sidecars tell of those.
+fn mark_of_servers(servers: &[BackendServer]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for server in servers {
+        (&*server.id, &*server.service, server.address, &*server.failure_domain).hash(&mut hasher);
+        (server.slots, server.standing == Standing::Ready, server.started_unix_ms)
+            .hash(&mut hasher);
+    }
+    hasher.finish()
 }
 
-/// Puts a configuration in force, unless a newer one is.
-fn adopt(core: &Core, decoded: configuration::Decoded) {
+/// Puts a configuration in force, unless a newer one is, and notes the read that gave it.
+fn adopt(core: &Core, decoded: configuration::Decoded, object: Object, began: MonoTime) {
     let configuration::Decoded { configuration, unreadable } = decoded;
     for error in &unreadable {
         log_unreadable(core, "configuration", error);
     }
     let now = core.now();
+    let generation = configuration.generation;
     let mut state = core.state();
     let known = state.table.as_ref().map(|table| table.configuration().generation);
-    if known.is_some_and(|known| known >= configuration.generation) {
+    if known.is_some_and(|known| known > generation) {
         return;
     }
-    info!(core.log, "configuration adopted"; "generation" => configuration.generation,
+    state.reads.configuration.read(generation, began);
+    state.contact.platform_answered(began);
+    if known == Some(generation) {
+        return;
+    }
+    info!(core.log, "configuration adopted"; "generation" => generation,
         "before" => known, "routes" => configuration.routes.len(),
-        "services" => configuration.services.len(), "teams" => configuration.teams.len());
+        "services" => configuration.services.len(), "teams" => configuration.teams.len(),
+        "read_age_ms" => now.ms_since(began));
     let quotas = configuration.teams.iter().map(|team| (&team.name, team.quota));
     state.quotas.set_teams(quotas, now);
     state.table = Some(Arc::new(Table::new(configuration)));
+    state.configuration_object = Some(Arc::new(object));
 }
 
-fn readable_servers(core: &Core, listing: Listing) -> Vec<BackendServer> {
-    for error in &listing.unreadable {
-        log_unreadable(core, "server", error);
-    }
-    let mut servers = Vec::with_capacity(listing.objects.len());
-    for object in listing.objects {
+fn readable_servers(core: &Core, objects: &[Object]) -> Vec<BackendServer> {
+    let mut servers = Vec::with_capacity(objects.len());
+    for object in objects {
         match backend_servers::decode(&object.name, &object.spec) {
             Ok(mut server) => {
                 if object.is_deleting {
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -18,12 +18,14 @@
 use slog::{info, warn};
 use tokio::time;
 
-use crate::{conduct, gateway::Core, metrics::count, sync::log_unreadable};
+use crate::{conduct, gateway::Core, metrics::count, reads, sync::log_unreadable};
 
 /// The longest wait of a watch.
 const WAIT_MS: u64 = 2_000;
 /// Pause after a failed call.
 const PAUSE_MS: u64 = 200;
+/// Time between two looks whether this router is to follow.
+const LOOK_MS: u64 = 100;
 /// A version that a router finds at its start, without a record, is taken to be named this long
 /// ago: the time that all routers need to come back, with the delay of a record.
 const UNRECORDED_AGE_MS: u64 = 4_000;
@@ -53,6 +55,11 @@
     let mut in_step_since = None;
     loop {
         let began = core.now();
+        if !follows(&core, revision, &mut in_step_since) {
+            revision = None;
+            time::sleep(Duration::from_millis(LOOK_MS)).await;
+            continue;
+        }
         let result = match revision {
             None => list(&core, in_step_since).await,
             Some(revision) => {
@@ -75,6 +82,20 @@
     }
 }
 
+/// Whether this router follows the versions itself; else the router that does tells of them.
+fn follows(core: &Core, revision: Option<u64>, in_step_since: &mut Option<MonoTime>) -> bool {
+    let now = core.now();
+    let state = core.state();
+    if in_step_since.is_none() || reads::leads(core, &state, now) {
+        return true;
+    }
+    if revision.is_none() {
+        // Word from the router that follows is as old as its confirmation of the configuration.
+        *in_step_since = (*in_step_since).max(state.reads.configuration.confirmed());
+    }
+    false
+}
+
 async fn list(core: &Core, in_step_since: Option<MonoTime>) -> Result<u64, StoreError> {
     let listing = core.store.list(Kind::Weights).await?;
     let now = core.now();
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -25,6 +25,7 @@
 
 use bincode::config::{Configuration, standard};
 use samphirespread_core::prelude::*;
+use samphirespread_routing::freshness::{Echo, Word};
 use serde::{Deserialize, Serialize};
 
 /// The largest datagram that is sent, in bytes: what fits one packet of common links.
@@ -53,12 +54,16 @@
     pub incarnation: Incarnation,
     /// The sender's clock as it sent this.
     pub sent: MonoTime,
-    /// The receiver's clock in the last report that the sender had from it.
-    pub echo: Option<MonoTime>,
-    /// Time since the sender's last successful read of the store began, in milliseconds.
-    pub contact_age_ms: Option<u64>,
-    /// The generation of the sender's configuration.
-    pub generation: u64,
+    /// The last report that the sender had from the receiver.
+    pub echo: Option<Echo>,
+    /// Whether the sender's last own read of the store succeeded.
+    pub reads_store: bool,
+    /// What the sender knows of the configuration; its mark is the generation.
+    pub configuration: Word,
+    /// What the sender knows of the backend servers; its mark is a hash of the list.
+    pub servers: Word,
+    /// What the sender knows of the routers; its mark is a hash of the list.
+    pub routers: Word,
     /// The weights that the sender knows to have been named.
     pub weights: Vec<NamedWeights>,
     /// What the sender has admitted in this run.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod choice;
 pub mod demand;
 pub mod events;
+pub mod freshness;
 pub mod model;
 pub mod quota;
 pub mod retry;
--- /dev/null
+++ b/crates/routing/tests/freshness.rs
@@ -0,0 +1,159 @@
+//! Routers that take each other's word on how current their copies are: whatever is lost, late or
+//! restarted, none believes its copy more current than the store's history allows.
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use samphirespread_core::prelude::*;
+use samphirespread_routing::freshness::{Copy, Echo, Word};
+
+const ROUTERS: usize = 4;
+const STEPS: u64 = 20_000;
+/// Every clock starts here, as the daemons' do.
+const CLOCK_START_MS: u64 = 3_600_000;
+
+struct Router {
+    incarnation: Incarnation,
+    started_ms: u64,
+    copy: Copy,
+    last_from: [Option<Echo>; ROUTERS],
+    frozen_until_ms: u64,
+}
+
+impl Router {
+    fn start(incarnation: u64, now_ms: u64) -> Self {
+        Self {
+            incarnation: Incarnation(incarnation),
+            started_ms: now_ms,
+            copy: Copy::default(),
+            last_from: [None; ROUTERS],
+            frozen_until_ms: 0,
+        }
+    }
+
+    fn clock(&self, now_ms: u64) -> MonoTime {
+        MonoTime::from_ms(CLOCK_START_MS + now_ms - self.started_ms)
+    }
+
+    /// The true time of an instant on this router's clock, which may lie before its start.
+    fn true_ms(&self, at: MonoTime) -> i64 {
+        i64::try_from(at.as_ms()).unwrap() - i64::try_from(CLOCK_START_MS).unwrap()
+            + i64::try_from(self.started_ms).unwrap()
+    }
+}
+
+struct Flight {
+    at_ms: u64,
+    from: usize,
+    to: usize,
+    incarnation: Incarnation,
+    sent: MonoTime,
+    echo: Option<Echo>,
+    word: Word,
+}
+
+/// The store: its mark rises, and the time of each rise is known.
+struct Store {
+    rises_ms: Vec<u64>,
+}
+
+impl Store {
+    fn mark(&self) -> u64 {
+        self.rises_ms.len() as u64
+    }
+
+    /// Whether a mark was still current at some instant from `ms` on.
+    fn was_current_from(&self, mark: u64, ms: i64) -> bool {
+        let ended = self.rises_ms.get(usize::try_from(mark).unwrap());
+        ended.is_none_or(|ended| i64::try_from(*ended).unwrap() >= ms)
+    }
+}
+
+fn play(seed: u64) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut store = Store { rises_ms: Vec::new() };
+    let mut routers: Vec<Router> = (0..ROUTERS).map(|_| Router::start(1, 0)).collect();
+    let mut flights: Vec<Flight> = Vec::new();
+    for now_ms in 1..STEPS {
+        if random.random_bool(0.001) {
+            store.rises_ms.push(now_ms);
+        }
+        let index = random.random_range(0..ROUTERS);
+        if random.random_bool(0.0005) {
+            let incarnation = routers[index].incarnation.0 + 1;
+            routers[index] = Router::start(incarnation, now_ms);
+        }
+        if random.random_bool(0.0005) {
+            routers[index].frozen_until_ms = now_ms + random.random_range(100..3_000);
+        }
+        let router = &mut routers[index];
+        if router.frozen_until_ms > now_ms {
+            continue;
+        }
+        if random.random_bool(0.01) {
+            let began = router.clock(now_ms);
+            router.copy.read(store.mark(), began);
+        }
+        let to = random.random_range(0..ROUTERS);
+        if to != index && random.random_bool(0.1) {
+            let sent = router.clock(now_ms);
+            flights.push(Flight {
+                at_ms: now_ms + random.random_range(1..2_000),
+                from: index,
+                to,
+                incarnation: router.incarnation,
+                sent,
+                echo: router.last_from[to],
+                word: router.copy.word(sent),
+            });
+        }
+        let (due, later): (Vec<Flight>, Vec<Flight>) =
+            flights.into_iter().partition(|flight| flight.at_ms <= now_ms);
+        flights = later;
+        for flight in due {
+            let router = &mut routers[flight.to];
+            let echo = Echo { incarnation: flight.incarnation, sent: flight.sent };
+            router.last_from[flight.from] = Some(echo);
+            let Some(echo) = flight.echo.and_then(|echo| echo.of(router.incarnation)) else {
+                continue;
+            };
+            router.copy.heard(flight.word, echo);
+        }
+        for router in &routers {
+            let Some(confirmed) = router.copy.confirmed() else { continue };
+            let true_ms = router.true_ms(confirmed);
+            assert!(
+                store.was_current_from(router.copy.mark(), true_ms),
+                "seed {seed}, {now_ms} ms: mark {} believed as of {true_ms} ms",
+                router.copy.mark(),
+            );
+        }
+    }
+}
+
+#[test]
+fn no_router_believes_its_copy_more_current_than_it_is() {
+    for seed in 0..40 {
+        play(seed);
+    }
+}
+
+/// A router that restarts hears an answer to a report of its earlier run, whose clock stood later.
+#[test]
+fn word_that_answers_an_earlier_run_says_nothing_about_time() {
+    let echo = Echo { incarnation: Incarnation(1), sent: MonoTime::from_ms(9_000) };
+
+    assert_eq!(echo.of(Incarnation(2)), None);
+    assert_eq!(echo.of(Incarnation(1)), Some(MonoTime::from_ms(9_000)));
+}
+
+#[test]
+fn another_copy_from_a_later_read_is_news() {
+    let mut copy = Copy::default();
+    copy.read(3, MonoTime::from_ms(1_000));
+
+    let later = copy.heard(Word { mark: 4, age_ms: Some(100) }, MonoTime::from_ms(1_200));
+    let earlier = copy.heard(Word { mark: 4, age_ms: Some(300) }, MonoTime::from_ms(1_200));
+
+    assert!(later);
+    assert!(!earlier);
+    assert_eq!(copy.confirmed(), Some(MonoTime::from_ms(1_000)));
+}
