--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -41,10 +41,11 @@
 }
 
 impl Reads {
-    /// Time since the oldest copy was confirmed.
-    pub(crate) fn oldest_age_ms(&self, now: MonoTime) -> u64 {
-        let copies = [self.configuration, self.servers, self.routers];
-        copies.iter().map(|copy| copy.age_ms(now)).max().unwrap_or(u64::MAX)
+    /// Time since the oldest copy was confirmed, where the list of routers is read once in that
+    /// many rounds.
+    pub(crate) fn oldest_age_ms(&self, rounds_a_routers_read: u64, now: MonoTime) -> u64 {
+        let routers_ms = self.routers.age_ms(now) / rounds_a_routers_read;
+        self.configuration.age_ms(now).max(self.servers.age_ms(now)).max(routers_ms)
     }
 }
 
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -124,7 +124,8 @@
             let pause_ms = if state.reads.is_up { poll_ms } else { PAUSE_MS };
             pause_ms.saturating_sub(since_last_ms)
         } else {
-            let confirmed_ms = state.reads.oldest_age_ms(now).min(since_last_ms);
+            let confirmed_ms =
+                state.reads.oldest_age_ms(ROUNDS_A_ROUTERS_READ, now).min(since_last_ms);
             (poll_ms + UNCONFIRMED_MS).saturating_sub(confirmed_ms)
         };
         due_in_ms.min(LOOK_MS)
