Log every decision and change of belief under one list of names, and explain a request from logs

Event names stand in one place; each has a budget of lines, and a stuck reader holds nothing up. New lines: in and out of touch, servers avoided and trusted again, who reads for others, settings reloaded.

--- a/crates/cli/src/args/mod.rs
+++ b/crates/cli/src/args/mod.rs
@@ -44,6 +44,13 @@
     /// Keys of callers.
     #[command(subcommand)]
     Key(KeyCommand),
+    /// Tells why one request ended as it did, from the logs of the processes.
+    Explain(ExplainArguments),
+    /// Groups the requests in logs by how they ended and why.
+    TopCauses {
+        /// Files with logs; none or - is standard input.
+        files: Vec<PathBuf>,
+    },
     /// Prints an example of a settings file with every key.
     Settings {
         /// The daemon that reads the file.
@@ -57,6 +64,21 @@
     Router,
     /// samphirespread-agent.
     Agent,
+    /// samphirespread-gateway.
+    Gateway,
+    /// samphirespread-sidecar.
+    Sidecar,
+}
+
+#[derive(Args, Debug)]
+pub(crate) struct ExplainArguments {
+    /// The id of the request, as its caller sent it.
+    pub(crate) request: String,
+    /// Files with logs; none or - is standard input.
+    pub(crate) files: Vec<PathBuf>,
+    /// Also tell what processes came to believe from this long before to this long after it.
+    #[arg(long, default_value_t = 0)]
+    pub(crate) window_ms: u64,
 }
 
 #[derive(Args, Debug)]
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -1,7 +1,9 @@
 //! One function for each command.
 
 use std::{
-    io::{self, Write},
+    fs::File,
+    io::{self, BufRead, BufReader, Write},
+    path::PathBuf,
     time::Duration,
 };
 
@@ -11,11 +13,15 @@
     KeyText, Submission, TeamBuilder,
 };
 use samphirespread_core::prelude::*;
+use samphirespread_explain::Logs;
 use samphirespread_platform::{
     HttpPlatform, HttpPlatformConfig,
     api::{LiveState, Role},
 };
-use samphirespread_settings::{AgentSettings, LogFormat, LogLevel, LogSettings, RouterSettings};
+use samphirespread_settings::{
+    AgentSettings, GatewaySettings, LogFormat, LogLevel, LogSettings, RouterSettings,
+    SidecarSettings,
+};
 use tokio::{
     signal::unix::{SignalKind, signal},
     time::{Instant, sleep},
@@ -23,8 +29,8 @@
 
 use crate::{
     args::{
-        ApplyArguments, CheckArguments, Command, Daemon, DumpArguments, KeyCommand,
-        PlatformArguments, StatusArguments,
+        ApplyArguments, CheckArguments, Command, Daemon, DumpArguments, ExplainArguments,
+        KeyCommand, PlatformArguments, StatusArguments,
     },
     dev::DevFleet,
     documents::load,
@@ -36,6 +42,8 @@
 
 /// Time between two questions to the instances while an apply waits for them.
 const ASK_INTERVAL_MS: u64 = 200;
+/// Lines of logs between two words on progress.
+const PROGRESS_LINES: u64 = 1_000_000;
 
 pub(crate) async fn run(command: Command) -> Exit {
     match command {
@@ -45,12 +53,68 @@
         Command::Apply(arguments) => apply(&arguments).await,
         Command::Status(arguments) => status(&arguments).await,
         Command::Dump(arguments) => dump(&arguments).await,
+        Command::Explain(arguments) => explain(&arguments),
+        Command::TopCauses { files } => match read_logs(&files) {
+            Ok(logs) => print(&samphirespread_explain::top_causes(&logs)),
+            Err(exit) => exit,
+        },
         Command::Key(KeyCommand::New { id, team }) => new_key(&id, &team),
         Command::Settings { daemon: Daemon::Router } => print(&RouterSettings::example()),
         Command::Settings { daemon: Daemon::Agent } => print(&AgentSettings::example()),
+        Command::Settings { daemon: Daemon::Gateway } => print(&GatewaySettings::example()),
+        Command::Settings { daemon: Daemon::Sidecar } => print(&SidecarSettings::example()),
+    }
+}
+
+fn explain(arguments: &ExplainArguments) -> Exit {
+    match read_logs(&arguments.files) {
+        Ok(logs) => {
+            print(&samphirespread_explain::explain(&logs, &arguments.request, arguments.window_ms))
+        }
+        Err(exit) => exit,
     }
 }
 
+/// Reads logs from files, or from standard input. Tells its progress now and then.
+fn read_logs(files: &[PathBuf]) -> Result<Logs, Exit> {
+    let mut logs = Logs::default();
+    let standard_input = [PathBuf::from("-")];
+    let files = if files.is_empty() { &standard_input } else { files };
+    for path in files {
+        let read = if path.as_os_str() == "-" {
+            read_log(io::stdin().lock(), &mut logs)
+        } else {
+            File::open(path).and_then(|file| read_log(BufReader::new(file), &mut logs))
+        };
+        if let Err(error) = read {
+            complain(&format!("{}: {error}", path.display()));
+            return Err(Exit::Usage);
+        }
+    }
+    Ok(logs)
+}
+
+fn read_log(mut log: impl BufRead, logs: &mut Logs) -> io::Result<()> {
+    let mut line = Vec::new();
+    for number in 1_u64.. {
+        line.clear();
+        if log.read_until(b'\n', &mut line)? == 0 {
+            break;
+        }
+        logs.read_line(&String::from_utf8_lossy(&line));
+        if number % PROGRESS_LINES == 0 {
+            complain(&format!("{number} lines read"));
+        }
+    }
+    Ok(())
+}
+
+/// Prints what is no result.
+#[expect(clippy::print_stderr, reason = "standard output holds the result alone")]
+fn complain(text: &str) {
+    eprintln!("{text}");
+}
+
 /// Prints a result. A closed pipe ends the command quietly.
 fn print(text: &str) -> Exit {
     let mut out = io::stdout().lock();
--- /dev/null
+++ b/crates/explain/src/cause.rs
@@ -0,0 +1,110 @@
+//! One sentence on why a request ended as it did.
+
+use samphirespread_logging::event;
+
+use crate::line::Line;
+
+/// The cause, from the lines of one request in the order of time.
+pub(crate) fn sentence(lines: &[&Line], request: &str) -> String {
+    let ends: Vec<&&Line> =
+        lines.iter().filter(|line| line.event == event::REQUEST_ENDED).collect();
+    let Some(end) = ends.last() else {
+        return format!(
+            "No end of {request} is in these logs: it reached none of these processes, its process \
+             was killed, or it still runs."
+        );
+    };
+    match end.text("outcome").as_str() {
+        "served" => served(end),
+        "denied" => denied(end),
+        "not_run" => not_run(lines, end),
+        "unknown" => unknown(lines, end),
+        "cut" => cut(lines, end),
+        "caller_gone" => caller_gone(end),
+        other => format!("{request} ended as {other}, which this version does not know."),
+    }
+}
+
+fn served(end: &Line) -> String {
+    let late = if end.text("late") == "true" { ", later than the route's target" } else { "" };
+    format!(
+        "Served by {} with status {}: first event after {} ms, all of it after {} ms{late}.",
+        end.text("server"),
+        end.text("status"),
+        end.text("first_event_ms"),
+        end.text("took_ms"),
+    )
+}
+
+fn denied(end: &Line) -> String {
+    let why = match end.text("cause").as_str() {
+        "no route" => "no route of the configuration in force matches its host and path".to_owned(),
+        "key" => "its key belongs to no team of the configuration in force".to_owned(),
+        "body" => "its body was over the limit, or was not read to its end".to_owned(),
+        other => format!("the request was wrong: {other}"),
+    };
+    format!("Refused for good with status {}: {why}.", end.text("status"))
+}
+
+fn not_run(lines: &[&Line], end: &Line) -> String {
+    let why = match end.text("cause").as_str() {
+        "starting" => "the router had no configuration yet".to_owned(),
+        "out_of_touch" => {
+            "the router had no word from the store for too long to trust keys".to_owned()
+        }
+        "over_quota" => format!("team {} was over its quota", end.text("team")),
+        "no_server" | "servers_refused" | "retry_budget" => {
+            format!("no backend server took it ({})", tried(lines))
+        }
+        "no_time_left" => "its time was over before a server could be asked".to_owned(),
+        other => other.to_owned(),
+    };
+    format!("Not run: {why}; told to come back in {} ms.", end.text("retry_after_ms"))
+}
+
+fn unknown(lines: &[&Line], end: &Line) -> String {
+    let cause = last_failure(lines).unwrap_or_else(|| end.text("cause"));
+    format!(
+        "May have run on {}: {cause}; it could not be sent again, and the caller got {}.",
+        end.text("server"),
+        end.text("status"),
+    )
+}
+
+fn cut(lines: &[&Line], end: &Line) -> String {
+    let cause = last_failure(lines).unwrap_or_else(|| end.text("cause"));
+    format!("The stream from {} was cut: {cause} ({}).", end.text("server"), end.text("cause"))
+}
+
+fn caller_gone(end: &Line) -> String {
+    let first = end.text("first_event_ms");
+    let before = if first.is_empty() { "before" } else { "after" };
+    format!(
+        "The caller left after {} ms, {before} the first event, while {} was at work.",
+        end.text("took_ms"),
+        end.text("server"),
+    )
+}
+
+fn last_failure(lines: &[&Line]) -> Option<String> {
+    let line = lines.iter().rev().find(|line| line.event == event::SERVER_FAILED)?;
+    Some(format!("{} failed it ({})", line.text("server"), line.text("cause")))
+}
+
+/// What came of the servers that were asked.
+fn tried(lines: &[&Line]) -> String {
+    let told: Vec<String> = lines
+        .iter()
+        .filter_map(|line| match line.event.as_str() {
+            event::SERVER_REFUSED => {
+                Some(format!("{} refused with {}", line.text("server"), line.text("status")))
+            }
+            event::NO_CONNECTION => {
+                Some(format!("{} was not reached: {}", line.text("server"), line.text("error")))
+            }
+            event::BUDGET_SPENT => Some("the budget for repeats was spent".to_owned()),
+            _ => None,
+        })
+        .collect();
+    if told.is_empty() { "none was eligible".to_owned() } else { told.join("; ") }
+}
--- /dev/null
+++ b/crates/explain/src/groups.rs
@@ -0,0 +1,25 @@
+//! Failed requests grouped by their cause.
+
+use std::{collections::BTreeMap, fmt::Write};
+
+use samphirespread_logging::event;
+
+use crate::line::Logs;
+
+/// A table of how requests ended and why, the most frequent first, with one example each.
+pub fn top_causes(logs: &Logs) -> String {
+    let mut groups: BTreeMap<(String, String), (usize, String)> = BTreeMap::new();
+    for line in logs.lines().iter().filter(|line| line.event == event::REQUEST_ENDED) {
+        let key = (line.text("outcome"), line.text("cause"));
+        let group = groups.entry(key).or_insert_with(|| (0, line.text("request")));
+        group.0 += 1;
+    }
+    let mut rows: Vec<_> = groups.into_iter().collect();
+    rows.sort_by(|a, b| b.1.0.cmp(&a.1.0));
+    let mut text = String::from("requests  outcome      cause                     for example\n");
+    for ((outcome, cause), (count, example)) in rows {
+        // Writing to a string does not fail.
+        let _ = writeln!(text, "{count:>8}  {outcome:<12} {cause:<25} {example}");
+    }
+    text
+}
--- /dev/null
+++ b/crates/explain/tests/explain.rs
@@ -0,0 +1,140 @@
+//! Stories and causes, on logs of scripted failures.
+
+use samphirespread_explain::{Logs, explain, top_causes};
+
+fn line(process: &str, at: &str, request: &str, rest: &str) -> String {
+    let request =
+        if request.is_empty() { String::new() } else { format!(r#","request":"{request}""#) };
+    format!(r#"  1.0 {process} {{"ts":"2026-01-01T00:00:{at}Z"{request},{rest}}}"#)
+}
+
+fn logs(lines: &[String]) -> Logs {
+    let mut logs = Logs::default();
+    lines.iter().for_each(|line| logs.read_line(line));
+    logs
+}
+
+fn ended(request: &str, at: &str, rest: &str) -> String {
+    line("front-1", at, request, &format!(r#""msg":"request ended",{rest}"#))
+}
+
+/// Each outcome with the sentence that it must lead to.
+#[test]
+fn every_kind_of_failure_has_its_sentence() {
+    let cases = [
+        (
+            r#""outcome":"not_run","cause":"over_quota","team":"desk","retry_after_ms":250"#,
+            "Not run: team desk was over its quota; told to come back in 250 ms.",
+        ),
+        (
+            r#""outcome":"not_run","cause":"out_of_touch","retry_after_ms":200"#,
+            "no word from the store for too long to trust keys",
+        ),
+        (
+            r#""outcome":"not_run","cause":"starting","retry_after_ms":300"#,
+            "the router had no configuration yet",
+        ),
+        (r#""outcome":"not_run","cause":"no_server","retry_after_ms":400"#, "none was eligible"),
+        (
+            r#""outcome":"denied","cause":"key","status":401"#,
+            "its key belongs to no team of the configuration in force",
+        ),
+        (r#""outcome":"denied","cause":"no route","status":404"#, "no route of the configuration"),
+        (
+            r#""outcome":"unknown","cause":"timeout","status":504,"server":"s1""#,
+            "May have run on s1: timeout",
+        ),
+        (
+            r#""outcome":"cut","cause":"the server broke off","server":"s1""#,
+            "The stream from s1 was cut",
+        ),
+        (
+            r#""outcome":"caller_gone","took_ms":90,"server":"s1""#,
+            "The caller left after 90 ms, before the first event, while s1 was at work.",
+        ),
+        (
+            r#""outcome":"served","status":200,"server":"s1","first_event_ms":9,"took_ms":12,"late":true"#,
+            "later than the route's target",
+        ),
+    ];
+    for (end, sentence) in cases {
+        let text = explain(&logs(&[ended("q1", "01.5", end)]), "q1", 0);
+        assert!(text.contains(sentence), "{text}");
+    }
+}
+
+#[test]
+fn steps_come_in_the_order_of_time_across_processes() {
+    let text = explain(
+        &logs(&[
+            ended("q1", "01.50", r#""outcome":"unknown","cause":"x","server":"s2","status":502"#),
+            line(
+                "front-1",
+                "01.2",
+                "q1",
+                r#""msg":"server failed","server":"s2","cause":"reset","may_repeat":false"#,
+            ),
+            line(
+                "front-1",
+                "01.152059895",
+                "q1",
+                r#""msg":"server refused","server":"s1","status":503"#,
+            ),
+            ended("q2", "01.3", r#""outcome":"served""#),
+        ]),
+        "q1",
+        0,
+    );
+
+    let places: Vec<usize> = [
+        "server refused",
+        "server failed",
+        "request ended",
+        "May have run on s2: s2 failed it (reset)",
+    ]
+    .iter()
+    .map(|part| text.find(part).unwrap_or_else(|| panic!("{part} in {text}")))
+    .collect();
+    assert!(places.is_sorted());
+    assert!(!text.contains("q2"));
+}
+
+#[test]
+fn a_window_shows_what_processes_came_to_believe() {
+    let all = [
+        line("front-2", "00.9", "", r#""msg":"store lost","contact_age_ms":40"#),
+        ended("q1", "01.5", r#""outcome":"not_run","cause":"out_of_touch","retry_after_ms":200"#),
+        line("front-2", "09.0", "", r#""msg":"store regained""#),
+    ];
+
+    let wide = explain(&logs(&all), "q1", 1_000);
+    let none = explain(&logs(&all), "q1", 0);
+
+    assert!(wide.contains("store lost") && !wide.contains("store regained"), "{wide}");
+    assert!(!none.contains("store lost"));
+}
+
+#[test]
+fn a_broken_line_is_counted_and_an_unknown_request_is_said_to_be() {
+    let broken = logs(&["front-1 {\"msg\":".to_owned(), "no json at all".to_owned()]);
+
+    let text = explain(&broken, "q9", 0);
+
+    assert!(text.contains("No end of q9 is in these logs"));
+    assert!(text.contains("(1 lines could not be read)"));
+}
+
+#[test]
+fn causes_are_grouped_with_the_most_frequent_first() {
+    let logs = logs(&[
+        ended("q1", "01.1", r#""outcome":"cut","cause":"timeout""#),
+        ended("q2", "01.2", r#""outcome":"not_run","cause":"over_quota""#),
+        ended("q3", "01.3", r#""outcome":"not_run","cause":"over_quota""#),
+    ]);
+
+    let table = top_causes(&logs);
+
+    let rows: Vec<&str> = table.lines().skip(1).collect();
+    assert!(rows[0].trim_start().starts_with("2  not_run"), "{table}");
+    assert!(rows[1].contains("q1"));
+}
--- a/crates/gateway/src/cache_follow.rs
+++ b/crates/gateway/src/cache_follow.rs
@@ -10,6 +10,7 @@
     cache_events::{self, WAIT_HEADER},
     paths,
 };
+use samphirespread_logging::event;
 use samphirespread_outbound::Connection;
 use slog::{info, warn};
 use tokio::{task::JoinSet, time};
@@ -118,7 +119,7 @@
         let body = self.call(&paths::cache_events(position.next), waits).await?;
         let events = cache_events::decode(&body).map_err(|error| FollowError::failed(&error))?;
         if events.epoch != position.epoch || events.has_gap {
-            info!(self.core.log, "cache store to be listed"; "store" => %self.address,
+            info!(self.core.log, "{}", event::CACHE_TO_BE_LISTED; "store" => %self.address,
                 "epoch" => events.epoch, "epoch_before" => position.epoch,
                 "has_gap" => events.has_gap);
             self.position = None;
@@ -134,7 +135,7 @@
     async fn list(&mut self) -> Result<(), FollowError> {
         let body = self.call(paths::CACHE_LIST, false).await?;
         let list = cache_events::decode_list(&body).map_err(|error| FollowError::failed(&error))?;
-        info!(self.core.log, "cache store reached"; "store" => %self.address,
+        info!(self.core.log, "{}", event::CACHE_REACHED; "store" => %self.address,
             "epoch" => list.epoch, "next" => list.next, "parts" => list.held.len());
         self.position = Some(Position { epoch: list.epoch, next: list.next });
         let mut state = self.core.state();
@@ -149,7 +150,7 @@
         let mut state = self.core.state();
         let cache = state.caches.entry(self.address).or_default();
         if std::mem::replace(&mut cache.is_up, false) {
-            warn!(self.core.log, "cache store lost"; "store" => %self.address, "error" => %error);
+            warn!(self.core.log, "{}", event::CACHE_LOST; "store" => %self.address, "error" => %error);
         }
     }
 
--- a/crates/gateway/src/conduct.rs
+++ b/crates/gateway/src/conduct.rs
@@ -1,6 +1,7 @@
 //! Conducts the rollout of weights: one router at a time says which engine loads next.
 
 use samphirespread_core::prelude::*;
+use samphirespread_logging::event;
 use samphirespread_routing::{
     model::Standing,
     rollout::{Candidate, Phase, at_once, next},
@@ -64,7 +65,7 @@
         }
     }
     for (id, grant) in &grants {
-        info!(core.log, "rollout: engine is to load"; "server" => &**id,
+        info!(core.log, "{}", event::ROLLOUT_STEP; "server" => &**id,
             "model" => %grant.model, "version" => grant.version);
         state.granted.insert(id.clone(), grant.clone());
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,8 +11,9 @@
     prelude::*,
     time::{Clock, fresh_incarnation},
 };
+use samphirespread_logging::event;
 use samphirespread_settings::GatewaySettings;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::{
     net::{TcpListener, UdpSocket},
     sync::Notify,
@@ -47,6 +48,30 @@
     pub peers: SocketAddr,
 }
 
+/// Puts other settings in force in a gateway that runs.
+#[derive(Clone, Debug)]
+pub struct SettingsHandle {
+    core: Arc<Core>,
+}
+
+impl SettingsHandle {
+    /// Puts the bounds of a settings file in force. Addresses and names hold until the next start.
+    ///
+    /// Faults leave the old settings in force. Both are logged.
+    pub fn reload(&self, text: &str) {
+        match GatewaySettings::parse(text) {
+            Ok(settings) => {
+                self.core.state().set_bounds(settings.bounds);
+                info!(self.core.log, "{}", event::SETTINGS_RELOADED;
+                    "bounds" => ?settings.bounds);
+            }
+            Err(errors) => {
+                warn!(self.core.log, "{}", event::SETTINGS_REFUSED; "error" => %errors);
+            }
+        }
+    }
+}
+
 /// What the tasks of a gateway share.
 #[derive(Debug)]
 pub(crate) struct Core {
@@ -117,10 +142,15 @@
         self.core.addresses
     }
 
+    /// A handle that puts other settings in force while the gateway runs.
+    pub fn settings_handle(&self) -> SettingsHandle {
+        SettingsHandle { core: self.core.clone() }
+    }
+
     /// Serves until `shutdown`, then drains. Returns whether every request had its answer.
     pub async fn run(self, shutdown: CancellationToken) -> bool {
         let Self { core, callers, readiness, admin } = self;
-        info!(core.log, "started"; "instance" => %core.name,
+        info!(core.log, "{}", event::STARTED; "instance" => %core.name,
             "failure_domain" => &*core.settings.instance.failure_domain,
             "incarnation" => core.incarnation.0, "callers" => %core.addresses.callers);
         let stop = CancellationToken::new();
@@ -129,7 +159,7 @@
         serve::spawn_admin(&core, admin, &stop);
         let is_clean = serve::callers(&core, callers, shutdown).await;
         stop.cancel();
-        info!(core.log, "stopped"; "cause" => "signal", "requests_cut" => !is_clean);
+        info!(core.log, "{}", event::STOPPED; "cause" => "signal", "requests_cut" => !is_clean);
         is_clean
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,5 +40,5 @@
 
 pub use crate::{
     error::BindError,
-    gateway::{Addresses, Gateway},
+    gateway::{Addresses, Gateway, SettingsHandle},
 };
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -1,10 +1,10 @@
 //! `samphirespread-gateway`: the entry router.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 use clap::Parser;
 use samphirespread_adapter::SETTINGS_VARIABLE;
-use samphirespread_gateway::Gateway;
+use samphirespread_gateway::{Gateway, SettingsHandle};
 use samphirespread_settings::GatewaySettings;
 use slog::error;
 use tokio::signal::unix::{SignalKind, signal};
@@ -13,6 +13,8 @@
 const EXIT_CUT: u8 = 1;
 const EXIT_SETTINGS: u8 = 2;
 const EXIT_START: u8 = 3;
+/// Time between two looks whether the settings file has changed.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
 
 /// Takes requests and forwards them to backend servers.
 ///
@@ -61,6 +63,7 @@
     };
     let shutdown = CancellationToken::new();
     tokio::spawn(cancel_on_signal(shutdown.clone()));
+    tokio::spawn(reload_on_change(path, gateway.settings_handle()));
     if gateway.run(shutdown).await { ExitCode::SUCCESS } else { ExitCode::from(EXIT_CUT) }
 }
 
@@ -77,6 +80,23 @@
     shutdown.cancel();
 }
 
+/// Reads the settings again on SIGHUP, and when the file has changed without one.
+async fn reload_on_change(path: PathBuf, handle: SettingsHandle) {
+    let Ok(mut hang_up) = signal(SignalKind::hangup()) else { return };
+    let mut known = std::fs::read_to_string(&path).ok();
+    loop {
+        let was_asked = tokio::select! {
+            _ = hang_up.recv() => true,
+            () = tokio::time::sleep(SETTINGS_LOOK) => false,
+        };
+        let text = std::fs::read_to_string(&path).ok();
+        if let Some(text) = text.as_deref().filter(|_| was_asked || text != known) {
+            handle.reload(text);
+        }
+        known = text;
+    }
+}
+
 fn read_settings(path: &std::path::Path) -> Result<GatewaySettings, String> {
     let text =
         std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use samphirespread_core::prelude::*;
+use samphirespread_logging::event;
 use samphirespread_peer::{
     Datagram, Directive, EngineReport, LoadDirective, MAX_DATAGRAM_BYTES, NamedWeights,
     RouterReport, TeamUsage, decode, encode,
@@ -29,7 +30,7 @@
         let (length, from) = match core.socket.recv_from(&mut buffer).await {
             Ok(received) => received,
             Err(error) => {
-                warn!(core.log, "receiving failed"; "error" => %error);
+                warn!(core.log, "{}", event::RECEIVING_FAILED; "error" => %error);
                 time::sleep(Duration::from_millis(REPORT_MS)).await;
                 continue;
             }
@@ -38,10 +39,10 @@
             Ok(Datagram::Router(report)) => take_router(&core, report),
             Ok(Datagram::Engine(report)) => take_engine(&core, from, report),
             Ok(Datagram::Directive(_)) => {
-                warn!(core.log, "datagram of another role"; "from" => %from);
+                warn!(core.log, "{}", event::DATAGRAM_MISPLACED; "from" => %from);
             }
             Err(error) => {
-                warn!(core.log, "datagram left out"; "from" => %from, "error" => %error);
+                warn!(core.log, "{}", event::DATAGRAM_LEFT_OUT; "from" => %from, "error" => %error);
             }
         }
     }
@@ -53,7 +54,7 @@
     for named in &report.weights {
         let named_by = now.minus_ms(named.age_ms);
         if state.learn_weights(&named.model, named.version, named_by) {
-            info!(core.log, "weights named"; "model" => %named.model, "version" => named.version,
+            info!(core.log, "{}", event::WEIGHTS_NAMED; "model" => %named.model, "version" => named.version,
                 "source" => report.from.as_str(), "age_ms" => named.age_ms);
             core.told.notify_one();
         }
@@ -111,7 +112,7 @@
         }
         for (address, bytes) in outgoing {
             if let Err(error) = core.socket.send_to(&bytes, address).await {
-                warn!(core.log, "datagram not sent"; "to" => %address, "error" => %error);
+                warn!(core.log, "{}", event::DATAGRAM_NOT_SENT; "to" => %address, "error" => %error);
             }
         }
         if !was_told {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -8,8 +8,10 @@
 use hyper::body::Incoming;
 use samphirespread_adapter::headers::{self, AnswerFacts, Instructions, RequestFacts};
 use samphirespread_core::prelude::*;
+use samphirespread_logging::event;
 use samphirespread_outbound::{Connection, IdleLimits, SendError};
 use samphirespread_routing::model::{RouteKind, Service};
+use slog::info;
 use tokio::time;
 
 use crate::{
@@ -251,7 +253,7 @@
         };
         let place = Place {
             failure_domain: &self.core.settings.instance.failure_domain,
-            rollout_ms: self.core.settings.bounds.rollout_ms,
+            rollout_ms: state.bounds.rollout_ms,
             list_age_ms: state.contact.age_ms(now),
         };
         let selected = select(&state, &demand, &place, now);
@@ -264,7 +266,7 @@
     fn may_send_again(&mut self, service: &Service) -> bool {
         let now = self.core.now();
         let mut state = self.core.state();
-        let limits = state.retry_limits(&self.core.settings);
+        let limits = state.retry_limits();
         let budget = state.retries.entry(service.name.clone()).or_default();
         let may = budget.try_spend(&limits, now);
         drop(state);
@@ -320,6 +322,7 @@
                 drop(state);
                 let server = selected.id.clone();
                 let error = error.to_string();
+                self.log_avoided(selected, avoid_ms, &error);
                 self.story.step(now, Step::NoConnection { server, error, avoid_ms });
                 None
             }
@@ -407,20 +410,32 @@
 
     fn broke_off(&mut self, selected: &Selected, cause: String) -> Sent {
         let now = self.core.now();
-        if let Some(server) = self.core.state().fleet.get_mut(&selected.id) {
-            server.suspicion.broke_off(now);
-        }
+        let avoid_ms = {
+            let mut state = self.core.state();
+            let server = state.fleet.get_mut(&selected.id);
+            server.map_or(0, |server| server.suspicion.broke_off(now))
+        };
+        self.log_avoided(selected, avoid_ms, &cause);
         let may_repeat = self.may_repeat();
         let server = selected.id.clone();
         self.story.step(now, Step::Failed { server, cause, may_repeat });
         Sent::Failed("the server broke off")
     }
 
+    fn log_avoided(&self, selected: &Selected, avoid_ms: u64, cause: &str) {
+        if avoid_ms > 0 {
+            info!(self.core.log, "{}", event::SERVER_AVOIDED; "server" => &*selected.id,
+                "for_ms" => avoid_ms, "cause" => cause);
+        }
+    }
+
     fn answered(&self, selected: &Selected, facts: &AnswerFacts) {
         let now = self.core.now();
         let mut state = self.core.state();
         if let Some(server) = state.fleet.get_mut(&selected.id) {
-            server.suspicion.succeeded();
+            if server.suspicion.succeeded() {
+                info!(self.core.log, "{}", event::SERVER_TRUSTED; "server" => &*selected.id);
+            }
             if let Some(load) = facts.load {
                 server.foreign_load = (load.saturating_sub(server.in_flight), now);
             }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -5,6 +5,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use samphirespread_logging::event;
 use slog::{info, warn};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -41,8 +42,7 @@
     closing.cancel();
     drop(listener);
     connections.close();
-    let left_ms =
-        core.settings.bounds.grace_ms.saturating_sub(BALANCER_NOTICES_MS + EXIT_MARGIN_MS);
+    let left_ms = core.state().bounds.grace_ms.saturating_sub(BALANCER_NOTICES_MS + EXIT_MARGIN_MS);
     time::timeout(Duration::from_millis(left_ms), connections.wait()).await.is_ok()
 }
 
@@ -50,8 +50,8 @@
 async fn drain_begins(core: &Core, shutdown: &CancellationToken) {
     shutdown.cancelled().await;
     core.state().is_draining = true;
-    info!(core.log, "draining"; "cause" => "signal", "grace_ms" => core.settings.bounds.grace_ms);
-    let notices_ms = BALANCER_NOTICES_MS.min(core.settings.bounds.grace_ms / 2);
+    info!(core.log, "{}", event::DRAINING; "cause" => "signal", "grace_ms" => core.state().bounds.grace_ms);
+    let notices_ms = BALANCER_NOTICES_MS.min(core.state().bounds.grace_ms / 2);
     time::sleep(Duration::from_millis(notices_ms)).await;
 }
 
@@ -67,7 +67,7 @@
                 connections.spawn(serve_caller(core.clone(), stream, closing.clone()));
             }
             Err(error) => {
-                warn!(core.log, "connection not accepted"; "error" => %error);
+                warn!(core.log, "{}", event::CONNECTION_NOT_ACCEPTED; "error" => %error);
                 time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
             }
         }
@@ -137,7 +137,7 @@
                     tokio::spawn(serve_small(core.clone(), stream, answer));
                 }
                 Err(error) => {
-                    warn!(core.log, "connection not accepted"; "error" => %error);
+                    warn!(core.log, "{}", event::CONNECTION_NOT_ACCEPTED; "error" => %error);
                     time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
                 }
             }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,7 +19,7 @@
     rollout::NamedVersions,
     table::Table,
 };
-use samphirespread_settings::GatewaySettings;
+use samphirespread_settings::{BoundsSettings, GatewaySettings};
 
 use crate::{fleet::Fleet, reads::Reads};
 
@@ -31,8 +31,14 @@
 /// Everything that a gateway believes.
 #[derive(Debug)]
 pub(crate) struct State {
+    /// What operators are promised.
+    pub(crate) bounds: BoundsSettings,
     /// The configuration in force.
     pub(crate) table: Option<Arc<Table>>,
+    /// Whether keys were trusted when that was last looked at.
+    pub(crate) was_in_touch: bool,
+    /// Whether this router read for others when that was last looked at.
+    pub(crate) was_leading: bool,
     /// When the store was last read, by this router or another one whose copy is the same.
     pub(crate) contact: Contact,
     /// This router's copies of what the store holds.
@@ -96,10 +102,12 @@
 
 impl State {
     pub(crate) fn new(settings: &GatewaySettings, now: MonoTime) -> Self {
-        let withdrawal_ms = settings.bounds.key_withdrawal_ms.saturating_sub(WITHDRAWAL_MARGIN_MS);
         Self {
+            bounds: settings.bounds,
             table: None,
-            contact: Contact::new(withdrawal_ms),
+            was_in_touch: false,
+            was_leading: false,
+            contact: contact(&settings.bounds),
             reads: Reads::default(),
             configuration_object: None,
             server_objects: Arc::default(),
@@ -126,12 +134,21 @@
     /// This router's part of the bound on repeats.
     ///
     /// The slack is halved, so that routers that restart and begin a new count stay inside it.
-    pub(crate) fn retry_limits(&self, settings: &GatewaySettings) -> RetryLimits {
+    pub(crate) fn retry_limits(&self) -> RetryLimits {
         let routers = u64::try_from(self.routers.len() + 1).unwrap_or(u64::MAX);
         RetryLimits {
-            ratio: settings.bounds.retry_ratio,
-            window_ms: settings.bounds.retry_window_ms,
-            slack: settings.bounds.retry_slack / 2 / routers,
+            ratio: self.bounds.retry_ratio,
+            window_ms: self.bounds.retry_window_ms,
+            slack: self.bounds.retry_slack / 2 / routers,
+        }
+    }
+
+    /// Puts other bounds in force.
+    pub(crate) fn set_bounds(&mut self, bounds: BoundsSettings) {
+        self.bounds = bounds;
+        self.contact = contact(&bounds);
+        if let Some(confirmed) = self.reads.configuration.confirmed() {
+            self.contact.platform_answered(confirmed);
         }
     }
 
@@ -148,3 +165,7 @@
         self.weights.entry(model.clone()).or_default().learn(version, named_by)
     }
 }
+
+fn contact(bounds: &BoundsSettings) -> Contact {
+    Contact::new(bounds.key_withdrawal_ms.saturating_sub(WITHDRAWAL_MARGIN_MS))
+}
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use samphirespread_core::prelude::*;
+use samphirespread_logging::event;
 use slog::{Logger, info, warn};
 
 use crate::answers::NotRun;
@@ -149,7 +150,7 @@
             End::CallerGone => ("caller_gone", "", 0, None),
             End::Cut { cause } => ("cut", *cause, 0, None),
         };
-        info!(self.log, "request ended"; "request" => &self.id, "outcome" => outcome,
+        info!(self.log, "{}", event::REQUEST_ENDED; "request" => &self.id, "outcome" => outcome,
             "cause" => detail, "status" => status, "retry_after_ms" => retry_after_ms,
             "route" => self.route.as_deref(), "team" => self.team.as_ref().map(TeamName::as_str),
             "server" => self.server.as_deref(), "version" => self.version,
@@ -172,29 +173,31 @@
                     cost_ms,
                     report_age_ms,
                     list_age_ms,
-                } => info!(self.log, "server chosen"; "request" => &self.id, "at_ms" => at_ms,
+                } => {
+                    info!(self.log, "{}", event::SERVER_CHOSEN; "request" => &self.id, "at_ms" => at_ms,
                     "server" => &**server, "candidates" => candidates, "near" => near,
                     "newest" => newest, "version" => version, "expected_ms" => first_event_ms,
                     "cost_ms" => cost_ms, "report_age_ms" => report_age_ms,
-                    "list_age_ms" => list_age_ms),
+                    "list_age_ms" => list_age_ms)
+                }
                 Step::NoConnection { server, error, avoid_ms } => {
-                    warn!(self.log, "no connection"; "request" => &self.id, "at_ms" => at_ms,
+                    warn!(self.log, "{}", event::NO_CONNECTION; "request" => &self.id, "at_ms" => at_ms,
                         "server" => &**server, "error" => error, "avoid_ms" => avoid_ms);
                 }
                 Step::SaidNotRun { server, status } => {
-                    info!(self.log, "server refused"; "request" => &self.id, "at_ms" => at_ms,
+                    info!(self.log, "{}", event::SERVER_REFUSED; "request" => &self.id, "at_ms" => at_ms,
                         "server" => &**server, "status" => status);
                 }
                 Step::Failed { server, cause, may_repeat } => {
-                    warn!(self.log, "server failed"; "request" => &self.id, "at_ms" => at_ms,
+                    warn!(self.log, "{}", event::SERVER_FAILED; "request" => &self.id, "at_ms" => at_ms,
                         "server" => &**server, "cause" => cause, "may_repeat" => may_repeat);
                 }
                 Step::BudgetSpent { slack } => {
-                    info!(self.log, "no repeat: budget spent"; "request" => &self.id,
+                    info!(self.log, "{}", event::BUDGET_SPENT; "request" => &self.id,
                         "at_ms" => at_ms, "slack" => slack);
                 }
                 Step::Resumes { after } => {
-                    info!(self.log, "stream resumes"; "request" => &self.id, "at_ms" => at_ms,
+                    info!(self.log, "{}", event::STREAM_RESUMES; "request" => &self.id, "at_ms" => at_ms,
                         "after_event" => after);
                 }
             }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -12,6 +12,7 @@
     objects::CONFIGURATION_NAME,
 };
 use samphirespread_core::prelude::*;
+use samphirespread_logging::event;
 use samphirespread_routing::{
     model::{BackendServer, Standing},
     table::Table,
@@ -76,6 +77,29 @@
     }
 }
 
+/// Logs when keys stop or begin to be trusted, and when this router begins or stops to read for others.
+fn log_turns(core: &Core) {
+    let now = core.now();
+    let (in_touch, leads, age_ms, turned, changed) = {
+        let mut state = core.state();
+        let in_touch = state.table.is_some() && !state.contact.is_stale(now);
+        let leads = reads::leads(core, &state, now);
+        let turned = std::mem::replace(&mut state.was_in_touch, in_touch) != in_touch;
+        let changed = std::mem::replace(&mut state.was_leading, leads) != leads;
+        (in_touch, leads, state.contact.age_ms(now), turned, changed)
+    };
+    match (turned, in_touch) {
+        (true, true) => info!(core.log, "{}", event::IN_TOUCH; "contact_age_ms" => age_ms),
+        (true, false) => warn!(core.log, "{}", event::OUT_OF_TOUCH; "contact_age_ms" => age_ms),
+        (false, _) => {}
+    }
+    match (changed, leads) {
+        (true, true) => info!(core.log, "{}", event::READS_FOR_OTHERS),
+        (true, false) => info!(core.log, "{}", event::LEAVES_READING),
+        (false, _) => {}
+    }
+}
+
 /// Keeps the copies current: by reading the store when this router leads, when another router tells
 /// of a copy that differs, and when nobody confirms the own ones.
 async fn poll(core: Arc<Core>) {
@@ -89,6 +113,7 @@
             () = time::sleep(Duration::from_millis(wait_ms)) => false,
             () = core.news.notified() => true,
         };
+        log_turns(&core);
         let now = core.now();
         if !had_news && poller.wait_ms(last) > 0 {
             continue;
@@ -163,11 +188,11 @@
         let copies = match copies::fetch(address).await {
             Ok(copies) => copies,
             Err(error) => {
-                info!(self.core.log, "copies not had"; "router" => %address, "error" => %error);
+                info!(self.core.log, "{}", event::COPIES_NOT_HAD; "router" => %address, "error" => %error);
                 return;
             }
         };
-        info!(self.core.log, "copies had from a router"; "router" => %address,
+        info!(self.core.log, "{}", event::COPIES_HAD; "router" => %address,
             "configuration_age_ms" => copies.configuration_age_ms,
             "servers_age_ms" => copies.servers_age_ms);
         if let Some(object) = copies.configuration {
@@ -185,16 +210,16 @@
         }
         let age_ms = self.core.state().contact.age_ms(self.core.now());
         if is_up {
-            info!(self.core.log, "store regained");
+            info!(self.core.log, "{}", event::STORE_REGAINED);
         } else {
-            warn!(self.core.log, "store lost"; "contact_age_ms" => age_ms);
+            warn!(self.core.log, "{}", event::STORE_LOST; "contact_age_ms" => age_ms);
         }
     }
 
     fn failed(&self, call: &'static str, error: &StoreError) {
         count(&self.core.metrics.store_failures, call);
         if self.is_up {
-            warn!(self.core.log, "store call failed"; "call" => call, "error" => %error);
+            warn!(self.core.log, "{}", event::STORE_CALL_FAILED; "call" => call, "error" => %error);
         }
     }
 
@@ -252,12 +277,16 @@
         for item in news {
             match item {
                 FleetNews::Appeared(id) => {
-                    info!(self.core.log, "server appeared"; "server" => &*id);
+                    info!(self.core.log, "{}", event::SERVER_APPEARED; "server" => &*id);
+                }
+                FleetNews::Draining(id) => {
+                    info!(self.core.log, "{}", event::SERVER_DRAINS; "server" => &*id)
+                }
+                FleetNews::Gone(id) => {
+                    info!(self.core.log, "{}", event::SERVER_GONE; "server" => &*id)
                 }
-                FleetNews::Draining(id) => info!(self.core.log, "server drains"; "server" => &*id),
-                FleetNews::Gone(id) => info!(self.core.log, "server gone"; "server" => &*id),
                 FleetNews::Restarted(id) => {
-                    info!(self.core.log, "server restarted"; "server" => &*id);
+                    info!(self.core.log, "{}", event::SERVER_RESTARTED; "server" => &*id);
                 }
             }
         }
@@ -300,9 +329,9 @@
             None => self.core.store.create(Kind::Routers, own, &spec).await,
         };
         match written {
-            Ok(Written::Done) => info!(self.core.log, "registered"; "name" => own),
+            Ok(Written::Done) => info!(self.core.log, "{}", event::REGISTERED; "name" => own),
             // The next read shows what stands there.
-            Ok(other) => info!(self.core.log, "not registered yet"; "answer" => ?other),
+            Ok(other) => info!(self.core.log, "{}", event::NOT_REGISTERED; "answer" => ?other),
             Err(error) => self.failed("register", &error),
         }
     }
@@ -324,7 +353,7 @@
             let router = match known {
                 Some(router) => OtherRouter { revision: object.revision, ..router },
                 None => {
-                    info!(self.core.log, "router appeared"; "router" => %name,
+                    info!(self.core.log, "{}", event::ROUTER_APPEARED; "router" => %name,
                         "address" => %address);
                     let revision = object.revision;
                     OtherRouter { address, admin, revision, report: None, known_since: now }
@@ -333,7 +362,7 @@
             state.routers.insert(name, router);
         }
         for name in routers.keys() {
-            info!(self.core.log, "router gone"; "router" => %name);
+            info!(self.core.log, "{}", event::ROUTER_GONE; "router" => %name);
         }
         let names: Vec<InstanceName> = state.routers.keys().cloned().collect();
         state.quotas.set_routers(&names, now);
@@ -348,7 +377,7 @@
     async fn remove_router(&self, name: &InstanceName, revision: u64) {
         match self.core.store.remove(Kind::Routers, name.as_str(), revision).await {
             Ok(answer) => {
-                info!(self.core.log, "silent router removed"; "router" => %name,
+                info!(self.core.log, "{}", event::ROUTER_REMOVED; "router" => %name,
                     "answer" => ?answer);
             }
             Err(error) => self.failed("remove_router", &error),
@@ -411,7 +440,7 @@
     if known == Some(generation) {
         return;
     }
-    info!(core.log, "configuration adopted"; "generation" => generation,
+    info!(core.log, "{}", event::CONFIGURATION_ADOPTED; "generation" => generation,
         "before" => known, "routes" => configuration.routes.len(),
         "services" => configuration.services.len(), "teams" => configuration.teams.len(),
         "read_age_ms" => now.ms_since(began));
@@ -446,6 +475,6 @@
         state.unreadable.clear();
     }
     if state.unreadable.insert(format!("{name}: {error}")) {
-        warn!(core.log, "entry left out"; "entry" => name, "error" => %error);
+        warn!(core.log, "{}", event::ENTRY_LEFT_OUT; "entry" => name, "error" => %error);
     }
 }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -13,6 +13,7 @@
     Changes, Kind, Object, StoreError, Written, objects::Change, weights,
 };
 use samphirespread_core::prelude::*;
+use samphirespread_logging::event;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use slog::{info, warn};
@@ -75,7 +76,7 @@
             Err(error) => {
                 revision = None;
                 count(&core.metrics.store_failures, "weights");
-                info!(core.log, "weights not followed"; "error" => %error);
+                info!(core.log, "{}", event::WEIGHTS_NOT_FOLLOWED; "error" => %error);
                 time::sleep(Duration::from_millis(PAUSE_MS)).await;
             }
         }
@@ -134,7 +135,7 @@
         return;
     }
     core.state().learn_weights(&named.model, named.version, named_by);
-    info!(core.log, "weights named"; "model" => %named.model, "version" => named.version,
+    info!(core.log, "{}", event::WEIGHTS_NAMED; "model" => %named.model, "version" => named.version,
         "source" => "store", "age_ms" => core.now().ms_since(named_by));
     core.told.notify_one();
 }
@@ -146,7 +147,7 @@
         let record = match Record::deserialize(&object.spec) {
             Ok(record) => record,
             Err(error) => {
-                warn!(core.log, "rollout record left out"; "model" => &object.name,
+                warn!(core.log, "{}", event::RECORD_LEFT_OUT; "model" => &object.name,
                     "error" => %error);
                 continue;
             }
@@ -156,7 +157,7 @@
             let age_ms = now_unix_ms.saturating_sub(recorded.named_unix_ms);
             let named_by = now.minus_ms(age_ms + CLOCK_TOLERANCE_MS);
             core.state().learn_weights(&model, recorded.version, named_by);
-            info!(core.log, "weights named"; "model" => %model, "version" => recorded.version,
+            info!(core.log, "{}", event::WEIGHTS_NAMED; "model" => %model, "version" => recorded.version,
                 "source" => "record", "age_ms" => age_ms);
         }
     }
@@ -177,7 +178,7 @@
                 Ok(_) => {}
                 Err(error) => {
                     count(&core.metrics.store_failures, "record");
-                    info!(core.log, "rollout not recorded"; "model" => %model,
+                    info!(core.log, "{}", event::ROLLOUT_NOT_RECORDED; "model" => %model,
                         "version" => newest, "error" => %error);
                 }
             }
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -15,12 +15,20 @@
 //! A thread of its own writes them. When it can't keep up, lines are dropped and the number
 //! dropped is logged, so that a slow terminal never delays a request. The last lines are
 //! written when the last clone of the logger is dropped.
+//!
+//! Each event has a budget of lines, so that a flood of one hides no other; what is over it is
+//! counted and told in a line of its own.
+
+mod budget;
+pub mod event;
 
 use std::{io, sync::Mutex};
 
 use samphirespread_settings::{LogFormat, LogLevel, LogSettings};
 use slog::{Drain, Level, Logger, o};
 
+use crate::budget::Budget;
+
 /// Names of the fields that several crates log.
 pub mod key {
     /// The text form of a request's id.
@@ -59,6 +67,7 @@
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
     let drain = slog_async::Async::new(drain).chan_size(QUEUE_LINES).build();
+    let drain = Budget::new(drain.fuse());
     Logger::root(drain.filter_level(level).fuse(), o!())
 }
 
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -4,9 +4,10 @@
 
 use clap::Parser;
 use samphirespread_adapter::SETTINGS_VARIABLE;
+use samphirespread_logging::event;
 use samphirespread_settings::SidecarSettings;
 use samphirespread_sidecar::Sidecar;
-use slog::error;
+use slog::{Logger, error, info, warn};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
@@ -60,6 +61,7 @@
     };
     let shutdown = CancellationToken::new();
     tokio::spawn(cancel_on_signal(shutdown.clone()));
+    tokio::spawn(check_on_hang_up(path, log));
     sidecar.run(shutdown).await;
     ExitCode::SUCCESS
 }
@@ -77,6 +79,17 @@
     shutdown.cancel();
 }
 
+/// Checks the settings on SIGHUP. They name addresses only, which hold until the next start.
+async fn check_on_hang_up(path: PathBuf, log: Logger) {
+    let Ok(mut hang_up) = signal(SignalKind::hangup()) else { return };
+    while hang_up.recv().await.is_some() {
+        match read_settings(&path) {
+            Ok(_) => info!(log, "{}", event::SETTINGS_RELOADED; "in_force" => "at the next start"),
+            Err(message) => warn!(log, "{}", event::SETTINGS_REFUSED; "error" => message),
+        }
+    }
+}
+
 fn read_settings(path: &std::path::Path) -> Result<SidecarSettings, String> {
     let text =
         std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -13,6 +13,7 @@
     prelude::*,
     time::{Clock, fresh_incarnation},
 };
+use samphirespread_logging::event;
 use samphirespread_peer::{
     Datagram, EngineReport, EngineState, HeldWeights, LoadDirective, MAX_DATAGRAM_BYTES, decode,
     encode,
@@ -89,7 +90,7 @@
 
     /// Runs until `shutdown`.
     pub async fn run(self, shutdown: CancellationToken) {
-        info!(self.log, "started"; "instance" => &*self.settings.instance.name,
+        info!(self.log, "{}", event::STARTED; "instance" => &*self.settings.instance.name,
             "engine" => %self.settings.engine.address, "incarnation" => self.incarnation.0);
         let sidecar = Arc::new(self);
         tokio::select! {
@@ -97,7 +98,7 @@
             () = sidecar.follow_engine() => {}
             () = shutdown.cancelled() => {}
         }
-        info!(sidecar.log, "stopped"; "cause" => "signal");
+        info!(sidecar.log, "{}", event::STOPPED; "cause" => "signal");
     }
 
     /// Takes in what routers say.
@@ -107,7 +108,7 @@
             let (length, from) = match self.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
                 Err(error) => {
-                    warn!(self.log, "receiving failed"; "error" => %error);
+                    warn!(self.log, "{}", event::RECEIVING_FAILED; "error" => %error);
                     time::sleep(Duration::from_millis(PUSH_MS)).await;
                     continue;
                 }
@@ -116,16 +117,16 @@
                 Ok(Datagram::Directive(directive)) => {
                     let heard = self.lock().routers.directed(from, directive, self.clock.now());
                     if heard.is_new {
-                        info!(self.log, "router heard"; "address" => %from);
+                        info!(self.log, "{}", event::ROUTER_HEARD; "address" => %from);
                         self.push(&[from]).await;
                     }
                     if heard.has_work {
                         self.work.notify_one();
                     }
                 }
-                Ok(_) => warn!(self.log, "datagram of another role"; "from" => %from),
+                Ok(_) => warn!(self.log, "{}", event::DATAGRAM_MISPLACED; "from" => %from),
                 Err(error) => {
-                    warn!(self.log, "datagram left out"; "from" => %from, "error" => %error);
+                    warn!(self.log, "{}", event::DATAGRAM_LEFT_OUT; "from" => %from, "error" => %error);
                 }
             }
         }
@@ -143,7 +144,7 @@
                 Ok(report) => Some(state(report)),
                 Err(error) if failures >= FAILURES_UNTIL_GONE => {
                     if self.lock().state.is_some() {
-                        warn!(self.log, "engine lost"; "error" => %error, "failures" => failures);
+                        warn!(self.log, "{}", event::ENGINE_LOST; "error" => %error, "failures" => failures);
                     }
                     None
                 }
@@ -207,15 +208,15 @@
         };
         match engine.order(server_id, &order).await {
             Ok(answer @ (OrderAnswer::Accepted | OrderAnswer::AlreadyHolds)) => {
-                info!(self.log, "order given"; "model" => %load.model, "version" => load.version,
+                info!(self.log, "{}", event::ORDER_GIVEN; "model" => %load.model, "version" => load.version,
                     "after_orders" => report.orders_accepted, "answer" => ?answer);
             }
             Ok(answer) => {
-                warn!(self.log, "order refused"; "model" => %load.model, "version" => load.version,
+                warn!(self.log, "{}", event::ORDER_REFUSED; "model" => %load.model, "version" => load.version,
                     "after_orders" => report.orders_accepted, "answer" => ?answer);
             }
             Err(error) => {
-                warn!(self.log, "order without an answer"; "model" => %load.model,
+                warn!(self.log, "{}", event::ORDER_UNANSWERED; "model" => %load.model,
                     "version" => load.version, "after_orders" => report.orders_accepted,
                     "error" => %error);
             }
@@ -241,7 +242,7 @@
             _ => true,
         };
         if is_news {
-            info!(self.log, "engine changed"; "state" => ?state);
+            info!(self.log, "{}", event::ENGINE_CHANGED; "state" => ?state);
         }
         shared.state = state;
         is_news
@@ -265,7 +266,7 @@
         };
         for address in addresses {
             if let Err(error) = self.socket.send_to(&bytes, address).await {
-                warn!(self.log, "report not sent"; "to" => %address, "error" => %error);
+                warn!(self.log, "{}", event::REPORT_NOT_SENT; "to" => %address, "error" => %error);
             }
         }
     }
