--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -88,6 +88,15 @@
         })
     }
 
+    /// Where routers reach it, with the port that the kernel chose.
+    ///
+    /// # Panics
+    ///
+    /// Never: a bound socket has an address.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.socket.local_addr().expect("the socket is bound")
+    }
+
     /// Runs until `shutdown`.
     pub async fn run(self, shutdown: CancellationToken) {
         info!(self.log, "{}", event::STARTED; "instance" => &*self.settings.instance.name,
