Take a server that is gone off the list also where another router reads it

Cause: a router that relied on another one's reads took its own next read for the first after an outage and kept missing servers for two seconds; the mark of the list then equalled the reader's, so it never looked again. Ruled out: a reader that does not read (it saw the server gone after 0.23 s). An outage now counts from the last confirmation, and while missing servers are kept the copy stays unconfirmed. Test that failed first: a_router_that_does_not_read_itself_learns_that_a_server_is_gone.

--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -14,6 +14,7 @@
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
 use samphirespread_routing::{
+    freshness::Copy,
     model::{BackendServer, Standing},
     table::Table,
 };
@@ -103,7 +104,7 @@
 /// Keeps the copies current: by reading the store when this router leads, when another router tells
 /// of a copy that differs, and when nobody confirms the own ones.
 async fn poll(core: Arc<Core>) {
-    let mut poller = Poller { core, is_up: true, listed: None, missing_until: MonoTime::ZERO };
+    let mut poller = Poller { core, is_up: true, missing_until: MonoTime::ZERO };
     let mut round: u64 = 0;
     let mut last = None;
     loop {
@@ -131,8 +132,6 @@
 struct Poller {
     core: Arc<Core>,
     is_up: bool,
-    /// When the last successful read of the list of servers began.
-    listed: Option<MonoTime>,
     /// Until then servers that are missing on the list are kept.
     missing_until: MonoTime,
 }
@@ -254,7 +253,8 @@
             log_unreadable(&self.core, "server", error);
         }
         let outage_ms = 2 * self.core.settings.store.poll_ms + UNCONFIRMED_MS;
-        if self.listed.is_some_and(|listed| began.ms_since(listed) > outage_ms) {
+        let confirmed = self.core.state().reads.servers.confirmed();
+        if confirmed.is_some_and(|confirmed| began.ms_since(confirmed) > outage_ms) {
             self.missing_until = began.plus_ms(LAPSED_RETURN_MS);
         }
         self.take_server_objects(listing.objects, began);
@@ -267,11 +267,15 @@
         if state.reads.servers.confirmed() > Some(began) && state.reads.servers.mark() == mark {
             return;
         }
-        self.listed = Some(began);
         let keeps_missing = began < self.missing_until;
         let news = state.fleet.replace(entries, keeps_missing);
         state.has_fleet = true;
-        state.reads.servers.read(mark, began);
+        if keeps_missing {
+            // What is missing has to be looked at again, whatever others say of the list.
+            state.reads.servers = Copy::default();
+        } else {
+            state.reads.servers.read(mark, began);
+        }
         state.server_objects = Arc::new(objects);
         drop(state);
         for item in news {
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -117,8 +117,13 @@
 }
 
 pub(crate) fn settings(store: SocketAddr) -> GatewaySettings {
+    settings_of("r1", store)
+}
+
+/// The settings of the gateway with that name.
+pub(crate) fn settings_of(name: &str, store: SocketAddr) -> GatewaySettings {
     let text = format!(
-        "[instance]\nname = r1\nregion = khomas\nfailure_domain = khomas-1\n\
+        "[instance]\nname = {name}\nregion = khomas\nfailure_domain = khomas-1\n\
          [listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
          admin = 127.0.0.1:0\n\
          [store]\naddress = {store}\ntimeout_ms = 300\npoll_ms = 50\n\
