Leave out entries whose address another server has taken

Of entries with one address the latest start counts now, and a 421 that names another server is learnt. Tests that failed first: of_two_entries_with_one_address_the_later_start_counts, an_entry_whose_address_another_server_answers_is_left.

--- a/crates/gateway/src/conduct.rs
+++ b/crates/gateway/src/conduct.rs
@@ -25,15 +25,22 @@
     services
         .filter(|service| service.engine.is_some())
         .flat_map(|service| state.fleet.of_service(&service.name))
+        .filter(|server| !server.is_superseded)
 }
 
-/// Whether this router hears enough sidecars to conduct.
-pub(crate) fn can_conduct(state: &State, now: MonoTime) -> bool {
+/// Engines whose sidecars were heard lately, and all engines.
+pub(crate) fn heard_sidecars(state: &State, now: MonoTime) -> (usize, usize) {
     let (mut heard, mut all) = (0, 0);
     for server in engines(state) {
         all += 1;
         heard += usize::from(server.fresh_state(now).is_some());
     }
+    (heard, all)
+}
+
+/// Whether this router hears enough sidecars to conduct.
+pub(crate) fn can_conduct(state: &State, now: MonoTime) -> bool {
+    let (heard, all) = heard_sidecars(state, now);
     all > 0 && 2 * heard >= all && !state.is_draining
 }
 
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -37,6 +37,8 @@
     pub(crate) report: Option<Report>,
     /// Requests of other routers, from the load that it told with an answer, and when.
     pub(crate) foreign_load: (u32, MonoTime),
+    /// Whether another server answers at its address.
+    pub(crate) is_superseded: bool,
     parts: HashMap<u64, MonoTime>,
 }
 
@@ -60,6 +62,7 @@
             new_tokens: 0,
             report: None,
             foreign_load: (0, MonoTime::ZERO),
+            is_superseded: false,
             parts: HashMap::new(),
         }
     }
@@ -180,11 +183,22 @@
         self.by_service.clear();
         self.by_ip.clear();
         let mut ids: Vec<Arc<str>> = self.servers.keys().cloned().collect();
+        ids.sort_by_key(|id| (self.servers[id].entry.started_unix_ms, id.clone()));
+        let mut by_address = HashMap::new();
+        for id in &ids {
+            let entry = &self.servers[id].entry;
+            // Of several entries with one address, that of the latest start comes last and stays.
+            by_address.insert(entry.address, id.clone());
+            self.by_ip.insert(entry.address.ip(), id.clone());
+        }
         ids.sort();
         for id in ids {
-            let entry = &self.servers[&id].entry;
-            self.by_service.entry(entry.service.clone()).or_default().push(id.clone());
-            self.by_ip.insert(entry.address.ip(), id);
+            let Some(server) = self.servers.get_mut(&id) else { continue };
+            let answers = by_address.get(&server.entry.address);
+            if answers.is_some_and(|latest| *latest != id) {
+                server.is_superseded = true;
+            }
+            self.by_service.entry(server.entry.service.clone()).or_default().push(id);
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -162,7 +162,8 @@
     let port = core.addresses.peers.port();
     for (index, server) in (0_u64..).zip(conduct::engines(state)) {
         let grant = state.granted.get(&server.entry.id);
-        let is_due = (round + index) % REPORTS_A_DIRECTIVE == 0;
+        // A sidecar that was not heard yet is asked at once: its word goes before the list's.
+        let is_due = (round + index) % REPORTS_A_DIRECTIVE == 0 || server.report.is_none();
         if grant.is_none() && !is_due {
             continue;
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -364,6 +364,7 @@
             let step =
                 Step::SaidNotRun { server: selected.id.clone(), status: parts.status.as_u16() };
             self.story.step(self.core.now(), step);
+            self.learn_from_refusal(selected, &facts);
             return Ok(Sent::NotRun);
         }
         if parts.status.is_success() && !is_genuine(&facts, &parts.headers) {
@@ -422,6 +423,18 @@
         Sent::Failed("the server broke off")
     }
 
+    /// Leaves a server out for as long as its entry stands, if another one answers at its address.
+    fn learn_from_refusal(&self, selected: &Selected, facts: &AnswerFacts) {
+        let Some(answers) = facts.server_id.as_deref().filter(|id| **id != *selected.id) else {
+            return;
+        };
+        if let Some(server) = self.core.state().fleet.get_mut(&selected.id) {
+            server.is_superseded = true;
+        }
+        info!(self.core.log, "{}", event::SERVER_SUPERSEDED; "server" => &*selected.id,
+            "answers" => answers);
+    }
+
     fn log_avoided(&self, selected: &Selected, avoid_ms: u64, cause: &str) {
         if avoid_ms > 0 {
             info!(self.core.log, "{}", event::SERVER_AVOIDED; "server" => &*selected.id,
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -88,7 +88,8 @@
 
 fn is_eligible(server: &Server, tried: &[Arc<str>], now: MonoTime) -> bool {
     let is_loading = server.fresh_state(now).is_some_and(|state| state.is_loading);
-    server.entry.standing == Standing::Ready && !is_loading && !tried.contains(&server.entry.id)
+    let may_take = server.entry.standing == Standing::Ready && !server.is_superseded;
+    may_take && !is_loading && !tried.contains(&server.entry.id)
 }
 
 fn select_server(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,16 +21,21 @@
 };
 use samphirespread_settings::{BoundsSettings, GatewaySettings};
 
-use crate::{fleet::Fleet, reads::Reads};
+use crate::{conduct, fleet::Fleet, reads::Reads};
 
 /// Withheld from the bound on withdrawn keys: the way of a request to a backend server.
 const WITHDRAWAL_MARGIN_MS: u64 = 400;
 /// Routers that may start within one window of the quotas, whose first allowances the slack covers.
 const STARTS_A_WINDOW: f64 = 4.0;
 
+/// A router that starts waits this long for sidecars before it serves on the list's word alone.
+const SIDECARS_WAIT_MS: u64 = 700;
+
 /// Everything that a gateway believes.
 #[derive(Debug)]
 pub(crate) struct State {
+    /// When this process started.
+    started: MonoTime,
     /// What operators are promised.
     pub(crate) bounds: BoundsSettings,
     /// The configuration in force.
@@ -103,6 +108,7 @@
 impl State {
     pub(crate) fn new(settings: &GatewaySettings, now: MonoTime) -> Self {
         Self {
+            started: now,
             bounds: settings.bounds,
             table: None,
             was_in_touch: false,
@@ -128,9 +134,20 @@
     /// Whether callers should be sent here.
     pub(crate) fn is_ready(&self, now: MonoTime) -> bool {
         let knows_enough = self.table.is_some() && self.has_fleet;
+        if knows_enough && !self.hears_sidecars(now) {
+            return false;
+        }
         knows_enough && !self.is_draining && !self.contact.is_stale(now)
     }
 
+    /// Whether most sidecars have told of their engines, or have had the time to do so.
+    fn hears_sidecars(&self, now: MonoTime) -> bool {
+        now.ms_since(self.started) >= SIDECARS_WAIT_MS || {
+            let (heard, all) = conduct::heard_sidecars(self, now);
+            2 * heard >= all
+        }
+    }
+
     /// This router's part of the bound on repeats.
     ///
     /// The slack is halved, so that routers that restart and begin a new count stay inside it.
--- a/crates/gateway/tests/gateway/serving.rs
+++ b/crates/gateway/tests/gateway/serving.rs
@@ -263,3 +263,47 @@
     assert!(metrics.contains("samphirespread_requests_total{cause=\"served\"} 1"), "{metrics}");
     assert!(metrics.contains("samphirespread_first_event_seconds_bucket"));
 }
+
+/// A server crashed and runs anew under another id, while its old entry has not lapsed yet.
+#[tokio::test]
+async fn of_two_entries_with_one_address_the_later_start_counts() {
+    let site = start_site(configuration()).await;
+    let mut old = site.workers[0].entry("ready");
+    old["born"] = json!(0);
+    site.store.put("servers", "d0", old);
+    eventually(|| {
+        let appeared = |line: &serde_json::Value| line["msg"] == "server appeared";
+        site.gateway.log.lines().into_iter().find(|line| appeared(line) && line["server"] == "d0")
+    })
+    .await;
+
+    for number in 0..12 {
+        let answer = site.send(call("/issue/a", &format!("q{number}"))).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+
+    let received: usize = site.workers.iter().map(|worker| worker.received().len()).sum();
+    assert_eq!((site.ran(), received), (12, 12));
+}
+
+/// The new run has not registered yet.
+#[tokio::test]
+async fn an_entry_whose_address_another_server_answers_is_left() {
+    let site = start_site(configuration()).await;
+    let stale = site.workers[0].entry("ready");
+    site.store.remove("servers", "d1");
+    site.store.put("servers", "d0", stale);
+    eventually(|| {
+        let gone = |line: &serde_json::Value| line["msg"] == "server gone";
+        site.gateway.log.lines().into_iter().find(|line| gone(line) && line["server"] == "d1")
+    })
+    .await;
+
+    for number in 0..12 {
+        let answer = site.send(call("/issue/a", &format!("q{number}"))).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+
+    assert!(site.workers[0].received().len() <= 1, "{}", site.workers[0].received().len());
+    assert_eq!(site.workers[1].ran(), 12);
+}
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -45,6 +45,7 @@
     SERVER_DRAINS, "server drains", "A backend server leaves; it gets no new requests", "server";
     SERVER_GONE, "server gone", "A backend server is no longer on the list", "server";
     SERVER_RESTARTED, "server restarted", "A backend server runs anew under its id", "server";
+    SERVER_SUPERSEDED, "server superseded", "Another server answers at the address of an entry, which is left out", "server, answers";
     SERVER_AVOIDED, "server avoided", "A backend server is avoided after failures", "server, for_ms, cause";
     SERVER_TRUSTED, "server trusted again", "A backend server answered after failures", "server";
     STORE_LOST, "store lost", "The store does not answer this process", "contact_age_ms";
--- a/crates/standin/src/published/worker.rs
+++ b/crates/standin/src/published/worker.rs
@@ -25,6 +25,7 @@
 const EXPECT_SERVER: &str = "x-samphirespread-expect-instance";
 const EXPECT_VERSION: &str = "x-samphirespread-expect-version";
 const SEAL: &str = "x-samphirespread-response-seal";
+const SERVER_ID: &str = "x-samphirespread-instance-id";
 const NOT_RUN: &str = "x-samphirespread-not-executed";
 /// Events of a whole stream.
 pub(crate) const STREAM_EVENTS: u64 = 5;
@@ -231,7 +232,10 @@
     received.ran = behaviour.is_some_and(|behaviour| behaviour != Behaviour::Refuse);
     inner.lock().received.push(received.clone());
     match behaviour {
-        None => (StatusCode::MISDIRECTED_REQUEST, [(NOT_RUN, "1")]).into_response(),
+        None => {
+            let headers = [(NOT_RUN, "1".to_owned()), (SERVER_ID, inner.config.id.clone())];
+            (StatusCode::MISDIRECTED_REQUEST, headers).into_response()
+        }
         Some(behaviour) => treat(&received, behaviour).await,
     }
 }
