--- a/crates/explain/src/groups.rs
+++ b/crates/explain/src/groups.rs
@@ -15,7 +15,7 @@
         group.0 += 1;
     }
     let mut rows: Vec<_> = groups.into_iter().collect();
-    rows.sort_by(|a, b| b.1.0.cmp(&a.1.0));
+    rows.sort_by_key(|(_, (count, _))| std::cmp::Reverse(*count));
     let mut text = String::from("requests  outcome      cause                     for example\n");
     for ((outcome, cause), (count, example)) in rows {
         // Writing to a string does not fail.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use samphirespread_adapter::headers::{self, RequestFacts};
 use samphirespread_core::prelude::*;
-use samphirespread_routing::model::RouteKind;
+use samphirespread_routing::{model::RouteKind, quota::OverQuota};
 use tokio::{sync::mpsc, time};
 
 use crate::{
@@ -81,9 +81,11 @@
         }
     };
     if let Err(over) = charge(core, &grant) {
-        let end = End::NotRun { reason: NotRun::OverQuota, retry_after_ms: over };
+        story.over_quota(over.level, grant.team.as_ref().map_or(0.0, |team| team.cost));
+        let retry_after_ms = over.retry_after_ms;
+        let end = End::NotRun { reason: NotRun::OverQuota, retry_after_ms };
         end_story(core, &mut story, &end, false);
-        return answers::naming(answers::not_run(NotRun::OverQuota, over), id.as_deref());
+        return answers::naming(answers::not_run(NotRun::OverQuota, retry_after_ms), id.as_deref());
     }
     let run = Run::new(core.clone(), grant, facts, parts, body, arrival, deadline, story);
     let response = serve(run).await;
@@ -106,10 +108,10 @@
     core.metrics.contact_age_s.observe(metrics::seconds(age_ms));
     let path = parts.uri.path();
     let key = facts.key.as_deref();
+    let generation = table.as_ref().map_or(0, |table| table.configuration().generation);
+    story.rests_on(generation, age_ms);
     let grant = access::check(table.as_ref(), is_stale, host, path, key, facts.tokens)?;
-    let generation = grant.table.configuration().generation;
-    let team = grant.team.as_ref().map(|team| &team.name);
-    story.granted(&grant.route.name, team, generation, age_ms);
+    story.granted(&grant.route.name, grant.team.as_ref().map(|team| &team.name));
     Ok(grant)
 }
 
@@ -142,14 +144,14 @@
 }
 
 /// Charges the team's quota, or says when to come back.
-fn charge(core: &Core, grant: &Grant) -> Result<(), u64> {
+fn charge(core: &Core, grant: &Grant) -> Result<(), OverQuota> {
     let now = core.now();
     let mut state = core.state();
     for upstream in &grant.route.upstreams {
         state.retries.entry(upstream.service.clone()).or_default().count_request(now);
     }
     let Some(team) = &grant.team else { return Ok(()) };
-    state.quotas.admit(&team.name, team.cost, now).map_err(|over| over.retry_after_ms)
+    state.quotas.admit(&team.name, team.cost, now)
 }
 
 async fn serve(mut run: Run) -> Response<Outgoing> {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -163,7 +163,7 @@
     for (index, server) in (0_u64..).zip(conduct::engines(state)) {
         let grant = state.granted.get(&server.entry.id);
         // A sidecar that was not heard yet is asked at once: its word goes before the list's.
-        let is_due = (round + index) % REPORTS_A_DIRECTIVE == 0 || server.report.is_none();
+        let is_due = (round + index).is_multiple_of(REPORTS_A_DIRECTIVE) || server.report.is_none();
         if grant.is_none() && !is_due {
             continue;
         }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -10,7 +10,7 @@
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
 use samphirespread_outbound::{Connection, IdleLimits, SendError};
-use samphirespread_routing::model::{RouteKind, Service};
+use samphirespread_routing::model::{Generation, RouteKind, Service};
 use slog::info;
 use tokio::time;
 
@@ -279,7 +279,7 @@
     }
 
     async fn send(&mut self, selected: &Selected, last_event_id: Option<u64>) -> Sent {
-        let footprint = self.facts.generation.as_ref().map_or(0, |work| work.footprint_tokens());
+        let footprint = self.facts.generation.as_ref().map_or(0, Generation::footprint_tokens);
         let lease = Lease::take(&self.core, selected, footprint);
         self.tried.push(selected.id.clone());
         let rested = self.rested_connection(selected);
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -68,6 +68,8 @@
     server: Option<Arc<str>>,
     version: Option<u64>,
     first_event: Option<MonoTime>,
+    /// What the team's bucket held and the request costs, where that led to a refusal.
+    over_quota: Option<(f64, f64)>,
     steps: Vec<(MonoTime, Step)>,
     steps_left_out: usize,
     is_ended: bool,
@@ -86,25 +88,24 @@
             server: None,
             version: None,
             first_event: None,
+            over_quota: None,
             steps: Vec::new(),
             steps_left_out: 0,
             is_ended: false,
         }
     }
 
-    pub(crate) fn granted(
-        &mut self,
-        route: &Arc<str>,
-        team: Option<&TeamName>,
-        generation: u64,
-        contact_age_ms: u64,
-    ) {
-        self.route = Some(route.clone());
-        self.team = team.cloned();
+    /// Notes what the decision on the request rests on.
+    pub(crate) fn rests_on(&mut self, generation: u64, contact_age_ms: u64) {
         self.generation = generation;
         self.contact_age_ms = contact_age_ms;
     }
 
+    pub(crate) fn granted(&mut self, route: &Arc<str>, team: Option<&TeamName>) {
+        self.route = Some(route.clone());
+        self.team = team.cloned();
+    }
+
     pub(crate) fn step(&mut self, at: MonoTime, step: Step) {
         if let Step::Chose { server, version, .. } = &step {
             self.server = Some(server.clone());
@@ -121,6 +122,11 @@
         self.first_event.get_or_insert(at);
     }
 
+    /// Notes why the quota did not let the request in.
+    pub(crate) fn over_quota(&mut self, level: f64, cost: f64) {
+        self.over_quota = Some((level, cost));
+    }
+
     /// Time from the request to its first event.
     pub(crate) fn first_event_ms(&self) -> Option<u64> {
         self.first_event.map(|at| at.ms_since(self.began))
@@ -156,6 +162,8 @@
             "server" => self.server.as_deref(), "version" => self.version,
             "generation" => self.generation, "contact_age_ms" => self.contact_age_ms,
             "first_event_ms" => self.first_event_ms(), "took_ms" => took_ms, "late" => is_late,
+            "quota_level" => self.over_quota.map(|(level, _)| level.round()),
+            "quota_cost" => self.over_quota.map(|(_, cost)| cost),
             "steps" => self.steps.len() + self.steps_left_out);
     }
 
@@ -178,7 +186,7 @@
                     "server" => &**server, "candidates" => candidates, "near" => near,
                     "newest" => newest, "version" => version, "expected_ms" => first_event_ms,
                     "cost_ms" => cost_ms, "report_age_ms" => report_age_ms,
-                    "list_age_ms" => list_age_ms)
+                    "list_age_ms" => list_age_ms);
                 }
                 Step::NoConnection { server, error, avoid_ms } => {
                     warn!(self.log, "{}", event::NO_CONNECTION; "request" => &self.id, "at_ms" => at_ms,
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -123,7 +123,7 @@
             time::sleep(Duration::from_millis(NEWS_PAUSE_MS)).await;
         }
         last = Some(now);
-        let reads_routers = had_news || round % ROUNDS_A_ROUTERS_READ == 0;
+        let reads_routers = had_news || round.is_multiple_of(ROUNDS_A_ROUTERS_READ);
         poller.read(reads_routers).await;
         round += 1;
     }
@@ -284,10 +284,10 @@
                     info!(self.core.log, "{}", event::SERVER_APPEARED; "server" => &*id);
                 }
                 FleetNews::Draining(id) => {
-                    info!(self.core.log, "{}", event::SERVER_DRAINS; "server" => &*id)
+                    info!(self.core.log, "{}", event::SERVER_DRAINS; "server" => &*id);
                 }
                 FleetNews::Gone(id) => {
-                    info!(self.core.log, "{}", event::SERVER_GONE; "server" => &*id)
+                    info!(self.core.log, "{}", event::SERVER_GONE; "server" => &*id);
                 }
                 FleetNews::Restarted(id) => {
                     info!(self.core.log, "{}", event::SERVER_RESTARTED; "server" => &*id);
--- a/crates/gateway/tests/gateway/serving.rs
+++ b/crates/gateway/tests/gateway/serving.rs
@@ -1,7 +1,7 @@
 //! Requests through a real gateway to stand-ins of backend servers, with their failures.
 
 use http::StatusCode;
-use samphirespread_standin::published::Behaviour;
+use samphirespread_standin::published::{Behaviour, Worker};
 use serde_json::json;
 
 use crate::support::{
@@ -19,7 +19,7 @@
 
     assert_eq!((answer.status, answer.body.as_str()), (StatusCode::OK, "answered"));
     assert!(answer.headers.contains_key("x-samphirespread-response-seal"));
-    let received: Vec<_> = site.workers.iter().flat_map(|worker| worker.received()).collect();
+    let received: Vec<_> = site.workers.iter().flat_map(Worker::received).collect();
     assert_eq!(received.len(), 1);
     assert_eq!(received[0].uri, "/lookup/a?b=c");
     assert_eq!(received[0].body, "a call");
--- a/crates/routing/tests/quota.rs
+++ b/crates/routing/tests/quota.rs
@@ -158,7 +158,7 @@
         let now_ms = 1_000 + step * STEP_MS;
         disturb(&mut fleet, now_ms, &mut random);
         fleet.deliver(now_ms);
-        if now_ms % REPORT_MS == 0 {
+        if now_ms.is_multiple_of(REPORT_MS) {
             fleet.report(now_ms, &mut random);
         }
         let mut asks = chance;
@@ -202,7 +202,7 @@
 fn routers_that_are_cut_off_admit_no_more_in_sum() {
     for seed in 0..10 {
         let fleet = play(seed, 5.0, |fleet, now_ms, random| {
-            if now_ms % 4_000 == 0 {
+            if now_ms.is_multiple_of(4_000) {
                 fleet.cut = (0..5).map(|_| random.random_bool(0.4)).collect();
             }
         });
@@ -215,9 +215,9 @@
 fn routers_that_restart_one_by_one_or_in_a_herd_admit_no_more_in_sum() {
     for seed in 0..10 {
         let fleet = play(seed, 5.0, |fleet, now_ms, random| {
-            if now_ms % 9_000 == 0 {
+            if now_ms.is_multiple_of(9_000) {
                 (0..5).for_each(|index| fleet.restart(index, now_ms));
-            } else if now_ms % 2_000 == 0 {
+            } else if now_ms.is_multiple_of(2_000) {
                 fleet.restart(random.random_range(0..5), now_ms);
             }
         });
--- a/crates/standin/src/published/objects.rs
+++ b/crates/standin/src/published/objects.rs
@@ -94,8 +94,8 @@
     }
 
     /// Puts an object there, as its writer would.
-    pub fn put(&self, kind: &str, name: &str, spec: Value) {
-        self.inner.lock().put(kind, name, spec);
+    pub fn put(&self, kind: &str, name: &str, spec: impl Into<Value>) {
+        self.inner.lock().put(kind, name, &spec.into());
         self.inner.tell();
     }
 
@@ -146,9 +146,9 @@
 }
 
 impl Objects {
-    fn put(&mut self, kind: &str, name: &str, spec: Value) -> Value {
+    fn put(&mut self, kind: &str, name: &str, spec: &Value) -> Value {
         let known = self.kinds.get(kind).and_then(|objects| objects.get(name));
-        if let Some(object) = known.filter(|object| object["spec"] == spec) {
+        if let Some(object) = known.filter(|object| object["spec"] == *spec) {
             return object.clone();
         }
         let created = known.map_or(self.revision + 1, |object| {
@@ -162,18 +162,18 @@
             "status": null,
         });
         self.kinds.entry(kind.to_owned()).or_default().insert(name.to_owned(), object.clone());
-        self.note(kind, false, object.clone());
+        self.note(kind, false, &object);
         object
     }
 
     fn remove(&mut self, kind: &str, name: &str) -> Option<Value> {
         let object = self.kinds.get_mut(kind)?.remove(name)?;
         self.revision += 1;
-        self.note(kind, true, object.clone());
+        self.note(kind, true, &object);
         Some(object)
     }
 
-    fn note(&mut self, kind: &str, deleted: bool, object: Value) {
+    fn note(&mut self, kind: &str, deleted: bool, object: &Value) {
         let event = json!({ "deleted": deleted, "object": object });
         self.history.push((self.revision, kind.to_owned(), event));
     }
@@ -276,7 +276,7 @@
         if objects.revision_of(&kind, name).is_some() {
             return StatusCode::CONFLICT.into_response();
         }
-        let object = objects.put(&kind, name, body["spec"].clone());
+        let object = objects.put(&kind, name, &body["spec"]);
         objects.written(StatusCode::CREATED, object)
     };
     inner.tell();
@@ -300,7 +300,7 @@
         if expected.is_some_and(|expected| expected != revision) {
             return StatusCode::CONFLICT.into_response();
         }
-        let object = objects.put(&kind, &name, body["spec"].clone());
+        let object = objects.put(&kind, &name, &body["spec"]);
         objects.written(StatusCode::OK, object)
     };
     inner.tell();
