Log and count requests whose caller left before an answer

Cause: hyper drops the request when its connection closes, and its story was dropped with it without a line. Test: a_caller_that_leaves_takes_its_request_with_it.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -16,7 +16,7 @@
     answers::{self, NotRun},
     body::Outgoing,
     gateway::Core,
-    metrics::{self, count},
+    metrics,
     relay::relay,
     run::{Attempt, Live, Run},
     story::{End, Story},
@@ -53,18 +53,18 @@
     let facts = match headers::request_facts(&parts.headers) {
         Ok(facts) => facts,
         Err(error) => {
-            let mut story = Story::new(&core.log, "-", arrival);
+            let mut story = Story::new(core, "-", arrival);
             let end = End::Denied { status: 400, cause: "unreadable header" };
-            end_story(core, &mut story, &end, false);
+            story.end(&end, false);
             return answers::plain(StatusCode::BAD_REQUEST, &error.to_string());
         }
     };
     let id = facts.id.clone();
-    let mut story = Story::new(&core.log, id.as_deref().unwrap_or("-"), arrival);
+    let mut story = Story::new(core, id.as_deref().unwrap_or("-"), arrival);
     let grant = match grant(core, &parts, &facts, &mut story) {
         Ok(grant) => grant,
         Err(denied) => {
-            let response = deny(core, &mut story, denied);
+            let response = deny(&mut story, denied);
             return answers::naming(response, id.as_deref());
         }
     };
@@ -76,7 +76,7 @@
         Ok(body) => body,
         Err(status) => {
             let end = End::Denied { status: status.as_u16(), cause: "body" };
-            end_story(core, &mut story, &end, false);
+            story.end(&end, false);
             return answers::naming(answers::plain(status, "body"), id.as_deref());
         }
     };
@@ -84,7 +84,7 @@
         story.over_quota(over.level, grant.team.as_ref().map_or(0.0, |team| team.cost));
         let retry_after_ms = over.retry_after_ms;
         let end = End::NotRun { reason: NotRun::OverQuota, retry_after_ms };
-        end_story(core, &mut story, &end, false);
+        story.end(&end, false);
         return answers::naming(answers::not_run(NotRun::OverQuota, retry_after_ms), id.as_deref());
     }
     let run = Run::new(core.clone(), grant, facts, parts, body, arrival, deadline, story);
@@ -115,11 +115,11 @@
     Ok(grant)
 }
 
-fn deny(core: &Core, story: &mut Story, denied: Denied) -> Response<Outgoing> {
+fn deny(story: &mut Story, denied: Denied) -> Response<Outgoing> {
     match denied {
         Denied::Wrong(status) => {
             let cause = if status == StatusCode::NOT_FOUND { "no route" } else { "key" };
-            end_story(core, story, &End::Denied { status: status.as_u16(), cause }, false);
+            story.end(&End::Denied { status: status.as_u16(), cause }, false);
             answers::plain(status, cause)
         }
         Denied::Later(reason) => {
@@ -127,7 +127,7 @@
                 NotRun::Starting => STARTING_RETRY_AFTER_MS,
                 _ => OUT_OF_TOUCH_RETRY_AFTER_MS,
             };
-            end_story(core, story, &End::NotRun { reason, retry_after_ms }, false);
+            story.end(&End::NotRun { reason, retry_after_ms }, false);
             answers::not_run(reason, retry_after_ms)
         }
     }
@@ -230,23 +230,5 @@
 pub(crate) fn finish(run: &mut Run, end: &End) {
     let target_ms = run.grant.route.target_ms;
     let is_late = run.story.first_event_ms().is_some_and(|ms| ms > target_ms);
-    let core = run.core.clone();
-    end_story(&core, &mut run.story, end, is_late);
-}
-
-fn end_story(core: &Core, story: &mut Story, end: &End, is_late: bool) {
-    let cause = match end {
-        End::Served { .. } if is_late => "served_late",
-        End::Served { .. } => "served",
-        End::Denied { .. } => "denied",
-        End::NotRun { reason, .. } => {
-            count(&core.metrics.not_run, reason.name());
-            "not_run"
-        }
-        End::Unknown { .. } => "unknown",
-        End::CallerGone => "caller_gone",
-        End::Cut { .. } => "cut",
-    };
-    count(&core.metrics.ended, cause);
-    story.end(core.now(), end, is_late);
+    run.story.end(end, is_late);
 }
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -4,9 +4,9 @@
 
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
-use slog::{Logger, info, warn};
+use slog::{info, warn};
 
-use crate::answers::NotRun;
+use crate::{answers::NotRun, gateway::Core, metrics::count};
 
 /// Steps kept of one request; later ones are counted only.
 const MAX_STEPS: usize = 24;
@@ -58,7 +58,7 @@
 /// The log of one request.
 #[derive(Debug)]
 pub(crate) struct Story {
-    log: Logger,
+    core: Arc<Core>,
     id: String,
     route: Option<Arc<str>>,
     team: Option<TeamName>,
@@ -76,9 +76,9 @@
 }
 
 impl Story {
-    pub(crate) fn new(log: &Logger, id: &str, began: MonoTime) -> Self {
+    pub(crate) fn new(core: &Arc<Core>, id: &str, began: MonoTime) -> Self {
         Self {
-            log: log.clone(),
+            core: core.clone(),
             id: id.to_owned(),
             route: None,
             team: None,
@@ -132,11 +132,13 @@
         self.first_event.map(|at| at.ms_since(self.began))
     }
 
-    /// Writes the log of the request.
-    pub(crate) fn end(&mut self, now: MonoTime, end: &End, is_late: bool) {
+    /// Writes the end of the request to log and metrics.
+    pub(crate) fn end(&mut self, end: &End, is_late: bool) {
         if std::mem::replace(&mut self.is_ended, true) {
             return;
         }
+        let now = self.core.now();
+        self.count(end, is_late);
         let is_calm = matches!(end, End::Served { .. }) && self.steps.len() <= 1 && !is_late;
         if !is_calm {
             self.write_steps();
@@ -144,6 +146,23 @@
         self.write_end(now, end, is_late);
     }
 
+    fn count(&self, end: &End, is_late: bool) {
+        let metrics = &self.core.metrics;
+        let cause = match end {
+            End::Served { .. } if is_late => "served_late",
+            End::Served { .. } => "served",
+            End::Denied { .. } => "denied",
+            End::NotRun { reason, .. } => {
+                count(&metrics.not_run, reason.name());
+                "not_run"
+            }
+            End::Unknown { .. } => "unknown",
+            End::CallerGone => "caller_gone",
+            End::Cut { .. } => "cut",
+        };
+        count(&metrics.ended, cause);
+    }
+
     fn write_end(&self, now: MonoTime, end: &End, is_late: bool) {
         let took_ms = now.ms_since(self.began);
         let (outcome, detail, status, retry_after_ms) = match end {
@@ -156,7 +175,7 @@
             End::CallerGone => ("caller_gone", "", 0, None),
             End::Cut { cause } => ("cut", *cause, 0, None),
         };
-        info!(self.log, "{}", event::REQUEST_ENDED; "request" => &self.id, "outcome" => outcome,
+        info!(self.core.log, "{}", event::REQUEST_ENDED; "request" => &self.id, "outcome" => outcome,
             "cause" => detail, "status" => status, "retry_after_ms" => retry_after_ms,
             "route" => self.route.as_deref(), "team" => self.team.as_ref().map(TeamName::as_str),
             "server" => self.server.as_deref(), "version" => self.version,
@@ -182,33 +201,40 @@
                     report_age_ms,
                     list_age_ms,
                 } => {
-                    info!(self.log, "{}", event::SERVER_CHOSEN; "request" => &self.id, "at_ms" => at_ms,
+                    info!(self.core.log, "{}", event::SERVER_CHOSEN; "request" => &self.id, "at_ms" => at_ms,
                     "server" => &**server, "candidates" => candidates, "near" => near,
                     "newest" => newest, "version" => version, "expected_ms" => first_event_ms,
                     "cost_ms" => cost_ms, "report_age_ms" => report_age_ms,
                     "list_age_ms" => list_age_ms);
                 }
                 Step::NoConnection { server, error, avoid_ms } => {
-                    warn!(self.log, "{}", event::NO_CONNECTION; "request" => &self.id, "at_ms" => at_ms,
+                    warn!(self.core.log, "{}", event::NO_CONNECTION; "request" => &self.id, "at_ms" => at_ms,
                         "server" => &**server, "error" => error, "avoid_ms" => avoid_ms);
                 }
                 Step::SaidNotRun { server, status } => {
-                    info!(self.log, "{}", event::SERVER_REFUSED; "request" => &self.id, "at_ms" => at_ms,
+                    info!(self.core.log, "{}", event::SERVER_REFUSED; "request" => &self.id, "at_ms" => at_ms,
                         "server" => &**server, "status" => status);
                 }
                 Step::Failed { server, cause, may_repeat } => {
-                    warn!(self.log, "{}", event::SERVER_FAILED; "request" => &self.id, "at_ms" => at_ms,
+                    warn!(self.core.log, "{}", event::SERVER_FAILED; "request" => &self.id, "at_ms" => at_ms,
                         "server" => &**server, "cause" => cause, "may_repeat" => may_repeat);
                 }
                 Step::BudgetSpent { slack } => {
-                    info!(self.log, "{}", event::BUDGET_SPENT; "request" => &self.id,
+                    info!(self.core.log, "{}", event::BUDGET_SPENT; "request" => &self.id,
                         "at_ms" => at_ms, "slack" => slack);
                 }
                 Step::Resumes { after } => {
-                    info!(self.log, "{}", event::STREAM_RESUMES; "request" => &self.id, "at_ms" => at_ms,
+                    info!(self.core.log, "{}", event::STREAM_RESUMES; "request" => &self.id, "at_ms" => at_ms,
                         "after_event" => after);
                 }
             }
         }
     }
 }
+
+impl Drop for Story {
+    /// A request that is dropped before its end is one whose caller closed the connection.
+    fn drop(&mut self) {
+        self.end(&End::CallerGone, false);
+    }
+}
--- a/crates/gateway/tests/gateway/serving.rs
+++ b/crates/gateway/tests/gateway/serving.rs
@@ -307,3 +307,20 @@
     assert!(site.workers[0].received().len() <= 1, "{}", site.workers[0].received().len());
     assert_eq!(site.workers[1].ran(), 12);
 }
+
+/// Work that nobody waits for any more.
+#[tokio::test]
+async fn a_caller_that_leaves_takes_its_request_with_it() {
+    let site = start_site(configuration()).await;
+    let slow = Behaviour::AnswerAfterMs(10_000);
+    site.workers.iter().for_each(|worker| worker.expect([slow]));
+    let callers = site.gateway.addresses.callers;
+    let caller = tokio::spawn(async move { send(callers, call("/lookup/a", "q1")).await });
+    eventually(|| (site.ran() == 1).then_some(())).await;
+
+    caller.abort();
+
+    let line = site.gateway.log.line("request ended", "q1").await;
+    assert_eq!(line["outcome"], "caller_gone");
+    assert_eq!(site.ran(), 1);
+}
