After a freeze, let connections find their end before their requests are sent on

Ruled out: the relay of answers (the request itself was sent 6.7 s after it came). Test that failed first: a_request_whose_caller_has_left_already_reaches_no_server.

Also the arguments, settings files and signals of the four daemons, which stood four times, are in one crate, and so is the reading of short answers, which stood five times; behaviour is the same.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -2,16 +2,15 @@
 
 #![allow(clippy::print_stdout, clippy::print_stderr)]
 
-use std::{io, path::PathBuf, process::ExitCode};
+use std::{path::PathBuf, process::ExitCode};
 
 use clap::Parser;
 use samphirespread_agent::{Agent, AgentError};
+use samphirespread_daemon::{EXIT_SETTINGS, read_settings, shutdown_on_signal};
 use samphirespread_settings::AgentSettings;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
 const EXIT_FAULT: u8 = 1;
-const EXIT_SETTINGS: u8 = 2;
 
 /// The agent beside one backend server.
 #[derive(Debug, Parser)]
@@ -28,10 +27,10 @@
 
 fn main() -> ExitCode {
     let args = Args::parse();
-    let settings = match read(&args) {
+    let settings = match read_settings(&args.settings) {
         Ok(settings) => settings,
         Err(words) => {
-            eprintln!("{}: {words}", args.settings.display());
+            eprintln!("{words}");
             return ExitCode::from(EXIT_SETTINGS);
         }
     };
@@ -48,11 +47,6 @@
     }
 }
 
-fn read(args: &Args) -> Result<AgentSettings, String> {
-    let text = std::fs::read_to_string(&args.settings).map_err(|error| error.to_string())?;
-    AgentSettings::parse(&text).map_err(|errors| errors.to_string())
-}
-
 fn serve(settings: AgentSettings) -> Result<(), String> {
     let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
     let log = samphirespread_logging::root(&settings.log);
@@ -73,19 +67,3 @@
     println!("ready peers={} admin={}", agent.peers_address(), agent.admin_address());
     agent.run(shutdown).await
 }
-
-/// A token that SIGTERM and SIGINT cancel.
-fn shutdown_on_signal() -> io::Result<CancellationToken> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let shutdown = CancellationToken::new();
-    let token = shutdown.clone();
-    tokio::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        token.cancel();
-    });
-    Ok(shutdown)
-}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,146 @@
+//! What the `main` functions of the daemons share: arguments, settings files, signals.
+//!
+//! ```
+//! use samphirespread_daemon::{CommonArguments, Start, start};
+//! use samphirespread_settings::GatewaySettings;
+//!
+//! let arguments = CommonArguments { example: true, ..CommonArguments::default() };
+//!
+//! assert!(matches!(start::<GatewaySettings>(&arguments, None), Start::Done(_)));
+//! ```
+
+use std::{
+    io,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
+
+use clap::Args;
+use samphirespread_settings::{
+    AgentSettings, GatewaySettings, RouterSettings, SettingsErrors, SidecarSettings,
+};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+/// The exit code for settings that can't be used.
+pub const EXIT_SETTINGS: u8 = 2;
+/// The exit code when a port can't be opened.
+pub const EXIT_START: u8 = 3;
+
+/// Arguments of every daemon.
+#[derive(Args, Clone, Debug, Default)]
+pub struct CommonArguments {
+    /// The settings file, in INI form.
+    #[arg(long, value_name = "FILE")]
+    pub settings: Option<PathBuf>,
+    /// Only check the settings file.
+    #[arg(long)]
+    pub check: bool,
+    /// Print a settings file that shows every key with its default.
+    #[arg(long)]
+    pub example: bool,
+}
+
+/// The settings of a daemon.
+pub trait Settings: Sized {
+    /// Parses the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// All faults of the text.
+    fn parse(text: &str) -> Result<Self, SettingsErrors>;
+
+    /// A file that shows every key with its default.
+    fn example() -> String;
+}
+
+macro_rules! settings {
+    ($($name:ident),*) => {$(
+        impl Settings for $name {
+            fn parse(text: &str) -> Result<Self, SettingsErrors> {
+                $name::parse(text)
+            }
+
+            fn example() -> String {
+                $name::example()
+            }
+        }
+    )*};
+}
+
+settings!(AgentSettings, GatewaySettings, RouterSettings, SidecarSettings);
+
+/// What a daemon is to do after its arguments were read.
+#[derive(Debug)]
+pub enum Start<S> {
+    /// Serve with these settings, which came from that file.
+    Serve(S, PathBuf),
+    /// End with this exit code; what there was to say has been printed.
+    Done(ExitCode),
+}
+
+/// Reads the settings that the arguments name, or the file at `fallback`.
+pub fn start<S: Settings>(arguments: &CommonArguments, fallback: Option<PathBuf>) -> Start<S> {
+    if arguments.example {
+        print(&S::example());
+        return Start::Done(ExitCode::SUCCESS);
+    }
+    let Some(path) = arguments.settings.clone().or(fallback) else {
+        complain("--settings FILE is missing; --example prints such a file");
+        return Start::Done(ExitCode::from(EXIT_SETTINGS));
+    };
+    match read_settings(&path) {
+        Ok(_) if arguments.check => {
+            print("the settings are valid\n");
+            Start::Done(ExitCode::SUCCESS)
+        }
+        Ok(settings) => Start::Serve(settings, path),
+        Err(message) => {
+            complain(&message);
+            Start::Done(ExitCode::from(EXIT_SETTINGS))
+        }
+    }
+}
+
+/// Reads a settings file.
+///
+/// # Errors
+///
+/// The file's path with what is wrong with it.
+pub fn read_settings<S: Settings>(path: &Path) -> Result<S, String> {
+    let text =
+        std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    S::parse(&text).map_err(|errors| format!("{}:\n{errors}", path.display()))
+}
+
+/// A token that SIGTERM and SIGINT cancel.
+///
+/// # Errors
+///
+/// When the signals can't be listened to.
+pub fn shutdown_on_signal() -> io::Result<CancellationToken> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let shutdown = CancellationToken::new();
+    let token = shutdown.clone();
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        token.cancel();
+    });
+    Ok(shutdown)
+}
+
+/// Prints a result.
+#[expect(clippy::print_stdout, reason = "the command's result")]
+pub fn print(text: &str) {
+    print!("{text}");
+}
+
+/// Prints what is wrong, before there is a log.
+#[expect(clippy::print_stderr, reason = "the log is not set up yet")]
+pub fn complain(message: &str) {
+    eprintln!("{message}");
+}
--- a/crates/gateway/src/cache_follow.rs
+++ b/crates/gateway/src/cache_follow.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use http::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use samphirespread_adapter::{
     cache_events::{self, WAIT_HEADER},
     paths,
@@ -168,14 +168,10 @@
             .header(WAIT_HEADER, wait_ms)
             .body(Full::new(Bytes::new()))
             .map_err(|error| FollowError::failed(&error))?;
-        let response =
-            connection.send(request).await.map_err(|error| FollowError::failed(&error))?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-            .collect()
+        let (status, body) = connection
+            .exchange(request, MAX_ANSWER_BYTES)
             .await
-            .map_err(|error| FollowError::Failed(error.to_string()))?
-            .to_bytes();
+            .map_err(|error| FollowError::failed(&error))?;
         self.connection = Some(connection);
         match status {
             StatusCode::OK => Ok(body),
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use http::{Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use samphirespread_outbound::Connection;
 use tokio::time;
 
@@ -45,14 +45,10 @@
         .header(header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(|error| error.to_string())?;
-    let response = connection.send(request).await.map_err(|error| error.to_string())?;
-    if response.status() != StatusCode::OK {
-        return Err(format!("status {}", response.status().as_u16()));
+    let (status, body) =
+        connection.exchange(request, MAX_ANSWER_BYTES).await.map_err(|error| error.to_string())?;
+    if status != StatusCode::OK {
+        return Err(format!("status {}", status.as_u16()));
     }
-    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-        .collect()
-        .await
-        .map_err(|error| error.to_string())?
-        .to_bytes();
     serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,7 +20,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{BindError, metrics::Metrics, serve, state::State, sync};
+use crate::{BindError, metrics::Metrics, pulse::Pulse, serve, state::State, sync};
 
 /// What the clock shows at the start: room for instants that others tell of from before it.
 const CLOCK_START_MS: u64 = 3_600_000;
@@ -86,6 +86,8 @@
     pub(crate) metrics: Metrics,
     /// Wakes the task that speaks to other processes.
     pub(crate) told: Notify,
+    /// Tells whether the process was kept from running.
+    pub(crate) pulse: Pulse,
     /// Wakes the task that reads the store.
     pub(crate) news: Notify,
     state: Mutex<State>,
@@ -128,6 +130,7 @@
             metrics: Metrics::default(),
             told: Notify::new(),
             news: Notify::new(),
+            pulse: Pulse::default(),
             state: Mutex::new(State::new(&settings, clock.now())),
             clock,
             settings,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod handle;
 mod metrics;
 mod peers;
+mod pulse;
 mod reads;
 mod relay;
 mod run;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -101,6 +101,7 @@
             () = core.told.notified() => true,
         };
         let now = core.now();
+        core.pulse.beat(now);
         let mut outgoing = Vec::new();
         {
             let mut state = core.state();
--- a/crates/gateway/tests/gateway/serving.rs
+++ b/crates/gateway/tests/gateway/serving.rs
@@ -324,3 +324,35 @@
     assert_eq!(line["outcome"], "caller_gone");
     assert_eq!(site.ran(), 1);
 }
+
+/// A machine was frozen: requests and the closing of their connections wait for it together.
+#[tokio::test]
+async fn a_request_whose_caller_has_left_already_reaches_no_server() {
+    use std::io::Write;
+
+    let site = start_site(configuration()).await;
+    // Leaves connections at rest, on which a request can be sent without a wait.
+    for number in 0..4 {
+        site.send(call("/issue/a", &format!("w{number}"))).await;
+    }
+    let head = format!(
+        "POST /issue/a HTTP/1.1\r\nhost: desk.example\r\nx-samphirespread-attempt-id: gone\r\n\
+         x-samphirespread-deadline-ms: 3000\r\nauthorization: Token {}\r\n\
+         content-length: 6\r\n\r\na call",
+        crate::support::KEY
+    );
+    // The test's one thread is the gateway's too, so it sees neither before both are there.
+    for _ in 0..5 {
+        let mut caller = std::net::TcpStream::connect(site.gateway.addresses.callers).unwrap();
+        caller.write_all(head.as_bytes()).unwrap();
+        drop(caller);
+    }
+    std::thread::sleep(std::time::Duration::from_millis(600));
+
+    let line = site.gateway.log.line("request ended", "gone").await;
+    let answer = site.send(call("/issue/a", "q1")).await;
+
+    assert_eq!(line["outcome"], "caller_gone");
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(site.ran(), 5);
+}
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -4,8 +4,8 @@
 
 use bytes::Bytes;
 use displaydoc::Display;
-use http::{Request, Response};
-use http_body_util::Full;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
@@ -98,6 +98,25 @@
         })
     }
 
+    /// Sends a request and reads the whole of a short answer.
+    ///
+    /// # Errors
+    ///
+    /// When there is no head, or the body breaks off or is over `max_bytes`.
+    pub async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+    ) -> Result<(StatusCode, Bytes), SendError> {
+        let response = self.send(request).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), max_bytes)
+            .collect()
+            .await
+            .map_err(|error| SendError::Broken(error.to_string()))?;
+        Ok((status, body.to_bytes()))
+    }
+
     /// Whether the previous exchange is over and the socket is still open.
     pub fn is_reusable(&self) -> bool {
         self.sender.is_ready() && !self.driver.is_finished()
--- a/crates/sidecar/src/engine.rs
+++ b/crates/sidecar/src/engine.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use displaydoc::Display;
 use http::{Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use samphirespread_adapter::{
     DecodeError,
     engine::{self, LoadOrder, OrderAnswer, Report},
@@ -109,14 +109,9 @@
             request = request.header(engine::EXPECT_SERVER_HEADER, id);
         }
         let request = request.body(Full::new(body)).map_err(|error| broken(&error))?;
-        let response = connection.send(request).await.map_err(|error| broken(&error))?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES)
-            .collect()
-            .await
-            .map_err(|error| EngineError::Broken(error.to_string()))?
-            .to_bytes();
+        let answer =
+            connection.exchange(request, MAX_ANSWER_BYTES).await.map_err(|error| broken(&error))?;
         self.idle = Some(connection);
-        Ok((status, body))
+        Ok(answer)
     }
 }
