Pause after a freeze before every send, not the first alone

Ruled out: a clock that stands still (the pause works for requests that are read after the thaw, as the test shows).

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -26,8 +26,6 @@
 const STARTING_RETRY_AFTER_MS: u64 = 300;
 /// When to come back while a router is out of touch; another one may be in touch.
 const OUT_OF_TOUCH_RETRY_AFTER_MS: u64 = 200;
-/// Pause after a freeze before what has waited is sent on.
-const AFTERMATH_PAUSE_MS: u64 = 20;
 /// Pieces that wait for a slow caller before the server's stream is held up.
 const WAITING_PIECES: usize = 16;
 /// The largest whole answer.
@@ -82,11 +80,6 @@
             return answers::naming(answers::plain(status, "body"), id.as_deref());
         }
     };
-    if core.pulse.is_aftermath(core.now()) {
-        // A request and the closing of its connection have waited together; the connection finds
-        // its end in the meantime, and the request ends here.
-        time::sleep(Duration::from_millis(AFTERMATH_PAUSE_MS)).await;
-    }
     if let Err(over) = charge(core, &grant) {
         story.over_quota(over.level, grant.team.as_ref().map_or(0.0, |team| team.cost));
         let retry_after_ms = over.retry_after_ms;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -27,6 +27,8 @@
 const OPEN_TIMEOUT_MS: u64 = 300;
 /// Sends of one request at the most, those that a server refused among them.
 const MAX_SENDS: u32 = 4;
+/// Pause after a freeze before a request is sent on.
+const AFTERMATH_PAUSE_MS: u64 = 20;
 /// Less time than this is not worth a send.
 const SHORTEST_SEND_MS: u64 = 10;
 /// How long a connection rests where the server does not tell.
@@ -291,6 +293,11 @@
                 None => return Sent::NotRun,
             },
         };
+        if self.core.pulse.is_aftermath(self.core.now()) {
+            // A request and the closing of its connection have waited together; the connection
+            // finds its end in the meantime, and the request ends here.
+            time::sleep(Duration::from_millis(AFTERMATH_PAUSE_MS)).await;
+        }
         match self.exchange(connection, selected, lease, last_event_id).await {
             Ok(sent) => sent,
             Err(lease) if is_rested => {
