--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -45,7 +45,9 @@
 
 /// A connection that carries one request at a time.
 ///
-/// Dropping it closes the socket, also while a response body is being read.
+/// Dropping it resets the connection, also while a response body is being read: bytes that have not
+/// reached the server yet are dropped with it, so a request that was given up does not arrive
+/// seconds later where the way to the server was cut meanwhile.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -67,6 +69,7 @@
             .map_err(|_| OpenError::TimedOut { timeout_ms })?
             .map_err(|error| refused(&error))?;
         stream.set_nodelay(true).map_err(|error| refused(&error))?;
+        stream.set_zero_linger().map_err(|error| refused(&error))?;
         let local = stream.local_addr().ok();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -14,8 +14,8 @@
 //! # }
 //! ```
 //!
-//! A connection carries one request at a time and belongs to whoever uses it. Dropping it closes
-//! the socket at once, which is how work that nobody waits for any more is cancelled.
+//! A connection carries one request at a time and belongs to whoever uses it. Dropping it resets
+//! it at once, which is how work that nobody waits for any more is cancelled.
 //!
 //! # Limits
 //!
