Read the product's own documents through the one client of the store

Cause: two clients of a platform stood side by side, the adapter's and that of a home-made protocol (HTTP with ETag, /list, /watch, /instances) which only our own stand-in spoke.

Change: crates/platform keeps the trait and its types, and carries them out by the adapter's Store; documents, claims, quota shares and the live list are kinds of their own, so that a claim wakes no watch of the configuration. The stand-in platform is the published object store plus the lag of the live list.

Ruled out: to drop the old router and agent with it. They carry the OpenAI interface, which README promises.

--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -15,7 +15,7 @@
 use samphirespread_core::prelude::*;
 use samphirespread_explain::Logs;
 use samphirespread_platform::{
-    HttpPlatform, HttpPlatformConfig,
+    StorePlatform,
     api::{LiveState, Role},
 };
 use samphirespread_settings::{
@@ -188,9 +188,8 @@
     }
 }
 
-fn client(arguments: &PlatformArguments) -> HttpPlatform {
-    let config = HttpPlatformConfig::new(arguments.platform.to_string());
-    HttpPlatform::new(config.timeout_ms(arguments.call_timeout_ms))
+fn client(arguments: &PlatformArguments) -> StorePlatform {
+    StorePlatform::new(arguments.platform, arguments.call_timeout_ms)
 }
 
 async fn apply(arguments: &ApplyArguments) -> Exit {
@@ -238,7 +237,7 @@
 async fn dry_run(
     arguments: &ApplyArguments,
     documents: Vec<Document>,
-    platform: &HttpPlatform,
+    platform: &StorePlatform,
     policy: RetryPolicy,
 ) -> Exit {
     let snapshot = match read_snapshot(platform, policy).await {
@@ -278,7 +277,7 @@
 }
 
 /// Reports an accepted submission and waits for the instances.
-async fn accepted(arguments: &ApplyArguments, platform: &HttpPlatform, applied: &Applied) -> Exit {
+async fn accepted(arguments: &ApplyArguments, platform: &StorePlatform, applied: &Applied) -> Exit {
     let generation = applied.generation;
     let printed = print(&format!("{}generation {generation}\n", changes_text(&applied.changes)));
     if printed != Exit::Done || arguments.wait_ms == 0 {
@@ -387,8 +386,8 @@
         };
     }
     let Some(address) = arguments.source.platform else { return Exit::Usage };
-    let config = HttpPlatformConfig::new(address.to_string()).timeout_ms(timeout_ms);
-    match read_snapshot(&HttpPlatform::new(config), RetryPolicy::new(timeout_ms)).await {
+    let platform = StorePlatform::new(address, timeout_ms);
+    match read_snapshot(&platform, RetryPolicy::new(timeout_ms)).await {
         Ok(snapshot) => {
             tell(format_args!("generation {}", snapshot.generation()));
             print(&snapshot.config().to_text())
--- a/crates/cli/src/dev/mod.rs
+++ b/crates/cli/src/dev/mod.rs
@@ -9,7 +9,7 @@
 };
 use samphirespread_core::prelude::*;
 use samphirespread_platform::{
-    HttpPlatform, HttpPlatformConfig,
+    StorePlatform,
     api::{LiveInstance, LiveState, Role},
 };
 use samphirespread_router::{Router, RouterError};
@@ -154,8 +154,7 @@
 }
 
 async fn configure(platform: &Platform, key: &KeyText) -> Result<(), DevError> {
-    let address = platform.address().to_string();
-    let client = HttpPlatform::new(HttpPlatformConfig::new(address));
+    let client = StorePlatform::new(platform.address(), CALL_TIMEOUT_MS);
     let submission = Submission::new("dev", config(key).documents());
     let policy = RetryPolicy::new(APPLY_TIMEOUT_MS);
     submit(&client, submission, policy).await.map(drop).map_err(DevError::Submit)
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -333,7 +333,9 @@
             None => self.core.store.create(Kind::Routers, own, &spec).await,
         };
         match written {
-            Ok(Written::Done) => info!(self.core.log, "{}", event::REGISTERED; "name" => own),
+            Ok(Written::Done { .. }) => {
+                info!(self.core.log, "{}", event::REGISTERED; "name" => own);
+            }
             // The next read shows what stands there.
             Ok(other) => info!(self.core.log, "{}", event::NOT_REGISTERED; "answer" => ?other),
             Err(error) => self.failed("register", &error),
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -171,7 +171,7 @@
         time::sleep(Duration::from_millis(RECORD_MS)).await;
         for (model, newest) in due(&core, &recorded) {
             match write(&core, &model).await {
-                Ok(Written::Done) => {
+                Ok(Written::Done { .. }) => {
                     recorded.insert(model, newest);
                 }
                 // Another router was faster; the next look tries again with what stands there.
@@ -201,7 +201,7 @@
     let known = core.store.get(Kind::Rollouts, model.as_str()).await?;
     match known {
         None => core.store.create(Kind::Rollouts, model.as_str(), &record).await,
-        Some(object) if object.spec == record => Ok(Written::Done),
+        Some(object) if object.spec == record => Ok(Written::Done { revision: object.revision }),
         Some(object) => {
             core.store.replace(Kind::Rollouts, model.as_str(), object.revision, &record).await
         }
--- a/crates/platform/src/client/mod.rs
+++ b/crates/platform/src/client/mod.rs
@@ -1,13 +1,13 @@
-//! The platform by HTTP.
+//! What the system asks of the platform, and how the platform's store answers it.
 
 mod error;
-mod http_client;
+mod store_platform;
 
 use std::future::Future;
 
 pub use self::{
     error::PlatformError,
-    http_client::{HttpPlatform, HttpPlatformConfig},
+    store_platform::{StorePlatform, kind_of},
 };
 use crate::api::{Listing, LiveList, Object, ObjectVersion};
 
@@ -65,7 +65,8 @@
     ) -> impl Future<Output = Result<(), PlatformError>> + Send;
 
     /// Waits for changes below a prefix after a version. The listing holds what changed, a deleted
-    /// object without value, and is empty when nothing did within the wait.
+    /// object without value. It may be empty, also before the wait is over. When the platform has
+    /// forgotten what changed, the listing holds all objects that there are.
     ///
     /// # Errors
     ///
--- /dev/null
+++ b/crates/platform/src/client/store_platform.rs
@@ -0,0 +1,176 @@
+//! The platform by its store of objects.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use samphirespread_adapter::{
+    self as adapter, Change, Kind, Object as StoredObject, Store, StoreError, Written,
+};
+use serde_json::Value;
+
+use super::{Platform, PlatformError};
+use crate::api::{Listing, LiveInstance, LiveList, Object, ObjectVersion};
+
+/// Keys of idempotency keys that requests have taken.
+const CLAIM_PREFIX: &str = "claims/";
+/// Keys of the tables of quota shares.
+const SHARE_PREFIX: &str = "shares/";
+
+/// The platform's store of objects. Clones share their connections.
+///
+/// Each call is sent once: the caller alone knows whether a lost call may be repeated. An object
+/// is stored under its whole key, in a kind that the key's beginning selects.
+#[derive(Clone, Debug)]
+pub struct StorePlatform {
+    store: Arc<Store>,
+}
+
+impl StorePlatform {
+    /// A client of the store at `address` whose calls fail after `timeout_ms`. A watch gets its
+    /// wait on top. Nothing is sent before the first call.
+    pub fn new(address: SocketAddr, timeout_ms: u64) -> Self {
+        Self { store: Arc::new(Store::new(address, timeout_ms)) }
+    }
+
+    async fn all(&self, prefix: &str) -> Result<Listing, PlatformError> {
+        let found = self.store.list(kind_of(prefix)).await?;
+        none_unreadable(&found.unreadable)?;
+        let mut listing = Listing { version: ObjectVersion(found.revision), objects: Vec::new() };
+        for object in found.objects {
+            if object.name.starts_with(prefix) {
+                listing.objects.push(document(object)?);
+            }
+        }
+        Ok(listing)
+    }
+
+    async fn live_list(&self) -> Result<LiveList, PlatformError> {
+        let found = self.store.list(Kind::Instances).await?;
+        none_unreadable(&found.unreadable)?;
+        let instances = found.objects.into_iter().map(|object| {
+            serde_json::from_value::<LiveInstance>(object.spec).map_err(|error| malformed(&error))
+        });
+        Ok(LiveList {
+            version: ObjectVersion(found.revision),
+            instances: instances.collect::<Result<_, _>>()?,
+        })
+    }
+}
+
+impl Platform for StorePlatform {
+    async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
+        let found = self.store.get(kind_of(key), key).await?;
+        found.map(document).transpose()
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, PlatformError> {
+        self.all(prefix).await
+    }
+
+    async fn put_if(
+        &self,
+        key: &str,
+        expected: ObjectVersion,
+        value: &str,
+    ) -> Result<ObjectVersion, PlatformError> {
+        let value = Value::from(value);
+        let written = self.store.replace(kind_of(key), key, expected.0, &value).await?;
+        version(&written)
+    }
+
+    async fn create(&self, key: &str, value: &str) -> Result<ObjectVersion, PlatformError> {
+        version(&self.store.create(kind_of(key), key, &Value::from(value)).await?)
+    }
+
+    async fn delete_if(&self, key: &str, expected: ObjectVersion) -> Result<(), PlatformError> {
+        version(&self.store.remove(kind_of(key), key, expected.0).await?)?;
+        Ok(())
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: ObjectVersion,
+        wait_ms: u64,
+    ) -> Result<Listing, PlatformError> {
+        let found = match self.store.watch(kind_of(prefix), after.0, wait_ms).await {
+            Err(StoreError::HistoryGone) => return self.all(prefix).await,
+            found => found?,
+        };
+        none_unreadable(&found.unreadable)?;
+        let version = ObjectVersion(found.revision);
+        let mut listing = Listing { version, objects: Vec::new() };
+        for change in found.changes {
+            match change {
+                Change::Set(object) if object.name.starts_with(prefix) => {
+                    listing.objects.push(document(object)?);
+                }
+                Change::Removed(key) if key.starts_with(prefix) => {
+                    listing.objects.push(Object { key, version, value: None });
+                }
+                // Another document has changed, or was deleted.
+                Change::Set(_) | Change::Removed(_) => {}
+            }
+        }
+        Ok(listing)
+    }
+
+    async fn instances(
+        &self,
+        after: Option<ObjectVersion>,
+    ) -> Result<Option<LiveList>, PlatformError> {
+        let Some(after) = after else { return self.live_list().await.map(Some) };
+        match self.store.watch(Kind::Instances, after.0, 0).await {
+            Ok(found) if found.changes.is_empty() && found.unreadable.is_empty() => Ok(None),
+            Ok(_) | Err(StoreError::HistoryGone) => self.live_list().await.map(Some),
+            Err(error) => Err(error.into()),
+        }
+    }
+}
+
+/// The kind in which an object with this key, or all with this beginning, is stored.
+pub fn kind_of(key: &str) -> Kind {
+    if key.starts_with(CLAIM_PREFIX) {
+        return Kind::Claims;
+    }
+    if key.starts_with(SHARE_PREFIX) {
+        return Kind::QuotaShares;
+    }
+    Kind::Documents
+}
+
+fn document(object: StoredObject) -> Result<Object, PlatformError> {
+    let Value::String(value) = object.spec else {
+        return Err(malformed(&format!("{}: not a document", object.name)));
+    };
+    let version = ObjectVersion(object.revision);
+    Ok(Object { key: object.name, version, value: Some(value) })
+}
+
+fn version(written: &Written) -> Result<ObjectVersion, PlatformError> {
+    match written {
+        Written::Done { revision } => Ok(ObjectVersion(*revision)),
+        Written::Conflict | Written::Missing => Err(PlatformError::Conflict),
+    }
+}
+
+// Every object of these kinds is the product's own, so one that can't be read is a fault to be told.
+fn none_unreadable(unreadable: &[adapter::DecodeError]) -> Result<(), PlatformError> {
+    unreadable.first().map_or(Ok(()), |error| Err(malformed(error)))
+}
+
+fn malformed(error: &impl ToString) -> PlatformError {
+    PlatformError::Malformed { message: error.to_string() }
+}
+
+impl From<StoreError> for PlatformError {
+    fn from(error: StoreError) -> Self {
+        match error {
+            StoreError::OverRate => Self::RateLimited,
+            StoreError::Unreachable(message) => Self::Unavailable { message },
+            StoreError::Unavailable => Self::Unavailable { message: error.to_string() },
+            StoreError::Malformed(error) => malformed(&error),
+            StoreError::Status(status) => Self::Refused { status },
+            error => Self::Lost { message: error.to_string() },
+        }
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,31 +1,23 @@
-//! Client of the platform's object API and live list.
+//! The product's own documents, claims and live list in the platform's store of objects.
 //!
-//! | call | meaning |
-//! | --- | --- |
-//! | `GET /objects/{key}` | the value, its version in `ETag`; `404` when absent |
-//! | `PUT /objects/{key}` with `If-Match: V` | replaces version `V`, else `412` |
-//! | `PUT /objects/{key}` with `If-None-Match: *` | creates, else `412` |
-//! | `DELETE /objects/{key}` with `If-Match: V` | deletes version `V`, else `412` |
-//! | `GET /list?prefix=P` | the [`Listing`](api::Listing) below a prefix |
-//! | `GET /watch?prefix=P&after=V&wait_ms=N` | waits for changes after version `V`; a [`Listing`](api::Listing) |
-//! | `GET /instances?after=V` | the [`LiveList`](api::LiveList), or `304` when its version is still `V` |
-//!
-//! Keys contain slashes. Versions are one rising counter over all objects. A call past the
-//! platform's rate is answered `429`, a call during an outage `503` or not at all.
-
+//! Calls go through the adapter's one client of that store, each once. Keys contain slashes.
+//! Versions are the store's revisions, one rising counter over all objects.
 //!
 //! ```no_run
-//! use samphirespread_platform::{HttpPlatform, HttpPlatformConfig, Platform};
+//! use samphirespread_platform::{Platform, StorePlatform};
 //!
 //! # async fn example() -> Result<(), samphirespread_platform::PlatformError> {
-//! let platform = HttpPlatform::new(HttpPlatformConfig::new("10.0.0.1:7000").timeout_ms(500));
+//! let platform = StorePlatform::new(([10, 0, 0, 1], 7000).into(), 500);
 //! let version = platform.create("config/head", "{}").await?;
 //! platform.put_if("config/head", version, "{\"generation\":1}").await?;
 //! # Ok(())
 //! # }
 //! ```
+//!
+//! A list or watch costs a call for each page of the kind that its prefix lies in, whatever the
+//! prefix; an unchanged live list costs one call, a changed one two.
 
 pub mod api;
 mod client;
 
-pub use client::{HttpPlatform, HttpPlatformConfig, Platform, PlatformError};
+pub use client::{Platform, PlatformError, StorePlatform, kind_of};
--- a/crates/router/src/claim.rs
+++ b/crates/router/src/claim.rs
@@ -4,7 +4,7 @@
 //! have run. Whoever finds a claim does not run the call.
 
 use samphirespread_core::prelude::*;
-use samphirespread_platform::{HttpPlatform, Platform, PlatformError, api::ObjectVersion};
+use samphirespread_platform::{Platform, PlatformError, StorePlatform, api::ObjectVersion};
 use sha2::{Digest, Sha256};
 
 const CLAIM_PREFIX: &str = "claims/";
@@ -14,7 +14,7 @@
 /// An idempotency key that belongs to one request.
 #[derive(Debug)]
 pub(crate) struct Claim {
-    platform: HttpPlatform,
+    platform: StorePlatform,
     object_key: String,
     owner: String,
     version: ObjectVersion,
@@ -32,7 +32,7 @@
 impl Claim {
     /// Claims a key for a request.
     pub(crate) async fn take(
-        platform: &HttpPlatform,
+        platform: &StorePlatform,
         team: &TeamName,
         route: &str,
         key: &[u8],
@@ -68,7 +68,7 @@
 
     // The answer to the write was lost, so the object itself tells who has the key.
     async fn resolve(
-        platform: &HttpPlatform,
+        platform: &StorePlatform,
         object_key: &str,
         owner: &str,
     ) -> Option<Result<ObjectVersion, ClaimError>> {
@@ -80,11 +80,11 @@
     }
 }
 
-fn release_later(platform: HttpPlatform, object_key: String, owner: String) {
+fn release_later(platform: StorePlatform, object_key: String, owner: String) {
     tokio::spawn(async move { release(&platform, &object_key, &owner).await });
 }
 
-async fn release(platform: &HttpPlatform, object_key: &str, owner: &str) {
+async fn release(platform: &StorePlatform, object_key: &str, owner: &str) {
     for _ in 0..RELEASE_TRIES {
         tokio::time::sleep(std::time::Duration::from_millis(RELEASE_RETRY_MS)).await;
         let Ok(object) = platform.get(object_key).await else { continue };
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -44,7 +44,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use samphirespread_core::{prelude::*, time::Clock};
-use samphirespread_platform::{HttpPlatform, HttpPlatformConfig};
+use samphirespread_platform::StorePlatform;
 use samphirespread_settings::RouterSettings;
 use samphirespread_tls::ServerTls;
 use samphirespread_wire::{Pool, Secret, WireConfig};
@@ -238,10 +238,7 @@
 ) -> Arc<Shared> {
     let name = InstanceName::new(&settings.instance.name);
     let identity = Identity::new(name.clone(), samphirespread_core::time::fresh_incarnation());
-    let platform = HttpPlatform::new(
-        HttpPlatformConfig::new(settings.platform.address.to_string())
-            .timeout_ms(settings.platform.timeout_ms),
-    );
+    let platform = StorePlatform::new(settings.platform.address, settings.platform.timeout_ms);
     let pool = Pool::new(wire.clone(), identity.clone());
     let clock = Clock::start();
     let admission = Admission::start(
--- a/crates/router/src/limits/carry.rs
+++ b/crates/router/src/limits/carry.rs
@@ -6,7 +6,7 @@
 use samphirespread_limits::{
     Call, Event, Holder, ObjectState, PeerMessage, PeerReply, WriteOutcome, table_key,
 };
-use samphirespread_platform::{HttpPlatform, Platform, PlatformError, api::ObjectVersion};
+use samphirespread_platform::{Platform, PlatformError, StorePlatform, api::ObjectVersion};
 use samphirespread_wire::{
     Pool,
     message::{Reply, Request},
@@ -22,7 +22,7 @@
 /// Sends messages and calls the platform, each in a task of its own.
 pub(super) struct Carrier {
     pub(super) pool: Pool<Identity>,
-    pub(super) platform: HttpPlatform,
+    pub(super) platform: StorePlatform,
     /// Weak, so that the limiter's channel closes with its last user.
     pub(super) commands: mpsc::WeakUnboundedSender<Command>,
     pub(super) silence_timeout_ms: u64,
--- a/crates/router/src/limits/mod.rs
+++ b/crates/router/src/limits/mod.rs
@@ -13,7 +13,7 @@
     Event, Holder, LimitsConfig, RouterInfo, Snapshot as LimitsSnapshot, TeamLimit,
 };
 use samphirespread_platform::{
-    HttpPlatform,
+    StorePlatform,
     api::{LiveList, LiveState, Role},
 };
 use samphirespread_settings::RouterSettings;
@@ -72,7 +72,7 @@
     pub(crate) address: String,
     pub(crate) clock: Clock,
     pub(crate) pool: Pool<Identity>,
-    pub(crate) platform: HttpPlatform,
+    pub(crate) platform: StorePlatform,
 }
 
 impl Admission {
--- a/crates/router/src/state.rs
+++ b/crates/router/src/state.rs
@@ -10,7 +10,7 @@
 use samphirespread_core::{prelude::*, time::Clock};
 use samphirespread_membership::{Contact, LiveView, Roles};
 use samphirespread_platform::{
-    HttpPlatform,
+    StorePlatform,
     api::{LiveList, ObjectVersion},
 };
 use samphirespread_settings::RouterSettings;
@@ -30,7 +30,7 @@
     live: Mutex<LiveView>,
     pub(crate) placer: Placer,
     pub(crate) pool: Pool<Identity>,
-    pub(crate) platform: HttpPlatform,
+    pub(crate) platform: StorePlatform,
     pub(crate) admission: Admission,
     pub(crate) metrics: Metrics,
     pub(crate) drain: Drain,
@@ -50,7 +50,7 @@
     pub(crate) clock: Clock,
     pub(crate) identity: Identity,
     pub(crate) pool: Pool<Identity>,
-    pub(crate) platform: HttpPlatform,
+    pub(crate) platform: StorePlatform,
     pub(crate) admission: Admission,
     pub(crate) metrics: Metrics,
 }
--- a/crates/standin/src/published/mod.rs
+++ b/crates/standin/src/published/mod.rs
@@ -4,6 +4,6 @@
 mod worker;
 
 pub use self::{
-    objects::{ObjectStore, StoreFault},
+    objects::{ObjectStore, StoreCalls, StoreFault, StoreRates},
     worker::{Behaviour, Received, Worker, WorkerConfig},
 };
--- /dev/null
+++ b/crates/standin/src/published/objects/http_api.rs
@@ -0,0 +1,184 @@
+//! The store's calls by HTTP.
+
+use std::{sync::Arc, time::Duration};
+
+use axum::{
+    Json, Router,
+    extract::{Path, Query, State as Shares},
+    response::{Extension, IntoResponse, Response},
+    routing::get,
+};
+use http::StatusCode;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::time;
+
+use super::{Shared, State, StoreFault, state::revision_of};
+use crate::server::LostAnswer;
+
+/// Objects of one page.
+const PAGE: usize = 50;
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+struct Parameters {
+    after: Option<String>,
+    watch: Option<u64>,
+    wait_ms: Option<u64>,
+    mod_revision: Option<u64>,
+}
+
+pub(super) fn router(shared: Arc<Shared>) -> Router {
+    Router::new()
+        .route("/-/objects/{kind}", get(list).post(create))
+        .route("/-/objects/{kind}/{name}", get(read).put(replace).delete(remove))
+        .with_state(shared)
+}
+
+impl State {
+    fn admit_read(&mut self) -> Result<(), StatusCode> {
+        self.calls.reads += 1;
+        self.admit(|state| state.reads.take())
+    }
+
+    fn admit_write(&mut self) -> Result<(), StatusCode> {
+        self.calls.writes += 1;
+        self.admit(|state| state.writes.take())
+    }
+
+    fn admit(&mut self, take: impl FnOnce(&mut Self) -> bool) -> Result<(), StatusCode> {
+        if self.fault == StoreFault::Unavailable {
+            self.calls.during_outage += 1;
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        if self.fault == StoreFault::OverRate || !take(self) {
+            self.calls.rate_limited += 1;
+            return Err(StatusCode::TOO_MANY_REQUESTS);
+        }
+        Ok(())
+    }
+
+    /// The revision of an object that a call may change: it exists, and is as the call expects.
+    fn expect(&self, kind: &str, name: &str, expected: Option<u64>) -> Result<(), StatusCode> {
+        let object = self.objects.get(kind, name).ok_or(StatusCode::NOT_FOUND)?;
+        let met = expected.is_none_or(|expected| expected == revision_of(object));
+        if met { Ok(()) } else { Err(StatusCode::CONFLICT) }
+    }
+
+    /// The answer to a write that took effect, if it isn't lost.
+    fn written(&mut self, status: StatusCode, object: Value) -> Response {
+        if self.lose_answers == 0 && self.fault != StoreFault::LoseWriteAnswers {
+            return (status, Json(object)).into_response();
+        }
+        self.lose_answers = self.lose_answers.saturating_sub(1);
+        self.calls.answers_lost += 1;
+        (Extension(LostAnswer), ()).into_response()
+    }
+}
+
+async fn list(
+    Shares(shared): Shares<Arc<Shared>>,
+    Path(kind): Path<String>,
+    Query(parameters): Query<Parameters>,
+) -> Result<Response, StatusCode> {
+    shared.lock().admit_read()?;
+    if let Some(revision) = parameters.watch {
+        shared.lock().calls.watches += 1;
+        return wait(&shared, &kind, revision, parameters.wait_ms.unwrap_or_default()).await;
+    }
+
+    let state = shared.lock();
+    let after = parameters.after.unwrap_or_default();
+    let mut rest = state.objects.of_kind(&kind).filter(|(name, _)| **name > after);
+    let items: Vec<&Value> = rest.by_ref().take(PAGE).map(|(_, object)| object).collect();
+    let has_more = rest.next().is_some();
+    let page = json!({ "items": items, "hasMore": has_more, "asOf": state.objects.revision() });
+    Ok(Json(page).into_response())
+}
+
+async fn wait(
+    shared: &Shared,
+    kind: &str,
+    revision: u64,
+    wait_ms: u64,
+) -> Result<Response, StatusCode> {
+    let mut changed = shared.changed.subscribe();
+    let until = time::Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        changed.borrow_and_update();
+        {
+            let state = shared.lock();
+            if state.fault == StoreFault::Unavailable {
+                return Err(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            let events = state.objects.changes(kind, revision).ok_or(StatusCode::GONE)?;
+            if !events.is_empty() || time::Instant::now() >= until {
+                let body = json!({ "events": events, "asOf": state.objects.revision() });
+                return Ok(Json(body).into_response());
+            }
+        }
+        // Whether a change or the time ends the wait, the loop looks again.
+        let _ = time::timeout_at(until, changed.changed()).await;
+    }
+}
+
+async fn read(
+    Shares(shared): Shares<Arc<Shared>>,
+    Path((kind, name)): Path<(String, String)>,
+) -> Result<Response, StatusCode> {
+    let mut state = shared.lock();
+    state.admit_read()?;
+    let object = state.objects.get(&kind, &name).ok_or(StatusCode::NOT_FOUND)?;
+    Ok(Json(object.clone()).into_response())
+}
+
+async fn create(
+    Shares(shared): Shares<Arc<Shared>>,
+    Path(kind): Path<String>,
+    Json(body): Json<Value>,
+) -> Result<Response, StatusCode> {
+    let name = body["metadata"]["name"].as_str().ok_or(StatusCode::BAD_REQUEST)?;
+    write(&shared, |state| {
+        if state.objects.get(&kind, name).is_some() {
+            return Err(StatusCode::CONFLICT);
+        }
+        Ok((StatusCode::CREATED, state.objects.put(&kind, name, &body["spec"])))
+    })
+}
+
+async fn replace(
+    Shares(shared): Shares<Arc<Shared>>,
+    Path((kind, name)): Path<(String, String)>,
+    Json(body): Json<Value>,
+) -> Result<Response, StatusCode> {
+    write(&shared, |state| {
+        state.expect(&kind, &name, body["metadata"]["modRevision"].as_u64())?;
+        Ok((StatusCode::OK, state.objects.put(&kind, &name, &body["spec"])))
+    })
+}
+
+async fn remove(
+    Shares(shared): Shares<Arc<Shared>>,
+    Path((kind, name)): Path<(String, String)>,
+    Query(parameters): Query<Parameters>,
+) -> Result<Response, StatusCode> {
+    write(&shared, |state| {
+        state.expect(&kind, &name, parameters.mod_revision)?;
+        Ok((StatusCode::OK, state.objects.remove(&kind, &name).unwrap_or(Value::Null)))
+    })
+}
+
+/// Carries out a write, wakes the watches, and answers with the object as it is then.
+fn write(
+    shared: &Shared,
+    change: impl FnOnce(&mut State) -> Result<(StatusCode, Value), StatusCode>,
+) -> Result<Response, StatusCode> {
+    let response = {
+        let mut state = shared.lock();
+        state.admit_write()?;
+        let (status, object) = change(&mut state)?;
+        state.written(status, object)
+    };
+    shared.tell();
+    Ok(response)
+}
--- /dev/null
+++ b/crates/standin/src/published/objects/mod.rs
@@ -0,0 +1,194 @@
+//! The store of objects: lists with pages, watches, conditional writes, and its failures.
+
+mod http_api;
+mod rate;
+mod state;
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use serde_json::Value;
+use tokio::sync::watch;
+
+use self::{rate::CallRate, state::Objects};
+use crate::server::Server;
+
+/// How the store fails.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It does not.
+    #[default]
+    None,
+    /// Every call is refused; nothing is done.
+    Unavailable,
+    /// Every call is refused as beyond the rate; nothing is done.
+    OverRate,
+    /// Writes take effect, and their answers are lost.
+    LoseWriteAnswers,
+}
+
+/// Calls since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreCalls {
+    /// Reads, watches included.
+    pub reads: u64,
+    /// Watches.
+    pub watches: u64,
+    /// Writes, those that met another revision included.
+    pub writes: u64,
+    /// Calls that were past a rate.
+    pub rate_limited: u64,
+    /// Calls during an outage.
+    pub during_outage: u64,
+    /// Writes whose answer was dropped.
+    pub answers_lost: u64,
+}
+
+/// The calls that the store takes in a second. None: any number.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreRates {
+    /// Reads. A watch is one read.
+    pub reads_per_s: Option<u32>,
+    /// Writes.
+    pub writes_per_s: Option<u32>,
+}
+
+/// A store of objects. It ends when dropped.
+#[derive(Debug)]
+pub struct ObjectStore {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    /// The revision of the last change, for watches that wait.
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Debug)]
+struct State {
+    objects: Objects,
+    reads: CallRate,
+    writes: CallRate,
+    calls: StoreCalls,
+    fault: StoreFault,
+    /// Writes to come whose answers are lost.
+    lose_answers: u32,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Wakes the watches that wait.
+    fn tell(&self) {
+        let revision = self.lock().objects.revision();
+        self.changed.send_replace(revision);
+    }
+}
+
+impl ObjectStore {
+    /// Starts an empty store that takes any number of calls.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be had.
+    pub fn start() -> io::Result<Self> {
+        Self::start_with(StoreRates::default())
+    }
+
+    /// Starts an empty store that refuses calls past its rates.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be had.
+    pub fn start_with(rates: StoreRates) -> io::Result<Self> {
+        let state = State {
+            objects: Objects::default(),
+            reads: CallRate::new(rates.reads_per_s),
+            writes: CallRate::new(rates.writes_per_s),
+            calls: StoreCalls::default(),
+            fault: StoreFault::None,
+            lose_answers: 0,
+        };
+        let changed = watch::channel(state.objects.revision()).0;
+        let shared = Arc::new(Shared { state: Mutex::new(state), changed });
+        Ok(Self { server: Server::start(http_api::router(shared.clone()))?, shared })
+    }
+
+    /// Where it answers.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Puts an object there, as its writer would, and returns its revision. Not counted as a call.
+    pub fn put(&self, kind: &str, name: &str, spec: impl Into<Value>) -> u64 {
+        let object = self.shared.lock().objects.put(kind, name, &spec.into());
+        self.shared.tell();
+        state::revision_of(&object)
+    }
+
+    /// Removes an object, not counted as a call.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.shared.lock().objects.remove(kind, name);
+        self.shared.tell();
+    }
+
+    /// The spec of an object.
+    pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
+        self.object(kind, name).map(|object| object["spec"].clone())
+    }
+
+    /// An object as the store gives it, not counted as a call.
+    pub fn object(&self, kind: &str, name: &str) -> Option<Value> {
+        self.shared.lock().objects.get(kind, name).cloned()
+    }
+
+    /// All objects of a kind, not counted as a call.
+    pub fn objects(&self, kind: &str) -> Vec<Value> {
+        self.shared.lock().objects.of_kind(kind).map(|(_, object)| object.clone()).collect()
+    }
+
+    /// Sets how it fails.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.shared.lock().fault = fault;
+        // Watches that wait end with the fault's answer.
+        self.shared.tell();
+    }
+
+    /// The next writes that succeed take effect and get no answer: their connections are closed.
+    pub fn lose_next_answers(&self, count: u32) {
+        self.shared.lock().lose_answers = count;
+    }
+
+    /// While frozen, connections stay open and nothing is answered.
+    pub fn set_frozen(&self, frozen: bool) {
+        self.server.set_frozen(frozen);
+    }
+
+    /// Lets no byte through on the connections that are open now, for good. New ones work.
+    pub fn silence_open_connections(&self) {
+        self.server.silence_open_connections();
+    }
+
+    /// Delays every answer.
+    pub fn set_slow_ms(&self, slow_ms: u64) {
+        self.server.set_slow_ms(slow_ms);
+    }
+
+    /// Drops the history, so that watches have to begin anew.
+    pub fn forget_history(&self) {
+        self.shared.lock().objects.forget_history();
+    }
+
+    /// Calls since the start.
+    pub fn calls(&self) -> StoreCalls {
+        self.shared.lock().calls
+    }
+}
--- a/crates/standin/src/server/mod.rs
+++ b/crates/standin/src/server/mod.rs
@@ -7,7 +7,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
@@ -44,10 +44,17 @@
 
 #[derive(Clone, Debug, Default)]
 struct Faults {
-    gate: Gate,
+    /// The gate of the connections to come.
+    gate: Arc<Mutex<Gate>>,
     slow_ms: Arc<AtomicU64>,
 }
 
+impl Faults {
+    fn gate(&self) -> MutexGuard<'_, Gate> {
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 #[derive(Debug)]
 struct Run {
     stop: CancellationToken,
@@ -111,7 +118,13 @@
 
     /// While frozen, connections are taken and stay open without a byte moving.
     pub(crate) fn set_frozen(&self, frozen: bool) {
-        self.faults.gate.set_frozen(frozen);
+        self.faults.gate().set_frozen(frozen);
+    }
+
+    /// Lets no byte through on the connections that are open now, for good. New ones work.
+    pub(crate) fn silence_open_connections(&self) {
+        let silenced = std::mem::take(&mut *self.faults.gate());
+        silenced.set_frozen(true);
     }
 
     /// Delays every answer.
@@ -165,7 +178,8 @@
         let slow_ms = slow_ms.load(Ordering::SeqCst);
         async move { finish(answer.await, slow_ms).await }
     });
-    let io = TokioIo::new(Gated::new(faults.gate, stream));
+    let gate = faults.gate().clone();
+    let io = TokioIo::new(Gated::new(gate, stream));
     let serving = http1::Builder::new().serve_connection(io, service);
     tokio::select! {
         () = stop.cancelled() => {}
