--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,6 +4,7 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use samphirespread_adapter::Store;
@@ -61,7 +62,10 @@
     pub fn reload(&self, text: &str) {
         match GatewaySettings::parse(text) {
             Ok(settings) => {
-                self.core.state().set_bounds(settings.bounds);
+                let mut state = self.core.state();
+                state.set_bounds(settings.bounds);
+                state.wall_clock = settings.clock;
+                drop(state);
                 info!(self.core.log, "{}", event::SETTINGS_RELOADED;
                     "bounds" => ?settings.bounds);
             }
@@ -101,6 +105,13 @@
     pub(crate) fn now(&self) -> MonoTime {
         self.clock.now()
     }
+
+    /// The wall clock, which may be wrong and may jump.
+    pub(crate) fn unix_ms(&self) -> u64 {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        let shown_ms = u64::try_from(since.as_millis()).unwrap_or(u64::MAX);
+        shown_ms.saturating_add_signed(self.state().wall_clock.ahead_ms)
+    }
 }
 
 impl Gateway {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,7 +19,7 @@
     rollout::NamedVersions,
     table::Table,
 };
-use samphirespread_settings::{BoundsSettings, GatewaySettings};
+use samphirespread_settings::{BoundsSettings, ClockSettings, GatewaySettings};
 
 use crate::{conduct, fleet::Fleet, reads::Reads};
 
@@ -38,6 +38,7 @@
     started: MonoTime,
     /// What operators are promised.
     pub(crate) bounds: BoundsSettings,
+    pub(crate) wall_clock: ClockSettings,
     /// The configuration in force.
     pub(crate) table: Option<Arc<Table>>,
     /// Whether keys were trusted when that was last looked at.
@@ -110,6 +111,7 @@
         Self {
             started: now,
             bounds: settings.bounds,
+            wall_clock: settings.clock,
             table: None,
             was_in_touch: false,
             was_leading: false,
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -4,10 +4,7 @@
 //! version for new that was named long ago. The router that conducts the rollout therefore writes
 //! down when each version was named, and routers that start read it.
 
-use std::{
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{sync::Arc, time::Duration};
 
 use samphirespread_adapter::{
     Changes, Kind, Object, StoreError, Written, objects::Change, weights,
@@ -142,7 +139,7 @@
 
 async fn read_records(core: &Core) -> Result<(), StoreError> {
     let listing = core.store.list(Kind::Rollouts).await?;
-    let (now, now_unix_ms) = (core.now(), unix_ms());
+    let (now, now_unix_ms) = (core.now(), core.unix_ms());
     for object in listing.objects {
         let record = match Record::deserialize(&object.spec) {
             Ok(record) => record,
@@ -209,7 +206,7 @@
 }
 
 fn record_of(core: &Core, model: &ModelName) -> Record {
-    let (now, now_unix_ms) = (core.now(), unix_ms());
+    let (now, now_unix_ms) = (core.now(), core.unix_ms());
     let state = core.state();
     let ages = state.weights.get(model).map(|named| named.ages_ms(now).collect::<Vec<_>>());
     let ages = ages.unwrap_or_default();
@@ -223,8 +220,3 @@
         .collect();
     Record { versions }
 }
-
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/settings/src/gateway/mod.rs
+++ b/crates/settings/src/gateway/mod.rs
@@ -33,6 +33,8 @@
     pub store: StoreSettings,
     /// What operators are promised.
     pub bounds: BoundsSettings,
+    /// The wall clock.
+    pub clock: ClockSettings,
     /// Logging.
     pub log: LogSettings,
 }
@@ -82,6 +84,13 @@
     pub quota_slack: f64,
 }
 
+/// The wall clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClockSettings {
+    /// Added to what the machine's clock shows, to try out wrong clocks.
+    pub ahead_ms: i64,
+}
+
 impl GatewaySettings {
     /// Parses the text of a settings file.
     ///
@@ -113,6 +122,7 @@
                 poll_ms: values.get("store", "poll_ms"),
             },
             bounds: bounds(values),
+            clock: clock(values),
             log: common::log(values),
         }
     }
@@ -131,6 +141,12 @@
     }
 }
 
+#[expect(clippy::cast_possible_truncation, reason = "the schema bounds the number")]
+fn clock(values: &Values) -> ClockSettings {
+    let ahead_ms: f64 = values.get("clock", "ahead_ms");
+    ClockSettings { ahead_ms: ahead_ms as i64 }
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
@@ -174,6 +190,18 @@
         ],
     },
     BOUNDS,
+    SectionSpec {
+        name: "clock",
+        optional: false,
+        doc: "The wall clock.",
+        keys: &[decimal_key(
+            "ahead_ms",
+            (-1e12, 1e12),
+            "milliseconds",
+            "0",
+            "Added to what the machine's clock shows, to try out wrong clocks.",
+        )],
+    },
     common::LOG,
 ];
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -67,7 +67,7 @@
         SecuritySettings, TlsSettings,
     },
     error::{SettingsError, SettingsErrors},
-    gateway::{BoundsSettings, GatewayListen, GatewaySettings, StoreSettings},
+    gateway::{BoundsSettings, ClockSettings, GatewayListen, GatewaySettings, StoreSettings},
     router::{
         LimitsSettings, PlatformSettings, RequestSettings, RouterListen, RouterPeers,
         RouterSettings,
--- /dev/null
+++ b/crates/soak/src/checker/answers.rs
@@ -0,0 +1,113 @@
+//! Promises about what callers got.
+
+use std::collections::BTreeSet;
+
+use samphirespread_standin::published::STREAM_EVENTS;
+
+use super::{Broken, Promise, Seen};
+use crate::history::{Caller, Outcome, Request, Route, Victim};
+
+/// A connection that a leaving gateway closes may be that of a request sent this much later.
+const LEAVING_MS: u64 = 10_000;
+
+pub(super) fn check(seen: &Seen<'_>, broken: &mut Vec<Broken>) {
+    for request in &seen.history.requests {
+        let at_ms = request.ended_ms;
+        let mut report = |promise, what: &str| {
+            let what =
+                format!("{} ({:?}): {what}: {:?}", request.id, request.route, request.outcome);
+            broken.push(Broken::new(promise, at_ms, what));
+        };
+        match &request.outcome {
+            Outcome::Whole { body } if *body != whole(request) => {
+                let promise =
+                    if request.route.is_stream() { Promise::Order } else { Promise::OwnAnswer };
+                report(promise, "another body");
+            }
+            Outcome::Cut { body } => {
+                if !whole(request).starts_with(body.as_str()) {
+                    report(Promise::Order, "another beginning");
+                } else if !may_be_cut(seen, request) {
+                    report(Promise::Answered, "cut, and nothing was disturbed");
+                }
+            }
+            Outcome::NotRun { has_retry_after, .. } => {
+                if !seen.runs_of(request).is_empty() {
+                    report(Promise::TrulyNotRun, "it ran");
+                }
+                if !has_retry_after {
+                    report(Promise::RetryAfter, "no time to come back");
+                }
+            }
+            Outcome::Denied { .. }
+                if matches!(request.caller, Caller::Steady | Caller::Limited) =>
+            {
+                report(Promise::NotDenied, "the key and the route hold");
+            }
+            Outcome::NoAnswer if !may_be_unanswered(seen, request) => {
+                report(Promise::Answered, "no answer, and nothing was disturbed");
+            }
+            Outcome::Silent if !gateway_disturbed(seen, request) => {
+                report(Promise::Answered, "nothing came, and nothing was disturbed");
+            }
+            _ => {}
+        }
+        if seen.bounds.timed && is_late(seen, request) {
+            report(Promise::Answered, "late, and nothing was disturbed");
+        }
+    }
+    recovery(seen, broken);
+}
+
+/// The body of a whole answer.
+fn whole(request: &Request) -> String {
+    let id = &request.id;
+    if !request.route.is_stream() {
+        return format!("answered {id}");
+    }
+    (1..=STREAM_EVENTS).map(|number| format!("id: {number}\ndata: {id} {number}\n\n")).collect()
+}
+
+fn gateway_disturbed(seen: &Seen<'_>, request: &Request) -> bool {
+    let victim = Victim::Gateway(request.gateway);
+    seen.history.disturbed(&victim, request.sent_ms, request.ended_ms)
+}
+
+fn may_be_cut(seen: &Seen<'_>, request: &Request) -> bool {
+    let servers = seen.runs_of(request).iter().map(|run| Victim::Server(run.server.clone()));
+    let mut disturbed =
+        servers.map(|victim| seen.history.disturbed(&victim, request.sent_ms, request.ended_ms));
+    gateway_disturbed(seen, request) || disturbed.any(|is_disturbed| is_disturbed)
+}
+
+/// A request that crosses the close of a kept connection has no answer and has not run.
+fn may_be_unanswered(seen: &Seen<'_>, request: &Request) -> bool {
+    let from_ms = request.sent_ms.saturating_sub(LEAVING_MS);
+    let leaving = Victim::Leaving(request.gateway);
+    let crosses = seen.history.disturbed(&leaving, from_ms, request.ended_ms);
+    gateway_disturbed(seen, request) || (crosses && seen.runs_of(request).is_empty())
+}
+
+fn is_late(seen: &Seen<'_>, request: &Request) -> bool {
+    let took_ms = request.ended_ms.saturating_sub(request.sent_ms);
+    took_ms > seen.bounds.deadline_ms + seen.bounds.answer_slack_ms
+        && !gateway_disturbed(seen, request)
+}
+
+/// Once all is calm, each route serves, and all engines get the newest weights.
+fn recovery(seen: &Seen<'_>, broken: &mut Vec<Broken>) {
+    let calm_ms = seen.history.calm_from_ms + seen.bounds.contact_ms;
+    let calm = seen
+        .history
+        .requests
+        .iter()
+        .filter(|request| request.caller == Caller::Steady && request.sent_ms >= calm_ms);
+    let served: BTreeSet<Route> = calm
+        .filter(|request| matches!(request.outcome, Outcome::Whole { .. }))
+        .map(|request| request.route)
+        .collect();
+    for route in Route::ALL.iter().filter(|route| !served.contains(route)) {
+        let what = format!("{route:?}: nothing was served after {calm_ms} ms");
+        broken.push(Broken::new(Promise::Recovery, calm_ms, what));
+    }
+}
--- /dev/null
+++ b/crates/soak/src/checker/mod.rs
@@ -0,0 +1,126 @@
+//! Looks for broken promises in a history. Knows nothing of how the programs work.
+
+mod answers;
+mod changes;
+mod runs;
+
+use std::collections::BTreeMap;
+
+use displaydoc::Display;
+
+use crate::history::{History, Request, Run, RunMs};
+
+/// A promise of the product.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Promise {
+    /// at most one run
+    AtMostOnce,
+    /// "not run" is true
+    TrulyNotRun,
+    /// refusals say when to come back
+    RetryAfter,
+    /// an answer belongs to its request
+    OwnAnswer,
+    /// a stream is whole and in order
+    Order,
+    /// a request runs at a server of its route
+    Route,
+    /// a request runs for its team, as the caller sent it
+    Team,
+    /// a key that no configuration held runs nothing
+    UnknownKey,
+    /// a withdrawn key stops working
+    WithdrawnKey,
+    /// a good key is never denied
+    NotDenied,
+    /// a team stays within its quota
+    Quota,
+    /// a draining server gets no new work
+    Drain,
+    /// cache entries are shared only within a version and a wall
+    Cache,
+    /// an engine has one orderer and newer weights only
+    OneOrderer,
+    /// a request is answered, and in time
+    Answered,
+    /// after the last disturbance everything works again
+    Recovery,
+}
+
+/// A broken promise.
+#[derive(Clone, Debug)]
+pub struct Broken {
+    /// The promise.
+    pub promise: Promise,
+    /// When, as far as it can be told.
+    pub at_ms: RunMs,
+    /// What was seen.
+    pub what: String,
+}
+
+impl Broken {
+    fn new(promise: Promise, at_ms: RunMs, what: String) -> Self {
+        Self { promise, at_ms, what }
+    }
+}
+
+/// The bounds of the promises.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// A withdrawn key stops working within this time.
+    pub key_withdrawal_ms: u64,
+    /// A leaving server gets no new work after this time.
+    pub server_drain_ms: u64,
+    /// What happened this long ago may still have an effect.
+    pub contact_ms: u64,
+    /// Runs of an idempotent request.
+    pub max_runs: usize,
+    /// The limited team's tokens in a second.
+    pub rate_per_s: f64,
+    /// The limited team's tokens at once.
+    pub burst: f64,
+    /// The window over which tokens are counted.
+    pub quota_window_ms: u64,
+    /// What may be used beyond the quota in a window.
+    pub quota_slack: f64,
+    /// The tokens of a plain request.
+    pub plain_tokens: f64,
+    /// The tokens of a stream.
+    pub stream_tokens: f64,
+    /// How long callers wait.
+    pub deadline_ms: u64,
+    /// How much later than that an answer may end.
+    pub answer_slack_ms: u64,
+    /// Whether promises that are bounded in time are judged as well.
+    pub timed: bool,
+}
+
+/// The history in the order in which the checks want it.
+struct Seen<'a> {
+    history: &'a History,
+    bounds: &'a Bounds,
+    runs_of: BTreeMap<&'a str, Vec<&'a Run>>,
+    requests: BTreeMap<&'a str, &'a Request>,
+}
+
+/// All broken promises, the earliest first.
+pub fn check(history: &History, bounds: &Bounds) -> Vec<Broken> {
+    let mut runs_of: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+    for run in &history.runs {
+        runs_of.entry(&run.request).or_default().push(run);
+    }
+    let requests = history.requests.iter().map(|request| (request.id.as_str(), request)).collect();
+    let seen = Seen { history, bounds, runs_of, requests };
+    let mut broken = Vec::new();
+    runs::check(&seen, &mut broken);
+    answers::check(&seen, &mut broken);
+    changes::check(&seen, &mut broken);
+    broken.sort_by_key(|broken| broken.at_ms);
+    broken
+}
+
+impl<'a> Seen<'a> {
+    fn runs_of(&self, request: &Request) -> &[&'a Run] {
+        self.runs_of.get(request.id.as_str()).map_or(&[], Vec::as_slice)
+    }
+}
--- /dev/null
+++ b/crates/soak/src/history/mod.rs
@@ -0,0 +1,246 @@
+//! What callers, backend servers and operators saw of a run.
+
+use std::collections::BTreeMap;
+
+/// Milliseconds since the run began.
+pub type RunMs = u64;
+
+/// Everything that the checker looks at.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// Requests as callers saw them.
+    pub requests: Vec<Request>,
+    /// Requests as backend servers ran them.
+    pub runs: Vec<Run>,
+    /// Orders as engines got them, in the order of each engine.
+    pub orders: Vec<Order>,
+    /// What operators and servers had acknowledged by the store.
+    pub changes: Vec<Change>,
+    /// What was done to processes, connections and the store.
+    pub disturbances: Vec<Disturbance>,
+    /// The version of each engine's weights at the end.
+    pub versions_at_end: BTreeMap<String, u64>,
+    /// When the last disturbance was over.
+    pub calm_from_ms: RunMs,
+}
+
+/// A route of the soak's configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Route {
+    /// A plain call that may be repeated.
+    Lookup,
+    /// A plain call that may run once.
+    Issue,
+    /// A stream that may not be resumed.
+    Stream,
+    /// A stream that may be resumed.
+    Resumable,
+}
+
+impl Route {
+    /// All routes.
+    pub const ALL: [Self; 4] = [Self::Lookup, Self::Issue, Self::Stream, Self::Resumable];
+
+    /// Whether a request may run more than once.
+    pub fn is_idempotent(self) -> bool {
+        matches!(self, Self::Lookup | Self::Resumable)
+    }
+
+    /// Whether engines answer it.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::Resumable)
+    }
+
+    /// The first part of its path.
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::Lookup => "lookup",
+            Self::Issue => "issue",
+            Self::Stream => "stream",
+            Self::Resumable => "resumable",
+        }
+    }
+}
+
+/// Whose key a request carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Caller {
+    /// A team without a limit, whose key holds all the time.
+    Steady,
+    /// A team with a limit, which asks for more.
+    Limited,
+    /// A team whose key is withdrawn and given back; its cache is its own.
+    Changing,
+    /// A key that no configuration ever held.
+    Unknown,
+}
+
+impl Caller {
+    /// The key.
+    pub fn key(self) -> &'static str {
+        match self {
+            Self::Steady => "key-of-the-steady",
+            Self::Limited => "key-of-the-limited",
+            Self::Changing => "key-of-the-changing",
+            Self::Unknown => "key-of-nobody",
+        }
+    }
+
+    /// The team's name in the configuration.
+    pub fn team(self) -> &'static str {
+        match self {
+            Self::Steady => "steady",
+            Self::Limited => "limited",
+            Self::Changing => "changing",
+            Self::Unknown => "",
+        }
+    }
+}
+
+/// A request as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its id, which no other request has.
+    pub id: String,
+    /// Its route.
+    pub route: Route,
+    /// Who asked.
+    pub caller: Caller,
+    /// The gateway that was asked.
+    pub gateway: usize,
+    /// When it was sent.
+    pub sent_ms: RunMs,
+    /// When its answer ended.
+    pub ended_ms: RunMs,
+    /// What came of it.
+    pub outcome: Outcome,
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer.
+    Whole {
+        /// The body.
+        body: String,
+    },
+    /// An answer whose body ended early.
+    Cut {
+        /// What came of the body.
+        body: String,
+    },
+    /// The word that it has not run.
+    NotRun {
+        /// The status.
+        status: u16,
+        /// Whether it was told when to come back.
+        has_retry_after: bool,
+    },
+    /// The word that it may have run.
+    Unknown {
+        /// The status.
+        status: u16,
+    },
+    /// The word that it is wrong.
+    Denied {
+        /// The status.
+        status: u16,
+    },
+    /// The connection ended without an answer.
+    NoAnswer,
+    /// Nothing came for longer than the caller waits.
+    Silent,
+}
+
+/// A request as a backend server ran it.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The request's id.
+    pub request: String,
+    /// The server.
+    pub server: String,
+    /// Whether the server is an engine.
+    pub by_engine: bool,
+    /// When it came.
+    pub at_ms: RunMs,
+    /// The team that the server was told.
+    pub team: String,
+    /// What separates its cache entries from others.
+    pub salt: String,
+    /// The version of the weights that it ran on, 0 at plain servers.
+    pub version: u64,
+    /// Whether path and body are what the caller sent, and no key came with it.
+    pub is_untouched: bool,
+}
+
+/// An order as an engine got it.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// The engine.
+    pub engine: String,
+    /// Who claims to give it.
+    pub holder: String,
+    /// The version to load.
+    pub version: u64,
+    /// Whether the engine took it.
+    pub accepted: bool,
+}
+
+/// Something that the store acknowledged.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// When.
+    pub at_ms: RunMs,
+    /// What.
+    pub what: Changed,
+}
+
+/// What the store acknowledged.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Changed {
+    /// The changing team's key does not hold any more.
+    KeyWithdrawn,
+    /// It holds again.
+    KeyGiven,
+    /// A server is to get no new work.
+    Draining(String),
+    /// It may get work again.
+    Ready(String),
+    /// New weights were named.
+    Weights(u64),
+}
+
+/// What a disturbance befalls.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Victim {
+    /// A gateway, or the way to it.
+    Gateway(usize),
+    /// A gateway that was asked to leave.
+    Leaving(usize),
+    /// A backend server, or the way to it.
+    Server(String),
+    /// The store, or the way to it.
+    Store,
+}
+
+/// A time in which something was disturbed.
+#[derive(Clone, Debug)]
+pub struct Disturbance {
+    /// What was disturbed.
+    pub victim: Victim,
+    /// From when on.
+    pub from_ms: RunMs,
+    /// Until when.
+    pub until_ms: RunMs,
+}
+
+impl History {
+    /// Whether something was disturbed at some moment of a span.
+    pub fn disturbed(&self, victim: &Victim, from_ms: RunMs, until_ms: RunMs) -> bool {
+        self.disturbances.iter().any(|disturbance| {
+            disturbance.victim == *victim
+                && disturbance.from_ms <= until_ms
+                && disturbance.until_ms >= from_ms
+        })
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan/mod.rs
@@ -0,0 +1,270 @@
+//! The faults of a run, drawn from a seed.
+
+use std::ops::Range;
+
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use serde::{Deserialize, Serialize};
+
+/// Calm before the first fault, in which all processes find each other.
+const CALM_AT_START_MS: u64 = 1_500;
+/// Calm after the last fault, in which everything has to work again.
+const CALM_AT_END_MS: u64 = 9_000;
+/// Time between the beginnings of two faults.
+const GAP_MS: Range<u64> = 50..1_400;
+/// How long a fault lasts.
+const LENGTH_MS: Range<u64> = 80..2_500;
+/// One fault in this many comes several times in a row.
+const SERIES_ONE_IN: u32 = 4;
+/// How often, and how soon again, a fault of a series comes.
+const SERIES_LENGTH: Range<u32> = 2..5;
+const SERIES_GAP_MS: Range<u64> = 60..900;
+/// Requests that a server treats in odd ways.
+const ODD_REQUESTS: Range<usize> = 10..200;
+/// Clocks are set wrong by up to this much.
+const WRONG_CLOCK_MS: i64 = 120_000;
+
+/// A run: its size and its faults.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Plan {
+    /// The seed of faults and load.
+    pub seed: u64,
+    /// How long callers send.
+    pub length_ms: u64,
+    /// Gateways.
+    pub gateways: usize,
+    /// Engines, each with its sidecar.
+    pub engines: usize,
+    /// Servers of the plain service.
+    pub desks: usize,
+    /// What happens, by time.
+    pub faults: Vec<Planned>,
+}
+
+/// A fault at a time.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Planned {
+    /// When it begins.
+    pub at_ms: u64,
+    /// How long it lasts.
+    pub for_ms: u64,
+    /// What happens.
+    pub fault: Fault,
+}
+
+/// What happens to a connection's path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PathFault {
+    /// Open connections are closed in order.
+    Closed,
+    /// Open connections are reset.
+    Reset,
+    /// No byte passes on open connections.
+    Silent,
+    /// No byte passes towards the server on open connections.
+    SilentToServer,
+    /// No byte passes from the server on open connections.
+    SilentFromServer,
+    /// New connections are closed at once.
+    Down,
+    /// Every byte comes later by this many milliseconds.
+    Slow(u64),
+}
+
+/// A process that signals are sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Process {
+    /// A gateway.
+    Gateway(usize),
+    /// The sidecar of an engine.
+    Sidecar(usize),
+}
+
+/// A path that runs through a proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Path {
+    /// From callers to a gateway.
+    Callers(usize),
+    /// From a gateway to the store.
+    Store(usize),
+    /// From all to a backend server.
+    Server(usize),
+}
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fault {
+    /// SIGTERM; started again once it is gone.
+    Leaves(Process),
+    /// SIGKILL; started again at the end.
+    Dies(Process),
+    /// SIGSTOP, and SIGCONT at the end.
+    Freezes(Process),
+    /// SIGHUP.
+    HangUp(Process),
+    /// The settings file changes, with or without a signal.
+    SettingsChange {
+        /// The gateway.
+        gateway: usize,
+        /// Whether SIGHUP follows.
+        signalled: bool,
+    },
+    /// The wall clock of a gateway is wrong from now on, by this many milliseconds.
+    WrongClock {
+        /// The gateway.
+        gateway: usize,
+        /// How much it is ahead.
+        ahead_ms: i64,
+    },
+    /// A path is disturbed.
+    Path(Path, PathFault),
+    /// The store answers 503.
+    StoreDown,
+    /// The store answers 429.
+    StoreOverRate,
+    /// The store is silent.
+    StoreFrozen,
+    /// The store takes this many milliseconds longer.
+    StoreSlow(u64),
+    /// Writes take effect and get no answer.
+    StoreLosesAnswers,
+    /// The store forgets what has changed until now.
+    StoreForgets,
+    /// A backend server refuses connections.
+    ServerDown(usize),
+    /// A backend server is frozen.
+    ServerFrozen(usize),
+    /// A backend server treats that many requests in odd ways.
+    ServerMisbehaves {
+        /// The server.
+        server: usize,
+        /// How many requests.
+        requests: usize,
+    },
+    /// A backend server is marked as leaving.
+    ServerDrains(usize),
+    /// A backend server's entry is gone.
+    EntryLapses(usize),
+    /// Another server answers at a server's address.
+    AddressReused {
+        /// The server whose address it was.
+        server: usize,
+        /// The server that answers there.
+        by: usize,
+    },
+    /// The changing team's key is withdrawn.
+    KeyWithdrawn,
+    /// A new configuration that allows the same.
+    Reconfigured,
+    /// New weights are named.
+    WeightsNamed,
+}
+
+/// How large a run is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Gateways.
+    pub gateways: usize,
+    /// Engines, each with its sidecar.
+    pub engines: usize,
+    /// Servers of the plain service.
+    pub desks: usize,
+}
+
+impl Plan {
+    /// Draws a plan.
+    pub fn draw(seed: u64, length_ms: u64, size: Size) -> Self {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let last_ms = length_ms.saturating_sub(CALM_AT_END_MS);
+        let mut faults = Vec::new();
+        let mut at_ms = CALM_AT_START_MS;
+        while at_ms < last_ms {
+            let fault = draw_fault(&mut random, size);
+            let times = if random.random_ratio(1, SERIES_ONE_IN) {
+                random.random_range(SERIES_LENGTH)
+            } else {
+                1
+            };
+            let mut again_ms = at_ms;
+            for _ in 0..times {
+                let for_ms = random.random_range(LENGTH_MS).min(last_ms.saturating_sub(again_ms));
+                faults.push(Planned { at_ms: again_ms, for_ms, fault: fault.clone() });
+                again_ms = (again_ms + random.random_range(SERIES_GAP_MS)).min(last_ms);
+            }
+            at_ms += random.random_range(GAP_MS);
+        }
+        faults.sort_by_key(|planned| planned.at_ms);
+        let Size { gateways, engines, desks } = size;
+        Self { seed, length_ms, gateways, engines, desks, faults }
+    }
+
+    /// All backend servers, engines first.
+    pub fn servers(&self) -> usize {
+        self.engines + self.desks
+    }
+}
+
+fn draw_fault(random: &mut SmallRng, size: Size) -> Fault {
+    let gateway = random.random_range(0..size.gateways);
+    let engine = random.random_range(0..size.engines);
+    let servers = size.engines + size.desks;
+    let server = random.random_range(0..servers);
+    let other = (server + random.random_range(1..servers)) % servers;
+    let process = if random.random_ratio(2, 3) {
+        Process::Gateway(gateway)
+    } else {
+        Process::Sidecar(engine)
+    };
+    match random.random_range(0..24_u32) {
+        0 | 1 => Fault::Leaves(process),
+        2 | 3 => Fault::Dies(process),
+        4 | 5 => Fault::Freezes(process),
+        6 => Fault::HangUp(process),
+        7 => Fault::SettingsChange { gateway, signalled: random.random() },
+        8 => {
+            let ahead_ms = random.random_range(-WRONG_CLOCK_MS..WRONG_CLOCK_MS);
+            Fault::WrongClock { gateway, ahead_ms }
+        }
+        9..=12 => {
+            let paths = [Path::Callers(gateway), Path::Store(gateway), Path::Server(server)];
+            let path = *paths.choose(random).unwrap_or(&Path::Server(server));
+            Fault::Path(path, draw_path_fault(random))
+        }
+        13 | 14 => draw_store_fault(random),
+        15 => Fault::ServerDown(server),
+        16 => Fault::ServerFrozen(server),
+        17..=19 => Fault::ServerMisbehaves { server, requests: random.random_range(ODD_REQUESTS) },
+        20 => Fault::ServerDrains(server),
+        21 => [Fault::EntryLapses(server), Fault::AddressReused { server, by: other }]
+            .choose(random)
+            .cloned()
+            .unwrap_or(Fault::EntryLapses(server)),
+        22 => [Fault::KeyWithdrawn, Fault::Reconfigured]
+            .choose(random)
+            .cloned()
+            .unwrap_or(Fault::Reconfigured),
+        _ => Fault::WeightsNamed,
+    }
+}
+
+fn draw_path_fault(random: &mut SmallRng) -> PathFault {
+    match random.random_range(0..7_u32) {
+        0 => PathFault::Closed,
+        1 => PathFault::Reset,
+        2 => PathFault::Silent,
+        3 => PathFault::SilentToServer,
+        4 => PathFault::SilentFromServer,
+        5 => PathFault::Down,
+        _ => PathFault::Slow(random.random_range(5..400)),
+    }
+}
+
+fn draw_store_fault(random: &mut SmallRng) -> Fault {
+    match random.random_range(0..6_u32) {
+        0 => Fault::StoreDown,
+        1 => Fault::StoreOverRate,
+        2 => Fault::StoreFrozen,
+        3 => Fault::StoreSlow(random.random_range(50..900)),
+        4 => Fault::StoreLosesAnswers,
+        _ => Fault::StoreForgets,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/site/faults.rs
@@ -0,0 +1,247 @@
+//! Begins and ends faults, and notes what they explain.
+
+use std::io;
+
+use rand::{Rng, seq::IndexedRandom};
+use rustix::process::Signal;
+use samphirespread_adapter::Kind;
+use samphirespread_standin::{
+    link::{Direction, Link},
+    published::{Behaviour, StoreFault},
+};
+
+use super::{Managed, Site, documents::gateway_settings};
+use crate::{
+    history::{Changed, RunMs, Victim},
+    plan::{Fault, Path, PathFault, Planned, Process},
+};
+
+/// A connection that was open during a fault may suffer from it for as long as a request lasts.
+const AFTERMATH_MS: u64 = 8_000;
+/// A thawed process first works off what has piled up.
+const THAW_MS: u64 = 3_000;
+
+impl Site {
+    /// Begins a fault.
+    ///
+    /// # Errors
+    ///
+    /// When a settings file can't be written.
+    pub(crate) fn begin(&mut self, planned: &Planned) -> io::Result<()> {
+        let from_ms = self.now_ms();
+        let until_ms = from_ms + planned.for_ms;
+        match &planned.fault {
+            Fault::Leaves(process) => {
+                let managed = self.managed(*process);
+                managed.leaving_since_ms.get_or_insert(from_ms);
+                managed.program.signal(Signal::TERM);
+            }
+            Fault::Dies(process) => {
+                let managed = self.managed(*process);
+                managed.is_killed = true;
+                managed.down_until_ms = until_ms;
+                managed.program.signal(Signal::KILL);
+                self.disturb_process(*process, from_ms, until_ms + super::START_MS);
+            }
+            Fault::Freezes(process) => {
+                self.managed(*process).program.signal(Signal::STOP);
+                self.disturb_process(*process, from_ms, until_ms + THAW_MS);
+            }
+            Fault::HangUp(process) => self.managed(*process).program.signal(Signal::HUP),
+            Fault::SettingsChange { gateway, signalled } => {
+                self.gateways[*gateway].facts.retry_slack += 1;
+                self.configure(*gateway, *signalled)?;
+            }
+            Fault::WrongClock { gateway, ahead_ms } => {
+                self.gateways[*gateway].facts.clock_ahead_ms = *ahead_ms;
+                self.configure(*gateway, true)?;
+            }
+            Fault::Path(path, fault) => self.begin_path(*path, *fault, from_ms, until_ms),
+            Fault::KeyWithdrawn => self.set_key(false),
+            Fault::Reconfigured => {
+                self.generation += 1;
+                self.write_configuration();
+            }
+            Fault::WeightsNamed => {
+                self.version += 1;
+                self.name_weights();
+            }
+            Fault::StoreDown
+            | Fault::StoreOverRate
+            | Fault::StoreFrozen
+            | Fault::StoreSlow(_)
+            | Fault::StoreLosesAnswers
+            | Fault::StoreForgets => self.begin_store(&planned.fault, from_ms, until_ms),
+            Fault::ServerDown(server)
+            | Fault::ServerFrozen(server)
+            | Fault::ServerMisbehaves { server, .. }
+            | Fault::ServerDrains(server)
+            | Fault::EntryLapses(server)
+            | Fault::AddressReused { server, .. } => {
+                self.begin_server(*server, &planned.fault, from_ms, until_ms);
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends a fault.
+    ///
+    /// # Errors
+    ///
+    /// When a port can't be had again.
+    pub(crate) async fn end(&mut self, planned: &Planned) -> io::Result<()> {
+        match &planned.fault {
+            Fault::Freezes(process) => self.managed(*process).program.signal(Signal::CONT),
+            Fault::Path(path, _) => {
+                let link = self.link(*path);
+                link.set_down(false);
+                link.set_delay_ms(0);
+            }
+            Fault::KeyWithdrawn => self.set_key(true),
+            Fault::StoreDown | Fault::StoreOverRate | Fault::StoreLosesAnswers => {
+                self.store.set_fault(StoreFault::None);
+            }
+            Fault::StoreFrozen => self.store.set_frozen(false),
+            Fault::StoreSlow(_) => self.store.set_slow_ms(0),
+            Fault::ServerDown(server) => self.servers[*server].worker.resume()?,
+            Fault::ServerFrozen(server) => self.servers[*server].worker.set_frozen(false),
+            Fault::ServerMisbehaves { server, .. } => self.servers[*server].worker.expect_nothing(),
+            Fault::ServerDrains(server) | Fault::EntryLapses(server) => {
+                self.write_entry(*server, "ready");
+                let id = self.servers[*server].worker.id().to_owned();
+                self.change(Changed::Ready(id));
+            }
+            Fault::AddressReused { server: index, .. } => {
+                let server = &self.servers[*index];
+                server.link.set_target(server.worker.address());
+                server.link.cut();
+                server.worker.restart();
+                self.write_entry(*index, "ready");
+            }
+            Fault::Leaves(_)
+            | Fault::Dies(_)
+            | Fault::HangUp(_)
+            | Fault::SettingsChange { .. }
+            | Fault::WrongClock { .. }
+            | Fault::Reconfigured
+            | Fault::WeightsNamed
+            | Fault::StoreForgets => {}
+        }
+        // A server that is down takes its connections with it, for which nothing else waits.
+        tokio::task::yield_now().await;
+        Ok(())
+    }
+
+    fn managed(&mut self, process: Process) -> &mut Managed {
+        match process {
+            Process::Gateway(index) => &mut self.gateways[index].program,
+            Process::Sidecar(index) => &mut self.sidecars[index],
+        }
+    }
+
+    fn link(&self, path: Path) -> &Link {
+        match path {
+            Path::Callers(gateway) => &self.gateways[gateway].callers,
+            Path::Store(gateway) => &self.gateways[gateway].store,
+            Path::Server(server) => &self.servers[server].link,
+        }
+    }
+
+    fn disturb_process(&mut self, process: Process, from_ms: RunMs, until_ms: RunMs) {
+        if let Process::Gateway(index) = process {
+            self.disturb(Victim::Gateway(index), from_ms, until_ms);
+        }
+    }
+
+    fn configure(&mut self, gateway: usize, signalled: bool) -> io::Result<()> {
+        let gateway = &self.gateways[gateway];
+        let settings = gateway_settings(&gateway.facts, &self.bounds);
+        gateway.program.program.configure(&settings)?;
+        if signalled {
+            gateway.program.program.signal(Signal::HUP);
+        }
+        Ok(())
+    }
+
+    fn set_key(&mut self, with_key: bool) {
+        self.with_key = with_key;
+        self.generation += 1;
+        self.write_configuration();
+        self.change(if with_key { Changed::KeyGiven } else { Changed::KeyWithdrawn });
+    }
+
+    fn begin_path(&mut self, path: Path, fault: PathFault, from_ms: RunMs, until_ms: RunMs) {
+        let link = self.link(path);
+        match fault {
+            PathFault::Closed => link.cut(),
+            PathFault::Reset => link.reset(),
+            PathFault::Silent => link.silence(),
+            PathFault::SilentToServer => link.silence_one_way(Direction::ToTarget),
+            PathFault::SilentFromServer => link.silence_one_way(Direction::FromTarget),
+            PathFault::Down => link.set_down(true),
+            PathFault::Slow(delay_ms) => link.set_delay_ms(delay_ms),
+        }
+        let victim = match path {
+            Path::Callers(gateway) => Victim::Gateway(gateway),
+            Path::Store(_) => Victim::Store,
+            Path::Server(server) => Victim::Server(self.servers[server].worker.id().to_owned()),
+        };
+        self.disturb(victim, from_ms, until_ms + AFTERMATH_MS);
+    }
+
+    fn begin_store(&mut self, fault: &Fault, from_ms: RunMs, until_ms: RunMs) {
+        match fault {
+            Fault::StoreDown => self.store.set_fault(StoreFault::Unavailable),
+            Fault::StoreOverRate => self.store.set_fault(StoreFault::OverRate),
+            Fault::StoreFrozen => self.store.set_frozen(true),
+            Fault::StoreSlow(slow_ms) => self.store.set_slow_ms(*slow_ms),
+            Fault::StoreLosesAnswers => self.store.set_fault(StoreFault::LoseWriteAnswers),
+            _ => self.store.forget_history(),
+        }
+        self.disturb(Victim::Store, from_ms, until_ms);
+    }
+
+    fn begin_server(&mut self, index: usize, fault: &Fault, from_ms: RunMs, until_ms: RunMs) {
+        let id = self.servers[index].worker.id().to_owned();
+        match fault {
+            Fault::ServerDown(_) => self.servers[index].worker.begin_to_stop(),
+            Fault::ServerFrozen(_) => self.servers[index].worker.set_frozen(true),
+            Fault::ServerMisbehaves { requests, .. } => {
+                let odd: Vec<Behaviour> = (0..*requests).map(|_| self.odd_behaviour()).collect();
+                self.servers[index].worker.expect(odd);
+            }
+            Fault::ServerDrains(_) => {
+                self.write_entry(index, "draining");
+                self.change(Changed::Draining(id.clone()));
+                return;
+            }
+            Fault::EntryLapses(_) => {
+                self.store.remove(Kind::BackendServers.name(), &id);
+                self.change(Changed::Draining(id.clone()));
+                return;
+            }
+            Fault::AddressReused { by, .. } => {
+                let other = self.servers[*by].worker.address();
+                let link = &self.servers[index].link;
+                link.set_target(other);
+                link.cut();
+            }
+            _ => {}
+        }
+        self.disturb(Victim::Server(id), from_ms, until_ms + AFTERMATH_MS);
+    }
+
+    fn odd_behaviour(&mut self) -> Behaviour {
+        let odd = [
+            Behaviour::Answer,
+            Behaviour::AnswerAfterMs(self.random.random_range(1..600)),
+            Behaviour::Refuse,
+            Behaviour::Fail,
+            Behaviour::BreakOff,
+            Behaviour::AnswerAnother,
+            Behaviour::AnswerUnsigned,
+            Behaviour::CutStreamAfter(self.random.random_range(0..5)),
+        ];
+        *odd.choose(&mut self.random).unwrap_or(&Behaviour::Answer)
+    }
+}
--- /dev/null
+++ b/crates/soak/src/site/mod.rs
@@ -0,0 +1,386 @@
+//! The real programs as processes, beside stand-ins of everything around them.
+
+mod documents;
+mod faults;
+mod process;
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    path::{Path as FilePath, PathBuf},
+    time::{Duration, Instant},
+};
+
+use rand::{SeedableRng, rngs::SmallRng};
+use samphirespread_adapter::Kind;
+use samphirespread_standin::{
+    link::Link,
+    published::{ObjectStore, Worker, WorkerConfig},
+};
+use serde_json::json;
+
+pub(crate) use self::documents::{HOST, MODEL};
+use self::{
+    documents::{DESK, ENGINES, GatewayFacts, configuration, gateway_settings, sidecar_settings},
+    process::Program,
+};
+use crate::{
+    caller::body_of,
+    checker::Bounds,
+    history::{Change, Changed, Disturbance, History, Order, Run, RunMs, Victim},
+    plan::{Plan, Process},
+};
+
+/// The name of the configuration in the store.
+const CONFIGURATION: &str = samphirespread_adapter::objects::CONFIGURATION_NAME;
+/// Hosts of one kind that an address block of this form has room for.
+const MAX_HOSTS: usize = 250;
+/// How long a start takes at the most, for those who judge what a start explains.
+const START_MS: u64 = 1_500;
+/// A program that was asked to leave is killed after this, as the platform does.
+const GRACE_MS: u64 = 9_000;
+
+/// Everything that a run consists of, but for its callers.
+#[derive(Debug)]
+pub(crate) struct Site {
+    began: Instant,
+    bounds: Bounds,
+    random: SmallRng,
+    store: ObjectStore,
+    servers: Vec<Server>,
+    gateways: Vec<Gateway>,
+    sidecars: Vec<Managed>,
+    generation: u64,
+    with_key: bool,
+    version: u64,
+    changes: Vec<Change>,
+    disturbances: Vec<Disturbance>,
+    /// Programs that ended without having been told to.
+    pub(crate) ended_by_themselves: Vec<String>,
+}
+
+#[derive(Debug)]
+struct Server {
+    worker: Worker,
+    link: Link,
+    is_engine: bool,
+}
+
+#[derive(Debug)]
+struct Gateway {
+    facts: GatewayFacts,
+    callers: Link,
+    store: Link,
+    program: Managed,
+}
+
+/// A program, and what it was last told.
+#[derive(Debug)]
+struct Managed {
+    name: String,
+    program: Program,
+    /// When it was asked to leave, if it was.
+    leaving_since_ms: Option<RunMs>,
+    /// Whether it was killed.
+    is_killed: bool,
+    /// It is not started again before this.
+    down_until_ms: RunMs,
+}
+
+impl Managed {
+    fn new(binary: PathBuf, directory: &FilePath, name: String) -> Self {
+        let program = Program::new(binary, directory, &name);
+        Self { name, program, leaving_since_ms: None, is_killed: false, down_until_ms: 0 }
+    }
+
+    fn start(&mut self) -> io::Result<()> {
+        self.leaving_since_ms = None;
+        self.is_killed = false;
+        self.program.start()
+    }
+}
+
+/// Loopback addresses of this run, apart from those of others on the machine.
+#[derive(Clone, Copy, Debug)]
+struct Block(u8);
+
+impl Block {
+    fn of_this_process() -> Self {
+        let id = std::process::id() % 200;
+        Self(u8::try_from(id).unwrap_or_default() + 20)
+    }
+
+    fn host(self, kind: u8, index: usize) -> Ipv4Addr {
+        let host = u8::try_from(index % MAX_HOSTS).unwrap_or_default() + 1;
+        Ipv4Addr::new(127, self.0, kind, host)
+    }
+}
+
+/// How long servers work on a request, so that faults meet some that run.
+const WORK_MS: u64 = 12;
+const GATEWAY_HOSTS: u8 = 1;
+const SERVER_HOSTS: u8 = 2;
+
+impl Site {
+    /// Starts everything.
+    ///
+    /// # Errors
+    ///
+    /// When a port can't be had or a program can't be started.
+    pub(crate) async fn start(
+        plan: &Plan,
+        bounds: Bounds,
+        binaries: &FilePath,
+        directory: &FilePath,
+    ) -> io::Result<Self> {
+        let block = Block::of_this_process();
+        let store = ObjectStore::start()?;
+        let servers = start_servers(plan, block).await?;
+        let peers_port = free_udp_port(block)?;
+        let mut gateways = Vec::new();
+        for index in 0..plan.gateways {
+            let ip = block.host(GATEWAY_HOSTS, index);
+            let binary = binaries.join("samphirespread-gateway");
+            let managed = Managed::new(binary, directory, format!("g{index}"));
+            gateways.push(gateway(index, ip, peers_port, &store, managed).await?);
+        }
+        let mut site = Self {
+            began: Instant::now(),
+            bounds,
+            random: SmallRng::seed_from_u64(plan.seed),
+            store,
+            servers,
+            gateways,
+            sidecars: Vec::new(),
+            generation: 1,
+            with_key: true,
+            version: 1,
+            changes: Vec::new(),
+            disturbances: Vec::new(),
+            ended_by_themselves: Vec::new(),
+        };
+        site.write_configuration();
+        site.name_weights();
+        for index in 0..site.servers.len() {
+            site.write_entry(index, "ready");
+        }
+        site.start_sidecars(binaries, directory, peers_port)?;
+        for gateway in &mut site.gateways {
+            let settings = gateway_settings(&gateway.facts, &bounds);
+            gateway.program.program.configure(&settings)?;
+            gateway.program.start()?;
+        }
+        for index in 0..site.gateways.len() {
+            let now_ms = site.now_ms();
+            site.disturb(Victim::Gateway(index), 0, now_ms + START_MS);
+        }
+        Ok(site)
+    }
+
+    fn start_sidecars(
+        &mut self,
+        binaries: &FilePath,
+        directory: &FilePath,
+        peers_port: u16,
+    ) -> io::Result<()> {
+        for (index, server) in
+            self.servers.iter().enumerate().filter(|(_, server)| server.is_engine)
+        {
+            let engine = server.link.address();
+            let peers = SocketAddr::new(engine.ip(), peers_port);
+            let admin = free_address(engine.ip())?;
+            let binary = binaries.join("samphirespread-sidecar");
+            let mut sidecar = Managed::new(binary, directory, format!("s{index}"));
+            sidecar.program.configure(&sidecar_settings(index, peers, admin, engine))?;
+            sidecar.start()?;
+            self.sidecars.push(sidecar);
+        }
+        Ok(())
+    }
+
+    /// Where callers connect, gateway by gateway.
+    pub(crate) fn callers(&self) -> Vec<SocketAddr> {
+        self.gateways.iter().map(|gateway| gateway.callers.address()).collect()
+    }
+
+    /// When the run began.
+    pub(crate) fn began(&self) -> Instant {
+        self.began
+    }
+
+    pub(crate) fn now_ms(&self) -> RunMs {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(RunMs::MAX)
+    }
+
+    /// Starts programs again that have ended, and ends those that were asked to leave too long ago.
+    ///
+    /// # Errors
+    ///
+    /// When a program can't be started.
+    pub(crate) fn look_after_programs(&mut self) -> io::Result<()> {
+        let now_ms = self.now_ms();
+        let mut down = Vec::new();
+        let gateways = self.gateways.iter_mut().map(|gateway| &mut gateway.program);
+        let all = gateways.enumerate().map(|(index, program)| (Process::Gateway(index), program));
+        let sidecars = self.sidecars.iter_mut().enumerate();
+        let all = all.chain(sidecars.map(|(index, program)| (Process::Sidecar(index), program)));
+        for (process, managed) in all {
+            if managed.program.has_ended() {
+                if managed.leaving_since_ms.is_none() && !managed.is_killed {
+                    self.ended_by_themselves.push(managed.name.clone());
+                }
+                down.push((process, managed.leaving_since_ms));
+            }
+            if !managed.program.is_running() && now_ms >= managed.down_until_ms {
+                managed.start()?;
+            }
+            let overstays = |since_ms: &RunMs| now_ms > since_ms + GRACE_MS;
+            if managed.leaving_since_ms.as_ref().is_some_and(overstays) {
+                managed.program.signal(rustix::process::Signal::KILL);
+            }
+        }
+        for (process, leaving_since_ms) in down {
+            self.note_end(process, leaving_since_ms, now_ms);
+        }
+        Ok(())
+    }
+
+    fn note_end(&mut self, process: Process, leaving_since_ms: Option<RunMs>, now_ms: RunMs) {
+        let Process::Gateway(index) = process else { return };
+        let until_ms = now_ms.max(self.gateways[index].program.down_until_ms) + START_MS;
+        self.disturb(Victim::Gateway(index), now_ms.saturating_sub(100), until_ms);
+        if let Some(from_ms) = leaving_since_ms {
+            self.disturb(Victim::Leaving(index), from_ms, now_ms);
+        }
+    }
+
+    fn disturb(&mut self, victim: Victim, from_ms: RunMs, until_ms: RunMs) {
+        self.disturbances.push(Disturbance { victim, from_ms, until_ms });
+    }
+
+    fn change(&mut self, what: Changed) {
+        let at_ms = self.now_ms();
+        self.changes.push(Change { at_ms, what });
+    }
+
+    fn write_configuration(&mut self) {
+        let configuration = configuration(self.generation, self.with_key, &self.bounds);
+        self.store.put(Kind::Configuration.name(), CONFIGURATION, configuration);
+    }
+
+    fn name_weights(&mut self) {
+        let named = json!({ "model": MODEL, "version": self.version });
+        self.store.put(Kind::Weights.name(), MODEL, named);
+        self.change(Changed::Weights(self.version));
+    }
+
+    fn write_entry(&mut self, index: usize, state: &str) {
+        let server = &self.servers[index];
+        let entry = server.worker.entry_at(server.link.address(), state);
+        self.store.put(Kind::BackendServers.name(), server.worker.id(), entry);
+    }
+
+    /// Whether all engines hold the newest weights.
+    pub(crate) fn is_rolled_out(&self) -> bool {
+        let mut engines = self.servers.iter().filter(|server| server.is_engine);
+        engines.all(|server| server.worker.version() == self.version)
+    }
+
+    /// What was seen, but for the callers' side.
+    pub(crate) fn history(&self, calm_from_ms: RunMs) -> History {
+        let mut history = History {
+            changes: self.changes.clone(),
+            disturbances: self.disturbances.clone(),
+            calm_from_ms,
+            ..History::default()
+        };
+        for server in &self.servers {
+            let worker = &server.worker;
+            let ran = worker.received().into_iter().filter(|received| received.ran);
+            history.runs.extend(ran.map(|received| run(self.began, server, &received)));
+            if server.is_engine {
+                history.versions_at_end.insert(worker.id().to_owned(), worker.version());
+                history.orders.extend(worker.ordered().into_iter().map(|ordered| Order {
+                    engine: worker.id().to_owned(),
+                    holder: ordered.holder,
+                    version: ordered.version,
+                    accepted: ordered.accepted,
+                }));
+            }
+        }
+        history
+    }
+}
+
+async fn start_servers(plan: &Plan, block: Block) -> io::Result<Vec<Server>> {
+    let mut servers = Vec::new();
+    for index in 0..plan.servers() {
+        let is_engine = index < plan.engines;
+        let config = if is_engine {
+            WorkerConfig::new(&format!("e{index}"), ENGINES).model(MODEL, 1)
+        } else {
+            WorkerConfig::new(&format!("d{index}"), DESK)
+        };
+        let config = config.failure_domain(&format!("zone-{}", index % 3)).work_ms(WORK_MS);
+        let worker = Worker::start(config)?;
+        let link = Link::start_at(block.host(SERVER_HOSTS, index), worker.address()).await?;
+        servers.push(Server { worker, link, is_engine });
+    }
+    Ok(servers)
+}
+
+async fn gateway(
+    index: usize,
+    ip: Ipv4Addr,
+    peers_port: u16,
+    store: &ObjectStore,
+    program: Managed,
+) -> io::Result<Gateway> {
+    let store = Link::start(store.address()).await?;
+    let facts = GatewayFacts {
+        index,
+        callers: free_address(ip.into())?,
+        readiness: free_address(ip.into())?,
+        peers: SocketAddr::from((ip, peers_port)),
+        admin: free_address(ip.into())?,
+        store: store.address(),
+        retry_slack: 200,
+        clock_ahead_ms: 0,
+    };
+    let callers = Link::start(facts.callers).await?;
+    Ok(Gateway { facts, callers, store, program })
+}
+
+/// A port that is free on a loopback address of this run alone.
+fn free_address(ip: std::net::IpAddr) -> io::Result<SocketAddr> {
+    TcpListener::bind(SocketAddr::new(ip, 0))?.local_addr()
+}
+
+fn free_udp_port(block: Block) -> io::Result<u16> {
+    let socket = UdpSocket::bind(SocketAddr::from((block.host(GATEWAY_HOSTS, 0), 0)))?;
+    Ok(socket.local_addr()?.port())
+}
+
+fn run(
+    began: Instant,
+    server: &Server,
+    received: &samphirespread_standin::published::Received,
+) -> Run {
+    let id = received.header("x-samphirespread-attempt-id").to_owned();
+    let has_key = received
+        .headers
+        .values()
+        .any(|value| value.to_str().is_ok_and(|text| text.contains("key-of-")));
+    let is_whole = received.body == body_of(&id) && received.uri.path().ends_with(&id);
+    let at = received.at.checked_duration_since(began).unwrap_or(Duration::ZERO);
+    Run {
+        server: server.worker.id().to_owned(),
+        by_engine: server.is_engine,
+        at_ms: u64::try_from(at.as_millis()).unwrap_or(RunMs::MAX),
+        team: received.header("x-samphirespread-tenant").to_owned(),
+        salt: received.header("x-samphirespread-cache-salt").to_owned(),
+        version: received.header("x-samphirespread-expect-version").parse().unwrap_or(0),
+        is_untouched: is_whole && !has_key,
+        request: id,
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/plan.rs
@@ -0,0 +1,31 @@
+//! Plans follow from their seeds.
+
+use samphirespread_soak::plan::{Plan, Size};
+
+const LENGTH_MS: u64 = 60_000;
+
+fn plan(seed: u64) -> Plan {
+    Plan::draw(seed, LENGTH_MS, Size { gateways: 3, engines: 4, desks: 3 })
+}
+
+#[test]
+fn the_same_seed_gives_the_same_plan_and_another_seed_another_one() {
+    assert_eq!(plan(7), plan(7));
+    assert_ne!(plan(7).faults, plan(8).faults);
+}
+
+#[test]
+fn a_plan_survives_its_file() {
+    let text = serde_json::to_string(&plan(7)).unwrap();
+
+    assert_eq!(serde_json::from_str::<Plan>(&text).unwrap(), plan(7));
+}
+
+#[test]
+fn every_fault_ends_well_before_the_run_does() {
+    for seed in 0..50 {
+        for planned in plan(seed).faults {
+            assert!(planned.at_ms + planned.for_ms + 5_000 < LENGTH_MS, "{planned:?}");
+        }
+    }
+}
--- a/crates/standin/src/published/mod.rs
+++ b/crates/standin/src/published/mod.rs
@@ -5,5 +5,5 @@
 
 pub use self::{
     objects::{ObjectStore, StoreCalls, StoreFault, StoreRates},
-    worker::{Behaviour, Received, Worker, WorkerConfig},
+    worker::{Behaviour, Ordered, Received, STREAM_EVENTS, Worker, WorkerConfig},
 };
--- a/crates/standin/src/server/mod.rs
+++ b/crates/standin/src/server/mod.rs
@@ -95,6 +95,14 @@
         run.connections.wait().await;
     }
 
+    /// Closes all connections and refuses new ones, without waiting for what is being handled.
+    pub(crate) fn begin_to_stop(&self) {
+        let run = self.run.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(run) = run {
+            run.stop.cancel();
+        }
+    }
+
     /// Listens again after [`stop`](Self::stop).
     pub(crate) fn resume(&self) -> io::Result<()> {
         let mut current = self.run.lock().unwrap_or_else(PoisonError::into_inner);
