Read only what differs, and leave out engines that started anew

And of 3,756 calls to the store most were reads of configuration and routers by gateways that another one had told of a change in the list of servers.

A gateway that hears of a list or configuration that differs reads that part alone.

Tests, both failed first (5 of 5 reads; 6 of 12 requests at the old entry): a_router_reads_only_what_another_one_tells_of, an_engine_that_started_anew_gets_no_request_under_its_old_entry.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -51,6 +51,13 @@
     sequence: u64,
 }
 
+/// What a newer word of a sidecar tells.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Reported {
+    /// Its engine began another run than the one that is listed, which was not known yet.
+    pub(crate) started_anew: bool,
+}
+
 impl Server {
     fn new(entry: BackendServer) -> Self {
         Self {
@@ -74,6 +81,15 @@
         report.state.as_ref().filter(|_| is_fresh)
     }
 
+    /// Whether the sidecar says that its engine began another run than the one that is listed.
+    ///
+    /// Such an engine answers under a new id, or has forgotten what it had.
+    pub(crate) fn has_started_anew(&self, now: MonoTime) -> bool {
+        let reported = self.fresh_state(now).and_then(|state| state.started_unix_ms);
+        let listed = self.entry.started_unix_ms;
+        reported.is_some() && listed.is_some() && reported != listed
+    }
+
     /// Whether the sidecar says that the engine does not answer.
     pub(crate) fn is_reported_gone(&self, now: MonoTime) -> bool {
         self.report.as_ref().is_some_and(|report| {
@@ -204,13 +220,13 @@
 
     /// Takes in the word of the sidecar at an address.
     ///
-    /// Returns the server if the word is newer than what was known.
+    /// Returns what it tells if it is newer than what was known.
     pub(crate) fn reported(
         &mut self,
         from: IpAddr,
         report: EngineReport,
         now: MonoTime,
-    ) -> Option<&Server> {
+    ) -> Option<Reported> {
         let id = self.by_ip.get(&from)?;
         let server = self.servers.get_mut(id)?;
         let order = (report.incarnation, report.sequence);
@@ -222,13 +238,14 @@
             return None;
         }
         server.new_tokens = 0;
+        let had_started_anew = server.has_started_anew(now);
         server.report = Some(Report {
             state: report.state,
             heard: now,
             incarnation: report.incarnation,
             sequence: report.sequence,
         });
-        Some(server)
+        Some(Reported { started_anew: !had_started_anew && server.has_started_anew(now) })
     }
 
     pub(crate) fn get(&self, id: &str) -> Option<&Server> {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -62,6 +62,7 @@
     if !state.routers.contains_key(&report.from) {
         // It is not on this router's list yet, which another read will show.
         state.reads.routers = Copy::default();
+        state.reads.news.routers = true;
         core.news.notify_one();
         return;
     }
@@ -84,8 +85,12 @@
 fn take_engine(core: &Core, from: SocketAddr, report: EngineReport) {
     let now = core.now();
     let mut state = core.state();
-    let was_known = state.fleet.reported(from.ip(), report, now).is_some();
-    if was_known && conduct::conduct(core, &mut state, now) {
+    let Some(reported) = state.fleet.reported(from.ip(), report, now) else { return };
+    if reported.started_anew && reads::leads(core, &state, now) {
+        state.reads.news.servers = true;
+        core.news.notify_one();
+    }
+    if conduct::conduct(core, &mut state, now) {
         core.told.notify_one();
     }
 }
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -24,10 +24,32 @@
     pub(crate) configuration: Copy,
     pub(crate) servers: Copy,
     pub(crate) routers: Copy,
+    /// What is known to differ from the own copies.
+    pub(crate) news: Parts,
     /// Another router's address, for reading there what the store won't give.
     pub(crate) wanted_from: Option<SocketAddr>,
 }
 
+/// Some of what a router keeps copies of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Parts {
+    pub(crate) configuration: bool,
+    pub(crate) servers: bool,
+    pub(crate) routers: bool,
+}
+
+impl Parts {
+    pub(crate) fn any(self) -> bool {
+        self.configuration || self.servers || self.routers
+    }
+
+    fn add(&mut self, other: Self) {
+        self.configuration |= other.configuration;
+        self.servers |= other.servers;
+        self.routers |= other.routers;
+    }
+}
+
 impl Default for Reads {
     fn default() -> Self {
         Self {
@@ -35,6 +57,7 @@
             configuration: Copy::default(),
             servers: Copy::default(),
             routers: Copy::default(),
+            news: Parts::default(),
             wanted_from: None,
         }
     }
@@ -72,17 +95,17 @@
     let reads = &mut state.reads;
     // An older generation is never adopted, so only a higher one is news.
     let is_behind = report.configuration.mark < reads.configuration.mark();
-    let news = [
-        !is_behind && reads.configuration.heard(report.configuration, echo),
-        reads.servers.heard(report.servers, echo),
-        reads.routers.heard(report.routers, echo),
-    ];
+    let news = Parts {
+        configuration: !is_behind && reads.configuration.heard(report.configuration, echo),
+        servers: reads.servers.heard(report.servers, echo),
+        routers: reads.routers.heard(report.routers, echo),
+    };
+    reads.news.add(news);
     if let Some(confirmed) = reads.configuration.confirmed() {
         state.contact.platform_answered(confirmed);
     }
-    let has_news = news.contains(&true);
-    if has_news {
+    if news.any() {
         state.reads.wanted_from = admin;
     }
-    has_news
+    news.any()
 }
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -88,7 +88,8 @@
 
 fn is_eligible(server: &Server, tried: &[Arc<str>], now: MonoTime) -> bool {
     let is_loading = server.fresh_state(now).is_some_and(|state| state.is_loading);
-    let may_take = server.entry.standing == Standing::Ready && !server.is_superseded;
+    let is_listed_run = !server.is_superseded && !server.has_started_anew(now);
+    let may_take = server.entry.standing == Standing::Ready && is_listed_run;
     may_take && !is_loading && !tried.contains(&server.entry.id)
 }
 
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -29,7 +29,8 @@
     fleet::FleetNews,
     gateway::Core,
     metrics::{self, count},
-    peers, reads,
+    peers,
+    reads::{self, Parts},
     state::OtherRouter,
     weights,
 };
@@ -107,6 +108,7 @@
     let mut poller = Poller { core, is_up: true, missing_until: MonoTime::ZERO };
     let mut round: u64 = 0;
     let mut last = None;
+    let mut last_news: Option<MonoTime> = None;
     loop {
         let core = poller.core.clone();
         let wait_ms = poller.wait_ms(last);
@@ -119,13 +121,19 @@
         if !had_news && poller.wait_ms(last) > 0 {
             continue;
         }
-        if had_news && last.is_some_and(|last| now.ms_since(last) < NEWS_PAUSE_MS) {
+        if had_news && last_news.is_some_and(|last| now.ms_since(last) < NEWS_PAUSE_MS) {
             time::sleep(Duration::from_millis(NEWS_PAUSE_MS)).await;
         }
-        last = Some(now);
-        let reads_routers = had_news || round.is_multiple_of(ROUNDS_A_ROUTERS_READ);
-        poller.read(reads_routers).await;
-        round += 1;
+        last_news = if had_news { Some(core.now()) } else { last_news };
+        let news = std::mem::take(&mut core.state().reads.news);
+        if poller.wait_ms(last) == 0 {
+            last = Some(now);
+            let routers = news.routers || round.is_multiple_of(ROUNDS_A_ROUTERS_READ);
+            poller.read(Parts { configuration: true, servers: true, routers }).await;
+            round += 1;
+        } else if news.any() {
+            poller.read(news).await;
+        }
     }
 }
 
@@ -155,18 +163,27 @@
         due_in_ms.min(LOOK_MS)
     }
 
-    /// Reads the configuration and the lists.
-    async fn read(&mut self, reads_routers: bool) {
+    /// Reads some of what the store holds.
+    async fn read(&mut self, parts: Parts) {
         let core = self.core.clone();
         let began = core.now();
         let (configuration, servers, routers) = tokio::join!(
-            core.store.get(Kind::Configuration, CONFIGURATION_NAME),
-            core.store.list(Kind::BackendServers),
-            async { if reads_routers { Some(core.store.list(Kind::Routers).await) } else { None } },
+            read_if(parts.configuration, core.store.get(Kind::Configuration, CONFIGURATION_NAME)),
+            read_if(parts.servers, core.store.list(Kind::BackendServers)),
+            read_if(parts.routers, core.store.list(Kind::Routers)),
         );
-        let is_up = configuration.is_ok() && servers.is_ok();
-        self.take_configuration(configuration, began);
-        self.take_servers(servers, began);
+        let is_up = match (&configuration, &servers) {
+            (None, None) => self.is_up,
+            (configuration, servers) => {
+                !has_failed(configuration.as_ref()) && !has_failed(servers.as_ref())
+            }
+        };
+        if let Some(configuration) = configuration {
+            self.take_configuration(configuration, began);
+        }
+        if let Some(servers) = servers {
+            self.take_servers(servers, began);
+        }
         if let Some(routers) = routers {
             self.take_routers(routers, began).await;
         }
@@ -391,6 +408,14 @@
     }
 }
 
+async fn read_if<T>(wanted: bool, call: impl Future<Output = T>) -> Option<T> {
+    if wanted { Some(call.await) } else { None }
+}
+
+fn has_failed<T>(call: Option<&Result<T, StoreError>>) -> bool {
+    call.is_some_and(Result::is_err)
+}
+
 impl OtherRouter {
     /// Time since it was last heard.
     pub(crate) fn silent_ms(&self, now: MonoTime) -> u64 {
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -2,9 +2,17 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use samphirespread_core::prelude::*;
+use samphirespread_peer::{Datagram, EngineReport, EngineState, HeldWeights, encode};
 use serde_json::json;
 
-use crate::support::{Running, configuration, eventually, settings_of, start_gateway, start_site};
+use crate::support::{
+    MODEL, Running, configuration, eventually, generation, send, settings_of, start_gateway,
+    start_site,
+};
 
 /// Longer than a copy may go without a read of one's own before that counts as an outage.
 const LONG_WITHOUT_OWN_READ: Duration = Duration::from_millis(1_500);
@@ -57,3 +65,70 @@
 
     logged(&follower, "configuration adopted", "generation", json!(9)).await;
 }
+
+/// Reads of the configuration that a gateway has carried out itself.
+async fn reads_of_the_configuration(gateway: &Running) -> u64 {
+    let request = Request::get("/metrics").body(Full::<Bytes>::default()).unwrap();
+    let answer = send(gateway.addresses.admin, request).await.expect("metrics");
+    let line = answer.body.lines().find(|line| line.contains("store_call_seconds_count"));
+    let count = line.and_then(|line| line.split_whitespace().next_back()).expect("a count");
+    count.parse().unwrap()
+}
+
+/// A fleet of many routers, in which each change of one list made every router read all of them.
+#[tokio::test]
+async fn a_router_reads_only_what_another_one_tells_of() {
+    let site = start_site(configuration()).await;
+    let follower = start_gateway(settings_of("r2", site.store.address())).await;
+    logged(&follower, "leaves reading to another", "level", json!("INFO")).await;
+    tokio::time::sleep(LONG_WITHOUT_OWN_READ).await;
+    let before = reads_of_the_configuration(&follower).await;
+    let ids = ["x1", "x2", "x3", "x4", "x5"];
+
+    for id in ids {
+        site.store.put("servers", id, site.workers[0].entry("ready"));
+        logged(&follower, "server appeared", "server", json!(id)).await;
+    }
+
+    let reads = reads_of_the_configuration(&follower).await - before;
+    assert!(reads < 3, "{reads} reads for {} changes of the servers", ids.len());
+}
+
+/// An engine crashes and starts again: its sidecar knows before the list does.
+#[tokio::test]
+async fn an_engine_that_started_anew_gets_no_request_under_its_old_entry() {
+    let site = start_site(configuration()).await;
+    // All servers share an address here, so a sidecar's word is taken for the last engine.
+    let sidecar = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let held = HeldWeights { model: ModelName::new(MODEL), version: 1 };
+    let state = EngineState {
+        started_unix_ms: Some(99),
+        models: vec![held],
+        is_loading: false,
+        running: 0,
+        waiting: 0,
+        used_tokens: 0,
+        memory_tokens: 90_000,
+    };
+
+    for number in 0..12 {
+        let report = EngineReport {
+            from: InstanceName::new("s2"),
+            incarnation: Incarnation(1),
+            sequence: number + 1,
+            state: Some(state.clone()),
+        };
+        let bytes = encode(&Datagram::Engine(report));
+        sidecar.send_to(&bytes, site.gateway.addresses.peers).await.unwrap();
+        // The gateway takes datagrams before it is asked again.
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let mut request = generation("/stream/a", &format!("q{number}"));
+        // Each subject has its home at one of the engines.
+        let subject = format!("subject-{number}:10").parse().unwrap();
+        request.headers_mut().insert("x-samphirespread-prompt-prefix", subject);
+        site.send(request).await;
+    }
+
+    let received: Vec<usize> = site.workers.iter().map(|worker| worker.received().len()).collect();
+    assert_eq!(received, [0, 0, 12, 0]);
+}
