Keep the list of servers by changes, not by reading it whole

Each change of one server made every gateway read the whole list, and the one that reads for others read it whole every 0.9 s.

Change: server_list.rs keeps the entries and the revision; a read is a watch that waits 0 ms from it. The list is read whole at first, when the history is gone, when the store goes back, and after a change without a readable name. Copies from another router carry no revision, so the next own read lists again.

Ruled out: reports between gateways as the main part (some 300 kB a second at that size, worked out).

Test: a_change_of_one_server_does_not_list_them_all failed first (4 listings in 7 calls); two more for a history that is gone and an entry that becomes unreadable.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -19,7 +19,7 @@
     pub(crate) configuration: Option<Arc<Object>>,
     /// Time since the read that confirmed the list began.
     pub(crate) servers_age_ms: u64,
-    pub(crate) servers: Arc<Vec<Object>>,
+    pub(crate) servers: Arc<Vec<Arc<Object>>>,
 }
 
 /// Answers `/metrics`, `/dump` and `/copies`.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod run;
 mod select;
 mod serve;
+mod server_list;
 mod state;
 mod story;
 mod sync;
--- /dev/null
+++ b/crates/gateway/src/server_list.rs
@@ -0,0 +1,109 @@
+//! The list of backend servers as the store holds it, kept current by changes.
+//!
+//! A list of thousands of entries is read once; afterwards a read fetches what has changed since.
+
+use std::{
+    collections::BTreeMap,
+    hash::{Hash, Hasher},
+    sync::Arc,
+};
+
+use samphirespread_adapter::{Change, DecodeError, Object, backend_servers};
+use samphirespread_routing::model::{BackendServer, Standing};
+use xxhash_rust::xxh3::Xxh3;
+
+/// The entries of the list.
+#[derive(Debug, Default)]
+pub(crate) struct ServerList {
+    entries: BTreeMap<String, Entry>,
+    /// From which to ask for changes; none where all has to be read again.
+    revision: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    object: Arc<Object>,
+    /// None where the entry can't be read.
+    server: Option<BackendServer>,
+}
+
+/// An entry that can't be read.
+#[derive(Debug)]
+pub(crate) struct Unreadable {
+    pub(crate) name: String,
+    pub(crate) error: DecodeError,
+}
+
+impl ServerList {
+    /// All entries, and the revision from which to ask for changes.
+    pub(crate) fn new(
+        objects: impl IntoIterator<Item = Arc<Object>>,
+        revision: Option<u64>,
+    ) -> (Self, Vec<Unreadable>) {
+        let mut list = Self { entries: BTreeMap::new(), revision };
+        let unreadable = objects.into_iter().filter_map(|object| list.set(object)).collect();
+        (list, unreadable)
+    }
+
+    /// Takes in what has changed up to a revision.
+    pub(crate) fn apply(&mut self, changes: Vec<Change>, revision: u64) -> Vec<Unreadable> {
+        self.revision = Some(revision);
+        let mut unreadable = Vec::new();
+        for change in changes {
+            match change {
+                Change::Set(object) => unreadable.extend(self.set(Arc::new(object))),
+                Change::Removed(name) => {
+                    self.entries.remove(&name);
+                }
+            }
+        }
+        unreadable
+    }
+
+    /// Makes the next read fetch the whole list.
+    pub(crate) fn forget_revision(&mut self) {
+        self.revision = None;
+    }
+
+    /// From which to ask for changes.
+    pub(crate) fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
+    /// The servers whose entries can be read.
+    pub(crate) fn servers(&self) -> Vec<BackendServer> {
+        self.entries.values().filter_map(|entry| entry.server.clone()).collect()
+    }
+
+    /// The entries as the store gave them.
+    pub(crate) fn objects(&self) -> Arc<Vec<Arc<Object>>> {
+        Arc::new(self.entries.values().map(|entry| Arc::clone(&entry.object)).collect())
+    }
+
+    /// Equal for equal lists. Their weights don't count: sidecars tell of those.
+    pub(crate) fn mark(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        for server in self.entries.values().filter_map(|entry| entry.server.as_ref()) {
+            (&*server.id, &*server.service, server.address, &*server.failure_domain)
+                .hash(&mut hasher);
+            (server.slots, server.standing == Standing::Ready, server.started_unix_ms)
+                .hash(&mut hasher);
+        }
+        hasher.finish()
+    }
+
+    fn set(&mut self, object: Arc<Object>) -> Option<Unreadable> {
+        let name = object.name.clone();
+        let (server, unreadable) = match backend_servers::decode(&name, &object.spec) {
+            Ok(mut server) => {
+                if object.is_deleting {
+                    server.standing = Standing::Draining;
+                }
+                (Some(server), None)
+            }
+            Err(error) => (None, Some(Unreadable { name: name.clone(), error })),
+        };
+        self.entries.insert(name, Entry { object, server });
+        unreadable
+    }
+}
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -52,7 +52,7 @@
     /// The configuration as it was read.
     pub(crate) configuration_object: Option<Arc<Object>>,
     /// The list of backend servers as it was read.
-    pub(crate) server_objects: Arc<Vec<Object>>,
+    pub(crate) server_objects: Arc<Vec<Arc<Object>>>,
     /// The backend servers.
     pub(crate) fleet: Fleet,
     /// Whether the list of backend servers was read at all.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -8,16 +8,12 @@
 };
 
 use samphirespread_adapter::{
-    DecodeError, Kind, Listing, Object, StoreError, Written, backend_servers, configuration,
+    Changes, DecodeError, Kind, Listing, Object, StoreError, Written, configuration,
     objects::CONFIGURATION_NAME,
 };
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
-use samphirespread_routing::{
-    freshness::Copy,
-    model::{BackendServer, Standing},
-    table::Table,
-};
+use samphirespread_routing::{freshness::Copy, table::Table};
 use serde_json::json;
 use slog::{info, warn};
 use tokio::{task::JoinSet, time};
@@ -31,6 +27,7 @@
     metrics::{self, count},
     peers,
     reads::{self, Parts},
+    server_list::{ServerList, Unreadable},
     state::OtherRouter,
     weights,
 };
@@ -102,10 +99,17 @@
     }
 }
 
+/// What a read of the servers gave.
+enum ServersRead {
+    Listed(Listing),
+    Changed(Changes),
+}
+
 /// Keeps the copies current: by reading the store when this router leads, when another router tells
 /// of a copy that differs, and when nobody confirms the own ones.
 async fn poll(core: Arc<Core>) {
-    let mut poller = Poller { core, is_up: true, missing_until: MonoTime::ZERO };
+    let mut poller =
+        Poller { core, is_up: true, servers: ServerList::default(), missing_until: MonoTime::ZERO };
     let mut round: u64 = 0;
     let mut last = None;
     let mut last_news: Option<MonoTime> = None;
@@ -140,6 +144,7 @@
 struct Poller {
     core: Arc<Core>,
     is_up: bool,
+    servers: ServerList,
     /// Until then servers that are missing on the list are kept.
     missing_until: MonoTime,
 }
@@ -169,7 +174,7 @@
         let began = core.now();
         let (configuration, servers, routers) = tokio::join!(
             read_if(parts.configuration, core.store.get(Kind::Configuration, CONFIGURATION_NAME)),
-            read_if(parts.servers, core.store.list(Kind::BackendServers)),
+            read_if(parts.servers, self.read_servers()),
             read_if(parts.routers, core.store.list(Kind::Routers)),
         );
         let is_up = match (&configuration, &servers) {
@@ -216,8 +221,7 @@
             self.take_configuration_object(Object::clone(&object), read_began);
         }
         let read_began = began.minus_ms(copies.servers_age_ms);
-        let objects = Vec::clone(&copies.servers);
-        self.take_server_objects(objects, read_began);
+        self.take_servers_of_router(&copies.servers, read_began);
     }
 
     fn note(&mut self, is_up: bool) {
@@ -261,39 +265,90 @@
         }
     }
 
-    fn take_servers(&mut self, read: Result<Listing, StoreError>, began: MonoTime) {
-        let listing = match read {
-            Ok(listing) => listing,
+    /// Fetches what has changed among the servers, or all of them where that is not known.
+    async fn read_servers(&self) -> Result<ServersRead, StoreError> {
+        let store = &self.core.store;
+        if let Some(revision) = self.servers.revision() {
+            match store.watch(Kind::BackendServers, revision, 0).await {
+                // A store that was put back to an earlier state tells nothing of what has changed.
+                Ok(changes) if changes.revision < revision => {}
+                Err(StoreError::HistoryGone) => {}
+                read => return read.map(ServersRead::Changed),
+            }
+        }
+        store.list(Kind::BackendServers).await.map(ServersRead::Listed)
+    }
+
+    fn take_servers(&mut self, read: Result<ServersRead, StoreError>, began: MonoTime) {
+        let read = match read {
+            Ok(read) => read,
             Err(error) => return self.failed("servers", &error),
         };
-        for error in &listing.unreadable {
-            log_unreadable(&self.core, "server", error);
-        }
         let outage_ms = 2 * self.core.settings.store.poll_ms + UNCONFIRMED_MS;
         let confirmed = self.core.state().reads.servers.confirmed();
         if confirmed.is_some_and(|confirmed| began.ms_since(confirmed) > outage_ms) {
             self.missing_until = began.plus_ms(LAPSED_RETURN_MS);
         }
-        self.take_server_objects(listing.objects, began);
+        let unreadable = match read {
+            ServersRead::Changed(changes) if changes.changes.is_empty() && confirmed.is_some() => {
+                self.log_nameless(&changes.unreadable);
+                let mut state = self.core.state();
+                let mark = state.reads.servers.mark();
+                state.reads.servers.read(mark, began);
+                return;
+            }
+            ServersRead::Changed(changes) => {
+                self.log_nameless(&changes.unreadable);
+                self.servers.apply(changes.changes, changes.revision)
+            }
+            ServersRead::Listed(listing) => {
+                self.log_nameless(&listing.unreadable);
+                let objects = listing.objects.into_iter().map(Arc::new);
+                let (servers, unreadable) = ServerList::new(objects, Some(listing.revision));
+                self.servers = servers;
+                unreadable
+            }
+        };
+        self.use_servers(&unreadable, began);
     }
 
-    fn take_server_objects(&mut self, objects: Vec<Object>, began: MonoTime) {
-        let entries = readable_servers(&self.core, &objects);
-        let mark = mark_of_servers(&entries);
-        let mut state = self.core.state();
-        if state.reads.servers.confirmed() > Some(began) && state.reads.servers.mark() == mark {
+    /// Logs entries without a readable name. What they replace is not known, so all is read again.
+    fn log_nameless(&mut self, unreadable: &[DecodeError]) {
+        for error in unreadable {
+            log_unreadable(&self.core, "server", error);
+        }
+        if !unreadable.is_empty() {
+            self.servers.forget_revision();
+        }
+    }
+
+    /// Takes another router's list over, unless the own one is as good.
+    fn take_servers_of_router(&mut self, objects: &[Arc<Object>], began: MonoTime) {
+        let (servers, unreadable) = ServerList::new(objects.iter().cloned(), None);
+        let known = self.core.state().reads.servers;
+        if known.confirmed() > Some(began) && known.mark() == servers.mark() {
             return;
         }
+        self.servers = servers;
+        self.use_servers(&unreadable, began);
+    }
+
+    /// Puts the list in force.
+    fn use_servers(&self, unreadable: &[Unreadable], began: MonoTime) {
+        for entry in unreadable {
+            log_unreadable(&self.core, &entry.name, &entry.error);
+        }
         let keeps_missing = began < self.missing_until;
-        let news = state.fleet.replace(entries, keeps_missing);
+        let mut state = self.core.state();
+        let news = state.fleet.replace(self.servers.servers(), keeps_missing);
         state.has_fleet = true;
         if keeps_missing {
             // What is missing has to be looked at again, whatever others say of the list.
             state.reads.servers = Copy::default();
         } else {
-            state.reads.servers.read(mark, began);
+            state.reads.servers.read(self.servers.mark(), began);
         }
-        state.server_objects = Arc::new(objects);
+        state.server_objects = self.servers.objects();
         drop(state);
         for item in news {
             match item {
@@ -442,17 +497,6 @@
     hasher.finish()
 }
 
-/// Equal for equal lists of servers. Their weights don't count: sidecars tell of those.
-fn mark_of_servers(servers: &[BackendServer]) -> u64 {
-    let mut hasher = Xxh3::new();
-    for server in servers {
-        (&*server.id, &*server.service, server.address, &*server.failure_domain).hash(&mut hasher);
-        (server.slots, server.standing == Standing::Ready, server.started_unix_ms)
-            .hash(&mut hasher);
-    }
-    hasher.finish()
-}
-
 /// Puts a configuration in force, unless a newer one is, and notes the read that gave it.
 fn adopt(core: &Core, decoded: configuration::Decoded, object: Object, began: MonoTime) {
     let configuration::Decoded { configuration, unreadable } = decoded;
@@ -481,22 +525,6 @@
     state.configuration_object = Some(Arc::new(object));
 }
 
-fn readable_servers(core: &Core, objects: &[Object]) -> Vec<BackendServer> {
-    let mut servers = Vec::with_capacity(objects.len());
-    for object in objects {
-        match backend_servers::decode(&object.name, &object.spec) {
-            Ok(mut server) => {
-                if object.is_deleting {
-                    server.standing = Standing::Draining;
-                }
-                servers.push(server);
-            }
-            Err(error) => log_unreadable(core, &object.name, &error),
-        }
-    }
-    servers
-}
-
 /// Logs an entry that can't be read, once.
 pub(crate) fn log_unreadable(core: &Core, name: &str, error: &DecodeError) {
     /// Entries that are remembered; past that they may be logged again.
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -5,7 +5,7 @@
 use serde_json::json;
 
 use crate::support::{
-    KEY, call, configuration, eventually, send, settings, start_gateway, start_site,
+    KEY, Site, call, configuration, eventually, send, settings, start_gateway, start_site,
 };
 
 fn without_key() -> serde_json::Value {
@@ -159,3 +159,56 @@
     assert!(answer.headers.contains_key("retry-after"));
     assert!(!KEY.is_empty());
 }
+
+/// Thousands of servers, of which one or the other comes and goes all the time.
+#[tokio::test]
+async fn a_change_of_one_server_does_not_list_them_all() {
+    let site = start_site(configuration()).await;
+    let appeared = async |id: &str| {
+        site.store.put("servers", id, site.workers[0].entry("ready"));
+        eventually(|| logged(&site, "server appeared", id)).await;
+    };
+    appeared("x0").await;
+
+    let before = site.store.calls();
+    appeared("x1").await;
+    appeared("x2").await;
+    site.store.remove("servers", "x1");
+    eventually(|| logged(&site, "server gone", "x1")).await;
+    let after = site.store.calls();
+
+    // The list of routers is listed in each third round, in which two other calls are made.
+    let listings = after.listings - before.listings;
+    let others = after.reads - before.reads - listings;
+    assert!(2 * listings <= others, "{before:?} {after:?}");
+}
+
+#[tokio::test]
+async fn servers_are_listed_anew_when_the_history_is_gone() {
+    let site = start_site(configuration()).await;
+    site.store.put("servers", "x1", site.workers[0].entry("ready"));
+    eventually(|| logged(&site, "server appeared", "x1")).await;
+
+    site.store.remove("servers", "x1");
+    site.store.put("servers", "x2", site.workers[0].entry("ready"));
+    site.store.forget_history();
+
+    eventually(|| logged(&site, "server gone", "x1")).await;
+    eventually(|| logged(&site, "server appeared", "x2")).await;
+}
+
+#[tokio::test]
+async fn an_entry_that_becomes_unreadable_names_no_server_any_more() {
+    let site = start_site(configuration()).await;
+    site.store.put("servers", "x1", site.workers[0].entry("ready"));
+    eventually(|| logged(&site, "server appeared", "x1")).await;
+
+    site.store.put("servers", "x1", json!({ "service": 7 }));
+
+    eventually(|| logged(&site, "server gone", "x1")).await;
+}
+
+fn logged(site: &Site, message: &str, server: &str) -> Option<()> {
+    let is_it = |line: &serde_json::Value| line["msg"] == message && line["server"] == server;
+    site.gateway.log.lines().iter().any(is_it).then_some(())
+}
--- a/crates/standin/src/published/objects/http_api.rs
+++ b/crates/standin/src/published/objects/http_api.rs
@@ -87,7 +87,8 @@
         return wait(&shared, &kind, revision, parameters.wait_ms.unwrap_or_default()).await;
     }
 
-    let state = shared.lock();
+    let mut state = shared.lock();
+    state.calls.listings += 1;
     let after = parameters.after.unwrap_or_default();
     let mut rest = state.objects.of_kind(&kind).filter(|(name, _)| **name > after);
     let items: Vec<&Value> = rest.by_ref().take(PAGE).map(|(_, object)| object).collect();
--- a/crates/standin/src/published/objects/mod.rs
+++ b/crates/standin/src/published/objects/mod.rs
@@ -37,6 +37,8 @@
     pub reads: u64,
     /// Watches.
     pub watches: u64,
+    /// Listings, each page of them.
+    pub listings: u64,
     /// Writes, those that met another revision included.
     pub writes: u64,
     /// Calls that were past a rate.
