Tell other routers only of the quotas and weights that changed lately

Change: nine of ten reports list only what changed within the last second; the tenth, those of a run's first second and those to a router not heard yet list everything. The first report of a run counts only if it is full.

Tests: the fleet of routing's quota tests (floods, cuts, restarts, losses) now reports that way and keeps the same bounds; three new ones for parts of reports.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -220,7 +220,8 @@
 
 fn not_run(mut run: Run, reason: NotRun, retry_after_ms: u64) -> Response<Outgoing> {
     if let Some(team) = &run.grant.team {
-        run.core.state().quotas.refund(&team.name, team.cost);
+        let now = run.core.now();
+        run.core.state().quotas.refund(&team.name, team.cost, now);
     }
     finish(&mut run, &End::NotRun { reason, retry_after_ms });
     answers::not_run(reason, retry_after_ms)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,8 +10,7 @@
 };
 use samphirespread_routing::{
     freshness::{Copy, Echo},
-    quota::TeamKey,
-    rollout::NamedVersions,
+    quota::{TeamKey, UsageReport},
 };
 use slog::{info, warn};
 use tokio::time;
@@ -20,6 +19,10 @@
 
 /// Time between two reports to the other routers.
 const REPORT_MS: u64 = 100;
+/// Reports between two that tell of everything, not only of what has changed lately.
+const REPORTS_A_FULL_ONE: u64 = 10;
+/// What changed this long ago is still told in every report, so that lost ones cost nothing.
+const LATELY_MS: u64 = 1_000;
 /// Reports between two directives to each sidecar.
 const REPORTS_A_DIRECTIVE: u64 = 5;
 
@@ -70,8 +73,9 @@
     if reads::heard(core, &mut state, &report, admin) {
         core.news.notify_one();
     }
-    let totals = report.usage.iter().map(|usage| (TeamKey(usage.team), usage.total));
-    state.quotas.heard(&report.from, report.incarnation, totals, now);
+    let totals = report.usage.iter().map(|usage| (TeamKey(usage.team), usage.total)).collect();
+    let usage = UsageReport { totals, is_full: report.usage_is_full };
+    state.quotas.heard(&report.from, report.incarnation, &usage, now);
     if let Some(router) = state.routers.get_mut(&report.from) {
         let is_older = router.report.as_ref().is_some_and(|(known, _)| {
             (known.incarnation, known.sent) > (report.incarnation, report.sent)
@@ -113,7 +117,7 @@
             conduct::conduct(&core, &mut state, now);
             directives(&core, &state, round, &mut outgoing);
             if !was_told {
-                reports(&core, &state, now, &mut outgoing);
+                reports(&core, &state, now, round, &mut outgoing);
             }
         }
         for (address, bytes) in outgoing {
@@ -128,21 +132,22 @@
     }
 }
 
-fn reports(core: &Core, state: &State, now: MonoTime, outgoing: &mut Vec<(SocketAddr, Vec<u8>)>) {
-    let ages = |(model, named): (&ModelName, &NamedVersions)| {
-        let model = model.clone();
-        let ages: Vec<(u64, u64)> = named.ages_ms(now).collect();
-        ages.into_iter().map(move |(version, age_ms)| NamedWeights {
-            model: model.clone(),
-            version,
-            age_ms,
-        })
-    };
-    let weights: Vec<NamedWeights> = state.weights.iter().flat_map(ages).collect();
-    let usage: Vec<TeamUsage> =
-        state.quotas.totals().map(|(team, total)| TeamUsage { team: team.0, total }).collect();
+fn reports(
+    core: &Core,
+    state: &State,
+    now: MonoTime,
+    round: u64,
+    outgoing: &mut Vec<(SocketAddr, Vec<u8>)>,
+) {
+    let recent = Lately::since(state, now.minus_ms(LATELY_MS), now);
+    let full = Lately::all(state, now);
     let can_conduct = conduct::can_conduct(state, now);
-    for router in state.routers.values() {
+    let has_just_started = now.ms_since(state.started) <= LATELY_MS;
+    for (index, router) in (0_u64..).zip(state.routers.values()) {
+        let is_full = has_just_started
+            || router.report.is_none()
+            || (round + index).is_multiple_of(REPORTS_A_FULL_ONE);
+        let told = if is_full { &full } else { &recent };
         let report = RouterReport {
             from: core.name.clone(),
             incarnation: core.incarnation,
@@ -155,14 +160,48 @@
             configuration: state.reads.configuration.word(now),
             servers: state.reads.servers.word(now),
             routers: state.reads.routers.word(now),
-            weights: weights.clone(),
-            usage: usage.clone(),
+            weights: told.weights.clone(),
+            usage: told.usage.clone(),
+            usage_is_full: is_full,
             can_conduct,
         };
         outgoing.push((router.address, encode(&Datagram::Router(report))));
     }
 }
 
+/// What a report tells that changes seldom.
+struct Lately {
+    weights: Vec<NamedWeights>,
+    usage: Vec<TeamUsage>,
+}
+
+impl Lately {
+    /// All of it.
+    fn all(state: &State, now: MonoTime) -> Self {
+        Self::new(state, &state.quotas.usage(), u64::MAX, now)
+    }
+
+    /// What has changed since a moment.
+    fn since(state: &State, since: MonoTime, now: MonoTime) -> Self {
+        Self::new(state, &state.quotas.usage_since(since), now.ms_since(since), now)
+    }
+
+    fn new(state: &State, usage: &UsageReport, within_ms: u64, now: MonoTime) -> Self {
+        let mut weights = Vec::new();
+        for (model, named) in &state.weights {
+            let recent = named.ages_ms(now).filter(|(_, age_ms)| *age_ms <= within_ms);
+            weights.extend(recent.map(|(version, age_ms)| NamedWeights {
+                model: model.clone(),
+                version,
+                age_ms,
+            }));
+        }
+        let usage = usage.totals.iter();
+        let usage = usage.map(|(team, total)| TeamUsage { team: team.0, total: *total }).collect();
+        Self { weights, usage }
+    }
+}
+
 /// Directives to the sidecars whose turn it is, and to all that are to load.
 fn directives(core: &Core, state: &State, round: u64, outgoing: &mut Vec<(SocketAddr, Vec<u8>)>) {
     let port = core.addresses.peers.port();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -35,7 +35,7 @@
 #[derive(Debug)]
 pub(crate) struct State {
     /// When this process started.
-    started: MonoTime,
+    pub(crate) started: MonoTime,
     /// What operators are promised.
     pub(crate) bounds: BoundsSettings,
     pub(crate) wall_clock: ClockSettings,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -19,7 +19,8 @@
 //!
 //! # Costs
 //!
-//! A report of a router takes about 60 bytes and 16 for each team, one of an engine about 80.
+//! A report of a router takes about 60 bytes and 16 for each team that it tells of, one of an engine
+//! about 80.
 
 use std::{error::Error, fmt};
 
@@ -32,7 +33,7 @@
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 
 /// The format's version, which leads each datagram. Others are dropped.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// A message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -68,6 +69,8 @@
     pub weights: Vec<NamedWeights>,
     /// What the sender has admitted in this run.
     pub usage: Vec<TeamUsage>,
+    /// Whether `usage` tells of all teams with a limit; else of those whose use has changed lately.
+    pub usage_is_full: bool,
     /// Whether the sender hears most sidecars and may conduct a rollout.
     pub can_conduct: bool,
 }
--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -64,12 +64,24 @@
     heard: Option<MonoTime>,
 }
 
+/// What a router has admitted in all since it started.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UsageReport {
+    /// Of the teams that it tells of.
+    pub totals: Vec<(TeamKey, f64)>,
+    /// Whether it tells of all teams with a limit. Otherwise only of those whose total has changed
+    /// lately.
+    pub is_full: bool,
+}
+
 #[derive(Debug)]
 struct Bucket {
     quota: Quota,
     level: f64,
     /// Admitted by this run of this router, less refunds.
     own_total: f64,
+    /// When that changed last.
+    changed: MonoTime,
     /// Callers have been told to come back until then.
     promised: MonoTime,
     peers: HashMap<InstanceName, PeerUse>,
@@ -124,24 +136,27 @@
     }
 
     /// Takes in what another router has admitted in all since it started.
+    ///
+    /// The first report of a run counts only if it is full: what a run has admitted of a team before
+    /// this router knew of the run is not drained again.
     pub fn heard(
         &mut self,
         from: &InstanceName,
         incarnation: Incarnation,
-        totals: impl IntoIterator<Item = (TeamKey, f64)>,
+        usage: &UsageReport,
         now: MonoTime,
     ) {
         self.advance(now);
         let router = self.routers.entry(from.clone()).or_default();
-        if incarnation < router.incarnation {
-            return;
-        }
         let is_new_run = incarnation > router.incarnation;
         let is_first = router.heard.is_none();
+        if incarnation < router.incarnation || ((is_new_run || is_first) && !usage.is_full) {
+            return;
+        }
         *router = Router { incarnation, heard: Some(now) };
-        for (team, total) in totals {
-            if let Some(bucket) = self.buckets.get_mut(&team) {
-                bucket.peer_reported(from, total, is_new_run, is_first);
+        for (team, total) in &usage.totals {
+            if let Some(bucket) = self.buckets.get_mut(team) {
+                bucket.peer_reported(from, *total, is_new_run, is_first);
             }
         }
     }
@@ -161,23 +176,32 @@
     }
 
     /// Gives back what a request that has not run was charged.
-    pub fn refund(&mut self, team: &TeamName, cost: f64) {
+    pub fn refund(&mut self, team: &TeamName, cost: f64, now: MonoTime) {
         if let Some(bucket) = self.buckets.get_mut(&TeamKey::of(team)) {
             bucket.own_total -= cost;
+            bucket.changed = now;
             bucket.level = (bucket.level + cost).min(bucket.quota.burst.max(0.0));
         }
     }
 
-    /// What this router has admitted in all, for its report.
-    pub fn totals(&self) -> impl Iterator<Item = (TeamKey, f64)> + '_ {
-        self.buckets
-            .iter()
-            .filter(|(_, bucket)| bucket.quota.is_limited())
-            .map(|(team, bucket)| (*team, bucket.own_total))
+    /// What this router has admitted in all, of all teams.
+    pub fn usage(&self) -> UsageReport {
+        UsageReport { totals: self.totals(|_| true), is_full: true }
+    }
+
+    /// What this router has admitted in all, of the teams where that has changed since a moment.
+    pub fn usage_since(&self, since: MonoTime) -> UsageReport {
+        UsageReport { totals: self.totals(|bucket| bucket.changed >= since), is_full: false }
+    }
+
+    fn totals(&self, tells_of: impl Fn(&Bucket) -> bool) -> Vec<(TeamKey, f64)> {
+        let limited = self.buckets.iter().filter(|(_, bucket)| bucket.quota.is_limited());
+        let told = limited.filter(|(_, bucket)| tells_of(bucket));
+        told.map(|(team, bucket)| (*team, bucket.own_total)).collect()
     }
 
     /// The other routers that were heard lately, and all that there may be.
-    pub fn reach(&self, now: MonoTime) -> (usize, usize) {
+    fn reach(&self, now: MonoTime) -> (usize, usize) {
         let heard = self.routers.values().filter(|router| router.is_heard(now)).count();
         (heard, self.routers.len())
     }
@@ -224,6 +248,7 @@
             quota,
             level: first_allowance.min(quota.burst),
             own_total: 0.0,
+            changed: now,
             promised: now,
             peers: HashMap::new(),
         }
@@ -251,6 +276,7 @@
         if !self.quota.is_limited() || needed <= self.level {
             self.level -= cost;
             self.own_total += cost;
+            self.changed = now;
             return Ok(());
         }
         let rate_per_ms = (self.quota.rate_per_s * filling / 1_000.0).max(f64::MIN_POSITIVE);
--- a/crates/routing/tests/quota.rs
+++ b/crates/routing/tests/quota.rs
@@ -7,7 +7,7 @@
 use samphirespread_core::prelude::*;
 use samphirespread_routing::{
     model::Quota,
-    quota::{Quotas, TeamKey},
+    quota::{Quotas, TeamKey, UsageReport},
 };
 
 const RATE_PER_S: f64 = 100_000.0;
@@ -17,6 +17,9 @@
 const OVERAGE: f64 = 0.1;
 const SLACK: f64 = 110_000.0;
 const REPORT_MS: u64 = 100;
+const REPORTS_A_FULL_ONE: u64 = 10;
+/// What changed this long ago is told in every report.
+const LATELY_MS: u64 = 1_000;
 const STEP_MS: u64 = 5;
 const COST: f64 = 9_000.0;
 
@@ -32,19 +35,20 @@
     InstanceName::new(format!("r{index}"))
 }
 
-/// Reports on their way: when they arrive, from whom, to whom, run and total.
+/// Reports on their way: when they arrive, from whom, to whom, run and use.
 struct Flight {
     at_ms: u64,
     from: usize,
     to: usize,
     incarnation: Incarnation,
-    total: f64,
+    usage: UsageReport,
 }
 
 /// Several routers, their reports, and everything that was admitted.
 struct Fleet {
     routers: Vec<Quotas>,
     incarnations: Vec<Incarnation>,
+    started_ms: Vec<u64>,
     cut: Vec<bool>,
     flights: Vec<Flight>,
     admitted: VecDeque<(u64, f64)>,
@@ -60,6 +64,7 @@
         Self {
             routers: (0..routers).map(|index| start(index, routers, 0)).collect(),
             incarnations: vec![Incarnation(1); routers],
+            started_ms: vec![0; routers],
             cut: vec![false; routers],
             flights: Vec::new(),
             admitted: VecDeque::new(),
@@ -73,6 +78,7 @@
 
     fn restart(&mut self, index: usize, now_ms: u64) {
         self.incarnations[index].0 += 1;
+        self.started_ms[index] = now_ms;
         self.routers[index] = start(index, self.routers.len(), now_ms);
         self.flights.retain(|flight| flight.to != index);
     }
@@ -96,7 +102,7 @@
 
     fn report(&mut self, now_ms: u64, random: &mut SmallRng) {
         for from in 0..self.routers.len() {
-            let total = self.routers[from].totals().next().map_or(0.0, |(_, total)| total);
+            let since = MonoTime::from_ms(now_ms).minus_ms(LATELY_MS);
             for to in 0..self.routers.len() {
                 let is_lost = random.random_bool(0.02);
                 if to == from || self.cut[from] || self.cut[to] || is_lost {
@@ -104,7 +110,12 @@
                 }
                 let at_ms = now_ms + random.random_range(1..20);
                 let incarnation = self.incarnations[from];
-                self.flights.push(Flight { at_ms, from, to, incarnation, total });
+                let has_started = now_ms < self.started_ms[from] + LATELY_MS;
+                let is_full =
+                    has_started || (now_ms / REPORT_MS).is_multiple_of(REPORTS_A_FULL_ONE);
+                let quotas = &self.routers[from];
+                let usage = if is_full { quotas.usage() } else { quotas.usage_since(since) };
+                self.flights.push(Flight { at_ms, from, to, incarnation, usage });
             }
         }
     }
@@ -117,8 +128,8 @@
         self.flights = later;
         let due: Vec<Flight> = due;
         for flight in due {
-            let totals = [(TeamKey::of(&team()), flight.total)];
-            self.routers[flight.to].heard(&name(flight.from), flight.incarnation, totals, now);
+            let Flight { from, to, incarnation, usage, .. } = flight;
+            self.routers[to].heard(&name(from), incarnation, &usage, now);
         }
     }
 
@@ -269,9 +280,57 @@
         admitted += 1;
     }
 
-    quotas.refund(&team(), COST);
+    quotas.refund(&team(), COST, now);
 
     assert!(admitted > 0);
     assert!(quotas.admit(&team(), COST, now).is_ok());
     assert!(quotas.admit(&team(), COST, now).is_err());
 }
+
+/// Two routers, of which the second reports what it has admitted.
+fn reporting(usage: &UsageReport) -> Quotas {
+    let mut quotas = start(0, 2, 0);
+    let nothing = UsageReport { totals: vec![(TeamKey::of(&team()), 0.0)], is_full: true };
+    quotas.heard(&name(1), Incarnation(1), &nothing, MonoTime::from_ms(900));
+    quotas.heard(&name(1), Incarnation(1), usage, MonoTime::from_ms(1_000));
+    quotas
+}
+
+#[test]
+fn a_report_of_what_changed_drains_like_a_full_one() {
+    let totals = vec![(TeamKey::of(&team()), 50_000.0)];
+    for is_full in [true, false] {
+        let mut quotas = reporting(&UsageReport { totals: totals.clone(), is_full });
+
+        let refused = quotas.admit(&team(), 60_000.0, MonoTime::from_ms(1_000)).unwrap_err();
+
+        assert!(refused.level < 50_000.0, "{refused:?}");
+    }
+}
+
+#[test]
+fn a_run_is_not_heard_before_its_first_full_report() {
+    let mut quotas = start(0, 2, 0);
+    let now = MonoTime::from_ms(1_000);
+    let part = UsageReport { totals: Vec::new(), is_full: false };
+    let full = UsageReport { totals: vec![(TeamKey::of(&team()), 80_000.0)], is_full: true };
+
+    quotas.heard(&name(1), Incarnation(1), &part, now);
+    let before = quotas.admit(&team(), COST, now);
+    quotas.heard(&name(1), Incarnation(1), &full, now);
+    let after = quotas.admit(&team(), COST, now);
+
+    // What the run had admitted before it was known is not drained here.
+    assert_eq!((before.is_ok(), after.is_ok()), (true, true));
+}
+
+#[test]
+fn teams_that_have_not_changed_are_left_out_of_a_report() {
+    let mut quotas = start(0, 2, 0);
+    let then = MonoTime::from_ms(1_000);
+    quotas.admit(&team(), COST, then).unwrap();
+
+    assert_eq!(quotas.usage_since(then).totals, [(TeamKey::of(&team()), COST)]);
+    assert_eq!(quotas.usage_since(then.plus_ms(1)).totals, []);
+    assert_eq!(quotas.usage().totals, [(TeamKey::of(&team()), COST)]);
+}
