Keep what may be said of a request in one pure module

Change: routing::attempts holds the counting and asserts it; run.rs drives it.

Ruled out: to drive crates/dispatch's machine. It speaks of agents, resumes of one attempt and lines, of which the gateway has none; its states would stay unused.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -10,7 +10,10 @@
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
 use samphirespread_outbound::{Connection, IdleLimits, SendError};
-use samphirespread_routing::model::{Generation, RouteKind, Service};
+use samphirespread_routing::{
+    attempts::{AttemptRules, Attempts},
+    model::{Generation, RouteKind, Service},
+};
 use slog::info;
 use tokio::time;
 
@@ -55,9 +58,7 @@
     pub(crate) deadline: MonoTime,
     pub(crate) story: Story,
     tried: Vec<Arc<str>>,
-    sends: u32,
-    /// Servers on which the request has run or may have run.
-    ran: u32,
+    attempts: Attempts,
 }
 
 /// The head of an answer, with what it takes to read the rest.
@@ -168,6 +169,11 @@
         deadline: MonoTime,
         story: Story,
     ) -> Self {
+        let rules = AttemptRules {
+            is_idempotent: grant.route.is_idempotent(),
+            max_runs: grant.route.max_attempts,
+            max_sends: MAX_SENDS,
+        };
         Self {
             core,
             grant,
@@ -180,15 +186,14 @@
             deadline,
             story,
             tried: Vec::new(),
-            sends: 0,
-            ran: 0,
+            attempts: Attempts::new(rules),
         }
     }
 
     /// Whether the request may run once more, now that an attempt has failed.
     pub(crate) fn may_repeat(&self) -> bool {
         self.grant.route.is_idempotent()
-            && self.ran < self.grant.route.max_attempts
+            && self.attempts.may_send()
             && self.left_ms() > SHORTEST_SEND_MS
     }
 
@@ -199,7 +204,7 @@
 
     /// Whether the request may have run somewhere.
     pub(crate) fn may_have_run(&self) -> bool {
-        self.ran > 0
+        self.attempts.may_have_run()
     }
 
     /// Tries servers until one answers, or the request has to be given up.
@@ -211,10 +216,10 @@
             let Some((service, selected)) = self.choose() else {
                 return self.given_up(NotRun::NoServer, "no other server");
             };
-            if self.sends >= MAX_SENDS {
+            if !self.attempts.has_sends_left() {
                 return self.given_up(NotRun::ServersRefused, "too many sends");
             }
-            if self.sends > 0 && !self.may_send_again(&service) {
+            if self.attempts.is_repeat() && !self.may_send_again(&service) {
                 return self.given_up(NotRun::RetryBudget, "retry budget");
             }
             match self.send(&selected, last_event_id).await {
@@ -348,14 +353,12 @@
             return Ok(Sent::NotRun);
         };
         // From here on the server may get the request, whatever becomes of this task.
-        self.sends += 1;
-        self.ran += 1;
+        self.attempts.begin();
         let left = Duration::from_millis(self.left_ms());
         let response = match time::timeout(left, connection.send(request)).await {
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent)) => {
-                self.sends -= 1;
-                self.ran -= 1;
+                self.attempts.not_written();
                 return Err(lease);
             }
             Ok(Err(error)) => return Ok(self.broke_off(selected, error.to_string())),
@@ -367,7 +370,7 @@
             return Ok(self.broke_off(selected, "the answer is to another request".to_owned()));
         }
         if facts.not_run {
-            self.ran -= 1;
+            self.attempts.said_not_run();
             let step =
                 Step::SaidNotRun { server: selected.id.clone(), status: parts.status.as_u16() };
             self.story.step(self.core.now(), step);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 //! Nothing here reads a clock or a socket: events and the current instant go in, a decision comes
 //! out. Each module says what it costs.
 
+pub mod attempts;
 pub mod cache;
 pub mod choice;
 pub mod demand;
