Give the four settings files one parser and one example

Cause: parse and example stood four times, and once more in the daemons' trait. One macro gives them to each settings type, with a check of keys against each other where there is one.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -16,9 +16,7 @@
 };
 
 use clap::Args;
-use samphirespread_settings::{
-    AgentSettings, GatewaySettings, RouterSettings, SettingsErrors, SidecarSettings,
-};
+use samphirespread_settings::Settings;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
@@ -41,35 +39,6 @@
     pub example: bool,
 }
 
-/// The settings of a daemon.
-pub trait Settings: Sized {
-    /// Parses the text of a settings file.
-    ///
-    /// # Errors
-    ///
-    /// All faults of the text.
-    fn parse(text: &str) -> Result<Self, SettingsErrors>;
-
-    /// A file that shows every key with its default.
-    fn example() -> String;
-}
-
-macro_rules! settings {
-    ($($name:ident),*) => {$(
-        impl Settings for $name {
-            fn parse(text: &str) -> Result<Self, SettingsErrors> {
-                $name::parse(text)
-            }
-
-            fn example() -> String {
-                $name::example()
-            }
-        }
-    )*};
-}
-
-settings!(AgentSettings, GatewaySettings, RouterSettings, SidecarSettings);
-
 /// What a daemon is to do after its arguments were read.
 #[derive(Debug)]
 pub enum Start<S> {
--- a/crates/settings/src/agent/mod.rs
+++ b/crates/settings/src/agent/mod.rs
@@ -3,13 +3,12 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use crate::{
-    check::{Values, check},
+    check::Values,
     common::{
         self, DAY_MS, DrainSettings, InstanceSettings, LogSettings, SecuritySettings, address_key,
         ms_key, name_key, number_key, remote_key,
     },
-    error::SettingsErrors,
-    example,
+    file::settings_file,
     schema::{KeySpec, Kind, Preset, Schema, SectionSpec},
 };
 
@@ -93,22 +92,9 @@
     pub stale_config_ms: u64,
 }
 
-impl AgentSettings {
-    /// Parses the text of a settings file.
-    ///
-    /// # Errors
-    ///
-    /// All faults of the text, each with line, section, key and what is allowed.
-    pub fn parse(text: &str) -> Result<Self, SettingsErrors> {
-        let values = check(SCHEMA, text)?;
-        Ok(Self::build(&values))
-    }
-
-    /// A file that shows every key with its default.
-    pub fn example() -> String {
-        example::example(SCHEMA)
-    }
+settings_file!(AgentSettings, SCHEMA);
 
+impl AgentSettings {
     fn build(values: &Values) -> Self {
         Self {
             instance: common::instance(values),
--- a/crates/settings/src/gateway/mod.rs
+++ b/crates/settings/src/gateway/mod.rs
@@ -3,12 +3,11 @@
 use std::net::SocketAddr;
 
 use crate::{
-    check::{Values, check},
+    check::Values,
     common::{
         self, DAY_MS, InstanceSettings, LogSettings, address_key, ms_key, number_key, remote_key,
     },
-    error::SettingsErrors,
-    example,
+    file::settings_file,
     schema::{KeySpec, Kind, Preset, Schema, SectionSpec},
 };
 
@@ -91,22 +90,9 @@
     pub ahead_ms: i64,
 }
 
-impl GatewaySettings {
-    /// Parses the text of a settings file.
-    ///
-    /// # Errors
-    ///
-    /// All faults of the text, each with line, section, key and what is allowed.
-    pub fn parse(text: &str) -> Result<Self, SettingsErrors> {
-        let values = check(SCHEMA, text)?;
-        Ok(Self::build(&values))
-    }
-
-    /// A file that shows every key with its default.
-    pub fn example() -> String {
-        example::example(SCHEMA)
-    }
+settings_file!(GatewaySettings, SCHEMA);
 
+impl GatewaySettings {
     fn build(values: &Values) -> Self {
         Self {
             instance: common::instance(values),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -54,6 +54,7 @@
 mod common;
 mod error;
 mod example;
+mod file;
 mod gateway;
 mod router;
 mod schema;
@@ -67,6 +68,7 @@
         SecuritySettings, TlsSettings,
     },
     error::{SettingsError, SettingsErrors},
+    file::Settings,
     gateway::{BoundsSettings, ClockSettings, GatewayListen, GatewaySettings, StoreSettings},
     router::{
         LimitsSettings, PlatformSettings, RequestSettings, RouterListen, RouterPeers,
--- a/crates/settings/src/router/mod.rs
+++ b/crates/settings/src/router/mod.rs
@@ -3,13 +3,13 @@
 use std::{net::SocketAddr, path::PathBuf};
 
 use crate::{
-    check::{Conflicts, Values, check},
+    check::{Conflicts, Values},
     common::{
         self, DAY_MS, DrainSettings, InstanceSettings, LogSettings, SecuritySettings, TlsSettings,
         address_key, ms_key, number_key, remote_key,
     },
     error::SettingsErrors,
-    example,
+    file::settings_file,
     schema::{KeySpec, Kind, Preset, Schema, SectionSpec},
 };
 
@@ -113,25 +113,16 @@
     pub stale_config_ms: u64,
 }
 
+settings_file!(RouterSettings, SCHEMA, RouterSettings::check_together);
+
 impl RouterSettings {
-    /// Parses the text of a settings file.
-    ///
-    /// # Errors
-    ///
-    /// All faults of the text, each with line, section, key and what is allowed.
-    pub fn parse(text: &str) -> Result<Self, SettingsErrors> {
-        let values = check(SCHEMA, text)?;
-        Conflicts::new(&values)
+    /// Checks what no single key shows.
+    fn check_together(values: &Values) -> Result<(), SettingsErrors> {
+        Conflicts::new(values)
             .greater(("limits", "revoke_wait_ms"), ("limits", "lump_lifetime_ms"))
             .greater(("limits", "revoke_wait_ms"), ("limits", "clock_margin_ms"))
             .greater(("peers", "silence_timeout_ms"), ("peers", "heartbeat_ms"))
-            .finish()?;
-        Ok(Self::build(&values))
-    }
-
-    /// A file that shows every key with its default.
-    pub fn example() -> String {
-        example::example(SCHEMA)
+            .finish()
     }
 
     fn build(values: &Values) -> Self {
--- a/crates/settings/src/sidecar/mod.rs
+++ b/crates/settings/src/sidecar/mod.rs
@@ -3,10 +3,9 @@
 use std::net::SocketAddr;
 
 use crate::{
-    check::{Values, check},
+    check::Values,
     common::{self, InstanceSettings, LogSettings, address_key, ms_key, remote_key},
-    error::SettingsErrors,
-    example,
+    file::settings_file,
     schema::{Schema, SectionSpec},
 };
 
@@ -53,22 +52,9 @@
     pub timeout_ms: u64,
 }
 
-impl SidecarSettings {
-    /// Parses the text of a settings file.
-    ///
-    /// # Errors
-    ///
-    /// All faults of the text, each with line, section, key and what is allowed.
-    pub fn parse(text: &str) -> Result<Self, SettingsErrors> {
-        let values = check(SCHEMA, text)?;
-        Ok(Self::build(&values))
-    }
-
-    /// A file that shows every key with its default.
-    pub fn example() -> String {
-        example::example(SCHEMA)
-    }
+settings_file!(SidecarSettings, SCHEMA);
 
+impl SidecarSettings {
     fn build(values: &Values) -> Self {
         Self {
             instance: common::instance(values),
