Serve metrics and a dump of the sidecar

Reads of the engine's report (histogram, outcome), orders by the engine's answer, routers that want reports; /dump shows state and what is wanted. axum serves them on the admin address of the settings, which was read and unused. Test: operators_read_metrics_and_state.

--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,7 +17,8 @@
 //! or its readiness change, and a few times a second besides.
 
 mod engine;
+mod metrics;
 mod routers;
 mod sidecar;
 
-pub use crate::sidecar::{BindError, Sidecar};
+pub use crate::sidecar::{BindError, BoundSidecar, Sidecar};
--- a/crates/sidecar/src/routers.rs
+++ b/crates/sidecar/src/routers.rs
@@ -34,14 +34,15 @@
     ) -> Heard {
         self.heard.retain(|_, heard| now.ms_since(*heard) < FORGET_AFTER_MS);
         let is_new = self.heard.insert(from, now).is_none();
+        let routers = i64::try_from(self.heard.len()).unwrap_or(i64::MAX);
         let Some(load) = directive.load else {
-            return Heard { is_new, has_work: false };
+            return Heard { is_new, has_work: false, routers };
         };
         let is_older = self.wanted(now).is_some_and(|(wanted, _)| wanted.version > load.version);
         if !is_older {
             self.wanted = Some(Wanted { load, server_id: directive.server_id, heard: now });
         }
-        Heard { is_new, has_work: !is_older }
+        Heard { is_new, has_work: !is_older, routers }
     }
 
     /// The weights that are wanted now, and the engine they are meant for.
@@ -64,4 +65,6 @@
     pub(crate) is_new: bool,
     /// There are weights to load.
     pub(crate) has_work: bool,
+    /// Routers that were heard lately.
+    pub(crate) routers: i64,
 }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -20,10 +20,18 @@
 };
 use samphirespread_settings::SidecarSettings;
 use slog::{Logger, info, warn};
-use tokio::{net::UdpSocket, sync::Notify, time};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::Notify,
+    time,
+};
 use tokio_util::sync::CancellationToken;
 
-use crate::{engine::Engine, routers::Routers};
+use crate::{
+    engine::Engine,
+    metrics::{Dump, Metrics, routes},
+    routers::Routers,
+};
 
 /// Time between two reads of the report while the engine loads.
 const LOADING_REPORT_MS: u64 = 20;
@@ -47,6 +55,17 @@
 
 impl Error for BindError {}
 
+fn at(address: SocketAddr, error: &std::io::Error) -> BindError {
+    BindError::Port { address, message: error.to_string() }
+}
+
+/// The sidecar of one engine, with its ports open.
+#[derive(Debug)]
+pub struct BoundSidecar {
+    sidecar: Sidecar,
+    admin: TcpListener,
+}
+
 /// The sidecar of one engine.
 #[derive(Debug)]
 pub struct Sidecar {
@@ -55,10 +74,69 @@
     clock: Clock,
     incarnation: Incarnation,
     socket: UdpSocket,
+    admin: SocketAddr,
+    metrics: Metrics,
     shared: Mutex<Shared>,
     work: Notify,
 }
 
+impl BoundSidecar {
+    /// Where routers reach it, with the port that the kernel chose.
+    ///
+    /// # Panics
+    ///
+    /// Never: a bound socket has an address.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.sidecar.socket.local_addr().expect("the socket is bound")
+    }
+
+    /// Where operators read metrics and state.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.sidecar.admin
+    }
+
+    /// Runs until `shutdown`.
+    pub async fn run(self, shutdown: CancellationToken) {
+        let Self { sidecar, admin } = self;
+        info!(sidecar.log, "{}", event::STARTED; "instance" => &*sidecar.settings.instance.name,
+            "engine" => %sidecar.settings.engine.address, "incarnation" => sidecar.incarnation.0);
+        let sidecar = Arc::new(sidecar);
+        let serving = axum::serve(admin, routes(sidecar.clone()));
+        tokio::select! {
+            () = sidecar.receive() => {}
+            () = sidecar.follow_engine() => {}
+            ended = serving => {
+                if let Err(error) = ended {
+                    warn!(sidecar.log, "{}", event::CONNECTION_NOT_ACCEPTED; "error" => %error);
+                }
+            }
+            () = shutdown.cancelled() => {}
+        }
+        info!(sidecar.log, "{}", event::STOPPED; "cause" => "signal");
+    }
+}
+
+impl Dump for Sidecar {
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    fn dump(&self) -> String {
+        let shared = self.lock();
+        let now = self.clock.now();
+        let wanted = shared.routers.wanted(now).map(|(load, _)| load.version);
+        let dump = serde_json::json!({
+            "instance": &*self.settings.instance.name,
+            "incarnation": self.incarnation.0,
+            "engine": shared.state,
+            "reports_sent": shared.sequence,
+            "routers": shared.routers.addresses(),
+            "wanted_version": wanted,
+        });
+        dump.to_string()
+    }
+}
+
 #[derive(Debug, Default)]
 struct Shared {
     routers: Routers,
@@ -67,47 +145,28 @@
 }
 
 impl Sidecar {
-    /// Opens the port for routers.
+    /// Opens the ports for routers and operators.
     ///
     /// # Errors
     ///
-    /// When the port can't be opened.
-    pub async fn bind(settings: SidecarSettings, log: Logger) -> Result<Self, BindError> {
+    /// When a port can't be opened.
+    pub async fn bind(settings: SidecarSettings, log: Logger) -> Result<BoundSidecar, BindError> {
         let address = settings.listen.peers;
-        let socket = UdpSocket::bind(address)
-            .await
-            .map_err(|error| BindError::Port { address, message: error.to_string() })?;
-        Ok(Self {
+        let socket = UdpSocket::bind(address).await.map_err(|error| at(address, &error))?;
+        let address = settings.listen.admin;
+        let admin = TcpListener::bind(address).await.map_err(|error| at(address, &error))?;
+        let sidecar = Self {
             settings,
             log,
             clock: Clock::start(),
             incarnation: fresh_incarnation(),
             socket,
+            admin: admin.local_addr().map_err(|error| at(address, &error))?,
+            metrics: Metrics::default(),
             shared: Mutex::default(),
             work: Notify::new(),
-        })
-    }
-
-    /// Where routers reach it, with the port that the kernel chose.
-    ///
-    /// # Panics
-    ///
-    /// Never: a bound socket has an address.
-    pub fn peers_address(&self) -> SocketAddr {
-        self.socket.local_addr().expect("the socket is bound")
-    }
-
-    /// Runs until `shutdown`.
-    pub async fn run(self, shutdown: CancellationToken) {
-        info!(self.log, "{}", event::STARTED; "instance" => &*self.settings.instance.name,
-            "engine" => %self.settings.engine.address, "incarnation" => self.incarnation.0);
-        let sidecar = Arc::new(self);
-        tokio::select! {
-            () = sidecar.receive() => {}
-            () = sidecar.follow_engine() => {}
-            () = shutdown.cancelled() => {}
-        }
-        info!(sidecar.log, "{}", event::STOPPED; "cause" => "signal");
+        };
+        Ok(BoundSidecar { sidecar, admin })
     }
 
     /// Takes in what routers say.
@@ -125,6 +184,7 @@
             match decode(&buffer[..length]) {
                 Ok(Datagram::Directive(directive)) => {
                     let heard = self.lock().routers.directed(from, directive, self.clock.now());
+                    self.metrics.routers.set(heard.routers);
                     if heard.is_new {
                         info!(self.log, "{}", event::ROUTER_HEARD; "address" => %from);
                         self.push(&[from]).await;
@@ -147,7 +207,10 @@
         let mut failures = 0;
         let mut pushed = self.clock.now();
         loop {
+            let asked = time::Instant::now();
             let report = engine.report().await;
+            let outcome = if report.is_ok() { "read" } else { "failed" };
+            self.metrics.report_read(outcome, asked.elapsed());
             failures = if report.is_ok() { 0 } else { failures + 1 };
             let state = match &report {
                 Ok(report) => Some(state(report)),
@@ -215,7 +278,14 @@
             fencing_token: load.version,
             after_orders: report.orders_accepted,
         };
-        match engine.order(server_id, &order).await {
+        let answered = engine.order(server_id, &order).await;
+        self.metrics.ordered(match &answered {
+            Ok(OrderAnswer::Accepted) => "accepted",
+            Ok(OrderAnswer::AlreadyHolds) => "already_holds",
+            Ok(_) => "refused",
+            Err(_) => "unanswered",
+        });
+        match answered {
             Ok(answer @ (OrderAnswer::Accepted | OrderAnswer::AlreadyHolds)) => {
                 info!(self.log, "{}", event::ORDER_GIVEN; "model" => %load.model, "version" => load.version,
                     "after_orders" => report.orders_accepted, "answer" => ?answer);
--- a/crates/sidecar/tests/sidecar.rs
+++ b/crates/sidecar/tests/sidecar.rs
@@ -2,7 +2,11 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
 use samphirespread_core::prelude::*;
+use samphirespread_outbound::Connection;
 use samphirespread_peer::{Datagram, Directive, EngineReport, LoadDirective, decode, encode};
 use samphirespread_settings::{LogFormat, LogLevel, LogSettings, SidecarSettings};
 use samphirespread_sidecar::Sidecar;
@@ -17,6 +21,7 @@
     engine: Worker,
     router: UdpSocket,
     sidecar: SocketAddr,
+    admin: SocketAddr,
     _stop: tokio_util::sync::DropGuard,
 }
 
@@ -32,11 +37,11 @@
     let log_settings = LogSettings { format: LogFormat::Json, level: LogLevel::Error };
     let log = samphirespread_logging::to(&log_settings, std::io::sink());
     let sidecar = Sidecar::bind(settings, log).await.unwrap();
-    let address = sidecar.peers_address();
+    let (address, admin) = (sidecar.peers_address(), sidecar.admin_address());
     let stop = CancellationToken::new();
     tokio::spawn(sidecar.run(stop.clone()));
     let router = UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    Site { engine, router, sidecar: address, _stop: stop.drop_guard() }
+    Site { engine, router, sidecar: address, admin, _stop: stop.drop_guard() }
 }
 
 impl Site {
@@ -126,3 +131,32 @@
 
     assert_eq!(version(&report), Some(1));
 }
+
+async fn read(address: SocketAddr, path: &str) -> String {
+    let mut connection = Connection::open(address, 1_000).await.unwrap();
+    let request =
+        Request::get(path).header("host", "sidecar").body(Full::<Bytes>::default()).unwrap();
+    let (_, body) = connection.exchange(request, 1_000_000).await.unwrap();
+    String::from_utf8(body.to_vec()).unwrap()
+}
+
+#[tokio::test]
+async fn operators_read_metrics_and_state() {
+    let site = start().await;
+    site.report(|report| report.state.is_some()).await;
+    site.direct(Some(3)).await;
+    site.report(|report| version(report) == Some(3)).await;
+
+    let metrics = read(site.admin, "/metrics").await;
+    let dump: serde_json::Value = serde_json::from_str(&read(site.admin, "/dump").await).unwrap();
+
+    for line in [
+        "samphirespread_engine_orders_total{cause=\"accepted\"} 1",
+        "samphirespread_routers 1",
+        "samphirespread_engine_report_seconds_count",
+    ] {
+        assert!(metrics.contains(line), "{line} in\n{metrics}");
+    }
+    assert_eq!(dump["engine"]["models"][0]["version"], 3);
+    assert_eq!(dump["instance"], "s1");
+}
