Count gaps, queues and ages at the gateway; compute cache keys once a version

On the way: the logged age of the list was that of the configuration.

select_engine computed salt and part keys for each candidate, though a fleet holds two or three versions; now once for each version.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,9 @@
 /// Buckets, each twice as long as the one before it.
 const BUCKETS: u16 = 15;
 
+/// Buckets for requests that wait, from one on.
+const QUEUE_BUCKETS: u16 = 9;
+
 /// The cause of a counted event.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct Cause {
@@ -42,8 +45,18 @@
     pub(crate) first_event_s: Histogram,
     /// Seconds that a call to the store took.
     pub(crate) store_call_s: Histogram,
-    /// Seconds since the store was last read, at each request.
+    /// Seconds between two events of a stream.
+    pub(crate) event_gap_s: Histogram,
+    /// Seconds since the configuration was last confirmed, at each request.
     pub(crate) contact_age_s: Histogram,
+    /// Seconds since the list of servers was last confirmed, at each choice.
+    pub(crate) list_age_s: Histogram,
+    /// Seconds since the chosen engine's sidecar was last heard.
+    pub(crate) report_age_s: Histogram,
+    /// Seconds since another router's use of quotas was last told, at each report.
+    pub(crate) usage_gap_s: Histogram,
+    /// Requests that wait at the engine that was chosen.
+    pub(crate) queued_at_engine: Histogram,
 }
 
 impl Default for Metrics {
@@ -59,7 +72,12 @@
             in_flight: Gauge::default(),
             first_event_s: histogram(),
             store_call_s: histogram(),
+            event_gap_s: histogram(),
             contact_age_s: histogram(),
+            list_age_s: histogram(),
+            report_age_s: histogram(),
+            usage_gap_s: histogram(),
+            queued_at_engine: Histogram::new(exponential_buckets(1.0, 2.0, QUEUE_BUCKETS)),
         };
         metrics.register();
         metrics
@@ -77,7 +95,12 @@
         registry.register("in_flight", "Requests that run", self.in_flight.clone());
         registry.register("first_event_seconds", "To first event", self.first_event_s.clone());
         registry.register("store_call_seconds", "Calls to the store", self.store_call_s.clone());
+        registry.register("event_gap_seconds", "Between two events", self.event_gap_s.clone());
         registry.register("contact_age_seconds", "Age of contact", self.contact_age_s.clone());
+        registry.register("list_age_seconds", "Age of the server list", self.list_age_s.clone());
+        registry.register("report_age_seconds", "Age of reports", self.report_age_s.clone());
+        registry.register("usage_gap_seconds", "Between two reports", self.usage_gap_s.clone());
+        registry.register("engine_queue", "Waiting at the engine", self.queued_at_engine.clone());
     }
 
     /// The metrics as text.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,7 +15,7 @@
 use slog::{info, warn};
 use tokio::time;
 
-use crate::{conduct, gateway::Core, reads, state::State};
+use crate::{conduct, gateway::Core, metrics, reads, state::State};
 
 /// Time between two reports to the other routers.
 const REPORT_MS: u64 = 100;
@@ -80,8 +80,8 @@
         let is_older = router.report.as_ref().is_some_and(|(known, _)| {
             (known.incarnation, known.sent) > (report.incarnation, report.sent)
         });
-        if !is_older {
-            router.report = Some((report, now));
+        if !is_older && let Some((_, heard)) = router.report.replace((report, now)) {
+            core.metrics.usage_gap_s.observe(metrics::seconds(now.ms_since(heard)));
         }
     }
 }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -59,6 +59,7 @@
     pub(crate) story: Story,
     tried: Vec<Arc<str>>,
     attempts: Attempts,
+    last_event: Option<MonoTime>,
 }
 
 /// The head of an answer, with what it takes to read the rest.
@@ -187,6 +188,7 @@
             story,
             tried: Vec::new(),
             attempts: Attempts::new(rules),
+            last_event: None,
         }
     }
 
@@ -261,15 +263,27 @@
         let place = Place {
             failure_domain: &self.core.settings.instance.failure_domain,
             rollout_ms: state.bounds.rollout_ms,
-            list_age_ms: state.contact.age_ms(now),
+            list_age_ms: state.reads.servers.confirmed().map(|at| now.ms_since(at)),
         };
         let selected = select(&state, &demand, &place, now);
         drop(state);
         let selected = selected?;
+        self.observe(&selected, &place);
         self.story.step(now, selected.step.clone());
         Some((service, selected))
     }
 
+    fn observe(&self, selected: &Selected, place: &Place<'_>) {
+        let metrics = &self.core.metrics;
+        if let Some(age_ms) = place.list_age_ms {
+            metrics.list_age_s.observe(metrics::seconds(age_ms));
+        }
+        if let Some(heard) = &selected.heard {
+            metrics.report_age_s.observe(metrics::seconds(heard.age_ms));
+            metrics.queued_at_engine.observe(f64::from(heard.waiting));
+        }
+    }
+
     fn may_send_again(&mut self, service: &Service) -> bool {
         let now = self.core.now();
         let mut state = self.core.state();
@@ -465,12 +479,14 @@
         }
     }
 
-    /// Notes how long the first event took, for histogram and log. Later events change nothing.
+    /// Notes how long an event took, for histograms and log.
     pub(crate) fn note_event(&mut self) {
-        if self.story.first_event_ms().is_some() {
+        let now = self.core.now();
+        if let Some(last) = self.last_event.replace(now) {
+            let gap_ms = now.ms_since(last);
+            self.core.metrics.event_gap_s.observe(metrics::seconds(gap_ms));
             return;
         }
-        let now = self.core.now();
         self.story.first_event(now);
         let took_ms = now.ms_since(self.arrival);
         self.core.metrics.first_event_s.observe(metrics::seconds(took_ms));
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -42,10 +42,20 @@
     pub(crate) part_keys: Vec<u64>,
     /// Prompt tokens that an engine will have to read.
     pub(crate) read_tokens: u64,
+    /// What its sidecar said last.
+    pub(crate) heard: Option<Heard>,
     /// The decision, for the log.
     pub(crate) step: Step,
 }
 
+/// What a sidecar said last of its engine.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Heard {
+    pub(crate) age_ms: u64,
+    /// Requests that waited there.
+    pub(crate) waiting: u32,
+}
+
 /// What is asked.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Demand<'a> {
@@ -63,7 +73,8 @@
 pub(crate) struct Place<'a> {
     pub(crate) failure_domain: &'a str,
     pub(crate) rollout_ms: u64,
-    pub(crate) list_age_ms: u64,
+    /// Time since the list of servers was confirmed.
+    pub(crate) list_age_ms: Option<u64>,
 }
 
 /// Chooses the backend server for one send.
@@ -121,6 +132,7 @@
         max_idle: max_idle(state, demand.service),
         part_keys: Vec::new(),
         read_tokens: 0,
+        heard: None,
         step: chose(server, servers.len(), is_near, true, None, None, place, now),
     })
 }
@@ -138,6 +150,7 @@
     let oldest_allowed = named.map_or(0, |named| named.oldest_allowed(now, bound_ms));
     let wanted_version = named.map_or(0, NamedVersions::newest);
     let order = homes(servers, generation);
+    let mut keys = KeysOfVersions::new(demand.dedicated_team, generation);
     let mut views: Vec<Option<EngineView>> = vec![None; servers.len()];
     let mut rank_of_newest = 0;
     for index in order {
@@ -147,9 +160,7 @@
         if version < oldest_allowed {
             continue;
         }
-        let salt = cache_salt(version, demand.dedicated_team);
-        let keys = part_keys(&salt, generation.shared_parts());
-        let mut view = engine_view(server, generation, &keys, place, now);
+        let mut view = engine_view(server, generation, &keys.of(version).parts, place, now);
         view.is_newest = is_newest;
         view.home_rank = rank_of_newest;
         rank_of_newest += usize::from(is_newest);
@@ -161,21 +172,19 @@
         let shared = generation.shared_parts();
         store.map_or(0, |(_, cache)| cache.contents.leading_tokens(salt, shared))
     };
-    let salt = cache_salt(wanted_version, demand.dedicated_team);
     let work = Work {
         prompt_tokens: generation.prompt_tokens,
         shared_tokens: generation.shared_tokens(),
-        stored_tokens: stored(&salt),
+        stored_tokens: stored(&keys.of(wanted_version).salt),
         footprint_tokens: generation.footprint_tokens(),
         prefers_newest: prefers_newest(state, demand.request_id, rank_of_newest, now),
     };
     let (index, estimate) = choose_engine(&views, &work)?;
     let server = servers[index];
     let version = version_of(index);
-    let salt = cache_salt(version, demand.dedicated_team);
+    let KeysOfVersion { salt, parts: part_keys, .. } = keys.of(version).clone();
     let stored_tokens = stored(&salt);
     let store = store.map(|(address, _)| address);
-    let part_keys = part_keys(&salt, generation.shared_parts());
     let view = views[index]?;
     let candidates = views.iter().flatten().count();
     Some(Selected {
@@ -190,6 +199,7 @@
         max_idle: max_idle(state, demand.service),
         part_keys,
         read_tokens: estimate.read_tokens,
+        heard: heard(server, now),
         step: chose(
             server,
             candidates,
@@ -262,6 +272,37 @@
     rendezvous::rank(subject(generation).as_bytes(), servers, |server| &server.entry.id)
 }
 
+/// Salts and keys of a prompt's shared parts by the version of the weights, of which a fleet holds few.
+struct KeysOfVersions<'a> {
+    dedicated_team: Option<&'a TeamName>,
+    generation: &'a Generation,
+    known: Vec<KeysOfVersion>,
+}
+
+#[derive(Clone)]
+struct KeysOfVersion {
+    version: u64,
+    salt: String,
+    parts: Vec<u64>,
+}
+
+impl<'a> KeysOfVersions<'a> {
+    fn new(dedicated_team: Option<&'a TeamName>, generation: &'a Generation) -> Self {
+        Self { dedicated_team, generation, known: Vec::new() }
+    }
+
+    fn of(&mut self, version: u64) -> &KeysOfVersion {
+        let known = self.known.iter().position(|keys| keys.version == version);
+        let index = known.unwrap_or_else(|| {
+            let salt = cache_salt(version, self.dedicated_team);
+            let parts = part_keys(&salt, self.generation.shared_parts());
+            self.known.push(KeysOfVersion { version, salt, parts });
+            self.known.len() - 1
+        });
+        &self.known[index]
+    }
+}
+
 /// Keys of parts, each covering the parts before it.
 fn part_keys(salt: &str, parts: &[PromptPart]) -> Vec<u64> {
     let mut key = xxh3_64_with_seed(salt.as_bytes(), 0);
@@ -279,6 +320,12 @@
     (service.max_connections / (state.routers.len() + 2)).max(1)
 }
 
+fn heard(server: &Server, now: MonoTime) -> Option<Heard> {
+    let report = server.report.as_ref()?;
+    let waiting = report.state.as_ref().map_or(0, |state| state.waiting);
+    Some(Heard { age_ms: now.ms_since(report.heard), waiting })
+}
+
 #[expect(clippy::too_many_arguments, reason = "one line of the log")]
 fn chose(
     server: &Server,
@@ -298,7 +345,7 @@
         version,
         first_event_ms: estimate.map_or(0, |estimate| whole(estimate.first_event_ms)),
         cost_ms: estimate.map_or(0, |estimate| whole(estimate.cost_ms)),
-        report_age_ms: server.report.as_ref().map(|report| now.ms_since(report.heard)),
+        report_age_ms: heard(server, now).map(|heard| heard.age_ms),
         list_age_ms: place.list_age_ms,
     }
 }
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -24,7 +24,7 @@
         first_event_ms: u64,
         cost_ms: u64,
         report_age_ms: Option<u64>,
-        list_age_ms: u64,
+        list_age_ms: Option<u64>,
     },
     /// No connection could be opened.
     NoConnection { server: Arc<str>, error: String, avoid_ms: u64 },
