--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod pulse;
 mod reads;
 mod relay;
+mod routers;
 mod run;
 mod select;
 mod serve;
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -1,24 +1,17 @@
 //! Keeps what the gateway believes in step with the store.
 
-use std::{
-    hash::{Hash, Hasher},
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use samphirespread_adapter::{
-    Changes, DecodeError, Kind, Listing, Object, StoreError, Written, configuration,
+    Changes, DecodeError, Kind, Listing, Object, StoreError, configuration,
     objects::CONFIGURATION_NAME,
 };
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
 use samphirespread_routing::{freshness::Copy, table::Table};
-use serde_json::json;
 use slog::{info, warn};
 use tokio::{task::JoinSet, time};
 use tokio_util::sync::CancellationToken;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     cache_follow, copies,
@@ -27,8 +20,8 @@
     metrics::{self, count},
     peers,
     reads::{self, Parts},
+    routers,
     server_list::{ServerList, Unreadable},
-    state::OtherRouter,
     weights,
 };
 
@@ -44,8 +37,6 @@
 const ROUNDS_A_ROUTERS_READ: u64 = 3;
 /// Entries that lapsed during an outage of the store are back this long after it.
 const LAPSED_RETURN_MS: u64 = 2_000;
-/// A router that was not heard for this long is taken off the list.
-const ROUTER_REMOVED_AFTER_MS: u64 = 12_000;
 /// Time between two clean-ups of idle connections.
 const PRUNE_MS: u64 = 1_000;
 
@@ -189,8 +180,10 @@
         if let Some(servers) = servers {
             self.take_servers(servers, began);
         }
-        if let Some(routers) = routers {
-            self.take_routers(routers, began).await;
+        match routers {
+            Some(Ok(listing)) => routers::take(&core, &listing, began).await,
+            Some(Err(error)) => self.failed("routers", &error),
+            None => {}
         }
         self.note(is_up);
         let wanted_from = {
@@ -237,9 +230,10 @@
     }
 
     fn failed(&self, call: &'static str, error: &StoreError) {
-        count(&self.core.metrics.store_failures, call);
         if self.is_up {
-            warn!(self.core.log, "{}", event::STORE_CALL_FAILED; "call" => call, "error" => %error);
+            log_failed(&self.core, call, error);
+        } else {
+            count(&self.core.metrics.store_failures, call);
         }
     }
 
@@ -367,100 +361,12 @@
             }
         }
     }
+}
 
-    async fn take_routers(&self, read: Result<Listing, StoreError>, began: MonoTime) {
-        let listing = match read {
-            Ok(listing) => listing,
-            Err(error) => return self.failed("routers", &error),
-        };
-        let own = self.core.name.as_str();
-        let is_registered = listing
-            .objects
-            .iter()
-            .any(|object| object.name == own && address_of(object) == Some(self.own_address()));
-        if !is_registered {
-            self.register(&listing).await;
-        }
-        let silent = self.set_routers(&listing, began);
-        for (name, revision) in silent {
-            self.remove_router(&name, revision).await;
-        }
-    }
-
-    fn own_address(&self) -> SocketAddr {
-        self.core.addresses.peers
-    }
-
-    async fn register(&self, listing: &Listing) {
-        let own = self.core.name.as_str();
-        let spec = json!({
-            "address": self.own_address().to_string(),
-            "admin": self.core.addresses.admin.to_string(),
-        });
-        let known = listing.objects.iter().find(|object| object.name == own);
-        let written = match known {
-            Some(object) => {
-                self.core.store.replace(Kind::Routers, own, object.revision, &spec).await
-            }
-            None => self.core.store.create(Kind::Routers, own, &spec).await,
-        };
-        match written {
-            Ok(Written::Done { .. }) => {
-                info!(self.core.log, "{}", event::REGISTERED; "name" => own);
-            }
-            // The next read shows what stands there.
-            Ok(other) => info!(self.core.log, "{}", event::NOT_REGISTERED; "answer" => ?other),
-            Err(error) => self.failed("register", &error),
-        }
-    }
-
-    /// Takes over the list. Returns the routers to take off it.
-    fn set_routers(&self, listing: &Listing, began: MonoTime) -> Vec<(InstanceName, u64)> {
-        let now = self.core.now();
-        let mut state = self.core.state();
-        state.reads.routers.read(mark_of(&listing.objects), began);
-        let mut routers = std::mem::take(&mut state.routers);
-        for object in &listing.objects {
-            let name = InstanceName::new(&object.name);
-            let Some(address) = address_of(object) else { continue };
-            let admin = address_in(object, "admin");
-            if name == self.core.name {
-                continue;
-            }
-            let known = routers.remove(&name).filter(|router| router.address == address);
-            let router = match known {
-                Some(router) => OtherRouter { revision: object.revision, ..router },
-                None => {
-                    info!(self.core.log, "{}", event::ROUTER_APPEARED; "router" => %name,
-                        "address" => %address);
-                    let revision = object.revision;
-                    OtherRouter { address, admin, revision, report: None, known_since: now }
-                }
-            };
-            state.routers.insert(name, router);
-        }
-        for name in routers.keys() {
-            info!(self.core.log, "{}", event::ROUTER_GONE; "router" => %name);
-        }
-        let names: Vec<InstanceName> = state.routers.keys().cloned().collect();
-        state.quotas.set_routers(&names, now);
-        state
-            .routers
-            .iter()
-            .filter(|(_, router)| router.silent_ms(now) > ROUTER_REMOVED_AFTER_MS)
-            .map(|(name, router)| (name.clone(), router.revision))
-            .collect()
-    }
-
-    async fn remove_router(&self, name: &InstanceName, revision: u64) {
-        match self.core.store.remove(Kind::Routers, name.as_str(), revision).await {
-            Ok(answer) => {
-                info!(self.core.log, "{}", event::ROUTER_REMOVED; "router" => %name,
-                    "answer" => ?answer);
-            }
-            Err(error) => self.failed("remove_router", &error),
-        }
-    }
+/// Counts and logs a call to the store that failed.
+pub(crate) fn log_failed(core: &Core, call: &'static str, error: &StoreError) {
+    count(&core.metrics.store_failures, call);
+    warn!(core.log, "{}", event::STORE_CALL_FAILED; "call" => call, "error" => %error);
 }
 
 async fn read_if<T>(wanted: bool, call: impl Future<Output = T>) -> Option<T> {
@@ -471,32 +377,6 @@
     call.is_some_and(Result::is_err)
 }
 
-impl OtherRouter {
-    /// Time since it was last heard.
-    pub(crate) fn silent_ms(&self, now: MonoTime) -> u64 {
-        let heard = self.report.as_ref().map_or(self.known_since, |(_, heard)| *heard);
-        now.ms_since(heard)
-    }
-}
-
-fn address_of(object: &Object) -> Option<SocketAddr> {
-    address_in(object, "address")
-}
-
-fn address_in(object: &Object, field: &str) -> Option<SocketAddr> {
-    object.spec.get(field)?.as_str()?.parse().ok()
-}
-
-/// Equal for equal lists of routers.
-fn mark_of(objects: &[Object]) -> u64 {
-    let mut hasher = Xxh3::new();
-    for object in objects {
-        object.name.hash(&mut hasher);
-        object.spec.to_string().hash(&mut hasher);
-    }
-    hasher.finish()
-}
-
 /// Puts a configuration in force, unless a newer one is, and notes the read that gave it.
 fn adopt(core: &Core, decoded: configuration::Decoded, object: Object, began: MonoTime) {
     let configuration::Decoded { configuration, unreadable } = decoded;
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -52,7 +52,6 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
-    local: Option<SocketAddr>,
 }
 
 impl Connection {
@@ -70,7 +69,6 @@
             .map_err(|error| refused(&error))?;
         stream.set_nodelay(true).map_err(|error| refused(&error))?;
         stream.set_zero_linger().map_err(|error| refused(&error))?;
-        let local = stream.local_addr().ok();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -80,7 +78,7 @@
             // A failure reaches the pending request, which reports it.
             let _ = connection.await;
         });
-        Ok(Self { sender, driver, local })
+        Ok(Self { sender, driver })
     }
 
     /// Sends a request and waits for the head of its response.
@@ -124,11 +122,6 @@
     pub fn is_reusable(&self) -> bool {
         self.sender.is_ready() && !self.driver.is_finished()
     }
-
-    /// The local end, which tells connections apart in logs.
-    pub fn local(&self) -> Option<SocketAddr> {
-        self.local
-    }
 }
 
 impl Drop for Connection {
