--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -4,6 +4,9 @@
 
 use crate::line::Line;
 
+/// Statuses from here on say that a server failed.
+const FIRST_FAILURE_STATUS: u16 = 500;
+
 /// The cause, from the lines of one request in the order of time.
 pub(crate) fn sentence(lines: &[&Line], request: &str) -> String {
     let ends: Vec<&&Line> =
@@ -15,6 +18,7 @@
         );
     };
     match end.text("outcome").as_str() {
+        "served" if is_failure(end) => failed_by_server(lines, end),
         "served" => served(end),
         "denied" => denied(end),
         "not_run" => not_run(lines, end),
@@ -36,6 +40,27 @@
     )
 }
 
+/// Whether the answer that was passed on is the server's own failure.
+fn is_failure(end: &Line) -> bool {
+    end.text("status").parse::<u16>().is_ok_and(|status| status >= FIRST_FAILURE_STATUS)
+}
+
+fn failed_by_server(lines: &[&Line], end: &Line) -> String {
+    let asked = lines.iter().filter(|line| line.event == event::SERVER_CHOSEN);
+    let mut servers: Vec<String> = asked.map(|line| line.text("server")).collect();
+    servers.dedup();
+    let last = end.text("server");
+    servers.retain(|server| *server != last);
+    let before = match servers.as_slice() {
+        [] => String::new(),
+        others => format!(", after {} had been asked", others.join(" and ")),
+    };
+    format!(
+        "{last} ran it and failed it with status {}, which was passed on unchanged{before}.",
+        end.text("status")
+    )
+}
+
 fn denied(end: &Line) -> String {
     let why = match end.text("cause").as_str() {
         "no route" => "no route of the configuration in force matches its host and path".to_owned(),
@@ -77,13 +102,11 @@
 }
 
 fn caller_gone(end: &Line) -> String {
-    let first = end.text("first_event_ms");
-    let before = if first.is_empty() { "before" } else { "after" };
-    format!(
-        "The caller left after {} ms, {before} the first event, while {} was at work.",
-        end.text("took_ms"),
-        end.text("server"),
-    )
+    let (took_ms, server) = (end.text("took_ms"), end.text("server"));
+    if end.text("first_event_ms").is_empty() {
+        return format!("The caller left after {took_ms} ms, while {server} had not answered.");
+    }
+    format!("The caller left after {took_ms} ms, while {server} was sending events.")
 }
 
 fn last_failure(lines: &[&Line]) -> Option<String> {
--- a/crates/explain/tests/explain.rs
+++ b/crates/explain/tests/explain.rs
@@ -50,12 +50,20 @@
         ),
         (
             r#""outcome":"caller_gone","took_ms":90,"server":"s1""#,
-            "The caller left after 90 ms, before the first event, while s1 was at work.",
+            "The caller left after 90 ms, while s1 had not answered.",
         ),
         (
             r#""outcome":"served","status":200,"server":"s1","first_event_ms":9,"took_ms":12,"late":true"#,
             "later than the route's target",
         ),
+        (
+            r#""outcome":"served","status":500,"server":"s1","first_event_ms":9,"took_ms":12"#,
+            "s1 ran it and failed it with status 500, which was passed on unchanged.",
+        ),
+        (
+            r#""outcome":"caller_gone","took_ms":90,"server":"s1","first_event_ms":40"#,
+            "The caller left after 90 ms, while s1 was sending events.",
+        ),
     ];
     for (end, sentence) in cases {
         let text = explain(&logs(&[ended("q1", "01.5", end)]), "q1", 0);
