Look at the rollout only when an engine's report brings news of it

Each of some 1,100 engine reports a second walked all engines several times to see who loads next, although the router's own ten reports a second do that too. Now only a change of weights, loading, or of whether anything runs there does.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -8,7 +8,7 @@
 
 use samphirespread_core::prelude::*;
 use samphirespread_outbound::Idle;
-use samphirespread_peer::{EngineReport, EngineState};
+use samphirespread_peer::{EngineReport, EngineState, HeldWeights};
 use samphirespread_routing::{
     model::{BackendServer, ServiceName, Standing},
     suspicion::Suspicion,
@@ -56,6 +56,8 @@
 pub(crate) struct Reported {
     /// Its engine began another run than the one that is listed, which was not known yet.
     pub(crate) started_anew: bool,
+    /// What decides on rollouts has changed: weights, loading, or whether the engine answers.
+    pub(crate) is_news: bool,
 }
 
 impl Server {
@@ -127,6 +129,11 @@
     }
 }
 
+/// The part of an engine's state that decides on rollouts.
+fn rollout_facts(state: &EngineState) -> (Vec<HeldWeights>, bool, bool) {
+    (state.models.clone(), state.is_loading, state.running > 0)
+}
+
 /// A change of what is believed of a server, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum FleetNews {
@@ -239,13 +246,16 @@
         }
         server.new_tokens = 0;
         let had_started_anew = server.has_started_anew(now);
+        let before = server.fresh_state(now).map(rollout_facts);
+        let is_news = before != report.state.as_ref().map(rollout_facts);
         server.report = Some(Report {
             state: report.state,
             heard: now,
             incarnation: report.incarnation,
             sequence: report.sequence,
         });
-        Some(Reported { started_anew: !had_started_anew && server.has_started_anew(now) })
+        let started_anew = !had_started_anew && server.has_started_anew(now);
+        Some(Reported { started_anew, is_news })
     }
 
     pub(crate) fn get(&self, id: &str) -> Option<&Server> {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -94,7 +94,8 @@
         state.reads.news.servers = true;
         core.news.notify_one();
     }
-    if conduct::conduct(core, &mut state, now) {
+    // Whatever else may change with time is looked at with every report of this router's own.
+    if reported.is_news && conduct::conduct(core, &mut state, now) {
         core.told.notify_one();
     }
 }
