Let one router ask a store that is down; the others ask seldom

Change: in an outage the first router by name of those that hear each other asks every 200 ms, the others every 900 ms; one call shows whether the store is back before the rest is read; weights wait for that as well. The others hear from the first one as soon as it reads again, as before.

--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -83,6 +83,15 @@
     !state.routers.iter().any(reads_for_us)
 }
 
+/// Whether this router is the one that asks a store that is down again and again. The others, which hear
+/// from it when the store is back, ask seldom.
+pub(crate) fn probes(core: &Core, state: &State, now: MonoTime) -> bool {
+    let comes_first = |(name, router): (&InstanceName, &crate::state::OtherRouter)| {
+        router.silent_ms(now) <= READER_SILENT_MS && *name < core.name
+    };
+    !state.routers.iter().any(comes_first)
+}
+
 /// Takes in what another router knows. Returns whether there is something to read.
 pub(crate) fn heard(
     core: &Core,
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -27,6 +27,8 @@
 
 /// Pause after a failed call.
 const PAUSE_MS: u64 = 200;
+/// Pause after a failed call where another router asks the store more often.
+const OUTAGE_PAUSE_MS: u64 = 900;
 /// Copies that nobody confirms for this long beyond the time between two reads are read again.
 const UNCONFIRMED_MS: u64 = 600;
 /// Time between two looks whether to read.
@@ -149,7 +151,11 @@
         let state = self.core.state();
         let since_last_ms = now.ms_since(last);
         let due_in_ms = if reads::leads(&self.core, &state, now) {
-            let pause_ms = if state.reads.is_up { poll_ms } else { PAUSE_MS };
+            let pause_ms = match state.reads.is_up {
+                true => poll_ms,
+                false if reads::probes(&self.core, &state, now) => PAUSE_MS,
+                false => OUTAGE_PAUSE_MS,
+            };
             pause_ms.saturating_sub(since_last_ms)
         } else {
             let confirmed_ms =
@@ -163,8 +169,17 @@
     async fn read(&mut self, parts: Parts) {
         let core = self.core.clone();
         let began = core.now();
+        // One call shows whether a store that was down is back.
+        let early = if self.is_up { None } else { Some(self.read_configuration().await) };
+        let is_down = early.as_ref().is_some_and(Result::is_err);
+        let parts = if is_down { Parts::default() } else { parts };
         let (configuration, servers, routers) = tokio::join!(
-            read_if(parts.configuration, core.store.get(Kind::Configuration, CONFIGURATION_NAME)),
+            async {
+                match early {
+                    Some(read) => Some(read),
+                    None => read_if(parts.configuration, self.read_configuration()).await,
+                }
+            },
             read_if(parts.servers, self.read_servers()),
             read_if(parts.routers, core.store.list(Kind::Routers)),
         );
@@ -259,6 +274,10 @@
         }
     }
 
+    async fn read_configuration(&self) -> Result<Option<Object>, StoreError> {
+        self.core.store.get(Kind::Configuration, CONFIGURATION_NAME).await
+    }
+
     /// Fetches what has changed among the servers, or all of them where that is not known.
     async fn read_servers(&self) -> Result<ServersRead, StoreError> {
         let store = &self.core.store;
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -53,7 +53,8 @@
     let mut in_step_since = None;
     loop {
         let began = core.now();
-        if !follows(&core, revision, &mut in_step_since) {
+        let is_down = in_step_since.is_some() && !core.state().reads.is_up;
+        if is_down || !follows(&core, revision, &mut in_step_since) {
             revision = None;
             time::sleep(Duration::from_millis(LOOK_MS)).await;
             continue;
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use samphirespread_core::prelude::*;
 use samphirespread_peer::{Datagram, EngineReport, EngineState, HeldWeights, encode};
+use samphirespread_standin::published::StoreFault;
 use serde_json::json;
 
 use crate::support::{
@@ -132,3 +133,26 @@
     let received: Vec<usize> = site.workers.iter().map(|worker| worker.received().len()).collect();
     assert_eq!(received, [0, 0, 12, 0]);
 }
+
+/// All routers of a large fleet lose the store at once.
+#[tokio::test]
+async fn one_router_asks_a_store_that_is_down_and_the_others_seldom_do() {
+    let site = start_site(configuration()).await;
+    let mut others = Vec::new();
+    for name in ["r2", "r3", "r4", "r5"] {
+        others.push(start_gateway(settings_of(name, site.store.address())).await);
+    }
+    for other in &others {
+        logged(other, "leaves reading to another", "level", json!("INFO")).await;
+    }
+
+    site.store.set_fault(StoreFault::Unavailable);
+    eventually(|| (site.store.calls().during_outage > 0).then_some(())).await;
+    let before = site.store.calls().during_outage;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let asked = site.store.calls().during_outage - before;
+    site.store.set_fault(StoreFault::None);
+
+    assert!(asked <= 25, "{asked} calls in a second by five routers");
+    logged(&site.gateway, "store regained", "level", json!("INFO")).await;
+}
