--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -87,7 +87,7 @@
     let servers: Vec<&Server> = state
         .fleet
         .of_service(&demand.service.name)
-        .filter(|server| is_eligible(server, demand.tried, now))
+        .filter(|server| is_eligible(state, server, demand.tried, now))
         .collect();
     match (demand.service.engine.as_ref(), demand.generation) {
         (Some(_), Some(generation)) => {
@@ -97,10 +97,11 @@
     }
 }
 
-fn is_eligible(server: &Server, tried: &[Arc<str>], now: MonoTime) -> bool {
+fn is_eligible(state: &State, server: &Server, tried: &[Arc<str>], now: MonoTime) -> bool {
     let is_loading = server.fresh_state(now).is_some_and(|state| state.is_loading);
-    let is_listed_run = !server.is_superseded && !server.has_started_anew(now);
-    let may_take = server.entry.standing == Standing::Ready && is_listed_run;
+    let is_another =
+        server.is_superseded || (server.has_started_anew(now) && state.list_is_current(now));
+    let may_take = server.entry.standing == Standing::Ready && !is_another;
     may_take && !is_loading && !tried.contains(&server.entry.id)
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -28,6 +28,8 @@
 /// Routers that may start within one window of the quotas, whose first allowances the slack covers.
 const STARTS_A_WINDOW: f64 = 4.0;
 
+/// A list of servers that was confirmed within this time shows engines that began another run.
+const LIST_CURRENT_MS: u64 = 3_000;
 /// A router that starts waits this long for sidecars before it serves on the list's word alone.
 const SIDECARS_WAIT_MS: u64 = 700;
 
@@ -150,6 +152,13 @@
         }
     }
 
+    /// Whether an engine that began another run would be on the list of servers by now.
+    ///
+    /// While the store is away the list can't show it, and the engine may answer under its old entry.
+    pub(crate) fn list_is_current(&self, now: MonoTime) -> bool {
+        self.reads.servers.age_ms(now) <= LIST_CURRENT_MS
+    }
+
     /// This router's part of the bound on repeats.
     ///
     /// The slack is halved, so that routers that restart and begin a new count stay inside it.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -304,18 +304,21 @@
         }
         let unreadable = match read {
             ServersRead::Changed(changes) if changes.changes.is_empty() && confirmed.is_some() => {
-                self.log_nameless(&changes.unreadable);
+                self.note_nameless(&changes.unreadable);
                 let mut state = self.core.state();
                 let mark = state.reads.servers.mark();
                 state.reads.servers.read(mark, began);
                 return;
             }
             ServersRead::Changed(changes) => {
-                self.log_nameless(&changes.unreadable);
-                self.servers.apply(changes.changes, changes.revision)
+                let unreadable = self.servers.apply(changes.changes, changes.revision);
+                self.note_nameless(&changes.unreadable);
+                unreadable
             }
             ServersRead::Listed(listing) => {
-                self.log_nameless(&listing.unreadable);
+                for error in &listing.unreadable {
+                    log_unreadable(&self.core, "server", error);
+                }
                 let objects = listing.objects.into_iter().map(Arc::new);
                 let (servers, unreadable) = ServerList::new(objects, Some(listing.revision));
                 self.servers = servers;
@@ -325,8 +328,8 @@
         self.use_servers(&unreadable, began);
     }
 
-    /// Logs entries without a readable name. What they replace is not known, so all is read again.
-    fn log_nameless(&mut self, unreadable: &[DecodeError]) {
+    /// Takes in changes without a readable name. What they change is not known, so all is read again.
+    fn note_nameless(&mut self, unreadable: &[DecodeError]) {
         for error in unreadable {
             log_unreadable(&self.core, "server", error);
         }
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -9,12 +9,15 @@
 use samphirespread_peer::{Datagram, EngineReport, EngineState, HeldWeights, encode};
 use samphirespread_standin::published::StoreFault;
 use serde_json::json;
+use tokio::net::UdpSocket;
 
 use crate::support::{
-    MODEL, Running, configuration, eventually, generation, send, settings_of, start_gateway,
-    start_site,
+    Answer, MODEL, Running, Site, configuration, eventually, generation, send, settings_of,
+    start_gateway, start_site,
 };
 
+/// Longer than a list of servers counts as current.
+const LONG_OUTAGE: Duration = Duration::from_millis(3_300);
 /// Longer than a copy may go without a read of one's own before that counts as an outage.
 const LONG_WITHOUT_OWN_READ: Duration = Duration::from_millis(1_500);
 
@@ -95,45 +98,67 @@
     assert!(reads < 3, "{reads} reads for {} changes of the servers", ids.len());
 }
 
+/// Tells the gateway, as the sidecar of the last engine, that it began another run, and sends a request.
+///
+/// All servers share an address here, so a sidecar's word is taken for the last engine.
+async fn send_beside_a_restart(site: &Site, sidecar: &UdpSocket, number: u64) -> Answer {
+    let held = HeldWeights { model: ModelName::new(MODEL), version: 1 };
+    let report = EngineReport {
+        from: InstanceName::new("s2"),
+        incarnation: Incarnation(1),
+        sequence: number + 1,
+        state: Some(EngineState {
+            started_unix_ms: Some(99),
+            models: vec![held],
+            is_loading: false,
+            running: 0,
+            waiting: 0,
+            used_tokens: 0,
+            memory_tokens: 90_000,
+        }),
+    };
+    let bytes = encode(&Datagram::Engine(report));
+    sidecar.send_to(&bytes, site.gateway.addresses.peers).await.unwrap();
+    // The gateway takes datagrams before it is asked again.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    let mut request = generation("/stream/a", &format!("q{number}"));
+    // Each subject has its home at one of the engines.
+    let subject = format!("subject-{number}:10").parse().unwrap();
+    request.headers_mut().insert("x-samphirespread-prompt-prefix", subject);
+    site.send(request).await
+}
+
 /// An engine crashes and starts again: its sidecar knows before the list does.
 #[tokio::test]
 async fn an_engine_that_started_anew_gets_no_request_under_its_old_entry() {
     let site = start_site(configuration()).await;
-    // All servers share an address here, so a sidecar's word is taken for the last engine.
-    let sidecar = tokio::net::UdpSocket::bind("127.0.0.1:0").await.unwrap();
-    let held = HeldWeights { model: ModelName::new(MODEL), version: 1 };
-    let state = EngineState {
-        started_unix_ms: Some(99),
-        models: vec![held],
-        is_loading: false,
-        running: 0,
-        waiting: 0,
-        used_tokens: 0,
-        memory_tokens: 90_000,
-    };
+    let sidecar = UdpSocket::bind("127.0.0.1:0").await.unwrap();
 
     for number in 0..12 {
-        let report = EngineReport {
-            from: InstanceName::new("s2"),
-            incarnation: Incarnation(1),
-            sequence: number + 1,
-            state: Some(state.clone()),
-        };
-        let bytes = encode(&Datagram::Engine(report));
-        sidecar.send_to(&bytes, site.gateway.addresses.peers).await.unwrap();
-        // The gateway takes datagrams before it is asked again.
-        tokio::time::sleep(Duration::from_millis(20)).await;
-        let mut request = generation("/stream/a", &format!("q{number}"));
-        // Each subject has its home at one of the engines.
-        let subject = format!("subject-{number}:10").parse().unwrap();
-        request.headers_mut().insert("x-samphirespread-prompt-prefix", subject);
-        site.send(request).await;
+        send_beside_a_restart(&site, &sidecar, number).await;
     }
 
     let received: Vec<usize> = site.workers.iter().map(|worker| worker.received().len()).collect();
     assert_eq!(received, [0, 0, 12, 0]);
 }
 
+/// An engine starts again under its id while the store is away, which can't tell of it.
+#[tokio::test]
+async fn an_engine_that_started_anew_while_the_store_is_down_is_asked() {
+    let mut open = configuration();
+    open["routes"][2]["anonymous"] = json!(true);
+    let site = start_site(open).await;
+    let sidecar = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    site.store.set_fault(StoreFault::Unavailable);
+    tokio::time::sleep(LONG_OUTAGE).await;
+
+    for number in 0..12 {
+        send_beside_a_restart(&site, &sidecar, number).await;
+    }
+
+    assert!(site.workers[3].ran() > 0, "{:?}", site.workers[2].ran());
+}
+
 /// All routers of a large fleet lose the store at once.
 #[tokio::test]
 async fn one_router_asks_a_store_that_is_down_and_the_others_seldom_do() {
--- a/crates/gateway/tests/gateway/store.rs
+++ b/crates/gateway/tests/gateway/store.rs
@@ -208,6 +208,21 @@
     eventually(|| logged(&site, "server gone", "x1")).await;
 }
 
+#[tokio::test]
+async fn a_change_without_a_readable_name_makes_it_list_all_servers() {
+    let site = start_site(configuration()).await;
+    site.store.put("servers", "x1", site.workers[0].entry("ready"));
+    eventually(|| logged(&site, "server appeared", "x1")).await;
+
+    // Nothing but the whole list shows what a change without a name was about.
+    site.store.forget("servers", "x1");
+    site.store.change_nameless("servers");
+    site.store.put("servers", "x2", site.workers[0].entry("ready"));
+
+    eventually(|| logged(&site, "server appeared", "x2")).await;
+    eventually(|| logged(&site, "server gone", "x1")).await;
+}
+
 fn logged(site: &Site, message: &str, server: &str) -> Option<()> {
     let is_it = |line: &serde_json::Value| line["msg"] == message && line["server"] == server;
     site.gateway.log.lines().iter().any(is_it).then_some(())
--- a/crates/standin/src/published/objects/mod.rs
+++ b/crates/standin/src/published/objects/mod.rs
@@ -136,6 +136,17 @@
         state::revision_of(&object)
     }
 
+    /// Removes an object without a word to watches.
+    pub fn forget(&self, kind: &str, name: &str) {
+        self.shared.lock().objects.forget(kind, name);
+    }
+
+    /// Tells watches of a change whose object can't be read, not even its name.
+    pub fn change_nameless(&self, kind: &str) {
+        self.shared.lock().objects.change_nameless(kind);
+        self.shared.tell();
+    }
+
     /// Removes an object, not counted as a call.
     pub fn remove(&self, kind: &str, name: &str) {
         self.shared.lock().objects.remove(kind, name);
--- a/crates/standin/src/published/objects/state.rs
+++ b/crates/standin/src/published/objects/state.rs
@@ -67,6 +67,17 @@
         Some(object)
     }
 
+    pub(super) fn forget(&mut self, kind: &str, name: &str) {
+        if let Some(objects) = self.kinds.get_mut(kind) {
+            objects.remove(name);
+        }
+    }
+
+    pub(super) fn change_nameless(&mut self, kind: &str) {
+        self.revision += 1;
+        self.note(kind, false, &json!({ "metadata": 7 }));
+    }
+
     pub(super) fn forget_history(&mut self) {
         self.history.clear();
         self.history_from = self.revision;
