Don't miss a change of the settings file right after the start

Traced: the file was read at the start and, when the watch for changes began, read once more as what is known; a change in between was never seen as one. The text that the settings were made from is what is known now.

The test's own wait had no end; lines come through a channel with a limit now, and a third test changes the file right after the first line of the log, three times. It was not seen to fail on the old code: the moment is short.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -39,11 +39,20 @@
     pub example: bool,
 }
 
+/// A settings file as it was read.
+#[derive(Clone, Debug)]
+pub struct SettingsFile {
+    /// Where it is.
+    pub path: PathBuf,
+    /// What stood there. A later text that differs is a change, however early it came.
+    pub text: String,
+}
+
 /// What a daemon is to do after its arguments were read.
 #[derive(Debug)]
 pub enum Start<S> {
     /// Serve with these settings, which came from that file.
-    Serve(S, PathBuf),
+    Serve(S, SettingsFile),
     /// End with this exit code; what there was to say has been printed.
     Done(ExitCode),
 }
@@ -58,12 +67,12 @@
         complain("--settings FILE is missing; --example prints such a file");
         return Start::Done(ExitCode::from(EXIT_SETTINGS));
     };
-    match read_settings(&path) {
+    match read_file(&path) {
         Ok(_) if arguments.check => {
             print("the settings are valid\n");
             Start::Done(ExitCode::SUCCESS)
         }
-        Ok(settings) => Start::Serve(settings, path),
+        Ok((settings, text)) => Start::Serve(settings, SettingsFile { path, text }),
         Err(message) => {
             complain(&message);
             Start::Done(ExitCode::from(EXIT_SETTINGS))
@@ -77,9 +86,14 @@
 ///
 /// The file's path with what is wrong with it.
 pub fn read_settings<S: Settings>(path: &Path) -> Result<S, String> {
+    read_file(path).map(|(settings, _)| settings)
+}
+
+fn read_file<S: Settings>(path: &Path) -> Result<(S, String), String> {
     let text =
         std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
-    S::parse(&text).map_err(|errors| format!("{}:\n{errors}", path.display()))
+    let settings = S::parse(&text).map_err(|errors| format!("{}:\n{errors}", path.display()))?;
+    Ok((settings, text))
 }
 
 /// A token that SIGTERM and SIGINT cancel.
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -4,7 +4,9 @@
 
 use clap::Parser;
 use samphirespread_adapter::SETTINGS_VARIABLE;
-use samphirespread_daemon::{CommonArguments, EXIT_START, Start, shutdown_on_signal, start};
+use samphirespread_daemon::{
+    CommonArguments, EXIT_START, SettingsFile, Start, shutdown_on_signal, start,
+};
 use samphirespread_gateway::{Gateway, SettingsHandle};
 use samphirespread_settings::GatewaySettings;
 use slog::{Logger, error};
@@ -30,12 +32,12 @@
     let arguments = Arguments::parse();
     let fallback = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
     match start(&arguments.common, fallback) {
-        Start::Serve(settings, path) => serve(settings, path).await,
+        Start::Serve(settings, file) => serve(settings, file).await,
         Start::Done(code) => code,
     }
 }
 
-async fn serve(settings: GatewaySettings, path: PathBuf) -> ExitCode {
+async fn serve(settings: GatewaySettings, file: SettingsFile) -> ExitCode {
     let log = samphirespread_logging::to(&settings.log, std::io::stdout());
     let gateway = match Gateway::bind(settings, log.clone()).await {
         Ok(gateway) => gateway,
@@ -45,7 +47,7 @@
         Ok(shutdown) => shutdown,
         Err(failure) => return cant_start(&log, &failure),
     };
-    tokio::spawn(reload_on_change(path, gateway.settings_handle()));
+    tokio::spawn(reload_on_change(file, gateway.settings_handle()));
     if gateway.run(shutdown).await { ExitCode::SUCCESS } else { ExitCode::from(EXIT_CUT) }
 }
 
@@ -55,9 +57,10 @@
 }
 
 /// Reads the settings again on SIGHUP, and when the file has changed without one.
-async fn reload_on_change(path: PathBuf, handle: SettingsHandle) {
+async fn reload_on_change(file: SettingsFile, handle: SettingsHandle) {
+    let SettingsFile { path, text } = file;
     let Ok(mut hang_up) = signal(SignalKind::hangup()) else { return };
-    let mut known = std::fs::read_to_string(&path).ok();
+    let mut known = Some(text);
     loop {
         let was_asked = tokio::select! {
             _ = hang_up.recv() => true,
--- a/crates/gateway/tests/daemon.rs
+++ b/crates/gateway/tests/daemon.rs
@@ -4,6 +4,8 @@
     io::{BufRead, BufReader},
     path::PathBuf,
     process::{Child, ChildStdout, Command, Stdio},
+    sync::mpsc::{Receiver, channel},
+    time::Duration,
 };
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -13,10 +15,13 @@
 /// A gateway as a process, killed when dropped.
 struct Daemon {
     child: Child,
-    lines: std::io::Lines<BufReader<ChildStdout>>,
+    lines: Receiver<String>,
     settings: PathBuf,
 }
 
+/// How long a test waits for a line before it fails.
+const PATIENCE: Duration = Duration::from_secs(20);
+
 impl Daemon {
     fn start(name: &str, store: &ObjectStore) -> Self {
         let file = format!("samphirespread-gateway-{name}-{}.ini", std::process::id());
@@ -28,7 +33,7 @@
             .stdout(Stdio::piped())
             .spawn()
             .unwrap();
-        let lines = BufReader::new(child.stdout.take().unwrap()).lines();
+        let lines = lines_of(child.stdout.take().unwrap());
         let mut daemon = Self { child, lines, settings };
         daemon.logged("started");
         daemon
@@ -37,7 +42,7 @@
     /// Reads the log until a line with that message comes.
     fn logged(&mut self, message: &str) -> Value {
         loop {
-            let line = self.lines.next().expect("the log goes on").unwrap();
+            let line = self.lines.recv_timeout(PATIENCE).expect("the log goes on");
             let line: Value = serde_json::from_str(&line).expect("a line of JSON");
             if line["msg"] == message {
                 return line;
@@ -60,6 +65,17 @@
     }
 }
 
+/// The lines of a daemon's log, as they come.
+fn lines_of(log: ChildStdout) -> Receiver<String> {
+    let (sender, lines) = channel();
+    std::thread::spawn(move || {
+        let read = BufReader::new(log).lines().map_while(Result::ok);
+        // The test may have ended, and then nobody wants the rest.
+        read.take_while(|line| sender.send(line.clone()).is_ok()).for_each(drop);
+    });
+    lines
+}
+
 fn text(store: &ObjectStore, retry_slack: u64) -> String {
     format!(
         "[instance]\nname = r1\nregion = khomas\nfailure_domain = khomas-1\n\
@@ -69,6 +85,20 @@
     )
 }
 
+/// The file changes between the moment when the process reads it and that when it looks for changes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_right_after_the_start_is_not_missed() {
+    let store = ObjectStore::start().unwrap();
+    for slack in 80..83 {
+        let mut daemon = Daemon::start(&format!("early-{slack}"), &store);
+
+        std::fs::write(&daemon.settings, text(&store, slack)).unwrap();
+        let reloaded = daemon.logged("settings reloaded");
+
+        assert!(bounds(&reloaded).contains(&format!("retry_slack: {slack}")), "{reloaded}");
+    }
+}
+
 fn bounds(line: &Value) -> &str {
     line["bounds"].as_str().expect("bounds")
 }
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -29,7 +29,7 @@
     let arguments = Arguments::parse();
     let fallback = std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
     match start(&arguments.common, fallback) {
-        Start::Serve(settings, path) => serve(settings, path).await,
+        Start::Serve(settings, file) => serve(settings, file.path).await,
         Start::Done(code) => code,
     }
 }
