Keep the platform's names out of the soak

The soak wrote configuration, weights, callers' headers and what servers received in the platform's own words, outside platform/ and the stand-ins' published form. published::documents, published::Ask and the accessors of Received hold them now; the soak says routes, teams and requests. What is sent is the same but for defaults that are written out (a limit of 0, not dedicated).

--- a/crates/soak/src/caller/mod.rs
+++ b/crates/soak/src/caller/mod.rs
@@ -11,6 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use samphirespread_outbound::Connection;
+use samphirespread_standin::published::{Ask, Generation, says_not_run};
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
@@ -37,7 +38,7 @@
     pub(crate) gateways: Vec<SocketAddr>,
     pub(crate) deadline_ms: u64,
     pub(crate) patience_ms: u64,
-    pub(crate) stream_tokens: f64,
+    pub(crate) stream_tokens: u64,
     pub(crate) stop: CancellationToken,
     pub(crate) requests: Mutex<Vec<Request>>,
 }
@@ -113,26 +114,26 @@
     subject: u32,
     id: &str,
 ) -> HttpRequest<Full<Bytes>> {
-    let mut builder = HttpRequest::post(format!("/{}/{id}", route.path()))
-        .header(header::HOST, HOST)
-        .header("x-samphirespread-attempt-id", id)
-        .header("x-samphirespread-deadline-ms", load.deadline_ms)
-        .header(header::AUTHORIZATION, format!("Token {}", caller.key()));
-    if route.is_stream() {
-        let output = load.stream_tokens / 2.0;
-        builder = builder
-            .header("x-samphirespread-model", MODEL)
-            .header("x-samphirespread-token-usage", format!("{output:.0},{output:.0}"))
-            .header("x-samphirespread-prompt-prefix", format!("subject-{subject}:10"));
-    }
-    builder.body(Full::from(body_of(id))).expect("the parts are valid")
+    let half = load.stream_tokens / 2;
+    let subject = format!("subject-{subject}");
+    let generation = Generation { model: MODEL, tokens: (half, half), shared_part: (&subject, 10) };
+    let ask = Ask {
+        id,
+        host: HOST,
+        path: &format!("/{}/{id}", route.path()),
+        key: caller.key(),
+        deadline_ms: load.deadline_ms,
+        generation: route.is_stream().then_some(generation),
+        body: &body_of(id),
+    };
+    ask.request()
 }
 
 async fn exchange(connection: &mut Connection, request: HttpRequest<Full<Bytes>>) -> Outcome {
     let Ok(response) = connection.send(request).await else { return Outcome::NoAnswer };
     let status = response.status();
     let has_retry_after = response.headers().contains_key(header::RETRY_AFTER);
-    let not_run = response.headers().contains_key("x-samphirespread-not-executed");
+    let not_run = says_not_run(response.headers());
     let (body, is_whole) = read(response).await;
     let number = status.as_u16();
     match status {
--- a/crates/soak/src/checker/mod.rs
+++ b/crates/soak/src/checker/mod.rs
@@ -86,7 +86,7 @@
     /// The tokens of a plain request.
     pub plain_tokens: f64,
     /// The tokens of a stream.
-    pub stream_tokens: f64,
+    pub stream_tokens: u32,
     /// How long callers wait.
     pub deadline_ms: u64,
     /// How much later than that an answer may end.
--- a/crates/soak/src/checker/runs.rs
+++ b/crates/soak/src/checker/runs.rs
@@ -95,7 +95,8 @@
     let most = (bounds.rate_per_s * window_s + bounds.burst) * 1.1 + bounds.quota_slack;
     let mut first_runs: BTreeMap<&str, (RunMs, f64)> = BTreeMap::new();
     for run in seen.history.runs.iter().filter(|run| run.team == Caller::Limited.team()) {
-        let tokens = if run.by_engine { bounds.stream_tokens } else { bounds.plain_tokens };
+        let tokens =
+            if run.by_engine { f64::from(bounds.stream_tokens) } else { bounds.plain_tokens };
         let first = first_runs.entry(&run.request).or_insert((run.at_ms, tokens));
         first.0 = first.0.min(run.at_ms);
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -106,7 +106,7 @@
         quota_window_ms: 8_000,
         quota_slack: 1_000.0,
         plain_tokens: 10.0,
-        stream_tokens: 40.0,
+        stream_tokens: 40,
         deadline_ms: 3_000,
         answer_slack_ms: 1_500,
         timed: true,
@@ -133,7 +133,7 @@
         gateways: site.callers(),
         deadline_ms: bounds.deadline_ms,
         patience_ms: bounds.deadline_ms + 2 * bounds.answer_slack_ms,
-        stream_tokens: bounds.stream_tokens,
+        stream_tokens: u64::from(bounds.stream_tokens),
         stop: CancellationToken::new(),
         requests: Mutex::default(),
     });
--- a/crates/soak/src/site/documents.rs
+++ b/crates/soak/src/site/documents.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use serde_json::{Value, json};
+use samphirespread_standin::published::documents::{self, RouteKind, Service, Team};
+use serde_json::Value;
 
 use crate::{
     checker::Bounds,
@@ -20,41 +21,47 @@
 
 /// A configuration, with the changing team's key or without it.
 pub(crate) fn configuration(generation: u64, with_key: bool, bounds: &Bounds) -> Value {
-    let routes: Vec<Value> =
-        Route::ALL.into_iter().map(|route| route_entry(route, bounds)).collect();
-    let keys = if with_key { vec![Caller::Changing.key()] } else { Vec::new() };
-    json!({
-        "version": generation,
-        "routes": routes,
-        "services": [
-            { "name": DESK, "maxConns": 200 },
-            { "name": ENGINES, "maxConns": 200, "engine": { "slots": 32,
-              "kvCapacityTokens": 90_000, "tokenKvBytes": 100, "linkMbps": 1000.0 } }
-        ],
-        "limits": { "maxBodyBytes": 10_000 },
-        "tenants": [
-            { "name": Caller::Steady.team(), "apiKeys": [Caller::Steady.key()],
-              "unit": "tokens", "uncachedTokens": bounds.plain_tokens },
-            { "name": Caller::Limited.team(), "apiKeys": [Caller::Limited.key()],
-              "unit": "tokens", "uncachedTokens": bounds.plain_tokens,
-              "ratePerS": bounds.rate_per_s, "burst": bounds.burst },
-            { "name": Caller::Changing.team(), "apiKeys": keys, "dedicated": true,
-              "unit": "tokens", "uncachedTokens": bounds.plain_tokens }
-        ]
-    })
+    let routes = Route::ALL.map(|route| route_entry(route, bounds));
+    let service = |name, has_engines| Service { name, max_connections: 200, has_engines };
+    let services = [service(DESK, false), service(ENGINES, true)];
+    let steady = team(Caller::Steady, bounds);
+    let limited = team(Caller::Limited, bounds);
+    let changing = team(Caller::Changing, bounds);
+    let teams = [
+        steady,
+        Team { rate_per_s: bounds.rate_per_s, burst: bounds.burst, ..limited },
+        Team { key: changing.key.filter(|_| with_key), is_dedicated: true, ..changing },
+    ];
+    documents::configuration(generation, &routes, &services, &teams)
 }
 
-fn route_entry(route: Route, bounds: &Bounds) -> Value {
+/// A team without a limit.
+fn team(caller: Caller, bounds: &Bounds) -> Team<'static> {
+    Team {
+        name: caller.team(),
+        key: Some(caller.key()),
+        is_dedicated: false,
+        request_tokens: bounds.plain_tokens,
+        rate_per_s: 0.0,
+        burst: 0.0,
+    }
+}
+
+fn route_entry(route: Route, bounds: &Bounds) -> documents::Route<'static> {
     let kind = match route {
-        Route::Lookup => "safe",
-        Route::Issue => "unsafe",
-        Route::Stream | Route::Resumable => "stream",
+        Route::Lookup => RouteKind::Idempotent,
+        Route::Issue => RouteKind::AtMostOnce,
+        Route::Stream => RouteKind::Stream { resumable: false },
+        Route::Resumable => RouteKind::Stream { resumable: true },
     };
-    let service = if route.is_stream() { ENGINES } else { DESK };
-    json!({ "name": route.path(), "hostname": HOST, "pathPrefix": format!("/{}/", route.path()),
-            "routeType": kind, "timeoutMs": bounds.deadline_ms, "targetLatencyMs": 300,
-            "priority": 1, "service": service, "maxAttempts": bounds.max_runs, "anonymous": false,
-            "resumable": route == Route::Resumable })
+    documents::Route {
+        name: route.path(),
+        host: HOST,
+        kind,
+        service: if route.is_stream() { ENGINES } else { DESK },
+        timeout_ms: bounds.deadline_ms,
+        max_attempts: bounds.max_runs,
+    }
 }
 
 /// What a gateway's settings say.
--- a/crates/soak/src/site/mod.rs
+++ b/crates/soak/src/site/mod.rs
@@ -15,9 +15,8 @@
 use samphirespread_adapter::Kind;
 use samphirespread_standin::{
     link::Link,
-    published::{ObjectStore, Worker, WorkerConfig},
+    published::{self, ObjectStore, Received, Worker, WorkerConfig},
 };
-use serde_json::json;
 
 pub(crate) use self::documents::{HOST, MODEL};
 use self::{
@@ -269,7 +268,7 @@
     }
 
     fn name_weights(&mut self) {
-        let named = json!({ "model": MODEL, "version": self.version });
+        let named = published::documents::weights(MODEL, self.version);
         self.store.put(Kind::Weights.name(), MODEL, named);
         self.change(Changed::Weights(self.version));
     }
@@ -361,12 +360,8 @@
     Ok(socket.local_addr()?.port())
 }
 
-fn run(
-    began: Instant,
-    server: &Server,
-    received: &samphirespread_standin::published::Received,
-) -> Run {
-    let id = received.header("x-samphirespread-attempt-id").to_owned();
+fn run(began: Instant, server: &Server, received: &Received) -> Run {
+    let id = received.request_id().to_owned();
     let has_key = received
         .headers
         .values()
@@ -377,9 +372,9 @@
         server: server.worker.id().to_owned(),
         by_engine: server.is_engine,
         at_ms: u64::try_from(at.as_millis()).unwrap_or(RunMs::MAX),
-        team: received.header("x-samphirespread-tenant").to_owned(),
-        salt: received.header("x-samphirespread-cache-salt").to_owned(),
-        version: received.header("x-samphirespread-expect-version").parse().unwrap_or(0),
+        team: received.team().to_owned(),
+        salt: received.cache_salt().to_owned(),
+        version: received.expected_version().unwrap_or(0),
         is_untouched: is_whole && !has_key,
         request: id,
     }
--- a/crates/standin/src/published/mod.rs
+++ b/crates/standin/src/published/mod.rs
@@ -1,9 +1,12 @@
 //! Stand-ins that speak the form which the users' platform publishes.
 
+mod asking;
+pub mod documents;
 mod objects;
 mod worker;
 
 pub use self::{
+    asking::{Ask, Generation, says_not_run},
     objects::{ObjectStore, StoreCalls, StoreFault, StoreRates},
     worker::{Behaviour, Ordered, Received, STREAM_EVENTS, Worker, WorkerConfig},
 };
--- a/crates/standin/src/published/worker.rs
+++ b/crates/standin/src/published/worker.rs
@@ -21,12 +21,12 @@
 
 use crate::server::{LostAnswer, Server};
 
-const REQUEST_ID: &str = "x-samphirespread-attempt-id";
+pub(super) const REQUEST_ID: &str = "x-samphirespread-attempt-id";
 const EXPECT_SERVER: &str = "x-samphirespread-expect-instance";
 const EXPECT_VERSION: &str = "x-samphirespread-expect-version";
 const SEAL: &str = "x-samphirespread-response-seal";
 const SERVER_ID: &str = "x-samphirespread-instance-id";
-const NOT_RUN: &str = "x-samphirespread-not-executed";
+pub(super) const NOT_RUN: &str = "x-samphirespread-not-executed";
 /// Events of a whole stream.
 pub const STREAM_EVENTS: u64 = 5;
 
@@ -84,6 +84,26 @@
     pub fn header(&self, name: &str) -> &str {
         self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
+
+    /// The id of the request.
+    pub fn request_id(&self) -> &str {
+        self.header(REQUEST_ID)
+    }
+
+    /// The team for which it is to run.
+    pub fn team(&self) -> &str {
+        self.header("x-samphirespread-tenant")
+    }
+
+    /// What separates its cache entries from others.
+    pub fn cache_salt(&self) -> &str {
+        self.header("x-samphirespread-cache-salt")
+    }
+
+    /// The version of the weights on which it is to run, if it names one.
+    pub fn expected_version(&self) -> Option<u64> {
+        self.header(EXPECT_VERSION).parse().ok()
+    }
 }
 
 /// What a worker is.
@@ -306,7 +326,7 @@
 }
 
 async fn treat(received: &Received, behaviour: Behaviour) -> Response {
-    let id = received.header(REQUEST_ID).to_owned();
+    let id = received.request_id().to_owned();
     match behaviour {
         Behaviour::Answer => answer(received, &id),
         Behaviour::AnswerAfterMs(delay_ms) => {
@@ -344,7 +364,7 @@
     received: &Received,
     cut_after: Option<u64>,
 ) -> impl stream::Stream<Item = io::Result<String>> + use<> {
-    let id = received.header(REQUEST_ID).to_owned();
+    let id = received.request_id().to_owned();
     let last: u64 = received.header("last-event-id").parse().unwrap_or(0);
     let mut pieces: Vec<io::Result<String>> = Vec::new();
     for number in last + 1..=STREAM_EVENTS {
