One copy of what the daemons' mains, metrics and choices had twice

Found by reading the change once more; behaviour stays as it is. - cant_start stood in three mains, BindError in gateway and sidecar, causes, span histograms and the text of a registry in both metrics modules: samphirespread_daemon has them. - Whether another run answers where a server is listed was put together in choice and rollout separately: State::is_another. - Run::may_repeat asked again whether the route is idempotent, which Attempts::may_send holds. - A sidecar's report copied the engine's models twice to see whether they changed; it compares them where they are.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,14 +9,20 @@
 //! assert!(matches!(start::<GatewaySettings>(&arguments, None), Start::Done(_)));
 //! ```
 
+pub mod metrics;
+
 use std::{
+    error::Error,
     io,
+    net::SocketAddr,
     path::{Path, PathBuf},
     process::ExitCode,
 };
 
 use clap::Args;
+use displaydoc::Display;
 use samphirespread_settings::Settings;
+use slog::{Logger, error};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
@@ -116,6 +122,34 @@
     Ok(shutdown)
 }
 
+/// A port that can't be opened.
+#[derive(Debug, Display)]
+#[non_exhaustive]
+pub enum BindError {
+    /// {address}: {message}
+    Port {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        message: String,
+    },
+}
+
+impl Error for BindError {}
+
+impl BindError {
+    /// What the system said of a port at that address.
+    pub fn at(address: SocketAddr, error: &io::Error) -> Self {
+        Self::Port { address, message: error.to_string() }
+    }
+}
+
+/// Logs why a daemon can't start. Returns its exit code.
+pub fn cant_start(log: &Logger, daemon: &str, failure: &dyn Error) -> ExitCode {
+    error!(log, "{} can't start", daemon; "error" => %failure);
+    ExitCode::from(EXIT_START)
+}
+
 /// Prints a result.
 #[expect(clippy::print_stdout, reason = "the command's result")]
 pub fn print(text: &str) {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -130,8 +130,8 @@
 }
 
 /// The part of an engine's state that decides on rollouts.
-fn rollout_facts(state: &EngineState) -> (Vec<HeldWeights>, bool, bool) {
-    (state.models.clone(), state.is_loading, state.running > 0)
+fn rollout_facts(state: &EngineState) -> (&[HeldWeights], bool, bool) {
+    (&state.models, state.is_loading, state.running > 0)
 }
 
 /// A change of what is believed of a server, for the log.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
     prelude::*,
     time::{Clock, fresh_incarnation},
 };
+use samphirespread_daemon::BindError;
 use samphirespread_logging::event;
 use samphirespread_settings::GatewaySettings;
 use slog::{Logger, info, warn};
@@ -21,7 +22,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{BindError, metrics::Metrics, pulse::Pulse, serve, state::State, sync};
+use crate::{metrics::Metrics, pulse::Pulse, serve, state::State, sync};
 
 /// What the clock shows at the start: room for instants that others tell of from before it.
 const CLOCK_START_MS: u64 = 3_600_000;
@@ -125,7 +126,8 @@
         let readiness = listen(settings.listen.readiness).await?;
         let admin = listen(settings.listen.admin).await?;
         let address = settings.listen.peers;
-        let socket = UdpSocket::bind(address).await.map_err(|error| at(address, &error))?;
+        let socket =
+            UdpSocket::bind(address).await.map_err(|error| BindError::at(address, &error))?;
         let addresses = Addresses {
             callers: local(&settings.listen.callers, callers.local_addr())?,
             readiness: local(&settings.listen.readiness, readiness.local_addr())?,
@@ -179,13 +181,9 @@
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, BindError> {
-    TcpListener::bind(address).await.map_err(|error| at(address, &error))
+    TcpListener::bind(address).await.map_err(|error| BindError::at(address, &error))
 }
 
 fn local(asked: &SocketAddr, bound: io::Result<SocketAddr>) -> Result<SocketAddr, BindError> {
-    bound.map_err(|error| at(*asked, &error))
-}
-
-fn at(address: SocketAddr, error: &io::Error) -> BindError {
-    BindError::Port { address, message: error.to_string() }
+    bound.map_err(|error| BindError::at(*asked, &error))
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,7 +22,6 @@
 mod cache_follow;
 mod conduct;
 mod copies;
-mod error;
 mod fleet;
 mod gateway;
 mod handle;
@@ -41,7 +40,6 @@
 mod sync;
 mod weights;
 
-pub use crate::{
-    error::BindError,
-    gateway::{Addresses, Gateway, SettingsHandle},
-};
+pub use samphirespread_daemon::BindError;
+
+pub use crate::gateway::{Addresses, Gateway, SettingsHandle};
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -5,11 +5,10 @@
 use clap::Parser;
 use samphirespread_adapter::SETTINGS_VARIABLE;
 use samphirespread_daemon::{
-    CommonArguments, EXIT_START, SettingsFile, Start, shutdown_on_signal, start,
+    CommonArguments, SettingsFile, Start, cant_start, shutdown_on_signal, start,
 };
 use samphirespread_gateway::{Gateway, SettingsHandle};
 use samphirespread_settings::GatewaySettings;
-use slog::{Logger, error};
 use tokio::signal::unix::{SignalKind, signal};
 
 const EXIT_CUT: u8 = 1;
@@ -41,21 +40,16 @@
     let log = samphirespread_logging::to(&settings.log, std::io::stdout());
     let gateway = match Gateway::bind(settings, log.clone()).await {
         Ok(gateway) => gateway,
-        Err(failure) => return cant_start(&log, &failure),
+        Err(failure) => return cant_start(&log, "gateway", &failure),
     };
     let shutdown = match shutdown_on_signal() {
         Ok(shutdown) => shutdown,
-        Err(failure) => return cant_start(&log, &failure),
+        Err(failure) => return cant_start(&log, "gateway", &failure),
     };
     tokio::spawn(reload_on_change(file, gateway.settings_handle()));
     if gateway.run(shutdown).await { ExitCode::SUCCESS } else { ExitCode::from(EXIT_CUT) }
 }
 
-fn cant_start(log: &Logger, failure: &dyn std::error::Error) -> ExitCode {
-    error!(log, "gateway can't start"; "error" => %failure);
-    ExitCode::from(EXIT_START)
-}
-
 /// Reads the settings again on SIGHUP, and when the file has changed without one.
 async fn reload_on_change(file: SettingsFile, handle: SettingsHandle) {
     let SettingsFile { path, text } = file;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,42 +1,33 @@
 //! Counters and histograms.
 
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text::encode},
     metrics::{
         counter::Counter,
-        family::Family,
         gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
 };
+pub(crate) use samphirespread_daemon::metrics::count;
+use samphirespread_daemon::metrics::{Causes, spans, text};
 
-/// The shortest span that histograms tell apart, in seconds.
-const SHORTEST_S: f64 = 0.001;
-/// Buckets, each twice as long as the one before it.
+/// Buckets of the histograms of spans.
 const BUCKETS: u16 = 15;
-
 /// Buckets for requests that wait, from one on.
 const QUEUE_BUCKETS: u16 = 9;
 
-/// The cause of a counted event.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub(crate) struct Cause {
-    pub(crate) cause: &'static str,
-}
-
 /// All metrics of a gateway.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
     /// Requests by how they ended.
-    pub(crate) ended: Family<Cause, Counter>,
+    pub(crate) ended: Causes,
     /// Refusals by their reason.
-    pub(crate) not_run: Family<Cause, Counter>,
+    pub(crate) not_run: Causes,
     /// Sends beyond the first of a request, by what led to them.
-    pub(crate) repeats: Family<Cause, Counter>,
+    pub(crate) repeats: Causes,
     /// Calls to the store that failed, by the kind of failure.
-    pub(crate) store_failures: Family<Cause, Counter>,
+    pub(crate) store_failures: Causes,
     /// Connections opened to backend servers.
     pub(crate) connections: Counter,
     /// Requests that run.
@@ -61,22 +52,21 @@
 
 impl Default for Metrics {
     fn default() -> Self {
-        let histogram = || Histogram::new(exponential_buckets(SHORTEST_S, 2.0, BUCKETS));
         let mut metrics = Self {
             registry: Registry::with_prefix("samphirespread"),
-            ended: Family::default(),
-            not_run: Family::default(),
-            repeats: Family::default(),
-            store_failures: Family::default(),
+            ended: Causes::default(),
+            not_run: Causes::default(),
+            repeats: Causes::default(),
+            store_failures: Causes::default(),
             connections: Counter::default(),
             in_flight: Gauge::default(),
-            first_event_s: histogram(),
-            store_call_s: histogram(),
-            event_gap_s: histogram(),
-            contact_age_s: histogram(),
-            list_age_s: histogram(),
-            report_age_s: histogram(),
-            usage_gap_s: histogram(),
+            first_event_s: spans(BUCKETS),
+            store_call_s: spans(BUCKETS),
+            event_gap_s: spans(BUCKETS),
+            contact_age_s: spans(BUCKETS),
+            list_age_s: spans(BUCKETS),
+            report_age_s: spans(BUCKETS),
+            usage_gap_s: spans(BUCKETS),
             queued_at_engine: Histogram::new(exponential_buckets(1.0, 2.0, QUEUE_BUCKETS)),
         };
         metrics.register();
@@ -105,19 +95,10 @@
 
     /// The metrics as text.
     pub(crate) fn text(&self) -> String {
-        let mut text = String::new();
-        match encode(&mut text, &self.registry) {
-            Ok(()) => text,
-            Err(error) => format!("# metrics can't be written: {error}\n"),
-        }
+        text(&self.registry)
     }
 }
 
-/// Counts an event by its cause.
-pub(crate) fn count(family: &Family<Cause, Counter>, cause: &'static str) {
-    family.get_or_create(&Cause { cause }).inc();
-}
-
 /// Milliseconds in the unit of histograms.
 #[expect(clippy::cast_precision_loss, reason = "spans are short")]
 pub(crate) fn seconds(ms: u64) -> f64 {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -194,9 +194,7 @@
 
     /// Whether the request may run once more, now that an attempt has failed.
     pub(crate) fn may_repeat(&self) -> bool {
-        self.grant.route.is_idempotent()
-            && self.attempts.may_send()
-            && self.left_ms() > SHORTEST_SEND_MS
+        self.attempts.may_send() && self.left_ms() > SHORTEST_SEND_MS
     }
 
     /// Time until the answer is due.
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -99,9 +99,7 @@
 
 fn is_eligible(state: &State, server: &Server, tried: &[Arc<str>], now: MonoTime) -> bool {
     let is_loading = server.fresh_state(now).is_some_and(|state| state.is_loading);
-    let is_another =
-        server.is_superseded || (server.has_started_anew(now) && state.list_is_current(now));
-    let may_take = server.entry.standing == Standing::Ready && !is_another;
+    let may_take = server.entry.standing == Standing::Ready && !state.is_another(server, now);
     may_take && !is_loading && !tried.contains(&server.entry.id)
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,7 +21,11 @@
 };
 use samphirespread_settings::{BoundsSettings, ClockSettings, GatewaySettings};
 
-use crate::{conduct, fleet::Fleet, reads::Reads};
+use crate::{
+    conduct,
+    fleet::{Fleet, Server},
+    reads::Reads,
+};
 
 /// Withheld from the bound on withdrawn keys: the way of a request to a backend server.
 const WITHDRAWAL_MARGIN_MS: u64 = 400;
@@ -152,11 +156,13 @@
         }
     }
 
-    /// Whether an engine that began another run would be on the list of servers by now.
+    /// Whether another run, or another server, answers where this one is listed.
     ///
-    /// While the store is away the list can't show it, and the engine may answer under its old entry.
-    pub(crate) fn list_is_current(&self, now: MonoTime) -> bool {
-        self.reads.servers.age_ms(now) <= LIST_CURRENT_MS
+    /// A sidecar's word goes before the list only while that is current: during an outage of the
+    /// store the list can't show a new run, which may answer under the old entry.
+    pub(crate) fn is_another(&self, server: &Server, now: MonoTime) -> bool {
+        let is_current = self.reads.servers.age_ms(now) <= LIST_CURRENT_MS;
+        server.is_superseded || (is_current && server.has_started_anew(now))
     }
 
     /// This router's part of the bound on repeats.
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -3,10 +3,10 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use samphirespread_daemon::{CommonArguments, EXIT_START, Start, print, shutdown_on_signal, start};
+use samphirespread_daemon::{CommonArguments, Start, cant_start, print, shutdown_on_signal, start};
 use samphirespread_router::Router;
 use samphirespread_settings::RouterSettings;
-use slog::{Logger, error};
+use slog::Logger;
 
 const EXIT_CUT: u8 = 1;
 
@@ -36,18 +36,13 @@
 async fn run(settings: RouterSettings, log: Logger) -> ExitCode {
     let router = match Router::bind(settings, log.clone()).await {
         Ok(router) => router,
-        Err(failure) => return cant_start(&log, &failure),
+        Err(failure) => return cant_start(&log, "router", &failure),
     };
     let shutdown = match shutdown_on_signal() {
         Ok(shutdown) => shutdown,
-        Err(failure) => return cant_start(&log, &failure),
+        Err(failure) => return cant_start(&log, "router", &failure),
     };
     let at = router.addresses();
     print(&format!("ready peers={} admin={} callers={}\n", at.peers, at.admin, at.callers));
     if router.run(shutdown).await { ExitCode::SUCCESS } else { ExitCode::from(EXIT_CUT) }
 }
-
-fn cant_start(log: &Logger, failure: &dyn std::error::Error) -> ExitCode {
-    error!(log, "router can't start"; "error" => %failure);
-    ExitCode::from(EXIT_START)
-}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -21,4 +21,6 @@
 mod routers;
 mod sidecar;
 
-pub use crate::sidecar::{BindError, BoundSidecar, Sidecar};
+pub use samphirespread_daemon::BindError;
+
+pub use crate::sidecar::{BoundSidecar, Sidecar};
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -5,12 +5,12 @@
 use clap::Parser;
 use samphirespread_adapter::SETTINGS_VARIABLE;
 use samphirespread_daemon::{
-    CommonArguments, EXIT_START, Start, read_settings, shutdown_on_signal, start,
+    CommonArguments, Start, cant_start, read_settings, shutdown_on_signal, start,
 };
 use samphirespread_logging::event;
 use samphirespread_settings::SidecarSettings;
 use samphirespread_sidecar::Sidecar;
-use slog::{Logger, error, info, warn};
+use slog::{Logger, info, warn};
 use tokio::signal::unix::{SignalKind, signal};
 
 /// Reports the state of the engine beside it to routers and gives the engine its orders.
@@ -38,22 +38,17 @@
     let log = samphirespread_logging::to(&settings.log, std::io::stdout());
     let sidecar = match Sidecar::bind(settings, log.clone()).await {
         Ok(sidecar) => sidecar,
-        Err(failure) => return cant_start(&log, &failure),
+        Err(failure) => return cant_start(&log, "sidecar", &failure),
     };
     let shutdown = match shutdown_on_signal() {
         Ok(shutdown) => shutdown,
-        Err(failure) => return cant_start(&log, &failure),
+        Err(failure) => return cant_start(&log, "sidecar", &failure),
     };
     tokio::spawn(check_on_hang_up(path, log));
     sidecar.run(shutdown).await;
     ExitCode::SUCCESS
 }
 
-fn cant_start(log: &Logger, failure: &dyn std::error::Error) -> ExitCode {
-    error!(log, "sidecar can't start"; "error" => %failure);
-    ExitCode::from(EXIT_START)
-}
-
 /// Checks the settings on SIGHUP. They name addresses only, which hold until the next start.
 async fn check_on_hang_up(path: PathBuf, log: Logger) {
     let Ok(mut hang_up) = signal(SignalKind::hangup()) else { return };
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -4,27 +4,14 @@
 
 use axum::{Router, extract::State, routing::get};
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text::encode},
-    metrics::{
-        counter::Counter,
-        family::Family,
-        gauge::Gauge,
-        histogram::{Histogram, exponential_buckets},
-    },
+    metrics::{gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
+use samphirespread_daemon::metrics::{Causes, count, spans, text};
 
-/// The shortest span that the histogram tells apart, in seconds.
-const SHORTEST_S: f64 = 0.001;
-/// Buckets, each twice as long as the one before it.
+/// Buckets of the histogram.
 const BUCKETS: u16 = 12;
 
-/// The cause of a counted event.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct Cause {
-    cause: &'static str,
-}
-
 /// All metrics of a sidecar.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -32,21 +19,20 @@
     /// Seconds that a read of the engine's report took.
     report_s: Histogram,
     /// Reads of the engine's report by their outcome.
-    reports: Family<Cause, Counter>,
+    reports: Causes,
     /// Orders to the engine by its answer.
-    orders: Family<Cause, Counter>,
+    orders: Causes,
     /// Routers that want reports.
     pub(crate) routers: Gauge,
 }
 
 impl Default for Metrics {
     fn default() -> Self {
-        let buckets = exponential_buckets(SHORTEST_S, 2.0, BUCKETS);
         let mut metrics = Self {
             registry: Registry::with_prefix("samphirespread"),
-            report_s: Histogram::new(buckets),
-            reports: Family::default(),
-            orders: Family::default(),
+            report_s: spans(BUCKETS),
+            reports: Causes::default(),
+            orders: Causes::default(),
             routers: Gauge::default(),
         };
         let registry = &mut metrics.registry;
@@ -62,20 +48,16 @@
     /// Counts a read of the engine's report.
     pub(crate) fn report_read(&self, outcome: &'static str, took: Duration) {
         self.report_s.observe(took.as_secs_f64());
-        self.reports.get_or_create(&Cause { cause: outcome }).inc();
+        count(&self.reports, outcome);
     }
 
     /// Counts an order by the engine's answer.
     pub(crate) fn ordered(&self, answer: &'static str) {
-        self.orders.get_or_create(&Cause { cause: answer }).inc();
+        count(&self.orders, answer);
     }
 
     fn text(&self) -> String {
-        let mut text = String::new();
-        match encode(&mut text, &self.registry) {
-            Ok(()) => text,
-            Err(error) => format!("# metrics can't be written: {error}\n"),
-        }
+        text(&self.registry)
     }
 }
 
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -1,18 +1,17 @@
 //! The sidecar's two tasks: one speaks with routers, one with the engine.
 
 use std::{
-    error::Error,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use displaydoc::Display;
 use samphirespread_adapter::engine::{LoadOrder, OrderAnswer, Report};
 use samphirespread_core::{
     prelude::*,
     time::{Clock, fresh_incarnation},
 };
+use samphirespread_daemon::BindError;
 use samphirespread_logging::event;
 use samphirespread_peer::{
     Datagram, EngineReport, EngineState, HeldWeights, LoadDirective, MAX_DATAGRAM_BYTES, decode,
@@ -40,25 +39,6 @@
 /// Reads in a row that fail before the engine counts as gone.
 const FAILURES_UNTIL_GONE: u32 = 2;
 
-/// A port that can't be opened.
-#[derive(Debug, Display)]
-#[non_exhaustive]
-pub enum BindError {
-    /// {address}: {message}
-    Port {
-        /// The address.
-        address: SocketAddr,
-        /// What the system said.
-        message: String,
-    },
-}
-
-impl Error for BindError {}
-
-fn at(address: SocketAddr, error: &std::io::Error) -> BindError {
-    BindError::Port { address, message: error.to_string() }
-}
-
 /// The sidecar of one engine, with its ports open.
 #[derive(Debug)]
 pub struct BoundSidecar {
@@ -152,16 +132,18 @@
     /// When a port can't be opened.
     pub async fn bind(settings: SidecarSettings, log: Logger) -> Result<BoundSidecar, BindError> {
         let address = settings.listen.peers;
-        let socket = UdpSocket::bind(address).await.map_err(|error| at(address, &error))?;
+        let socket =
+            UdpSocket::bind(address).await.map_err(|error| BindError::at(address, &error))?;
         let address = settings.listen.admin;
-        let admin = TcpListener::bind(address).await.map_err(|error| at(address, &error))?;
+        let admin =
+            TcpListener::bind(address).await.map_err(|error| BindError::at(address, &error))?;
         let sidecar = Self {
             settings,
             log,
             clock: Clock::start(),
             incarnation: fresh_incarnation(),
             socket,
-            admin: admin.local_addr().map_err(|error| at(address, &error))?,
+            admin: admin.local_addr().map_err(|error| BindError::at(address, &error))?,
             metrics: Metrics::default(),
             shared: Mutex::default(),
             work: Notify::new(),
