Listen to SIGHUP before the ports open

A hang-up that comes between the start of the process and its first look at signals ended it: the platform may send one as soon as it sees the process.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,7 +23,7 @@
 use displaydoc::Display;
 use samphirespread_settings::Settings;
 use slog::{Logger, error};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio_util::sync::CancellationToken;
 
 /// The exit code for settings that can't be used.
@@ -122,6 +122,15 @@
     Ok(shutdown)
 }
 
+/// Listens to SIGHUP from now on. Until then the signal ends the process.
+///
+/// # Errors
+///
+/// When the signal can't be listened to.
+pub fn hang_ups() -> io::Result<Signal> {
+    signal(SignalKind::hangup())
+}
+
 /// A port that can't be opened.
 #[derive(Debug, Display)]
 #[non_exhaustive]
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -5,11 +5,11 @@
 use clap::Parser;
 use samphirespread_adapter::SETTINGS_VARIABLE;
 use samphirespread_daemon::{
-    CommonArguments, SettingsFile, Start, cant_start, shutdown_on_signal, start,
+    CommonArguments, SettingsFile, Start, cant_start, hang_ups, shutdown_on_signal, start,
 };
 use samphirespread_gateway::{Gateway, SettingsHandle};
 use samphirespread_settings::GatewaySettings;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::Signal;
 
 const EXIT_CUT: u8 = 1;
 /// Time between two looks whether the settings file has changed.
@@ -38,6 +38,10 @@
 
 async fn serve(settings: GatewaySettings, file: SettingsFile) -> ExitCode {
     let log = samphirespread_logging::to(&settings.log, std::io::stdout());
+    let hang_ups = match hang_ups() {
+        Ok(hang_ups) => hang_ups,
+        Err(failure) => return cant_start(&log, "gateway", &failure),
+    };
     let gateway = match Gateway::bind(settings, log.clone()).await {
         Ok(gateway) => gateway,
         Err(failure) => return cant_start(&log, "gateway", &failure),
@@ -46,18 +50,17 @@
         Ok(shutdown) => shutdown,
         Err(failure) => return cant_start(&log, "gateway", &failure),
     };
-    tokio::spawn(reload_on_change(file, gateway.settings_handle()));
+    tokio::spawn(reload_on_change(file, hang_ups, gateway.settings_handle()));
     if gateway.run(shutdown).await { ExitCode::SUCCESS } else { ExitCode::from(EXIT_CUT) }
 }
 
 /// Reads the settings again on SIGHUP, and when the file has changed without one.
-async fn reload_on_change(file: SettingsFile, handle: SettingsHandle) {
+async fn reload_on_change(file: SettingsFile, mut hang_ups: Signal, handle: SettingsHandle) {
     let SettingsFile { path, text } = file;
-    let Ok(mut hang_up) = signal(SignalKind::hangup()) else { return };
     let mut known = Some(text);
     loop {
         let was_asked = tokio::select! {
-            _ = hang_up.recv() => true,
+            _ = hang_ups.recv() => true,
             () = tokio::time::sleep(SETTINGS_LOOK) => false,
         };
         let text = std::fs::read_to_string(&path).ok();
--- a/crates/gateway/tests/daemon.rs
+++ b/crates/gateway/tests/daemon.rs
@@ -76,7 +76,7 @@
     lines
 }
 
-fn text(store: &ObjectStore, retry_slack: u64) -> String {
+fn text(store: &ObjectStore, retry_slack: impl std::fmt::Display) -> String {
     format!(
         "[instance]\nname = r1\nregion = khomas\nfailure_domain = khomas-1\n\
          [listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
@@ -85,6 +85,31 @@
     )
 }
 
+/// The signal comes as early as anyone can send it who has seen the process start.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_hang_up_right_after_the_start_ends_nothing() {
+    let store = ObjectStore::start().unwrap();
+    for run in 0..20 {
+        let mut daemon = Daemon::start(&format!("early-hup-{run}"), &store);
+
+        daemon.signal(Signal::HUP);
+
+        daemon.logged("settings reloaded");
+    }
+}
+
+/// A deployment that is played smaller states its bounds with fractions.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bound_with_a_fraction_is_taken() {
+    let store = ObjectStore::start().unwrap();
+    let mut daemon = Daemon::start("fraction", &store);
+
+    std::fs::write(&daemon.settings, text(&store, 36.17)).unwrap();
+    let reloaded = daemon.logged("settings reloaded");
+
+    assert!(bounds(&reloaded).contains("retry_slack: 36.17"), "{reloaded}");
+}
+
 /// The file changes between the moment when the process reads it and that when it looks for changes.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_change_right_after_the_start_is_not_missed() {
--- a/crates/sidecar/src/main.rs
+++ b/crates/sidecar/src/main.rs
@@ -5,13 +5,13 @@
 use clap::Parser;
 use samphirespread_adapter::SETTINGS_VARIABLE;
 use samphirespread_daemon::{
-    CommonArguments, Start, cant_start, read_settings, shutdown_on_signal, start,
+    CommonArguments, Start, cant_start, hang_ups, read_settings, shutdown_on_signal, start,
 };
 use samphirespread_logging::event;
 use samphirespread_settings::SidecarSettings;
 use samphirespread_sidecar::Sidecar;
 use slog::{Logger, info, warn};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::Signal;
 
 /// Reports the state of the engine beside it to routers and gives the engine its orders.
 ///
@@ -36,6 +36,10 @@
 
 async fn serve(settings: SidecarSettings, path: PathBuf) -> ExitCode {
     let log = samphirespread_logging::to(&settings.log, std::io::stdout());
+    let hang_ups = match hang_ups() {
+        Ok(hang_ups) => hang_ups,
+        Err(failure) => return cant_start(&log, "sidecar", &failure),
+    };
     let sidecar = match Sidecar::bind(settings, log.clone()).await {
         Ok(sidecar) => sidecar,
         Err(failure) => return cant_start(&log, "sidecar", &failure),
@@ -44,15 +48,14 @@
         Ok(shutdown) => shutdown,
         Err(failure) => return cant_start(&log, "sidecar", &failure),
     };
-    tokio::spawn(check_on_hang_up(path, log));
+    tokio::spawn(check_on_hang_up(path, hang_ups, log));
     sidecar.run(shutdown).await;
     ExitCode::SUCCESS
 }
 
 /// Checks the settings on SIGHUP. They name addresses only, which hold until the next start.
-async fn check_on_hang_up(path: PathBuf, log: Logger) {
-    let Ok(mut hang_up) = signal(SignalKind::hangup()) else { return };
-    while hang_up.recv().await.is_some() {
+async fn check_on_hang_up(path: PathBuf, mut hang_ups: Signal, log: Logger) {
+    while hang_ups.recv().await.is_some() {
         match read_settings::<SidecarSettings>(&path) {
             Ok(_) => info!(log, "{}", event::SETTINGS_RELOADED; "in_force" => "at the next start"),
             Err(message) => warn!(log, "{}", event::SETTINGS_REFUSED; "error" => message),
