Take bounds with fractions, and share out the whole of the slack for repeats

Cause: a deployment may state any bound with a fraction (a small twin states retry_slack = 36.17); whole numbers were demanded and every gateway stopped at its start. With more routers than repeats in the slack each router's part was zero. Bounds are decimals from zero on, rounded down where milliseconds are kept. The parts of the slack are whole repeats that add up to it: what is left after equal parts goes to routers by the hash of their names. Ruled out: turns that rotate with time, since windows slide and two routers would hold the same repeat within one.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -285,7 +285,7 @@
     fn may_send_again(&mut self, service: &Service) -> bool {
         let now = self.core.now();
         let mut state = self.core.state();
-        let limits = state.retry_limits();
+        let limits = state.retry_limits(&self.core.name);
         let budget = state.retries.entry(service.name.clone()).or_default();
         let may = budget.try_spend(&limits, now);
         drop(state);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,7 +15,7 @@
     demand::ReadDemand,
     model::ServiceName,
     quota::Quotas,
-    retry::{RetryBudget, RetryLimits},
+    retry::{RetryBudget, RetryLimits, part_of_slack},
     rollout::NamedVersions,
     table::Table,
 };
@@ -168,12 +168,11 @@
     /// This router's part of the bound on repeats.
     ///
     /// The slack is halved, so that routers that restart and begin a new count stay inside it.
-    pub(crate) fn retry_limits(&self) -> RetryLimits {
-        let routers = u64::try_from(self.routers.len() + 1).unwrap_or(u64::MAX);
+    pub(crate) fn retry_limits(&self, own: &InstanceName) -> RetryLimits {
         RetryLimits {
             ratio: self.bounds.retry_ratio,
             window_ms: self.bounds.retry_window_ms,
-            slack: self.bounds.retry_slack / 2 / routers,
+            slack: part_of_slack(self.bounds.retry_slack / 2.0, own, self.routers.keys()),
         }
     }
 
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -1,9 +1,11 @@
 //! A budget for sending requests a second time.
 //!
 //! Each router spends a ratio of its own requests and its part of the slack, so the sum over all
-//! routers stays inside the fleet's bound without a word between them. Cost: 20 counters.
+//! routers stays inside the fleet's bound without a word between them. The parts are whole repeats
+//! that add up to the slack, also where there are more routers than repeats. Cost: 20 counters.
 
 use samphirespread_core::prelude::*;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Counters that one window is cut into.
 const SLICES: u64 = 10;
@@ -19,6 +21,39 @@
     pub slack: u64,
 }
 
+/// One router's part of a slack that all routers share.
+///
+/// Routers that know the same others get parts that add up to the whole repeats in `slack`: what is
+/// left after equal parts goes to the routers whose names hash lowest.
+pub fn part_of_slack<'a>(
+    slack: f64,
+    own: &InstanceName,
+    others: impl IntoIterator<Item = &'a InstanceName>,
+) -> u64 {
+    let own_place = place(own);
+    let (mut routers, mut before) = (1, 0);
+    for other in others {
+        routers += 1;
+        before += u64::from(place(other) < own_place);
+    }
+    let whole = whole(slack);
+    whole / routers + u64::from(before < whole % routers)
+}
+
+/// Where a router stands in an order that favours no failure domain.
+fn place(router: &InstanceName) -> (u64, &InstanceName) {
+    (xxh3_64(router.as_str().as_bytes()), router)
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a negative slack allows nothing"
+)]
+fn whole(slack: f64) -> u64 {
+    slack.max(0.0) as u64
+}
+
 /// Requests and repeats of one service in the running window.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
--- a/crates/routing/tests/retry.rs
+++ b/crates/routing/tests/retry.rs
@@ -1,8 +1,9 @@
 //! The budget for repeats, and trust in servers.
 
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use samphirespread_core::prelude::*;
 use samphirespread_routing::{
-    retry::{RetryBudget, RetryLimits},
+    retry::{RetryBudget, RetryLimits, part_of_slack},
     suspicion::Suspicion,
 };
 
@@ -41,6 +42,69 @@
     assert_eq!(spent, 5);
 }
 
+fn fleet(routers: usize) -> Vec<InstanceName> {
+    (0..routers).map(|number| InstanceName::new(&format!("front-a-{number}"))).collect()
+}
+
+fn parts(slack: f64, fleet: &[InstanceName]) -> Vec<u64> {
+    let others = |own| fleet.iter().filter(move |other| *other != own);
+    fleet.iter().map(|own| part_of_slack(slack, own, others(own))).collect()
+}
+
+/// More routers than repeats, as many, and fewer; a slack with a fraction.
+#[test]
+fn the_parts_of_all_routers_add_up_to_the_slack() {
+    for (slack, whole) in [(0.0, 0), (0.9, 0), (18.085, 18), (123.0, 123), (28.0, 28)] {
+        for routers in [1, 2, 5, 28, 103, 510] {
+            let parts = parts(slack, &fleet(routers));
+
+            assert_eq!(parts.iter().sum::<u64>(), whole, "{slack} over {routers}");
+            assert!(parts.iter().max().unwrap() - parts.iter().min().unwrap() <= 1);
+        }
+    }
+}
+
+/// A service that fails everything at once at all routers, some of which start anew once in a window and
+/// then forget what they have spent.
+#[test]
+fn a_fleet_with_restarts_stays_inside_ratio_and_slack() {
+    const RATIO: f64 = 0.2;
+    const SLACK: f64 = 36.17;
+    for seed in 0..20 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let routers = fleet(random.random_range(1..60));
+        let limits: Vec<RetryLimits> = parts(SLACK / 2.0, &routers)
+            .into_iter()
+            .map(|slack| RetryLimits { ratio: RATIO, window_ms: 10_000, slack })
+            .collect();
+        let mut budgets = vec![RetryBudget::default(); routers.len()];
+        let (mut requests, mut repeats) = (Vec::new(), Vec::new());
+
+        for ms in (0..30_000).step_by(10) {
+            let router = random.random_range(0..routers.len());
+            if ms % 10_000 == 5_000 {
+                budgets[router] = RetryBudget::default();
+            }
+            if random.random_bool(0.3) {
+                budgets[router].count_request(at(ms));
+                requests.push(ms);
+            }
+            if budgets[router].try_spend(&limits[router], at(ms)) {
+                repeats.push(ms);
+            }
+        }
+
+        for start in (0..20_000).step_by(250) {
+            let within =
+                |all: &[u64]| all.iter().filter(|ms| (start..start + 10_000).contains(*ms)).count();
+            let allowed = RATIO * within(&requests) as f64 + SLACK;
+            // The counters' grain of a tenth of a window lets requests count a little longer.
+            let grain = RATIO * 0.3 * 100.0;
+            assert!(within(&repeats) as f64 <= allowed + grain, "seed {seed}, from {start} ms on");
+        }
+    }
+}
+
 #[test]
 fn one_broken_exchange_is_forgiven_and_the_next_is_not() {
     let mut suspicion = Suspicion::default();
--- a/crates/settings/src/gateway/mod.rs
+++ b/crates/settings/src/gateway/mod.rs
@@ -4,9 +4,7 @@
 
 use crate::{
     check::Values,
-    common::{
-        self, DAY_MS, InstanceSettings, LogSettings, address_key, ms_key, number_key, remote_key,
-    },
+    common::{self, DAY_MS, InstanceSettings, LogSettings, address_key, ms_key, remote_key},
     file::settings_file,
     schema::{KeySpec, Kind, Preset, Schema, SectionSpec},
 };
@@ -78,7 +76,7 @@
     /// The window over which repeats are counted.
     pub retry_window_ms: u64,
     /// Repeats allowed on top in each window, over all routers.
-    pub retry_slack: u64,
+    pub retry_slack: f64,
     /// What teams may use beyond their quota in a window, over all routers.
     pub quota_slack: f64,
 }
@@ -116,10 +114,10 @@
 
 fn bounds(values: &Values) -> BoundsSettings {
     BoundsSettings {
-        key_withdrawal_ms: values.get("bounds", "key_withdrawal_ms"),
-        server_drain_ms: values.get("bounds", "server_drain_ms"),
+        key_withdrawal_ms: whole_ms(values.get("bounds", "key_withdrawal_ms")),
+        server_drain_ms: whole_ms(values.get("bounds", "server_drain_ms")),
         grace_ms: seconds_as_ms(values.get("bounds", "grace_s")),
-        rollout_ms: values.get("bounds", "rollout_ms"),
+        rollout_ms: whole_ms(values.get("bounds", "rollout_ms")),
         retry_ratio: values.get("bounds", "retry_ratio"),
         retry_window_ms: seconds_as_ms(values.get("bounds", "retry_window_s")),
         retry_slack: values.get("bounds", "retry_slack"),
@@ -133,13 +131,28 @@
     ClockSettings { ahead_ms: ahead_ms as i64 }
 }
 
+/// The whole milliseconds in a bound. Rounded down, which keeps the promise.
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
     reason = "the schema bounds the number"
 )]
+fn whole_ms(ms: f64) -> u64 {
+    ms as u64
+}
+
 fn seconds_as_ms(seconds: f64) -> u64 {
-    (seconds * 1_000.0) as u64
+    whole_ms(seconds * 1_000.0)
+}
+
+/// A time bound. Deployments may state it with a fraction.
+const fn bound_ms_key(name: &'static str, default: &'static str, doc: &'static str) -> KeySpec {
+    decimal_key(name, (0.0, DAY_MS as f64), "milliseconds", default, doc)
+}
+
+/// A time bound in seconds.
+const fn bound_s_key(name: &'static str, default: &'static str, doc: &'static str) -> KeySpec {
+    decimal_key(name, (0.0, 86_400.0), "seconds", default, doc)
 }
 
 const fn decimal_key(
@@ -196,31 +209,18 @@
     optional: false,
     doc: "What operators are promised.",
     keys: &[
-        ms_key(
+        bound_ms_key(
             "key_withdrawal_ms",
-            (100, DAY_MS),
             "5000",
             "A withdrawn key stops working within this time.",
         ),
-        ms_key(
+        bound_ms_key(
             "server_drain_ms",
-            (100, DAY_MS),
             "2000",
             "A leaving backend server gets no new work after this time.",
         ),
-        decimal_key(
-            "grace_s",
-            (0.1, 86_400.0),
-            "seconds",
-            "8",
-            "The process is ended this long after it was asked to leave.",
-        ),
-        ms_key(
-            "rollout_ms",
-            (100, DAY_MS),
-            "12000",
-            "No request begins on older weights after this time.",
-        ),
+        bound_s_key("grace_s", "8", "The process is ended this long after it was asked to leave."),
+        bound_ms_key("rollout_ms", "12000", "No request begins on older weights after this time."),
         decimal_key(
             "retry_ratio",
             (0.0, 100.0),
@@ -228,16 +228,10 @@
             "0.2",
             "Repeated sends for each request, over all routers.",
         ),
+        bound_s_key("retry_window_s", "10", "The window over which repeats are counted."),
         decimal_key(
-            "retry_window_s",
-            (0.1, 86_400.0),
-            "seconds",
-            "10",
-            "The window over which repeats are counted.",
-        ),
-        number_key(
             "retry_slack",
-            (0, 1_000_000),
+            (0.0, 1e6),
             "repeats",
             "56",
             "Repeats on top in each window, over all routers.",
--- a/crates/settings/tests/parse.rs
+++ b/crates/settings/tests/parse.rs
@@ -6,7 +6,7 @@
     test_runner::{Config, TestRng, TestRunner},
 };
 use samphirespread_settings::{
-    AgentSettings, BackendKind, LogFormat, LogLevel, RouterSettings, SettingsError,
+    AgentSettings, BackendKind, GatewaySettings, LogFormat, LogLevel, RouterSettings, SettingsError,
 };
 
 const SECRET: &str = "an-example-of-a-secret";
@@ -371,3 +371,59 @@
 
     result.unwrap();
 }
+
+/// The bounds of a large deployment, as the platform's template names them.
+const BOUNDS: [(&str, f64); 8] = [
+    ("key_withdrawal_ms", 5_000.0),
+    ("server_drain_ms", 4_000.0),
+    ("grace_s", 8.0),
+    ("rollout_ms", 15_000.0),
+    ("retry_ratio", 0.2),
+    ("retry_window_s", 10.0),
+    ("retry_slack", 246.0),
+    ("quota_slack", 110_000.0),
+];
+
+fn gateway_text(bounds: &[(&str, f64)]) -> String {
+    let lines: String = bounds.iter().map(|(key, value)| format!("{key} = {value}\n")).collect();
+    format!(
+        "[instance]\nname = r1\nregion = khomas\nfailure_domain = khomas-1\n\
+         [store]\naddress = 127.0.0.1:8601\n[bounds]\n{lines}"
+    )
+}
+
+/// A deployment that is played smaller states its bounds with fractions.
+#[test]
+fn a_gateway_takes_any_bound_that_a_deployment_may_state() {
+    let mut runner = TestRunner::new_with_rng(
+        Config { cases: 500, failure_persistence: None, ..Config::default() },
+        TestRng::deterministic_rng(proptest::test_runner::RngAlgorithm::ChaCha),
+    );
+    let scales = proptest::collection::vec(0.1..10.0, BOUNDS.len());
+    let present = proptest::collection::vec(any::<bool>(), BOUNDS.len());
+    runner
+        .run(&(scales, present), |(scales, present)| {
+            let scaled =
+                BOUNDS.iter().zip(scales).map(|((key, value), scale)| (*key, value * scale));
+            let told: Vec<_> = scaled.zip(present).filter(|(_, there)| *there).collect();
+            let told: Vec<_> = told.into_iter().map(|(bound, _)| bound).collect();
+
+            let settings = GatewaySettings::parse(&gateway_text(&told));
+
+            prop_assert!(settings.is_ok(), "{:?}", settings.map_err(|error| error.to_string()));
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn a_bound_that_is_no_number_names_key_and_range() {
+    let text = gateway_text(&[("retry_slack", -1.0), ("rollout_ms", f64::NAN)]);
+
+    let errors = GatewaySettings::parse(&text).unwrap_err();
+
+    expect![[r#"
+        line 8: [bounds] retry_slack = -1: allowed is a number of repeats from 0 to 1000000
+        line 9: [bounds] rollout_ms = NaN: allowed is a number of milliseconds from 0 to 86400000"#]]
+    .assert_eq(&errors.to_string());
+}
