Leave alone servers that say they leave or want a pause; bound what endless answers take

New on the wire: an answer may say that its server drains, and a 503 that it wants no requests from this router for some seconds. A run of a server that said it drains gets nothing more from this router, also when its entry lapses and comes back or the configuration changes, and the other routers hear of it; a new run under the same id is used. Bytes without end: heads were bounded at 64 KiB already; a whole answer could take 16 MiB each, which six at once turn into more than a gateway's memory. All large answers share 24 MiB now; a body that breaks off or is too long is logged and counted.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -6,11 +6,81 @@
     task::{Context, Poll},
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
-use http_body_util::Full;
-use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::sync::{Semaphore, SemaphorePermit, mpsc};
+
+/// The largest whole answer.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+/// All large answers that are read at the same time take up no more than this.
+const MAX_LARGE_ANSWERS_KIB: usize = 24 * 1024;
+/// An answer up to this size is read in any case.
+const SMALL_ANSWER_KIB: usize = 64;
+const KIB: usize = 1_024;
+
+/// The memory that all whole answers share, so that servers that send without end can't exhaust it.
+#[derive(Debug)]
+pub(crate) struct AnswerMemory {
+    free_kib: Semaphore,
+}
+
+impl Default for AnswerMemory {
+    fn default() -> Self {
+        Self { free_kib: Semaphore::new(MAX_LARGE_ANSWERS_KIB) }
+    }
+}
+
+/// Why the body of an answer is of no use.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub(crate) enum BodyError {
+    /// the answer broke off
+    BrokeOff,
+    /// the answer is too long
+    TooLong,
+}
+
+impl BodyError {
+    /// Its name among metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::BrokeOff => "broke_off",
+            Self::TooLong => "too_long",
+        }
+    }
+}
+
+impl AnswerMemory {
+    /// Reads a body to its end.
+    ///
+    /// # Errors
+    ///
+    /// When it breaks off, is too long, or does not fit beside the other answers.
+    pub(crate) async fn read(&self, body: &mut Incoming) -> Result<Bytes, BodyError> {
+        let mut read = BytesMut::new();
+        let mut taken: Vec<SemaphorePermit<'_>> = Vec::new();
+        let mut taken_kib = SMALL_ANSWER_KIB;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return Err(BodyError::BrokeOff) };
+            let Ok(data) = frame.into_data() else { continue };
+            let needed = read.len() + data.len();
+            if needed > MAX_ANSWER_BYTES {
+                return Err(BodyError::TooLong);
+            }
+            if needed > taken_kib * KIB {
+                // Growing by doubling, the buffer takes up to twice what it holds.
+                let more_kib = (2 * needed).div_ceil(KIB) - taken_kib;
+                let permits = u32::try_from(more_kib).map_err(|_| BodyError::TooLong)?;
+                let permit = self.free_kib.try_acquire_many(permits);
+                taken.push(permit.map_err(|_| BodyError::TooLong)?);
+                taken_kib += more_kib;
+            }
+            read.extend_from_slice(&data);
+        }
+        Ok(read.freeze())
+    }
+}
 
 /// A stream that ended before its last event. The caller's connection is closed without the mark of
 /// a complete body.
--- a/crates/gateway/src/conduct.rs
+++ b/crates/gateway/src/conduct.rs
@@ -81,7 +81,7 @@
 
 fn candidates(state: &State, model: &ModelName, now: MonoTime) -> Vec<Candidate> {
     engines(state)
-        .filter(|server| server.entry.standing == Standing::Ready)
+        .filter(|server| server.entry.standing == Standing::Ready && !server.said_leaving)
         .filter(|server| !state.is_another(server, now))
         .filter_map(|server| {
             let version = server.version(model)?;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The backend servers, as the store, their sidecars and requests tell.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{HashMap, HashSet, hash_map::Entry},
     net::IpAddr,
     sync::Arc,
 };
@@ -18,6 +18,8 @@
 pub(crate) const REPORT_LIFETIME_MS: u64 = 1_000;
 /// Parts of prompts that are remembered for each engine.
 const MAX_REMEMBERED_PARTS: usize = 4_096;
+/// How long it is remembered that a run of a server drains. Entries that lapse are back long before that.
+const DEPARTURE_LIFETIME_MS: u64 = 600_000;
 /// How long an engine is believed to hold parts that were sent there.
 const PART_LIFETIME_MS: u64 = 6_000;
 
@@ -39,9 +41,20 @@
     pub(crate) foreign_load: (u32, MonoTime),
     /// Whether another server answers at its address.
     pub(crate) is_superseded: bool,
+    /// Whether it said with an answer that it drains, to this router or to another one.
+    pub(crate) said_leaving: bool,
+    /// Until then it wants no requests from this router.
+    pub(crate) rests_until: MonoTime,
     parts: HashMap<u64, MonoTime>,
 }
 
+/// One run of a backend server that said that it drains.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Departure {
+    pub(crate) id: Arc<str>,
+    pub(crate) started_unix_ms: Option<u64>,
+}
+
 /// A sidecar's word.
 #[derive(Debug)]
 pub(crate) struct Report {
@@ -72,10 +85,21 @@
             report: None,
             foreign_load: (0, MonoTime::ZERO),
             is_superseded: false,
+            said_leaving: false,
+            rests_until: MonoTime::ZERO,
             parts: HashMap::new(),
         }
     }
 
+    /// Whether it wants no new requests from this router.
+    pub(crate) fn declines(&self, now: MonoTime) -> bool {
+        self.entry.standing != Standing::Ready || self.said_leaving || now < self.rests_until
+    }
+
+    fn run(&self) -> Departure {
+        Departure { id: self.entry.id.clone(), started_unix_ms: self.entry.started_unix_ms }
+    }
+
     /// What the sidecar says, if that is recent.
     pub(crate) fn fresh_state(&self, now: MonoTime) -> Option<&EngineState> {
         let report = self.report.as_ref()?;
@@ -149,6 +173,9 @@
     servers: HashMap<Arc<str>, Server>,
     by_service: HashMap<ServiceName, Vec<Arc<str>>>,
     by_ip: HashMap<IpAddr, Arc<str>>,
+    /// Runs that said that they drain, and when that was known. They outlast the entry, which may lapse and
+    /// come back.
+    departures: HashMap<Departure, MonoTime>,
 }
 
 impl Fleet {
@@ -186,14 +213,14 @@
             if entry.standing == Standing::Draining {
                 news.push(FleetNews::Draining(id.clone()));
             }
-            self.servers.insert(id, Server::new(entry));
+            self.insert(entry);
             return;
         };
         let was_restarted = server.entry.started_unix_ms != entry.started_unix_ms
             || server.entry.address != entry.address;
         if was_restarted {
             news.push(FleetNews::Restarted(id));
-            *server = Server::new(entry);
+            self.insert(entry);
             return;
         }
         if server.entry.standing == Standing::Ready && entry.standing == Standing::Draining {
@@ -202,6 +229,36 @@
         server.entry = entry;
     }
 
+    fn insert(&mut self, entry: BackendServer) {
+        let mut server = Server::new(entry);
+        server.said_leaving = self.departures.contains_key(&server.run());
+        self.servers.insert(server.entry.id.clone(), server);
+    }
+
+    /// Takes in that a run of a server drains. Returns whether that is news.
+    pub(crate) fn departs(&mut self, departure: Departure, now: MonoTime) -> bool {
+        if let Some(server) = self.servers.get_mut(&departure.id) {
+            server.said_leaving |= server.run() == departure;
+        }
+        match self.departures.entry(departure) {
+            Entry::Occupied(_) => false,
+            Entry::Vacant(unknown) => {
+                unknown.insert(now);
+                true
+            }
+        }
+    }
+
+    /// The runs that drain, of which this router has known for less than that.
+    pub(crate) fn departures(
+        &self,
+        within_ms: u64,
+        now: MonoTime,
+    ) -> impl Iterator<Item = &Departure> {
+        let known = self.departures.iter();
+        known.filter(move |(_, since)| now.ms_since(**since) <= within_ms).map(|(run, _)| run)
+    }
+
     fn index(&mut self) {
         self.by_service.clear();
         self.by_ip.clear();
@@ -272,10 +329,11 @@
         ids.iter().filter_map(|id| self.servers.get(id))
     }
 
-    /// Closes idle connections that have expired.
+    /// Closes idle connections and drops departures that have expired.
     pub(crate) fn prune(&mut self, now: MonoTime) {
         for server in self.servers.values_mut() {
             server.idle.prune(now.as_ms());
         }
+        self.departures.retain(|_, known| now.ms_since(*known) < DEPARTURE_LIFETIME_MS);
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,7 +22,7 @@
 };
 use tokio_util::sync::CancellationToken;
 
-use crate::{metrics::Metrics, pulse::Pulse, serve, state::State, sync};
+use crate::{body::AnswerMemory, metrics::Metrics, pulse::Pulse, serve, state::State, sync};
 
 /// What the clock shows at the start: room for instants that others tell of from before it.
 const CLOCK_START_MS: u64 = 3_600_000;
@@ -89,6 +89,8 @@
     pub(crate) store: Store,
     pub(crate) socket: UdpSocket,
     pub(crate) metrics: Metrics,
+    /// What whole answers may take up.
+    pub(crate) answer_memory: AnswerMemory,
     /// Wakes the task that speaks to other processes.
     pub(crate) told: Notify,
     /// Tells whether the process was kept from running.
@@ -141,6 +143,7 @@
             store: Store::new(settings.store.address, settings.store.timeout_ms),
             socket,
             metrics: Metrics::default(),
+            answer_memory: AnswerMemory::default(),
             told: Notify::new(),
             news: Notify::new(),
             pulse: Pulse::default(),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -14,7 +14,7 @@
 use crate::{
     access::{self, Denied, Grant},
     answers::{self, NotRun},
-    body::Outgoing,
+    body::{BodyError, Outgoing},
     gateway::Core,
     metrics,
     relay::relay,
@@ -28,8 +28,6 @@
 const OUT_OF_TOUCH_RETRY_AFTER_MS: u64 = 200;
 /// Pieces that wait for a slow caller before the server's stream is held up.
 const WAITING_PIECES: usize = 16;
-/// The largest whole answer.
-const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
 /// Answers one request.
 pub(crate) async fn handle(core: Arc<Core>, request: Request<Incoming>) -> Response<Outgoing> {
@@ -163,13 +161,15 @@
                     return stream(run, live);
                 }
                 let is_failure = live.status.is_server_error();
+                let server = live.lease.server.clone();
                 match whole(&run, live).await {
-                    Some(response) if is_failure && run.may_repeat() => failure = Some(response),
-                    Some(response) => return served(run, response),
-                    None if run.may_repeat() => {}
-                    None => {
-                        let status = StatusCode::BAD_GATEWAY;
-                        return unknown(run, status, "the answer broke off");
+                    Ok(response) if is_failure && run.may_repeat() => failure = Some(response),
+                    Ok(response) => return served(run, response),
+                    Err(error) => {
+                        let may_repeat = run.broke_off_in_body(server, error);
+                        if !may_repeat {
+                            return unknown(run, StatusCode::BAD_GATEWAY, "the answer broke off");
+                        }
                     }
                 }
             }
@@ -186,16 +186,16 @@
     }
 }
 
-/// Reads an answer to its end. None when it breaks off.
-async fn whole(run: &Run, mut live: Box<Live>) -> Option<Response<Outgoing>> {
+/// Reads an answer to its end.
+async fn whole(run: &Run, mut live: Box<Live>) -> Result<Response<Outgoing>, BodyError> {
     let left = Duration::from_millis(run.left_ms());
-    let read = Limited::new(&mut live.body, MAX_ANSWER_BYTES).collect();
-    let body = time::timeout(left, read).await.ok()?.ok()?.to_bytes();
+    let read = run.core.answer_memory.read(&mut live.body);
+    let body = time::timeout(left, read).await.map_err(|_| BodyError::BrokeOff)??;
     let mut response = Response::new(Outgoing::whole(body));
     *response.status_mut() = live.status;
     *response.headers_mut() = headers::answered(&live.headers);
     live.keep_connection();
-    Some(response)
+    Ok(response)
 }
 
 fn stream(run: Run, live: Box<Live>) -> Response<Outgoing> {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) not_run: Causes,
     /// Sends beyond the first of a request, by what led to them.
     pub(crate) repeats: Causes,
+    /// Answers that were lost in their bodies, by what was wrong with them.
+    pub(crate) lost_answers: Causes,
     /// Calls to the store that failed, by the kind of failure.
     pub(crate) store_failures: Causes,
     /// Connections opened to backend servers.
@@ -57,6 +59,7 @@
             ended: Causes::default(),
             not_run: Causes::default(),
             repeats: Causes::default(),
+            lost_answers: Causes::default(),
             store_failures: Causes::default(),
             connections: Counter::default(),
             in_flight: Gauge::default(),
@@ -80,6 +83,7 @@
         registry.register("requests", "Requests by how they ended", self.ended.clone());
         registry.register("not_run", "Refusals by reason", self.not_run.clone());
         registry.register("repeats", "Sends beyond the first", self.repeats.clone());
+        registry.register("lost_answers", "Lost in their bodies", self.lost_answers.clone());
         registry.register("store_failures", "Failed store calls", self.store_failures.clone());
         registry.register("server_connections", "Connections opened", self.connections.clone());
         registry.register("in_flight", "Requests that run", self.in_flight.clone());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,8 +5,8 @@
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
 use samphirespread_peer::{
-    Datagram, Directive, EngineReport, LoadDirective, MAX_DATAGRAM_BYTES, NamedWeights,
-    RouterReport, TeamUsage, decode, encode,
+    Datagram, DepartingServer, Directive, EngineReport, LoadDirective, MAX_DATAGRAM_BYTES,
+    NamedWeights, RouterReport, TeamUsage, decode, encode,
 };
 use samphirespread_routing::{
     freshness::{Copy, Echo},
@@ -15,7 +15,7 @@
 use slog::{info, warn};
 use tokio::time;
 
-use crate::{conduct, gateway::Core, metrics, reads, state::State};
+use crate::{conduct, fleet::Departure, gateway::Core, metrics, reads, state::State};
 
 /// Time between two reports to the other routers.
 const REPORT_MS: u64 = 100;
@@ -23,6 +23,8 @@
 const REPORTS_A_FULL_ONE: u64 = 10;
 /// What changed this long ago is still told in every report, so that lost ones cost nothing.
 const LATELY_MS: u64 = 1_000;
+/// A server's departure is told for this long; the list shows it by then.
+const DEPARTURE_TOLD_MS: u64 = 10_000;
 /// Reports between two directives to each sidecar.
 const REPORTS_A_DIRECTIVE: u64 = 5;
 
@@ -62,6 +64,13 @@
             core.told.notify_one();
         }
     }
+    for server in &report.departures {
+        let (id, started_unix_ms) = (server.server_id.as_str().into(), server.started_unix_ms);
+        if state.fleet.departs(Departure { id, started_unix_ms }, now) {
+            info!(core.log, "{}", event::SERVER_DRAINS; "server" => &server.server_id,
+                "source" => report.from.as_str());
+        }
+    }
     if !state.routers.contains_key(&report.from) {
         // It is not on this router's list yet, which another read will show.
         state.reads.routers = Copy::default();
@@ -164,6 +173,7 @@
             weights: told.weights.clone(),
             usage: told.usage.clone(),
             usage_is_full: is_full,
+            departures: told.departures.clone(),
             can_conduct,
         };
         outgoing.push((router.address, encode(&Datagram::Router(report))));
@@ -174,6 +184,7 @@
 struct Lately {
     weights: Vec<NamedWeights>,
     usage: Vec<TeamUsage>,
+    departures: Vec<DepartingServer>,
 }
 
 impl Lately {
@@ -199,7 +210,12 @@
         }
         let usage = usage.totals.iter();
         let usage = usage.map(|(team, total)| TeamUsage { team: team.0, total: *total }).collect();
-        Self { weights, usage }
+        let told_for_ms = within_ms.min(DEPARTURE_TOLD_MS);
+        let departures = state.fleet.departures(told_for_ms, now).map(|run| DepartingServer {
+            server_id: run.id.to_string(),
+            started_unix_ms: run.started_unix_ms,
+        });
+        Self { weights, usage, departures: departures.collect() }
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -20,9 +20,10 @@
 use crate::{
     access::Grant,
     answers::NotRun,
+    body::BodyError,
     gateway::Core,
     metrics::{self, count},
-    select::{Demand, Place, Selected, select},
+    select::{Demand, Place, Selected, next_return_ms, select},
     story::{Step, Story},
 };
 
@@ -242,13 +243,27 @@
         if self.may_have_run() {
             return Attempt::Unknown { status: StatusCode::BAD_GATEWAY, cause };
         }
-        Attempt::NotRun { reason, retry_after_ms: RETRY_AFTER_MS }
+        Attempt::NotRun { reason, retry_after_ms: self.retry_after_ms(reason) }
+    }
+
+    /// When to come back: as soon as a server that only rests takes requests again.
+    fn retry_after_ms(&self, reason: NotRun) -> u64 {
+        let service = self.service().filter(|_| reason == NotRun::NoServer);
+        let now = self.core.now();
+        let returns = service.and_then(|service| next_return_ms(&self.core.state(), service, now));
+        returns.unwrap_or(RETRY_AFTER_MS)
+    }
+
+    /// The service that the route leads to for this request.
+    fn service(&self) -> Option<&Service> {
+        let table = &self.grant.table;
+        let id = self.facts.id.as_deref().unwrap_or_default();
+        table.service(table.upstream(&self.grant.route, id)?)
     }
 
     fn choose(&mut self) -> Option<(Service, Selected)> {
-        let table = self.grant.table.clone();
+        let service = self.service()?.clone();
         let id = self.facts.id.as_deref().unwrap_or_default();
-        let service = table.service(table.upstream(&self.grant.route, id)?)?.clone();
         let now = self.core.now();
         let state = self.core.state();
         let demand = Demand {
@@ -387,12 +402,14 @@
                 Step::SaidNotRun { server: selected.id.clone(), status: parts.status.as_u16() };
             self.story.step(self.core.now(), step);
             self.learn_from_refusal(selected, &facts);
+            self.learn_of_departure(selected, &facts);
             return Ok(Sent::NotRun);
         }
         if parts.status.is_success() && !is_genuine(&facts, &parts.headers) {
             return Ok(self.broke_off(selected, "a success without a signature".to_owned()));
         }
         self.answered(selected, &facts);
+        self.learn_of_departure(selected, &facts);
         Ok(Sent::Answer(Box::new(Live {
             status: parts.status,
             headers: parts.headers,
@@ -445,6 +462,15 @@
         Sent::Failed("the server broke off")
     }
 
+    /// Notes that an answer was lost in its body. Returns whether the request may go elsewhere.
+    pub(crate) fn broke_off_in_body(&mut self, server: Arc<str>, error: BodyError) -> bool {
+        count(&self.core.metrics.lost_answers, error.name());
+        let may_repeat = self.may_repeat();
+        let cause = error.to_string();
+        self.story.step(self.core.now(), Step::Failed { server, cause, may_repeat });
+        may_repeat
+    }
+
     /// Leaves a server out for as long as its entry stands, if another one answers at its address.
     fn learn_from_refusal(&self, selected: &Selected, facts: &AnswerFacts) {
         let Some(answers) = facts.server_id.as_deref().filter(|id| **id != *selected.id) else {
@@ -457,6 +483,25 @@
             "answers" => answers);
     }
 
+    /// Sends nothing new to a server that drains or that wants no requests for a while.
+    fn learn_of_departure(&self, selected: &Selected, facts: &AnswerFacts) {
+        if !facts.is_leaving && facts.rest_ms.is_none() {
+            return;
+        }
+        let now = self.core.now();
+        let mut state = self.core.state();
+        let Some(server) = state.fleet.get_mut(&selected.id) else { return };
+        if let Some(rest_ms) = facts.rest_ms {
+            server.rests_until = server.rests_until.max(now.plus_ms(rest_ms));
+            info!(self.core.log, "{}", event::SERVER_RESTS; "server" => &*selected.id,
+                "for_ms" => rest_ms);
+        }
+        if facts.is_leaving && state.fleet.departs(selected.run(), now) {
+            info!(self.core.log, "{}", event::SERVER_DRAINS; "server" => &*selected.id,
+                "source" => "answer");
+        }
+    }
+
     fn log_avoided(&self, selected: &Selected, avoid_ms: u64, cause: &str) {
         if avoid_ms > 0 {
             info!(self.core.log, "{}", event::SERVER_AVOIDED; "server" => &*selected.id,
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -9,13 +9,13 @@
         EngineView, Estimate, READ_TOKENS_PER_MS, ServerView, Work, choose_engine, choose_server,
     },
     demand::share_within_capacity,
-    model::{Generation, PromptPart, Service, Standing, cache_salt},
+    model::{Generation, PromptPart, Service, cache_salt},
     rollout::NamedVersions,
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    fleet::Server,
+    fleet::{Departure, Server},
     state::{CacheState, State},
     story::Step,
 };
@@ -44,10 +44,19 @@
     pub(crate) read_tokens: u64,
     /// What its sidecar said last.
     pub(crate) heard: Option<Heard>,
+    /// When this run of the server started.
+    pub(crate) started_unix_ms: Option<u64>,
     /// The decision, for the log.
     pub(crate) step: Step,
 }
 
+impl Selected {
+    /// The run of the server that was chosen.
+    pub(crate) fn run(&self) -> Departure {
+        Departure { id: self.id.clone(), started_unix_ms: self.started_unix_ms }
+    }
+}
+
 /// What a sidecar said last of its engine.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Heard {
@@ -97,9 +106,15 @@
     }
 }
 
+/// When the first server that only rests will take requests again.
+pub(crate) fn next_return_ms(state: &State, service: &Service, now: MonoTime) -> Option<u64> {
+    let resting = state.fleet.of_service(&service.name).filter(|server| now < server.rests_until);
+    resting.map(|server| server.rests_until.ms_since(now)).min()
+}
+
 fn is_eligible(state: &State, server: &Server, tried: &[Arc<str>], now: MonoTime) -> bool {
     let is_loading = server.fresh_state(now).is_some_and(|state| state.is_loading);
-    let may_take = server.entry.standing == Standing::Ready && !state.is_another(server, now);
+    let may_take = !server.declines(now) && !state.is_another(server, now);
     may_take && !is_loading && !tried.contains(&server.entry.id)
 }
 
@@ -132,6 +147,7 @@
         part_keys: Vec::new(),
         read_tokens: 0,
         heard: None,
+        started_unix_ms: server.entry.started_unix_ms,
         step: chose(server, servers.len(), is_near, true, None, None, place, now),
     })
 }
@@ -199,6 +215,7 @@
         part_keys,
         read_tokens: estimate.read_tokens,
         heard: heard(server, now),
+        started_unix_ms: server.entry.started_unix_ms,
         step: chose(
             server,
             candidates,
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -372,7 +372,7 @@
                     info!(self.core.log, "{}", event::SERVER_APPEARED; "server" => &*id);
                 }
                 FleetNews::Draining(id) => {
-                    info!(self.core.log, "{}", event::SERVER_DRAINS; "server" => &*id);
+                    info!(self.core.log, "{}", event::SERVER_DRAINS; "server" => &*id, "source" => "list");
                 }
                 FleetNews::Gone(id) => {
                     info!(self.core.log, "{}", event::SERVER_GONE; "server" => &*id);
--- /dev/null
+++ b/crates/gateway/tests/gateway/departures.rs
@@ -0,0 +1,275 @@
+//! Backend servers that leave or want a pause, and ones that send bytes without end.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use http::StatusCode;
+use samphirespread_standin::published::{Behaviour, Worker};
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+};
+
+use crate::support::{
+    Site, call, configuration, eventually, send, settings_of, start_gateway, start_site,
+};
+
+/// A pause that no test waits out.
+const LONG_REST_MS: u64 = 30_000;
+
+async fn send_calls(site: &Site, prefix: &str, count: usize) {
+    for number in 0..count {
+        let answer = site.send(call("/lookup/a", &format!("{prefix}{number}"))).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+}
+
+/// Sends calls until the first server has been told of one; both servers have no load, so either may come first.
+async fn until_first_server_is_asked(site: &Site) {
+    for number in 0..100 {
+        // Two at once reach both servers.
+        let (one, two) = (format!("f{number}a"), format!("f{number}b"));
+        let _ =
+            tokio::join!(site.send(call("/lookup/a", &one)), site.send(call("/lookup/a", &two)));
+        if !site.workers[0].received().is_empty() {
+            return;
+        }
+    }
+    panic!("the first server is never asked");
+}
+
+#[tokio::test]
+async fn a_server_that_says_it_leaves_gets_nothing_more() {
+    let site = start_site(configuration()).await;
+    site.workers[0].expect([Behaviour::AnswerLeaving]);
+    until_first_server_is_asked(&site).await;
+    let before = site.workers[0].received().len();
+
+    send_calls(&site, "q", 20).await;
+
+    assert_eq!(site.workers[0].received().len(), before);
+}
+
+/// The list still says that the server is ready, loses the entry and shows it again.
+#[tokio::test]
+async fn a_departure_outlasts_changes_of_list_and_configuration() {
+    let site = start_site(configuration()).await;
+    site.workers[0].expect([Behaviour::AnswerLeaving]);
+    until_first_server_is_asked(&site).await;
+    let before = site.workers[0].received().len();
+
+    site.store.remove("servers", "d1");
+    logged(&site, "server gone", "server", "d1").await;
+    site.store.put("servers", "d1", site.workers[0].entry("ready"));
+    logged_times(&site, "server appeared", "server", "d1", 2).await;
+    let mut changed = configuration();
+    changed["version"] = json!(9);
+    site.store.put("config", "main", changed);
+    eventually(|| {
+        let is_it = |line: &serde_json::Value| line["generation"] == json!(9);
+        site.gateway.log.lines().into_iter().find(is_it)
+    })
+    .await;
+    send_calls(&site, "q", 20).await;
+
+    assert_eq!(site.workers[0].received().len(), before);
+}
+
+#[tokio::test]
+async fn a_new_run_of_a_server_that_left_is_used() {
+    let site = start_site(configuration()).await;
+    site.workers[0].expect([Behaviour::AnswerLeaving]);
+    until_first_server_is_asked(&site).await;
+    let before = site.workers[0].received().len();
+
+    site.workers[0].restart();
+    site.store.put("servers", "d1", site.workers[0].entry("ready"));
+    logged(&site, "server restarted", "server", "d1").await;
+
+    for number in 0..100 {
+        let (one, two) = (format!("n{number}a"), format!("n{number}b"));
+        let _ =
+            tokio::join!(site.send(call("/lookup/a", &one)), site.send(call("/lookup/a", &two)));
+    }
+    assert!(site.workers[0].received().len() > before);
+}
+
+#[tokio::test]
+async fn other_routers_hear_of_a_departure() {
+    let site = start_site(configuration()).await;
+    let other = start_gateway(settings_of("r2", site.store.address())).await;
+    site.workers[0].expect([Behaviour::AnswerLeaving]);
+    until_first_server_is_asked(&site).await;
+
+    let heard = eventually(|| {
+        let is_it =
+            |line: &serde_json::Value| line["msg"] == "server drains" && line["server"] == "d1";
+        other.log.lines().into_iter().find(is_it)
+    })
+    .await;
+
+    assert_eq!(heard["source"], "r1");
+}
+
+#[tokio::test]
+async fn a_server_that_wants_a_pause_gets_it() {
+    let site = start_site(configuration()).await;
+    site.workers[0].expect([Behaviour::RefuseForMs(LONG_REST_MS)]);
+    until_first_server_is_asked(&site).await;
+    let before = site.workers[0].received().len();
+
+    send_calls(&site, "q", 20).await;
+
+    assert_eq!(site.workers[0].received().len(), before);
+}
+
+/// Nothing can be done before the pause is over, so that is what the caller is told.
+#[tokio::test]
+async fn a_refusal_tells_when_the_first_server_takes_requests_again() {
+    let site = start_site(configuration()).await;
+    for worker in &site.workers[..2] {
+        worker.expect([Behaviour::RefuseForMs(LONG_REST_MS)]);
+    }
+
+    let answer = site.send(call("/issue/a", "q1")).await;
+
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    let told: f64 = answer.headers["retry-after"].to_str().unwrap().parse().unwrap();
+    assert!((25.0..=30.0).contains(&told), "{told}");
+    assert_eq!(site.ran(), 0);
+}
+
+async fn logged(site: &Site, message: &str, field: &str, value: &str) {
+    logged_times(site, message, field, value, 1).await;
+}
+
+async fn logged_times(site: &Site, message: &str, field: &str, value: &str, times: usize) {
+    eventually(|| {
+        let is_it = |line: &&serde_json::Value| line["msg"] == message && line[field] == value;
+        (site.gateway.log.lines().iter().filter(is_it).count() >= times).then_some(())
+    })
+    .await;
+}
+
+/// A server that answers every request with a text and then with filler until its caller closes.
+struct Endless {
+    address: SocketAddr,
+    open: Arc<AtomicUsize>,
+    asked: Arc<AtomicUsize>,
+}
+
+impl Endless {
+    async fn start(text: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (open, asked) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+        let counts = (open.clone(), asked.clone());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(send_without_end(stream, text, counts.clone()));
+            }
+        });
+        Self { address, open, asked }
+    }
+
+    fn entry(&self) -> serde_json::Value {
+        json!({ "service": "desk", "address": self.address.to_string(), "zone": "khomas-1",
+                "version": "v1", "slots": 6, "state": "ready", "models": [], "seq": 1, "born": 1 })
+    }
+}
+
+async fn send_without_end(
+    mut stream: TcpStream,
+    text: &'static str,
+    (open, asked): (Arc<AtomicUsize>, Arc<AtomicUsize>),
+) {
+    open.fetch_add(1, Ordering::SeqCst);
+    let mut request = [0; 4_096];
+    if stream.read(&mut request).await.is_ok_and(|length| length > 0) {
+        asked.fetch_add(1, Ordering::SeqCst);
+        let filler = [b'x'; 16 * 1024];
+        let mut written = stream.write_all(text.as_bytes()).await;
+        while written.is_ok() {
+            written = stream.write_all(&filler).await;
+        }
+    }
+    open.fetch_sub(1, Ordering::SeqCst);
+}
+
+/// Bytes without end in the line of the status, in a head, in a body without a length, and in a chunk.
+const ENDLESS: [&str; 4] = [
+    "",
+    "HTTP/1.1 200 OK\r\nx-filler: ",
+    "HTTP/1.1 200 OK\r\nx-samphirespread-response-seal: s\r\nconnection: close\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nx-samphirespread-response-seal: s\r\ntransfer-encoding: chunked\r\n\r\nfffffffff\r\n",
+];
+
+#[tokio::test]
+async fn bytes_without_end_cost_bounded_memory_and_end_in_a_failure_at_once() {
+    for text in ENDLESS {
+        let site = start_site(configuration()).await;
+        let server = Endless::start(text).await;
+        site.store.remove("servers", "d1");
+        site.store.remove("servers", "d2");
+        site.store.put("servers", "endless", server.entry());
+        logged(&site, "server appeared", "server", "endless").await;
+        logged(&site, "server gone", "server", "d2").await;
+        let callers = site.gateway.addresses.callers;
+
+        let mut calls = JoinSet::new();
+        for number in 0..6 {
+            calls.spawn(send(callers, call("/issue/a", &format!("q{number}"))));
+        }
+
+        // A call that is held until its deadline ends with another status.
+        for answer in calls.join_all().await {
+            assert_eq!(answer.expect("an answer").status, StatusCode::BAD_GATEWAY, "{text:?}");
+        }
+        assert_eq!(server.asked.load(Ordering::SeqCst), 6);
+        let open = server.open.clone();
+        eventually(|| (open.load(Ordering::SeqCst) == 0).then_some(())).await;
+        logged(&site, "server failed", "server", "endless").await;
+    }
+}
+
+/// A stream of bytes that never make up an event.
+#[tokio::test]
+async fn a_stream_without_an_end_of_its_event_is_cut() {
+    let text = "HTTP/1.1 200 OK\r\nx-samphirespread-response-seal: s\r\ntransfer-encoding: chunked\r\n\r\nfffffffff\r\n";
+    let site = start_site(configuration()).await;
+    let server = Endless::start(text).await;
+    let mut entry = server.entry();
+    entry["service"] = json!("engines");
+    entry["models"] = json!([{ "name": crate::support::MODEL, "version": 1, "adapters": [] }]);
+    site.store.remove("servers", "e1");
+    site.store.remove("servers", "e2");
+    site.store.put("servers", "endless", entry);
+    logged(&site, "server gone", "server", "e2").await;
+    logged(&site, "server appeared", "server", "endless").await;
+
+    let request = crate::support::generation("/stream/a", "q1");
+    let answer = send(site.gateway.addresses.callers, request).await.expect("a head");
+
+    assert!(!answer.is_whole);
+    let open = server.open.clone();
+    eventually(|| (open.load(Ordering::SeqCst) == 0).then_some(())).await;
+}
+
+#[tokio::test]
+async fn what_a_server_says_of_itself_does_not_reach_callers() {
+    let site = start_site(configuration()).await;
+    site.workers.iter().for_each(|worker| worker.expect([Behaviour::AnswerLeaving]));
+
+    let answer = site.send(call("/lookup/a", "q1")).await;
+
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(!answer.headers.contains_key("server-leaving"));
+    assert_eq!(site.workers.iter().map(Worker::ran).sum::<usize>(), 1);
+}
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -42,7 +42,8 @@
     IN_TOUCH, "in touch", "Keys are trusted again: the configuration was confirmed", "contact_age_ms";
     OUT_OF_TOUCH, "out of touch", "Keys are not trusted: the configuration was not confirmed for too long", "contact_age_ms";
     SERVER_APPEARED, "server appeared", "A backend server is new on the list", "server";
-    SERVER_DRAINS, "server drains", "A backend server leaves; it gets no new requests", "server";
+    SERVER_DRAINS, "server drains", "A backend server leaves; it gets no new requests", "server, source";
+    SERVER_RESTS, "server rests", "A backend server wants no requests from this router for a while", "server, for_ms";
     SERVER_GONE, "server gone", "A backend server is no longer on the list", "server";
     SERVER_RESTARTED, "server restarted", "A backend server runs anew under its id", "server";
     SERVER_SUPERSEDED, "server superseded", "Another server answers at the address of an entry, which is left out", "server, answers";
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -33,7 +33,7 @@
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 
 /// The format's version, which leads each datagram. Others are dropped.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 3;
 
 /// A message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -71,6 +71,8 @@
     pub usage: Vec<TeamUsage>,
     /// Whether `usage` tells of all teams with a limit; else of those whose use has changed lately.
     pub usage_is_full: bool,
+    /// Backend servers that said, to the sender, that they drain.
+    pub departures: Vec<DepartingServer>,
     /// Whether the sender hears most sidecars and may conduct a rollout.
     pub can_conduct: bool,
 }
@@ -86,6 +88,15 @@
     pub age_ms: u64,
 }
 
+/// One run of a backend server that drains.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DepartingServer {
+    /// The server.
+    pub server_id: String,
+    /// The wall clock's milliseconds at its start, as its entry says.
+    pub started_unix_ms: Option<u64>,
+}
+
 /// What a router has admitted of one team.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TeamUsage {
--- a/crates/standin/src/published/worker.rs
+++ b/crates/standin/src/published/worker.rs
@@ -12,7 +12,7 @@
     Router,
     body::{Body, Bytes},
     extract::State,
-    http::{HeaderMap, Method, StatusCode, Uri},
+    http::{HeaderMap, HeaderValue, Method, StatusCode, Uri},
     response::{Extension, IntoResponse, Response},
 };
 use futures_util::stream;
@@ -39,6 +39,10 @@
     AnswerAfterMs(u64),
     /// It does not run, and the answer says so.
     Refuse,
+    /// It does not run, and nothing more is wanted for a while.
+    RefuseForMs(u64),
+    /// It runs and is answered, and the answer says that the worker drains.
+    AnswerLeaving,
     /// It runs and fails.
     Fail,
     /// It runs and the connection is closed without an answer.
@@ -51,6 +55,12 @@
     CutStreamAfter(u64),
 }
 
+impl Behaviour {
+    fn runs(self) -> bool {
+        !matches!(self, Self::Refuse | Self::RefuseForMs(_))
+    }
+}
+
 /// A request as it came.
 #[derive(Clone, Debug)]
 pub struct Received {
@@ -302,7 +312,7 @@
         true => None,
         false => Some(inner.lock().next.pop_front().unwrap_or(Behaviour::Answer)),
     };
-    received.ran = behaviour.is_some_and(|behaviour| behaviour != Behaviour::Refuse);
+    received.ran = behaviour.is_some_and(Behaviour::runs);
     inner.lock().received.push(received.clone());
     match behaviour {
         None => {
@@ -337,6 +347,16 @@
             (StatusCode::SERVICE_UNAVAILABLE, [(NOT_RUN, "1".to_owned()), (REQUEST_ID, id)])
                 .into_response()
         }
+        Behaviour::RefuseForMs(rest_ms) => {
+            let rest_s = format!("{}.{:03}", rest_ms / 1_000, rest_ms % 1_000);
+            let headers = [(NOT_RUN, "1".to_owned()), (REQUEST_ID, id), ("retry-after", rest_s)];
+            (StatusCode::SERVICE_UNAVAILABLE, headers).into_response()
+        }
+        Behaviour::AnswerLeaving => {
+            let mut response = answer(received, &id);
+            response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
+            response
+        }
         Behaviour::Fail => {
             let headers = [(SEAL, "seal".to_owned()), (REQUEST_ID, id)];
             (StatusCode::INTERNAL_SERVER_ERROR, headers, "failed").into_response()
