Spread records through relays in each failure domain: the decisions, in virtual time

A router that hears but is not heard, or the other way, does not answer and so relays for nobody. Tests with an outside checker: starts, loss of any two routers, herds, one-way cuts, a domain cut off, freezes, all at once; 60 routers and 80 engines, fixed seeds.

--- /dev/null
+++ b/crates/fabric/tests/spread/network.rs
@@ -0,0 +1,357 @@
+//! Routers and engines in virtual time, on a network that loses, delays, doubles and cuts.
+
+use std::collections::{BTreeSet, BinaryHeap};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use samphirespread_core::prelude::*;
+use samphirespread_fabric::{Asks, Fabric, Member, Origin, Record};
+
+/// The step of virtual time; nothing happens between two steps.
+const STEP_MS: u64 = 10;
+/// A router looks what is to be sent this often.
+const TICK_MS: u64 = 50;
+/// It publishes and asks at every second look.
+const PUBLISH_MS: u64 = 100;
+/// An echo of what was sent this long ago shows that the way is open.
+const ECHO_CURRENT_MS: u64 = 500;
+const ENGINE_REPORT_MS: u64 = 200;
+/// Engines tell a router that asked them for this long.
+const ENGINE_ASKED_MS: u64 = 1_000;
+
+pub(crate) struct Plan {
+    pub(crate) domains: usize,
+    pub(crate) routers: usize,
+    pub(crate) engines: usize,
+    pub(crate) loss: f64,
+    pub(crate) seed: u64,
+}
+
+/// What is known of one publisher, as the checker wrote it down.
+pub(crate) struct Seen {
+    pub(crate) published: u64,
+    order: (Incarnation, u64),
+}
+
+pub(crate) struct Node {
+    pub(crate) fabric: Fabric,
+    member: Member,
+    incarnation: u64,
+    pub(crate) is_up: bool,
+    frozen_until: u64,
+    offset_ms: u64,
+    /// When each other router sent what was heard of it last.
+    heard: std::collections::HashMap<usize, u64>,
+    /// What the application was told, by publisher.
+    pub(crate) seen: std::collections::HashMap<Origin, Seen>,
+    pub(crate) sent_datagrams: u64,
+    pub(crate) received_datagrams: u64,
+}
+
+pub(crate) struct Engine {
+    pub(crate) origin: Origin,
+    domain: usize,
+    sequence: u64,
+    offset_ms: u64,
+    asked: std::collections::HashMap<usize, u64>,
+}
+
+#[derive(Clone, PartialEq, Eq)]
+struct Datagram {
+    due: u64,
+    order: u64,
+    from: usize,
+    to: usize,
+    asks: Option<Hop>,
+    records: Vec<Record>,
+}
+
+/// What two routers tell each other of the way between them.
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Hop {
+    asks: Asks,
+    sent: u64,
+    echo: Option<u64>,
+}
+
+impl Ord for Datagram {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.due, other.order).cmp(&(self.due, self.order))
+    }
+}
+
+impl PartialOrd for Datagram {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+pub(crate) struct Network {
+    pub(crate) now: u64,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) random: SmallRng,
+    loss: f64,
+    /// Ways that carry nothing, by sender and receiver.
+    pub(crate) cut: BTreeSet<(usize, usize)>,
+    flying: BinaryHeap<Datagram>,
+    sent: u64,
+}
+
+impl Network {
+    pub(crate) fn new(plan: &Plan) -> Self {
+        let mut random = SmallRng::seed_from_u64(plan.seed);
+        let members: Vec<Member> = (0..plan.routers).map(|n| member(n, plan.domains)).collect();
+        let nodes = (0..plan.routers)
+            .map(|n| Node {
+                fabric: fabric(&members, n, 1),
+                member: members[n].clone(),
+                incarnation: 1,
+                is_up: true,
+                frozen_until: 0,
+                offset_ms: random.random_range(0..TICK_MS / STEP_MS) * STEP_MS,
+                heard: std::collections::HashMap::new(),
+                seen: std::collections::HashMap::new(),
+                sent_datagrams: 0,
+                received_datagrams: 0,
+            })
+            .collect();
+        let engines = (0..plan.engines)
+            .map(|n| Engine {
+                origin: Origin::of_engine(engine_address(n)),
+                domain: n % plan.domains,
+                sequence: 0,
+                offset_ms: random.random_range(0..ENGINE_REPORT_MS / STEP_MS) * STEP_MS,
+                asked: std::collections::HashMap::new(),
+            })
+            .collect();
+        Self {
+            now: 10_000,
+            nodes,
+            engines,
+            random,
+            loss: plan.loss,
+            cut: BTreeSet::new(),
+            flying: BinaryHeap::new(),
+            sent: 0,
+        }
+    }
+
+    pub(crate) fn domain_of(&self, node: usize) -> &str {
+        &self.nodes[node].member.failure_domain
+    }
+
+    pub(crate) fn is_running(&self, node: usize) -> bool {
+        self.nodes[node].is_up && self.nodes[node].frozen_until <= self.now
+    }
+
+    pub(crate) fn kill(&mut self, node: usize) {
+        self.nodes[node].is_up = false;
+    }
+
+    /// Starts a router anew, which knows nothing but the list of members.
+    pub(crate) fn restart(&mut self, node: usize) {
+        let members: Vec<Member> = self.nodes.iter().map(|node| node.member.clone()).collect();
+        let incarnation = self.nodes[node].incarnation + 1;
+        let fresh = fabric(&members, node, incarnation);
+        let node = &mut self.nodes[node];
+        (node.fabric, node.incarnation, node.is_up) = (fresh, incarnation, true);
+        node.seen.clear();
+        node.heard.clear();
+    }
+
+    pub(crate) fn freeze(&mut self, node: usize, for_ms: u64) {
+        self.nodes[node].frozen_until = self.now + for_ms;
+    }
+
+    pub(crate) fn run_for(&mut self, ms: u64, mut check: impl FnMut(&Self)) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.step();
+            check(self);
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        self.deliver();
+        for engine in 0..self.engines.len() {
+            self.engine_tells(engine);
+        }
+        for node in 0..self.nodes.len() {
+            let is_due = (self.now + self.nodes[node].offset_ms).is_multiple_of(TICK_MS);
+            if is_due && self.is_running(node) {
+                self.tick(node);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while self.flying.peek().is_some_and(|datagram| datagram.due <= self.now) {
+            let mut datagram = self.flying.pop().expect("it was looked at");
+            if !self.nodes[datagram.to].is_up {
+                continue;
+            }
+            if !self.is_running(datagram.to) {
+                // It waits in the receiver's buffer.
+                datagram.due = self.nodes[datagram.to].frozen_until + STEP_MS;
+                self.flying.push(datagram);
+                continue;
+            }
+            self.receive(datagram);
+        }
+    }
+
+    fn receive(&mut self, datagram: Datagram) {
+        let now = at(self.now);
+        let from = self.nodes[datagram.from].member.name.clone();
+        let node = &mut self.nodes[datagram.to];
+        node.received_datagrams += 1;
+        if let Some(asks) = datagram.asks {
+            let hears = asks.echo.is_some_and(|echo| self.now - echo <= ECHO_CURRENT_MS);
+            node.heard.insert(datagram.from, asks.sent);
+            assert!(node.fabric.asked(&from, asks.asks, hears, now));
+        }
+        for fresh in node.fabric.received(&from, &datagram.records, now).fresh {
+            let order = (fresh.incarnation, fresh.sequence);
+            let known = node.seen.get(&fresh.origin).map(|seen| seen.order);
+            assert!(known.is_none_or(|known| known < order), "a record went back");
+            let published = u64::from_le_bytes(fresh.payload[..8].try_into().unwrap());
+            node.seen.insert(fresh.origin, Seen { published, order });
+        }
+    }
+
+    fn tick(&mut self, node: usize) {
+        let now = at(self.now);
+        let publishes = ((self.now + self.nodes[node].offset_ms) / TICK_MS)
+            .is_multiple_of(PUBLISH_MS / TICK_MS);
+        let mut outgoing: Vec<(InstanceName, Option<Asks>, Vec<Record>)> = Vec::new();
+        {
+            let fabric = &mut self.nodes[node].fabric;
+            if publishes {
+                fabric.publish(self.now.to_le_bytes().to_vec(), now);
+            }
+            let asks = fabric.asks(now);
+            let served: Vec<InstanceName> = fabric.served(now).cloned().collect();
+            let all: BTreeSet<InstanceName> =
+                served.into_iter().chain(asks.iter().map(|(name, _)| name.clone())).collect();
+            for name in all {
+                let asked = asks.iter().find(|(asked, _)| *asked == name).map(|(_, asks)| *asks);
+                let records = fabric.records_for(&name, now);
+                let told = publishes.then_some(asked.unwrap_or(Asks::Nothing));
+                if told.is_some() || !records.is_empty() {
+                    outgoing.push((name, told, records));
+                }
+            }
+        }
+        for (name, asks, records) in outgoing {
+            let to = number_of(&name);
+            let echo = self.nodes[node].heard.get(&to).copied();
+            let hop = asks.map(|asks| Hop { asks, sent: self.now, echo });
+            self.send(node, to, hop, records);
+        }
+        let relays = self.nodes[node].fabric.relays(now);
+        for engine in 0..self.engines.len() {
+            let domain = domain_name(self.engines[engine].domain);
+            if !relays || !self.nodes[node].fabric.cares_for(&domain) {
+                continue;
+            }
+            let is_new = self.engines[engine].asked.insert(node, self.now).is_none();
+            if is_new {
+                // A router that asks for the first time hears at once.
+                self.engines[engine].sequence += 1;
+                self.engine_tells_one(engine, node);
+            }
+        }
+    }
+
+    fn engine_tells_one(&mut self, engine: usize, node: usize) {
+        let Engine { origin, sequence, .. } = self.engines[engine];
+        let order = (Incarnation(1), sequence);
+        let payload = self.now.to_le_bytes().to_vec();
+        self.nodes[node].fabric.told(origin, order, payload, at(self.now));
+        self.nodes[node].seen.insert(origin, Seen { published: self.now, order });
+    }
+
+    fn engine_tells(&mut self, engine: usize) {
+        let now = self.now;
+        let teller = &mut self.engines[engine];
+        if !(now + teller.offset_ms).is_multiple_of(ENGINE_REPORT_MS) {
+            return;
+        }
+        teller.sequence += 1;
+        teller.asked.retain(|_, asked| now - *asked <= ENGINE_ASKED_MS);
+        let to: Vec<usize> = teller.asked.keys().copied().collect();
+        for node in to.into_iter().filter(|node| self.is_running(*node)).collect::<Vec<_>>() {
+            self.engine_tells_one(engine, node);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, asks: Option<Hop>, records: Vec<Record>) {
+        const RECORDS_A_DATAGRAM: usize = 15;
+        let mut chunks: Vec<Vec<Record>> =
+            records.chunks(RECORDS_A_DATAGRAM).map(<[Record]>::to_vec).collect();
+        if chunks.is_empty() {
+            chunks.push(Vec::new());
+        }
+        for (index, records) in chunks.into_iter().enumerate() {
+            self.nodes[from].sent_datagrams += 1;
+            let asks = asks.filter(|_| index == 0);
+            self.fly(Datagram { due: 0, order: 0, from, to, asks, records });
+        }
+    }
+
+    fn fly(&mut self, datagram: Datagram) {
+        if self.cut.contains(&(datagram.from, datagram.to)) || self.random.random_bool(self.loss) {
+            return;
+        }
+        let copies = if self.random.random_bool(0.01) { 2 } else { 1 };
+        for _ in 0..copies {
+            let late = self.random.random_bool(0.02);
+            let delay = if late {
+                self.random.random_range(20..80)
+            } else {
+                self.random.random_range(0..4)
+            };
+            self.sent += 1;
+            let (due, order) = (self.now + delay, self.sent);
+            self.flying.push(Datagram { due, order, ..datagram.clone() });
+        }
+    }
+}
+
+fn at(ms: u64) -> MonoTime {
+    MonoTime::from_ms(ms)
+}
+
+fn domain_name(domain: usize) -> String {
+    format!("domain-{domain}")
+}
+
+fn name(number: usize) -> InstanceName {
+    InstanceName::new(format!("r{number}"))
+}
+
+fn number_of(name: &InstanceName) -> usize {
+    name.as_str()[1..].parse().unwrap()
+}
+
+/// Every seventh router runs on a larger machine.
+fn member(number: usize, domains: usize) -> Member {
+    Member {
+        name: name(number),
+        failure_domain: domain_name(number % domains).into(),
+        capacity: if number.is_multiple_of(7) { 0.5 } else { 0.09 },
+    }
+}
+
+fn fabric(members: &[Member], own: usize, incarnation: u64) -> Fabric {
+    let mut fabric = Fabric::new(members[own].clone(), Incarnation(incarnation));
+    let others = members.iter().filter(|member| **member != members[own]).cloned();
+    fabric.set_members(others, MonoTime::ZERO);
+    fabric
+}
+
+fn engine_address(number: usize) -> std::net::IpAddr {
+    let [.., high, low] = u64::try_from(number).unwrap().to_be_bytes();
+    std::net::IpAddr::from([10, 0, high, low])
+}
