--- a/crates/fabric/src/lib.rs
+++ b/crates/fabric/src/lib.rs
@@ -57,8 +57,3 @@
     record::{Origin, Record},
     relays::{Member, RELAYS, precedes},
 };
-
-/// A publisher whose record is older than this is taken to be silent.
-///
-/// A record takes up to 300 ms over three hops; a relay that fails is replaced within another 400 ms.
-pub const SILENT_AFTER_MS: u64 = 700;
--- a/crates/fabric/tests/spread/main.rs
+++ b/crates/fabric/tests/spread/main.rs
@@ -4,10 +4,12 @@
 
 use rand::{Rng, seq::index};
 use samphirespread_core::prelude::*;
-use samphirespread_fabric::{Origin, SILENT_AFTER_MS};
+use samphirespread_fabric::Origin;
 
 use crate::network::{Network, Plan};
 
+/// A router that was not heard for this long counts as silent.
+const SILENT_AFTER_MS: u64 = 700;
 /// An engine's state counts for this long.
 const ENGINE_STATE_MS: u64 = 1_000;
 /// Everything is known again this long after a fault.
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -1,8 +1,9 @@
 //! What operators can ask a running process.
 
-use std::sync::Arc;
+use std::{collections::HashSet, sync::Arc};
 
-use http::{Response, StatusCode};
+use axum::extract::Query;
+use http::{Response, StatusCode, Uri};
 use samphirespread_adapter::Object;
 use serde::{Deserialize, Serialize};
 
@@ -11,36 +12,68 @@
 /// Where a router's copies are.
 pub(crate) const COPIES_PATH: &str = "/copies";
 
-/// A router's copies of what the store holds.
+/// What a router has already, in the query of its call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub(crate) struct Held {
+    /// The store's revision of its configuration.
+    pub(crate) configuration: Option<u64>,
+    /// The store's revision up to which its list of servers holds all changes.
+    pub(crate) servers: Option<u64>,
+    /// The mark of its list of routers.
+    pub(crate) routers: Option<u64>,
+}
+
+/// A router's copies of what the store holds, less what the router that asks has already.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Copies {
     /// Time since the read that confirmed the configuration began.
     pub(crate) configuration_age_ms: u64,
     pub(crate) configuration: Option<Arc<Object>>,
-    /// Time since the read that confirmed the list began.
+    /// Time since the read that confirmed the list of servers began.
     pub(crate) servers_age_ms: u64,
-    pub(crate) servers: Arc<Vec<Arc<Object>>>,
+    /// The names of all servers on the list.
+    pub(crate) server_names: HashSet<String>,
+    /// Those that have changed.
+    pub(crate) servers: Vec<Arc<Object>>,
+    /// The store's revision up to which the list holds all changes.
+    pub(crate) servers_revision: Option<u64>,
+    /// Time since the read that confirmed the list of routers began.
+    pub(crate) routers_age_ms: u64,
+    pub(crate) routers: Option<Arc<Vec<Object>>>,
 }
 
 /// Answers `/metrics`, `/dump` and `/copies`.
-pub(crate) fn answer(core: &Core, path: &str) -> Response<Outgoing> {
-    match path {
+pub(crate) fn answer(core: &Core, uri: &Uri) -> Response<Outgoing> {
+    match uri.path() {
         "/metrics" => answers::plain(StatusCode::OK, &core.metrics.text()),
         "/dump" => answers::plain(StatusCode::OK, &format!("{:#?}", core.state())),
-        COPIES_PATH => answers::plain(StatusCode::OK, &copies(core)),
+        COPIES_PATH => match Query::<Held>::try_from_uri(uri) {
+            Ok(Query(held)) => answers::plain(StatusCode::OK, &copies(core, held)),
+            Err(error) => answers::plain(StatusCode::BAD_REQUEST, &error.to_string()),
+        },
         _ => answers::plain(StatusCode::NOT_FOUND, "there are /metrics, /dump and /copies"),
     }
 }
 
-/// This router's copies of what the store holds, for a router that can't reach the store.
-fn copies(core: &Core) -> String {
+/// This router's copies of what the store holds, for a router that has not read it itself.
+fn copies(core: &Core, held: Held) -> String {
     let now = core.now();
     let state = core.state();
+    let configuration = state.configuration_object.clone();
+    let servers = state.server_objects.iter();
+    let has_changed =
+        |server: &&Arc<Object>| held.servers.is_none_or(|held| server.revision > held);
+    let has_routers = held.routers == Some(state.reads.routers.mark());
     let copies = Copies {
         configuration_age_ms: state.reads.configuration.age_ms(now),
-        configuration: state.configuration_object.clone(),
+        configuration: configuration.filter(|object| held.configuration != Some(object.revision)),
         servers_age_ms: state.reads.servers.age_ms(now),
-        servers: state.server_objects.clone(),
+        server_names: servers.clone().map(|server| server.name.clone()).collect(),
+        servers: servers.filter(has_changed).cloned().collect(),
+        servers_revision: state.server_revision,
+        routers_age_ms: state.reads.routers.age_ms(now),
+        routers: (!has_routers).then(|| state.router_objects.clone()),
     };
     drop(state);
     serde_json::to_string(&copies).unwrap_or_else(|error| format!("{{\"error\":\"{error}\"}}"))
--- a/crates/gateway/src/conduct.rs
+++ b/crates/gateway/src/conduct.rs
@@ -1,6 +1,7 @@
 //! Conducts the rollout of weights: one router at a time says which engine loads next.
 
 use samphirespread_core::prelude::*;
+use samphirespread_fabric::precedes;
 use samphirespread_logging::event;
 use samphirespread_routing::{
     model::Standing,
@@ -11,11 +12,9 @@
 use crate::{
     fleet::Server,
     gateway::Core,
-    state::{Grant, State},
+    state::{Grant, OtherRouter, State},
 };
 
-/// A router that was not heard for this long does not conduct.
-const ROUTER_SILENT_MS: u64 = 500;
 /// An engine that was asked to load and does not say that it does is asked again until then.
 const GRANT_LIFETIME_MS: u64 = 1_500;
 
@@ -46,12 +45,11 @@
 
 /// Whether this router is the one that conducts now.
 pub(crate) fn conducts(core: &Core, state: &State, now: MonoTime) -> bool {
-    let has_precedence = |(name, router): (&InstanceName, &crate::state::OtherRouter)| {
-        let is_heard = router.silent_ms(now) <= ROUTER_SILENT_MS;
-        let offers = router.report.as_ref().is_some_and(|(report, _)| report.can_conduct);
-        is_heard && offers && *name < core.name
+    let has_precedence = |router: &OtherRouter| {
+        let offers = router.told_lately(now).is_some_and(|told| told.can_conduct);
+        offers && precedes(&router.member, &core.member)
     };
-    can_conduct(state, now) && !state.routers.iter().any(has_precedence)
+    can_conduct(state, now) && !state.routers.values().any(has_precedence)
 }
 
 /// Decides which engines load. Returns whether there is news for their sidecars.
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -9,7 +9,7 @@
 use samphirespread_outbound::Connection;
 use tokio::time;
 
-use crate::admin::{COPIES_PATH, Copies};
+use crate::admin::{COPIES_PATH, Copies, Held};
 
 /// Time for the whole exchange.
 const TIMEOUT_MS: u64 = 500;
@@ -30,18 +30,18 @@
 
 impl std::error::Error for CopiesError {}
 
-/// Fetches the copies of the router whose admin address this is.
-pub(crate) async fn fetch(address: SocketAddr) -> Result<Copies, CopiesError> {
-    time::timeout(Duration::from_millis(TIMEOUT_MS), exchange(address))
+/// Fetches what the router whose admin address this is has beyond what this one has.
+pub(crate) async fn fetch(address: SocketAddr, held: Held) -> Result<Copies, CopiesError> {
+    time::timeout(Duration::from_millis(TIMEOUT_MS), exchange(address, held))
         .await
         .map_err(|_| CopiesError::Silent { timeout_ms: TIMEOUT_MS })?
         .map_err(CopiesError::Failed)
 }
 
-async fn exchange(address: SocketAddr) -> Result<Copies, String> {
+async fn exchange(address: SocketAddr, held: Held) -> Result<Copies, String> {
     let mut connection =
         Connection::open(address, TIMEOUT_MS).await.map_err(|error| error.to_string())?;
-    let request = Request::get(COPIES_PATH)
+    let request = Request::get(path(held))
         .header(header::HOST, address.to_string())
         .body(Full::new(Bytes::new()))
         .map_err(|error| error.to_string())?;
@@ -52,3 +52,13 @@
     }
     serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
+
+fn path(held: Held) -> String {
+    let fields = [
+        ("configuration", held.configuration),
+        ("servers", held.servers),
+        ("routers", held.routers),
+    ];
+    let known = fields.into_iter().filter_map(|(name, value)| Some(format!("{name}={}", value?)));
+    format!("{COPIES_PATH}?{}", known.collect::<Vec<_>>().join("&"))
+}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -1,14 +1,14 @@
 //! The backend servers, as the store, their sidecars and requests tell.
 
 use std::{
-    collections::{HashMap, HashSet, hash_map::Entry},
+    collections::{HashMap, HashSet, VecDeque, hash_map::Entry},
     net::IpAddr,
     sync::Arc,
 };
 
 use samphirespread_core::prelude::*;
 use samphirespread_outbound::Idle;
-use samphirespread_peer::{EngineReport, EngineState, HeldWeights};
+use samphirespread_peer::{EngineState, HeldWeights};
 use samphirespread_routing::{
     model::{BackendServer, ServiceName, Standing},
     suspicion::Suspicion,
@@ -33,8 +33,8 @@
     pub(crate) in_flight: u32,
     /// Prompt tokens that the engine has yet to read for this router's requests.
     pub(crate) unread_tokens: u64,
-    /// Memory of this router's requests that were sent since the last report.
-    pub(crate) new_tokens: u64,
+    /// Memory of this router's requests that the last report can't tell of yet, and when they were sent.
+    sent: VecDeque<(MonoTime, u64)>,
     /// What its sidecar said last.
     pub(crate) report: Option<Report>,
     /// Requests of other routers, from the load that it told with an answer, and when.
@@ -59,6 +59,7 @@
 #[derive(Debug)]
 pub(crate) struct Report {
     pub(crate) state: Option<EngineState>,
+    /// When it said so.
     pub(crate) heard: MonoTime,
     incarnation: Incarnation,
     sequence: u64,
@@ -81,7 +82,7 @@
             suspicion: Suspicion::default(),
             in_flight: 0,
             unread_tokens: 0,
-            new_tokens: 0,
+            sent: VecDeque::new(),
             report: None,
             foreign_load: (0, MonoTime::ZERO),
             is_superseded: false,
@@ -137,6 +138,24 @@
         }
     }
 
+    /// Remembers that a request is sent that takes that much memory.
+    pub(crate) fn note_sent(&mut self, tokens: u64, now: MonoTime) {
+        self.sent.push_back((now, tokens));
+        self.drop_told(now.minus_ms(REPORT_LIFETIME_MS));
+    }
+
+    /// Memory of this router's requests that the last report can't tell of yet.
+    pub(crate) fn sent_tokens(&self) -> u64 {
+        self.sent.iter().map(|(_, tokens)| tokens).sum()
+    }
+
+    /// Drops what was sent before a moment.
+    fn drop_told(&mut self, before: MonoTime) {
+        while self.sent.front().is_some_and(|(sent, _)| *sent < before) {
+            self.sent.pop_front();
+        }
+    }
+
     /// Remembers that the engine reads parts now.
     pub(crate) fn remember_parts(&mut self, keys: &[u64], now: MonoTime) {
         if self.parts.len() > MAX_REMEMBERED_PARTS {
@@ -282,35 +301,28 @@
         }
     }
 
-    /// Takes in the word of the sidecar at an address.
+    /// Takes in what the sidecar at an address published of its engine.
     ///
     /// Returns what it tells if it is newer than what was known.
     pub(crate) fn reported(
         &mut self,
-        from: IpAddr,
-        report: EngineReport,
+        address: IpAddr,
+        (incarnation, sequence): (Incarnation, u64),
+        state: Option<EngineState>,
+        published: MonoTime,
         now: MonoTime,
     ) -> Option<Reported> {
-        let id = self.by_ip.get(&from)?;
+        let id = self.by_ip.get(&address)?;
         let server = self.servers.get_mut(id)?;
-        let order = (report.incarnation, report.sequence);
-        let is_old = server
-            .report
-            .as_ref()
-            .is_some_and(|known| (known.incarnation, known.sequence) >= order);
-        if is_old {
+        let known = server.report.as_ref().map(|known| (known.incarnation, known.sequence));
+        if known >= Some((incarnation, sequence)) {
             return None;
         }
-        server.new_tokens = 0;
+        server.drop_told(published);
         let had_started_anew = server.has_started_anew(now);
         let before = server.fresh_state(now).map(rollout_facts);
-        let is_news = before != report.state.as_ref().map(rollout_facts);
-        server.report = Some(Report {
-            state: report.state,
-            heard: now,
-            incarnation: report.incarnation,
-            sequence: report.sequence,
-        });
+        let is_news = before != state.as_ref().map(rollout_facts);
+        server.report = Some(Report { state, heard: published, incarnation, sequence });
         let started_anew = !had_started_anew && server.has_started_anew(now);
         Some(Reported { started_anew, is_news })
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
     time::{Clock, fresh_incarnation},
 };
 use samphirespread_daemon::BindError;
+use samphirespread_fabric::Member;
 use samphirespread_logging::event;
 use samphirespread_settings::GatewaySettings;
 use slog::{Logger, info, warn};
@@ -85,6 +86,8 @@
     pub(crate) log: Logger,
     pub(crate) clock: Clock,
     pub(crate) name: InstanceName,
+    /// This router, as the others know it.
+    pub(crate) member: Member,
     pub(crate) incarnation: Incarnation,
     pub(crate) store: Store,
     pub(crate) socket: UdpSocket,
@@ -137,9 +140,15 @@
             peers: local(&address, socket.local_addr())?,
         };
         let clock = Clock::start_at(MonoTime::from_ms(CLOCK_START_MS));
-        let core = Core {
+        let member = Member {
             name: InstanceName::new(&*settings.instance.name),
-            incarnation: fresh_incarnation(),
+            failure_domain: settings.instance.failure_domain.clone(),
+            capacity: settings.capacity.processor_share,
+        };
+        let incarnation = fresh_incarnation();
+        let core = Core {
+            name: member.name.clone(),
+            incarnation,
             store: Store::new(settings.store.address, settings.store.timeout_ms),
             socket,
             metrics: Metrics::default(),
@@ -147,7 +156,8 @@
             told: Notify::new(),
             news: Notify::new(),
             pulse: Pulse::default(),
-            state: Mutex::new(State::new(&settings, clock.now())),
+            state: Mutex::new(State::new(&settings, member.clone(), incarnation, clock.now())),
+            member,
             clock,
             settings,
             addresses,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod handle;
 mod metrics;
 mod peers;
+mod publish;
 mod pulse;
 mod reads;
 mod relay;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,10 @@
     pub(crate) store_failures: Causes,
     /// Connections opened to backend servers.
     pub(crate) connections: Counter,
+    /// Bytes of datagrams from other processes of the system.
+    pub(crate) received_bytes: Counter,
+    /// Bytes of datagrams to other processes of the system.
+    pub(crate) sent_bytes: Counter,
     /// Requests that run.
     pub(crate) in_flight: Gauge,
     /// Seconds from a request to the first event of its answer.
@@ -62,6 +66,8 @@
             lost_answers: Causes::default(),
             store_failures: Causes::default(),
             connections: Counter::default(),
+            received_bytes: Counter::default(),
+            sent_bytes: Counter::default(),
             in_flight: Gauge::default(),
             first_event_s: spans(BUCKETS),
             store_call_s: spans(BUCKETS),
@@ -86,6 +92,8 @@
         registry.register("lost_answers", "Lost in their bodies", self.lost_answers.clone());
         registry.register("store_failures", "Failed store calls", self.store_failures.clone());
         registry.register("server_connections", "Connections opened", self.connections.clone());
+        registry.register("datagrams_in_bytes", "From processes", self.received_bytes.clone());
+        registry.register("datagrams_out_bytes", "To processes", self.sent_bytes.clone());
         registry.register("in_flight", "Requests that run", self.in_flight.clone());
         registry.register("first_event_seconds", "To first event", self.first_event_s.clone());
         registry.register("store_call_seconds", "Calls to the store", self.store_call_s.clone());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,12 +1,13 @@
-//! Datagrams to and from the system's other processes.
+//! Datagrams from the system's other processes.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use samphirespread_core::prelude::*;
+use samphirespread_fabric::{Fresh, Origin};
 use samphirespread_logging::event;
 use samphirespread_peer::{
-    Datagram, DepartingServer, Directive, EngineReport, LoadDirective, MAX_DATAGRAM_BYTES,
-    NamedWeights, RouterReport, TeamUsage, decode, encode,
+    Datagram, EngineReport, EngineState, Hop, Published, RECEIVE_BUFFER_BYTES, RouterPacket,
+    RouterState, decode, decode_payload, encode_payload,
 };
 use samphirespread_routing::{
     freshness::{Copy, Echo},
@@ -17,31 +18,26 @@
 
 use crate::{conduct, fleet::Departure, gateway::Core, metrics, reads, state::State};
 
-/// Time between two reports to the other routers.
-const REPORT_MS: u64 = 100;
-/// Reports between two that tell of everything, not only of what has changed lately.
-const REPORTS_A_FULL_ONE: u64 = 10;
-/// What changed this long ago is still told in every report, so that lost ones cost nothing.
-const LATELY_MS: u64 = 1_000;
-/// A server's departure is told for this long; the list shows it by then.
-const DEPARTURE_TOLD_MS: u64 = 10_000;
-/// Reports between two directives to each sidecar.
-const REPORTS_A_DIRECTIVE: u64 = 5;
+/// Pause after a datagram could not be received.
+const PAUSE_MS: u64 = 100;
+/// A hop that answers one of this router's that is younger than this shows that the way is open.
+const ECHO_CURRENT_MS: u64 = 500;
 
 /// Takes in datagrams.
 pub(crate) async fn receive(core: Arc<Core>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut buffer = vec![0; RECEIVE_BUFFER_BYTES];
     loop {
         let (length, from) = match core.socket.recv_from(&mut buffer).await {
             Ok(received) => received,
             Err(error) => {
                 warn!(core.log, "{}", event::RECEIVING_FAILED; "error" => %error);
-                time::sleep(Duration::from_millis(REPORT_MS)).await;
+                time::sleep(Duration::from_millis(PAUSE_MS)).await;
                 continue;
             }
         };
+        core.metrics.received_bytes.inc_by(length as u64);
         match decode(&buffer[..length]) {
-            Ok(Datagram::Router(report)) => take_router(&core, report),
+            Ok(Datagram::Router(packet)) => take_packet(&core, &packet),
             Ok(Datagram::Engine(report)) => take_engine(&core, from, report),
             Ok(Datagram::Directive(_)) => {
                 warn!(core.log, "{}", event::DATAGRAM_MISPLACED; "from" => %from);
@@ -53,189 +49,124 @@
     }
 }
 
-fn take_router(core: &Core, report: RouterReport) {
+fn take_packet(core: &Core, packet: &RouterPacket) {
     let now = core.now();
     let mut state = core.state();
-    for named in &report.weights {
-        let named_by = now.minus_ms(named.age_ms);
-        if state.learn_weights(&named.model, named.version, named_by) {
-            info!(core.log, "{}", event::WEIGHTS_NAMED; "model" => %named.model, "version" => named.version,
-                "source" => report.from.as_str(), "age_ms" => named.age_ms);
-            core.told.notify_one();
-        }
+    if !state.routers.contains_key(&packet.from) {
+        return look_for_routers(core, &mut state);
     }
-    for server in &report.departures {
-        let (id, started_unix_ms) = (server.server_id.as_str().into(), server.started_unix_ms);
-        if state.fleet.departs(Departure { id, started_unix_ms }, now) {
-            info!(core.log, "{}", event::SERVER_DRAINS; "server" => &server.server_id,
-                "source" => report.from.as_str());
-        }
+    if let Some(hop) = &packet.hop {
+        take_hop(core, &mut state, &packet.from, hop, now);
     }
-    if !state.routers.contains_key(&report.from) {
-        // It is not on this router's list yet, which another read will show.
-        state.reads.routers = Copy::default();
-        state.reads.news.routers = true;
-        core.news.notify_one();
-        return;
-    }
-    let admin = state.routers.get(&report.from).and_then(|router| router.admin);
-    if reads::heard(core, &mut state, &report, admin) {
-        core.news.notify_one();
-    }
-    let totals = report.usage.iter().map(|usage| (TeamKey(usage.team), usage.total)).collect();
-    let usage = UsageReport { totals, is_full: report.usage_is_full };
-    state.quotas.heard(&report.from, report.incarnation, &usage, now);
-    if let Some(router) = state.routers.get_mut(&report.from) {
-        let is_older = router.report.as_ref().is_some_and(|(known, _)| {
-            (known.incarnation, known.sent) > (report.incarnation, report.sent)
-        });
-        if !is_older && let Some((_, heard)) = router.report.replace((report, now)) {
-            core.metrics.usage_gap_s.observe(metrics::seconds(now.ms_since(heard)));
-        }
+    let news = state.fabric.received(&packet.from, &packet.records, now);
+    for fresh in news.fresh {
+        take_record(core, &mut state, fresh, now);
     }
 }
 
-fn take_engine(core: &Core, from: SocketAddr, report: EngineReport) {
-    let now = core.now();
-    let mut state = core.state();
-    let Some(reported) = state.fleet.reported(from.ip(), report, now) else { return };
-    if reported.started_anew && reads::leads(core, &state, now) {
-        state.reads.news.servers = true;
-        core.news.notify_one();
+/// Reads the list of routers: one of them is not on this router's list yet.
+fn look_for_routers(core: &Core, state: &mut State) {
+    state.reads.routers = Copy::default();
+    state.reads.news.routers = true;
+    core.news.notify_one();
+}
+
+fn take_hop(core: &Core, state: &mut State, from: &InstanceName, hop: &Hop, now: MonoTime) {
+    let echoed = hop.echo.and_then(|echo| echo.of(core.incarnation));
+    let hears_this = echoed.is_some_and(|sent| now.ms_since(sent) <= ECHO_CURRENT_MS);
+    state.fabric.asked(from, hop.asks, hears_this, now);
+    let Some(router) = state.routers.get_mut(from) else { return };
+    let order = |echo: &Echo| (echo.incarnation, echo.sent);
+    let echo = Echo { incarnation: hop.incarnation, sent: hop.sent };
+    if router.hop.as_ref().is_none_or(|known| order(known) < order(&echo)) {
+        router.hop = Some(echo);
     }
-    // Whatever else may change with time is looked at with every report of this router's own.
-    if reported.is_news && conduct::conduct(core, &mut state, now) {
-        core.told.notify_one();
+    let admin = router.admin;
+    if reads::heard(core, state, hop, admin) {
+        core.news.notify_one();
     }
 }
 
-/// Sends reports and directives.
-pub(crate) async fn send(core: Arc<Core>) {
-    let mut round: u64 = 0;
-    let mut due = core.now();
-    loop {
-        let wait_ms = due.ms_since(core.now());
-        let was_told = tokio::select! {
-            () = time::sleep(Duration::from_millis(wait_ms)) => false,
-            () = core.told.notified() => true,
-        };
-        let now = core.now();
-        core.pulse.beat(now);
-        let mut outgoing = Vec::new();
-        {
-            let mut state = core.state();
-            conduct::conduct(&core, &mut state, now);
-            directives(&core, &state, round, &mut outgoing);
-            if !was_told {
-                reports(&core, &state, now, round, &mut outgoing);
-            }
+fn take_record(core: &Core, state: &mut State, fresh: Fresh, now: MonoTime) {
+    let published = match decode_payload(&fresh.payload) {
+        Ok(published) => published,
+        Err(error) => {
+            warn!(core.log, "{}", event::DATAGRAM_LEFT_OUT; "from" => "a record", "error" => %error);
+            return;
         }
-        for (address, bytes) in outgoing {
-            if let Err(error) = core.socket.send_to(&bytes, address).await {
-                warn!(core.log, "{}", event::DATAGRAM_NOT_SENT; "to" => %address, "error" => %error);
+    };
+    match (published, &fresh.router) {
+        (Published::Router(told), Some(name)) => take_router(core, state, name, told, &fresh, now),
+        (Published::Router(_), None) => look_for_routers(core, state),
+        (Published::Engine { address, state: engine }, _) => {
+            let order = (fresh.incarnation, fresh.sequence);
+            let reported = state.fleet.reported(address, order, engine, fresh.published, now);
+            if reported.is_some_and(|reported| reported.is_news)
+                && conduct::conduct(core, state, now)
+            {
+                core.told.notify_one();
             }
         }
-        if !was_told {
-            round += 1;
-            due = now.plus_ms(REPORT_MS);
-        }
     }
 }
 
-fn reports(
+fn take_router(
     core: &Core,
-    state: &State,
+    state: &mut State,
+    name: &InstanceName,
+    told: RouterState,
+    fresh: &Fresh,
     now: MonoTime,
-    round: u64,
-    outgoing: &mut Vec<(SocketAddr, Vec<u8>)>,
 ) {
-    let recent = Lately::since(state, now.minus_ms(LATELY_MS), now);
-    let full = Lately::all(state, now);
-    let can_conduct = conduct::can_conduct(state, now);
-    let has_just_started = now.ms_since(state.started) <= LATELY_MS;
-    for (index, router) in (0_u64..).zip(state.routers.values()) {
-        let is_full = has_just_started
-            || router.report.is_none()
-            || (round + index).is_multiple_of(REPORTS_A_FULL_ONE);
-        let told = if is_full { &full } else { &recent };
-        let report = RouterReport {
-            from: core.name.clone(),
-            incarnation: core.incarnation,
-            sent: now,
-            echo: router
-                .report
-                .as_ref()
-                .map(|(report, _)| Echo { incarnation: report.incarnation, sent: report.sent }),
-            reads_store: state.reads.is_up && state.table.is_some(),
-            configuration: state.reads.configuration.word(now),
-            servers: state.reads.servers.word(now),
-            routers: state.reads.routers.word(now),
-            weights: told.weights.clone(),
-            usage: told.usage.clone(),
-            usage_is_full: is_full,
-            departures: told.departures.clone(),
-            can_conduct,
-        };
-        outgoing.push((router.address, encode(&Datagram::Router(report))));
+    for named in &told.weights {
+        let named_by = fresh.published.minus_ms(named.age_ms);
+        if state.learn_weights(&named.model, named.version, named_by) {
+            info!(core.log, "{}", event::WEIGHTS_NAMED; "model" => %named.model, "version" => named.version,
+                "source" => name.as_str(), "age_ms" => named.age_ms);
+            core.told.notify_one();
+        }
     }
-}
-
-/// What a report tells that changes seldom.
-struct Lately {
-    weights: Vec<NamedWeights>,
-    usage: Vec<TeamUsage>,
-    departures: Vec<DepartingServer>,
-}
-
-impl Lately {
-    /// All of it.
-    fn all(state: &State, now: MonoTime) -> Self {
-        Self::new(state, &state.quotas.usage(), u64::MAX, now)
+    for server in &told.departures {
+        let (id, started_unix_ms) = (server.server_id.as_str().into(), server.started_unix_ms);
+        if state.fleet.departs(Departure { id, started_unix_ms }, now) {
+            info!(core.log, "{}", event::SERVER_DRAINS; "server" => &server.server_id,
+                "source" => name.as_str());
+        }
     }
-
-    /// What has changed since a moment.
-    fn since(state: &State, since: MonoTime, now: MonoTime) -> Self {
-        Self::new(state, &state.quotas.usage_since(since), now.ms_since(since), now)
+    let totals = told.usage.iter().map(|usage| (TeamKey(usage.team), usage.total)).collect();
+    let usage = UsageReport { totals, is_full: told.usage_is_full };
+    state.quotas.heard(name, fresh.incarnation, &usage, fresh.published, now);
+    let Some(router) = state.routers.get_mut(name) else { return };
+    if let Some((_, before)) = router.told.replace((told, fresh.published)) {
+        let gap_ms = fresh.published.ms_since(before);
+        core.metrics.usage_gap_s.observe(metrics::seconds(gap_ms));
     }
+}
 
-    fn new(state: &State, usage: &UsageReport, within_ms: u64, now: MonoTime) -> Self {
-        let mut weights = Vec::new();
-        for (model, named) in &state.weights {
-            let recent = named.ages_ms(now).filter(|(_, age_ms)| *age_ms <= within_ms);
-            weights.extend(recent.map(|(version, age_ms)| NamedWeights {
-                model: model.clone(),
-                version,
-                age_ms,
-            }));
-        }
-        let usage = usage.totals.iter();
-        let usage = usage.map(|(team, total)| TeamUsage { team: team.0, total: *total }).collect();
-        let told_for_ms = within_ms.min(DEPARTURE_TOLD_MS);
-        let departures = state.fleet.departures(told_for_ms, now).map(|run| DepartingServer {
-            server_id: run.id.to_string(),
-            started_unix_ms: run.started_unix_ms,
-        });
-        Self { weights, usage, departures: departures.collect() }
+fn take_engine(core: &Core, from: SocketAddr, report: EngineReport) {
+    let now = core.now();
+    let mut state = core.state();
+    let order = (report.incarnation, report.sequence);
+    let address = from.ip();
+    state.fabric.told(
+        Origin::of_engine(address),
+        order,
+        engine_payload(address, &report.state),
+        now,
+    );
+    let Some(reported) = state.fleet.reported(address, order, report.state, now, now) else {
+        return;
+    };
+    if reported.started_anew && reads::leads(core, &state, now) {
+        state.reads.news.servers = true;
+        core.news.notify_one();
+    }
+    // Whatever else may change with time is looked at with every round of this router's own.
+    if reported.is_news && conduct::conduct(core, &mut state, now) {
+        core.told.notify_one();
     }
 }
 
-/// Directives to the sidecars whose turn it is, and to all that are to load.
-fn directives(core: &Core, state: &State, round: u64, outgoing: &mut Vec<(SocketAddr, Vec<u8>)>) {
-    let port = core.addresses.peers.port();
-    for (index, server) in (0_u64..).zip(conduct::engines(state)) {
-        let grant = state.granted.get(&server.entry.id);
-        // A sidecar that was not heard yet is asked at once: its word goes before the list's.
-        let is_due = (round + index).is_multiple_of(REPORTS_A_DIRECTIVE) || server.report.is_none();
-        if grant.is_none() && !is_due {
-            continue;
-        }
-        let directive = Directive {
-            from: core.name.clone(),
-            server_id: server.entry.id.to_string(),
-            load: grant
-                .map(|grant| LoadDirective { model: grant.model.clone(), version: grant.version }),
-        };
-        let address = SocketAddr::new(server.entry.address.ip(), port);
-        outgoing.push((address, encode(&Datagram::Directive(directive))));
-    }
+fn engine_payload(address: std::net::IpAddr, state: &Option<EngineState>) -> Vec<u8> {
+    encode_payload(&Published::Engine { address, state: state.clone() })
 }
--- /dev/null
+++ b/crates/gateway/src/publish.rs
@@ -0,0 +1,195 @@
+//! Datagrams to the system's other processes: what this router tells and passes on, and directives.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use samphirespread_core::prelude::*;
+use samphirespread_fabric::Asks;
+use samphirespread_logging::event;
+use samphirespread_peer::{
+    Datagram, DepartingServer, Directive, Hop, LoadDirective, NamedWeights, Published, RouterState,
+    TeamUsage, encode, encode_payload, router_packets,
+};
+use samphirespread_routing::quota::UsageReport;
+use slog::warn;
+use tokio::time;
+
+use crate::{
+    conduct,
+    gateway::Core,
+    state::{OtherRouter, State},
+};
+
+/// Time between two rounds of a router that passes records on.
+const ROUND_MS: u64 = 50;
+/// Rounds between two records of this router's own, and of a router that passes nothing on.
+const ROUNDS_A_RECORD: u64 = 2;
+/// Records between two that tell of everything, not only of what has changed lately.
+const RECORDS_A_FULL_ONE: u64 = 10;
+/// What changed this long ago is still told in every record, so that lost ones cost nothing.
+const LATELY_MS: u64 = 400;
+/// A router that starts tells of everything for this long.
+const FULL_AT_START_MS: u64 = 1_000;
+/// A server's departure is told for this long; the list shows it by then.
+const DEPARTURE_TOLD_MS: u64 = 10_000;
+/// Rounds between two directives to each sidecar.
+const ROUNDS_A_DIRECTIVE: u64 = 10;
+/// Rounds between two directives to a sidecar that was not heard yet.
+const ROUNDS_A_FIRST_DIRECTIVE: u64 = 4;
+
+type Outgoing = Vec<(SocketAddr, Vec<u8>)>;
+
+/// Sends this router's record, what it passes on, and directives.
+pub(crate) async fn publish(core: Arc<Core>) {
+    let mut round: u64 = 0;
+    let mut due = core.now();
+    loop {
+        let wait_ms = due.ms_since(core.now());
+        let was_told = tokio::select! {
+            () = time::sleep(Duration::from_millis(wait_ms)) => false,
+            () = core.told.notified() => true,
+        };
+        let now = core.now();
+        core.pulse.beat(now);
+        let (outgoing, rounds) = {
+            let mut state = core.state();
+            let rounds = if state.fabric.relays(now) { 1 } else { ROUNDS_A_RECORD };
+            (outgoing(&core, &mut state, round, was_told, now), rounds)
+        };
+        for (address, bytes) in outgoing {
+            core.metrics.sent_bytes.inc_by(bytes.len() as u64);
+            if let Err(error) = core.socket.send_to(&bytes, address).await {
+                warn!(core.log, "{}", event::DATAGRAM_NOT_SENT; "to" => %address, "error" => %error);
+            }
+        }
+        if !was_told {
+            round = (round + rounds).next_multiple_of(rounds);
+            due = now.plus_ms(rounds * ROUND_MS);
+        }
+    }
+}
+
+fn outgoing(core: &Core, state: &mut State, round: u64, was_told: bool, now: MonoTime) -> Outgoing {
+    let mut outgoing = Outgoing::new();
+    let publishes = was_told || round.is_multiple_of(ROUNDS_A_RECORD);
+    if publishes {
+        conduct::conduct(core, state, now);
+        let payload = encode_payload(&Published::Router(own_state(state, round, now)));
+        state.fabric.publish(payload, now);
+    }
+    packets(core, state, publishes, now, &mut outgoing);
+    directives(core, state, round, publishes, now, &mut outgoing);
+    outgoing
+}
+
+/// Hops and records to the routers that this one asks or serves.
+fn packets(
+    core: &Core,
+    state: &mut State,
+    publishes: bool,
+    now: MonoTime,
+    outgoing: &mut Outgoing,
+) {
+    let asks: HashMap<InstanceName, Asks> = state.fabric.asks(now).into_iter().collect();
+    let mut others: Vec<InstanceName> = state.fabric.served(now).cloned().collect();
+    others.extend(asks.keys().cloned());
+    others.sort_unstable();
+    others.dedup();
+    for name in others {
+        let Some(router) = state.routers.get(&name) else { continue };
+        let asks = asks.get(&name).copied().unwrap_or_default();
+        let hop = publishes.then(|| hop(core, state, router, asks, now));
+        let address = router.address;
+        let records = state.fabric.records_for(&name, now);
+        let packets = router_packets(&core.name, hop, records);
+        outgoing.extend(packets.into_iter().map(|packet| (address, packet)));
+    }
+}
+
+fn hop(core: &Core, state: &State, router: &OtherRouter, asks: Asks, now: MonoTime) -> Hop {
+    Hop {
+        incarnation: core.incarnation,
+        sent: now,
+        echo: router.hop,
+        asks,
+        configuration: state.reads.configuration.word(now),
+        servers: state.reads.servers.word(now),
+        routers: state.reads.routers.word(now),
+    }
+}
+
+/// What this router tells of itself.
+fn own_state(state: &State, round: u64, now: MonoTime) -> RouterState {
+    let has_just_started = now.ms_since(state.started) <= FULL_AT_START_MS;
+    let is_full = has_just_started || (round / ROUNDS_A_RECORD).is_multiple_of(RECORDS_A_FULL_ONE);
+    let (usage, within_ms) = match is_full {
+        true => (state.quotas.usage(), u64::MAX),
+        false => (state.quotas.usage_since(now.minus_ms(LATELY_MS)), LATELY_MS),
+    };
+    RouterState {
+        reads_store: state.reads.is_up && state.table.is_some(),
+        can_conduct: conduct::can_conduct(state, now),
+        weights: weights(state, within_ms, now),
+        usage: team_usage(&usage),
+        usage_is_full: is_full,
+        departures: departures(state, within_ms.min(DEPARTURE_TOLD_MS), now),
+    }
+}
+
+fn weights(state: &State, within_ms: u64, now: MonoTime) -> Vec<NamedWeights> {
+    let mut weights = Vec::new();
+    for (model, named) in &state.weights {
+        let recent = named.ages_ms(now).filter(|(_, age_ms)| *age_ms <= within_ms);
+        weights.extend(recent.map(|(version, age_ms)| NamedWeights {
+            model: model.clone(),
+            version,
+            age_ms,
+        }));
+    }
+    weights
+}
+
+fn team_usage(usage: &UsageReport) -> Vec<TeamUsage> {
+    let totals = usage.totals.iter();
+    totals.map(|(team, total)| TeamUsage { team: team.0, total: *total }).collect()
+}
+
+fn departures(state: &State, within_ms: u64, now: MonoTime) -> Vec<DepartingServer> {
+    let departures = state.fleet.departures(within_ms, now).map(|run| DepartingServer {
+        server_id: run.id.to_string(),
+        started_unix_ms: run.started_unix_ms,
+    });
+    departures.collect()
+}
+
+/// Directives to the sidecars of this router's domain whose turn it is, if it relays, and to all that are to
+/// load.
+fn directives(
+    core: &Core,
+    state: &State,
+    round: u64,
+    publishes: bool,
+    now: MonoTime,
+    outgoing: &mut Outgoing,
+) {
+    let port = core.addresses.peers.port();
+    let relays = state.fabric.relays(now);
+    for (index, server) in (0_u64..).zip(conduct::engines(state)) {
+        let wants_reports = relays && state.fabric.cares_for(&server.entry.failure_domain);
+        let is_known = server.report.is_some();
+        let rounds = if is_known { ROUNDS_A_DIRECTIVE } else { ROUNDS_A_FIRST_DIRECTIVE };
+        let is_due = wants_reports && (round + index).is_multiple_of(rounds);
+        let grant = state.granted.get(&server.entry.id).filter(|_| publishes);
+        if grant.is_none() && !is_due {
+            continue;
+        }
+        let directive = Directive {
+            from: core.name.clone(),
+            server_id: server.entry.id.to_string(),
+            wants_reports,
+            load: grant
+                .map(|grant| LoadDirective { model: grant.model.clone(), version: grant.version }),
+        };
+        let address = SocketAddr::new(server.entry.address.ip(), port);
+        outgoing.push((address, encode(&Datagram::Directive(directive))));
+    }
+}
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -8,13 +8,14 @@
 use std::net::SocketAddr;
 
 use samphirespread_core::prelude::*;
-use samphirespread_peer::RouterReport;
+use samphirespread_fabric::precedes;
+use samphirespread_peer::Hop;
 use samphirespread_routing::freshness::Copy;
 
-use crate::{gateway::Core, state::State};
-
-/// A router that was not heard for this long does not read for others.
-const READER_SILENT_MS: u64 = 500;
+use crate::{
+    gateway::Core,
+    state::{OtherRouter, State},
+};
 
 /// The copies of a router and how it keeps them.
 #[derive(Debug)]
@@ -74,40 +75,33 @@
 
 /// Whether this router is the one that reads for all that it hears.
 pub(crate) fn leads(core: &Core, state: &State, now: MonoTime) -> bool {
-    let reads_for_us = |(name, router): (&InstanceName, &crate::state::OtherRouter)| {
-        let is_heard = router.silent_ms(now) <= READER_SILENT_MS;
-        let reads = router.report.as_ref().is_some_and(|(report, _)| report.reads_store);
-        let comes_first = !state.reads.is_up || *name < core.name;
-        is_heard && reads && comes_first
+    let reads_for_us = |router: &OtherRouter| {
+        let reads = router.told_lately(now).is_some_and(|told| told.reads_store);
+        reads && (!state.reads.is_up || precedes(&router.member, &core.member))
     };
-    !state.routers.iter().any(reads_for_us)
+    !state.routers.values().any(reads_for_us)
 }
 
 /// Whether this router is the one that asks a store that is down again and again. The others, which hear
 /// from it when the store is back, ask seldom.
 pub(crate) fn probes(core: &Core, state: &State, now: MonoTime) -> bool {
-    let comes_first = |(name, router): (&InstanceName, &crate::state::OtherRouter)| {
-        router.silent_ms(now) <= READER_SILENT_MS && *name < core.name
+    let comes_first = |router: &OtherRouter| {
+        router.told_lately(now).is_some() && precedes(&router.member, &core.member)
     };
-    !state.routers.iter().any(comes_first)
+    !state.routers.values().any(comes_first)
 }
 
 /// Takes in what another router knows. Returns whether there is something to read.
-pub(crate) fn heard(
-    core: &Core,
-    state: &mut State,
-    report: &RouterReport,
-    admin: Option<SocketAddr>,
-) -> bool {
-    // A report that answers an earlier run of this process tells the time of another clock.
-    let Some(echo) = report.echo.and_then(|echo| echo.of(core.incarnation)) else { return false };
+pub(crate) fn heard(core: &Core, state: &mut State, hop: &Hop, admin: Option<SocketAddr>) -> bool {
+    // A hop that answers an earlier run of this process tells the time of another clock.
+    let Some(echo) = hop.echo.and_then(|echo| echo.of(core.incarnation)) else { return false };
     let reads = &mut state.reads;
     // An older generation is never adopted, so only a higher one is news.
-    let is_behind = report.configuration.mark < reads.configuration.mark();
+    let is_behind = hop.configuration.mark < reads.configuration.mark();
     let news = Parts {
-        configuration: !is_behind && reads.configuration.heard(report.configuration, echo),
-        servers: reads.servers.heard(report.servers, echo),
-        routers: reads.routers.heard(report.routers, echo),
+        configuration: !is_behind && reads.configuration.heard(hop.configuration, echo),
+        servers: reads.servers.heard(hop.servers, echo),
+        routers: reads.routers.heard(hop.routers, echo),
     };
     reads.news.add(news);
     if let Some(confirmed) = reads.configuration.confirmed() {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -114,7 +114,7 @@
         if let Some(server) = state.fleet.get_mut(&selected.id) {
             server.in_flight += 1;
             server.unread_tokens += unread_tokens;
-            server.new_tokens += footprint;
+            server.note_sent(footprint, now);
             server.remember_parts(&selected.part_keys, now);
         }
         drop(state);
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -240,7 +240,7 @@
     let parts = generation.shared_parts();
     let held = parts.iter().zip(keys).take_while(|(_, key)| server.holds_part(**key, now));
     let resident_tokens = held.map(|(part, _)| part.tokens).sum();
-    let sent_tokens = server.new_tokens * OTHER_ROUTERS_FACTOR;
+    let sent_tokens = server.sent_tokens() * OTHER_ROUTERS_FACTOR;
     EngineView {
         is_near: *server.entry.failure_domain == *place.failure_domain,
         is_newest: true,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,7 +2,7 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Uri};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use samphirespread_logging::event;
@@ -127,7 +127,7 @@
     core: &Arc<Core>,
     listener: TcpListener,
     stop: &CancellationToken,
-    answer: fn(&Core, &str) -> Response<Outgoing>,
+    answer: fn(&Core, &Uri) -> Response<Outgoing>,
 ) {
     let (core, stop) = (core.clone(), stop.clone());
     tokio::spawn(stop.run_until_cancelled_owned(async move {
@@ -148,10 +148,10 @@
 async fn serve_small(
     core: Arc<Core>,
     stream: TcpStream,
-    answer: fn(&Core, &str) -> Response<Outgoing>,
+    answer: fn(&Core, &Uri) -> Response<Outgoing>,
 ) {
     let service = service_fn(move |request: Request<Incoming>| {
-        let response = answer(&core, request.uri().path());
+        let response = answer(&core, request.uri());
         async move { Ok::<_, Infallible>(response) }
     });
     let connection = http1::Builder::new()
--- a/crates/gateway/src/server_list.rs
+++ b/crates/gateway/src/server_list.rs
@@ -3,7 +3,7 @@
 //! A list of thousands of entries is read once; afterwards a read fetches what has changed since.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, HashSet},
     hash::{Hash, Hasher},
     sync::Arc,
 };
@@ -60,6 +60,19 @@
         unreadable
     }
 
+    /// Takes over what another router holds: the entries that have changed since this list's revision, and
+    /// the names of all.
+    pub(crate) fn take_over(
+        &mut self,
+        changed: impl IntoIterator<Item = Arc<Object>>,
+        names: &HashSet<String>,
+        revision: Option<u64>,
+    ) -> Vec<Unreadable> {
+        self.revision = revision;
+        self.entries.retain(|name, _| names.contains(name));
+        changed.into_iter().filter_map(|object| self.set(object)).collect()
+    }
+
     /// Makes the next read fetch the whole list.
     pub(crate) fn forget_revision(&mut self) {
         self.revision = None;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,13 +8,15 @@
 
 use samphirespread_adapter::Object;
 use samphirespread_core::prelude::*;
+use samphirespread_fabric::{Fabric, Member};
 use samphirespread_membership::Contact;
-use samphirespread_peer::RouterReport;
+use samphirespread_peer::RouterState;
 use samphirespread_routing::{
     cache::StoreContents,
     demand::ReadDemand,
+    freshness::Echo,
     model::ServiceName,
-    quota::Quotas,
+    quota::{Quotas, SILENT_AFTER_MS},
     retry::{RetryBudget, RetryLimits, part_of_slack},
     rollout::NamedVersions,
     table::Table,
@@ -59,6 +61,10 @@
     pub(crate) configuration_object: Option<Arc<Object>>,
     /// The list of backend servers as it was read.
     pub(crate) server_objects: Arc<Vec<Arc<Object>>>,
+    /// The store's revision up to which that list holds all changes.
+    pub(crate) server_revision: Option<u64>,
+    /// The list of routers as it was read.
+    pub(crate) router_objects: Arc<Vec<Object>>,
     /// The backend servers.
     pub(crate) fleet: Fleet,
     /// Whether the list of backend servers was read at all.
@@ -73,6 +79,8 @@
     pub(crate) demand: ReadDemand,
     /// The stores of cached parts, by where they answer.
     pub(crate) caches: HashMap<SocketAddr, CacheState>,
+    /// What processes tell of themselves, and with whom this router exchanges it.
+    pub(crate) fabric: Fabric,
     /// The other routers.
     pub(crate) routers: HashMap<InstanceName, OtherRouter>,
     /// Loads that were asked for and not confirmed yet.
@@ -99,11 +107,30 @@
     pub(crate) admin: Option<SocketAddr>,
     /// Its entry's revision, for removing it.
     pub(crate) revision: u64,
-    pub(crate) report: Option<(RouterReport, MonoTime)>,
+    /// Its name, where it runs and its capacity.
+    pub(crate) member: Member,
+    /// What it told all others last, and when it did.
+    pub(crate) told: Option<(RouterState, MonoTime)>,
+    /// The last hop that came from it.
+    pub(crate) hop: Option<Echo>,
     /// When it was first known, for judging its silence.
     pub(crate) known_since: MonoTime,
 }
 
+impl OtherRouter {
+    /// Time since it told what is known of it.
+    pub(crate) fn silent_ms(&self, now: MonoTime) -> u64 {
+        let told = self.told.as_ref().map_or(self.known_since, |(_, told)| *told);
+        now.ms_since(told)
+    }
+
+    /// What it told, if that was lately.
+    pub(crate) fn told_lately(&self, now: MonoTime) -> Option<&RouterState> {
+        let (told, at) = self.told.as_ref()?;
+        (now.ms_since(*at) <= SILENT_AFTER_MS).then_some(told)
+    }
+}
+
 /// A load that was asked for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Grant {
@@ -113,7 +140,12 @@
 }
 
 impl State {
-    pub(crate) fn new(settings: &GatewaySettings, now: MonoTime) -> Self {
+    pub(crate) fn new(
+        settings: &GatewaySettings,
+        own: Member,
+        run: Incarnation,
+        now: MonoTime,
+    ) -> Self {
         Self {
             started: now,
             bounds: settings.bounds,
@@ -125,6 +157,8 @@
             reads: Reads::default(),
             configuration_object: None,
             server_objects: Arc::default(),
+            server_revision: None,
+            router_objects: Arc::default(),
             fleet: Fleet::default(),
             has_fleet: false,
             quotas: Quotas::new(now, settings.bounds.quota_slack / STARTS_A_WINDOW),
@@ -132,6 +166,7 @@
             weights: HashMap::new(),
             demand: ReadDemand::default(),
             caches: HashMap::new(),
+            fabric: Fabric::new(own, run),
             routers: HashMap::new(),
             granted: HashMap::new(),
             is_draining: false,
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -14,11 +14,12 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    admin::Held,
     cache_follow, copies,
     fleet::FleetNews,
     gateway::Core,
     metrics::{self, count},
-    peers,
+    peers, publish,
     reads::{self, Parts},
     routers,
     server_list::{ServerList, Unreadable},
@@ -30,7 +31,7 @@
 /// Pause after a failed call where another router asks the store more often.
 const OUTAGE_PAUSE_MS: u64 = 900;
 /// Copies that nobody confirms for this long beyond the time between two reads are read again.
-const UNCONFIRMED_MS: u64 = 600;
+const UNCONFIRMED_MS: u64 = 900;
 /// Time between two looks whether to read.
 const LOOK_MS: u64 = 100;
 /// Pause between two reads that other routers' news bring about.
@@ -53,7 +54,7 @@
         tasks.spawn(weights::record(core.clone()));
         tasks.spawn(cache_follow::follow(core.clone()));
         tasks.spawn(peers::receive(core.clone()));
-        tasks.spawn(peers::send(core.clone()));
+        tasks.spawn(publish::publish(core.clone()));
         tasks.spawn(prune(core));
         stop.cancelled().await;
         // Dropping the set ends its tasks.
@@ -129,7 +130,7 @@
             poller.read(Parts { configuration: true, servers: true, routers }).await;
             round += 1;
         } else if news.any() {
-            poller.read(news).await;
+            poller.read_news(news).await;
         }
     }
 }
@@ -160,7 +161,10 @@
         } else {
             let confirmed_ms =
                 state.reads.oldest_age_ms(ROUNDS_A_ROUTERS_READ, now).min(since_last_ms);
-            (poll_ms + UNCONFIRMED_MS).saturating_sub(confirmed_ms)
+            let unconfirmed_in_ms = (poll_ms + UNCONFIRMED_MS).saturating_sub(confirmed_ms);
+            // The store may be back for this router too, whoever found it first.
+            let retry_in_ms = OUTAGE_PAUSE_MS.saturating_sub(since_last_ms);
+            if state.reads.is_up { unconfirmed_in_ms } else { unconfirmed_in_ms.min(retry_in_ms) }
         };
         due_in_ms.min(LOOK_MS)
     }
@@ -211,25 +215,55 @@
         }
     }
 
-    /// Reads from another router what the store won't give.
-    async fn read_from_router(&mut self, address: SocketAddr) {
+    /// Reads what another router's copies have and this one's don't: from that router, else from the store.
+    async fn read_news(&mut self, news: Parts) {
+        let told_by = self.core.state().reads.wanted_from.take();
+        let is_had = match told_by {
+            Some(address) => self.read_from_router(address).await,
+            None => false,
+        };
+        if !is_had {
+            self.read(news).await;
+        }
+    }
+
+    /// Reads from another router. Returns whether that router knew of this one, too.
+    async fn read_from_router(&mut self, address: SocketAddr) -> bool {
         let began = self.core.now();
-        let copies = match copies::fetch(address).await {
+        let copies = match copies::fetch(address, self.held()).await {
             Ok(copies) => copies,
             Err(error) => {
                 info!(self.core.log, "{}", event::COPIES_NOT_HAD; "router" => %address, "error" => %error);
-                return;
+                return false;
             }
         };
         info!(self.core.log, "{}", event::COPIES_HAD; "router" => %address,
             "configuration_age_ms" => copies.configuration_age_ms,
-            "servers_age_ms" => copies.servers_age_ms);
+            "servers_age_ms" => copies.servers_age_ms, "servers_changed" => copies.servers.len());
         if let Some(object) = copies.configuration {
             let read_began = began.minus_ms(copies.configuration_age_ms);
             self.take_configuration_object(Object::clone(&object), read_began);
         }
         let read_began = began.minus_ms(copies.servers_age_ms);
-        self.take_servers_of_router(&copies.servers, read_began);
+        if self.core.state().reads.servers.confirmed() < Some(read_began) {
+            let revision = copies.servers_revision;
+            let unreadable = self.servers.take_over(copies.servers, &copies.server_names, revision);
+            self.use_servers(&unreadable, read_began);
+        }
+        let read_began = began.minus_ms(copies.routers_age_ms);
+        let Some(routers) = copies.routers else { return true };
+        let is_older = self.core.state().reads.routers.confirmed() >= Some(read_began);
+        is_older || routers::take_over(&self.core, &routers, read_began)
+    }
+
+    /// What this router has already.
+    fn held(&self) -> Held {
+        let state = self.core.state();
+        Held {
+            configuration: state.configuration_object.as_ref().map(|object| object.revision),
+            servers: self.servers.revision(),
+            routers: state.reads.routers.confirmed().map(|_| state.reads.routers.mark()),
+        }
     }
 
     fn note(&mut self, is_up: bool) {
@@ -304,8 +338,10 @@
         }
         let unreadable = match read {
             ServersRead::Changed(changes) if changes.changes.is_empty() && confirmed.is_some() => {
+                self.servers.apply(Vec::new(), changes.revision);
                 self.note_nameless(&changes.unreadable);
                 let mut state = self.core.state();
+                state.server_revision = self.servers.revision();
                 let mark = state.reads.servers.mark();
                 state.reads.servers.read(mark, began);
                 return;
@@ -338,17 +374,6 @@
         }
     }
 
-    /// Takes another router's list over, unless the own one is as good.
-    fn take_servers_of_router(&mut self, objects: &[Arc<Object>], began: MonoTime) {
-        let (servers, unreadable) = ServerList::new(objects.iter().cloned(), None);
-        let known = self.core.state().reads.servers;
-        if known.confirmed() > Some(began) && known.mark() == servers.mark() {
-            return;
-        }
-        self.servers = servers;
-        self.use_servers(&unreadable, began);
-    }
-
     /// Puts the list in force.
     fn use_servers(&self, unreadable: &[Unreadable], began: MonoTime) {
         for entry in unreadable {
@@ -365,6 +390,7 @@
             state.reads.servers.read(self.servers.mark(), began);
         }
         state.server_objects = self.servers.objects();
+        state.server_revision = self.servers.revision();
         drop(state);
         for item in news {
             match item {
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -59,7 +59,7 @@
     ROUTER_REMOVED, "silent router removed", "A router that was not heard was taken off the list", "router, answer";
     READS_FOR_OTHERS, "reads for others", "This router reads the store for those that hear it", "";
     LEAVES_READING, "leaves reading to another", "Another router reads the store", "";
-    COPIES_HAD, "copies had from a router", "Configuration and list came from another router", "router, configuration_age_ms, servers_age_ms";
+    COPIES_HAD, "copies had from a router", "Configuration and list came from another router", "router, configuration_age_ms, servers_age_ms, servers_changed";
     COPIES_NOT_HAD, "copies not had", "Another router did not hand out its copies", "router, error";
     ENTRY_LEFT_OUT, "entry left out", "An entry of the store can't be read; the others hold", "entry, error";
     WEIGHTS_NAMED, "weights named", "A version of weights is known to be named", "model, version, source, age_ms";
--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -23,8 +23,10 @@
 
 use crate::model::Quota;
 
-/// A router whose report is older than this is taken to use its equal part.
-const SILENT_AFTER_MS: u64 = 500;
+/// A router whose word is older than this is taken to be silent, and to use its equal part.
+///
+/// A report takes up to 300 ms over relays; one that fails is replaced within another 400 ms.
+pub const SILENT_AFTER_MS: u64 = 700;
 
 /// The part of its burst that a bucket must hold to let in a request that costs more than that.
 const PART_FOR_LARGE: f64 = 0.9;
@@ -61,7 +63,11 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Router {
     incarnation: Incarnation,
+    /// When it told what was heard last.
     heard: Option<MonoTime>,
+    /// Whether all that this run has admitted is accounted for, so that a team that it tells of for the first
+    /// time had used nothing before.
+    is_accounted: bool,
 }
 
 /// What a router has admitted in all since it started.
@@ -89,7 +95,8 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct PeerUse {
-    total: f64,
+    /// What it has told of; none before its first word.
+    total: Option<f64>,
     /// Withheld from this router's filling while the peer was silent.
     assumed: f64,
 }
@@ -135,28 +142,35 @@
         }
     }
 
-    /// Takes in what another router has admitted in all since it started.
+    /// Takes in what another router had admitted in all since it started, as it told then.
     ///
-    /// The first report of a run counts only if it is full: what a run has admitted of a team before
-    /// this router knew of the run is not drained again.
+    /// What a run has admitted before this router knew of the run is not drained again: until its first full
+    /// report, only what a team's total rises by counts.
     pub fn heard(
         &mut self,
         from: &InstanceName,
         incarnation: Incarnation,
         usage: &UsageReport,
+        told: MonoTime,
         now: MonoTime,
     ) {
         self.advance(now);
         let router = self.routers.entry(from.clone()).or_default();
-        let is_new_run = incarnation > router.incarnation;
-        let is_first = router.heard.is_none();
-        if incarnation < router.incarnation || ((is_new_run || is_first) && !usage.is_full) {
+        if incarnation < router.incarnation {
             return;
         }
-        *router = Router { incarnation, heard: Some(now) };
+        let is_new_run = incarnation > router.incarnation && router.heard.is_some();
+        router.incarnation = incarnation;
+        router.heard = router.heard.max(Some(told));
+        router.is_accounted |= is_new_run;
+        let is_accounted = router.is_accounted;
+        router.is_accounted |= usage.is_full;
+        for bucket in self.buckets.values_mut().filter(|_| is_new_run) {
+            bucket.peers.entry(from.clone()).or_default().total = Some(0.0);
+        }
         for (team, total) in &usage.totals {
             if let Some(bucket) = self.buckets.get_mut(team) {
-                bucket.peer_reported(from, *total, is_new_run, is_first);
+                bucket.peer_reported(from, *total, is_accounted);
             }
         }
     }
@@ -260,14 +274,12 @@
         self.level = filled.min(most.max(0.0));
     }
 
-    fn peer_reported(&mut self, from: &InstanceName, total: f64, is_new_run: bool, is_first: bool) {
+    fn peer_reported(&mut self, from: &InstanceName, total: f64, is_accounted: bool) {
         let peer = self.peers.entry(from.clone()).or_default();
-        let before = if is_new_run && !is_first { 0.0 } else { peer.total };
-        // A router that starts can't tell what others used before it, and starts with a bucket
-        // that is nearly empty instead.
-        let used = if is_first { 0.0 } else { total - before };
+        let before = peer.total.unwrap_or(if is_accounted { 0.0 } else { total });
+        let used = total - before;
         let already_counted = peer.assumed.min(used.max(0.0));
-        *peer = PeerUse { total, assumed: 0.0 };
+        *peer = PeerUse { total: Some(total), assumed: 0.0 };
         self.level -= used - already_counted;
     }
 
--- a/crates/settings/src/gateway/mod.rs
+++ b/crates/settings/src/gateway/mod.rs
@@ -24,6 +24,8 @@
 pub struct GatewaySettings {
     /// Who and where this process is.
     pub instance: InstanceSettings,
+    /// What the process runs on.
+    pub capacity: CapacitySettings,
     /// Where the process takes connections.
     pub listen: GatewayListen,
     /// The store of configuration and registrations.
@@ -36,6 +38,13 @@
     pub log: LogSettings,
 }
 
+/// What the process runs on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CapacitySettings {
+    /// The processor's share of a core. Routers with more do more for the others.
+    pub processor_share: f64,
+}
+
 /// Where a gateway takes connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GatewayListen {
@@ -94,6 +103,9 @@
     fn build(values: &Values) -> Self {
         Self {
             instance: common::instance(values),
+            capacity: CapacitySettings {
+                processor_share: values.get("capacity", "processor_share"),
+            },
             listen: GatewayListen {
                 callers: values.get("listen", "callers"),
                 readiness: values.get("listen", "readiness"),
@@ -167,6 +179,18 @@
 
 const SCHEMA: Schema = &[
     common::INSTANCE,
+    SectionSpec {
+        name: "capacity",
+        optional: false,
+        doc: "What the process runs on.",
+        keys: &[decimal_key(
+            "processor_share",
+            (0.0, 1e4),
+            "cores",
+            "1",
+            "The processor's share of a core. Routers with more do more for the others.",
+        )],
+    },
     SectionSpec {
         name: "listen",
         optional: false,
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -69,7 +69,10 @@
     },
     error::{SettingsError, SettingsErrors},
     file::Settings,
-    gateway::{BoundsSettings, ClockSettings, GatewayListen, GatewaySettings, StoreSettings},
+    gateway::{
+        BoundsSettings, CapacitySettings, ClockSettings, GatewayListen, GatewaySettings,
+        StoreSettings,
+    },
     router::{
         LimitsSettings, PlatformSettings, RequestSettings, RouterListen, RouterPeers,
         RouterSettings,
--- a/crates/sidecar/src/routers.rs
+++ b/crates/sidecar/src/routers.rs
@@ -6,7 +6,7 @@
 use samphirespread_peer::{Directive, LoadDirective};
 
 /// A router that has not asked for this long gets no more reports.
-const FORGET_AFTER_MS: u64 = 5_000;
+const FORGET_AFTER_MS: u64 = 2_000;
 /// A directive to load holds for this long after it was last repeated.
 const DIRECTIVE_LIFETIME_MS: u64 = 2_000;
 
@@ -33,7 +33,7 @@
         now: MonoTime,
     ) -> Heard {
         self.heard.retain(|_, heard| now.ms_since(*heard) < FORGET_AFTER_MS);
-        let is_new = self.heard.insert(from, now).is_none();
+        let is_new = directive.wants_reports && self.heard.insert(from, now).is_none();
         let routers = i64::try_from(self.heard.len()).unwrap_or(i64::MAX);
         let Some(load) = directive.load else {
             return Heard { is_new, has_work: false, routers };
--- a/crates/sidecar/tests/sidecar.rs
+++ b/crates/sidecar/tests/sidecar.rs
@@ -47,6 +47,7 @@
 impl Site {
     async fn direct(&self, version: Option<u64>) {
         let directive = Directive {
+            wants_reports: true,
             from: InstanceName::new("r1"),
             server_id: "e1".to_owned(),
             load: version.map(|version| LoadDirective { model: ModelName::new(MODEL), version }),
