Order loads of engines without a sidecar, by one router that holds a lease

One router, the one that reads the store for others, takes a lease (one object, conditional writes, one write a second, however many engines), rests for a term, reads the engines' reports, publishes them like a sidecar and orders what it grants as the conductor. The fencing token holds epoch, whether holder or sidecar orders, and version; sidecars get the epoch with their directives. Permission is looked at right before each order, on a clock that counts suspensions. The number of a run follows the wall clock, which may go back: of two runs the one that told later counts now, in records, quotas, hops and engines' words (tests; before, such a run was ignored until it was forgotten).

--- a/crates/fabric/src/fabric.rs
+++ b/crates/fabric/src/fabric.rs
@@ -39,16 +39,12 @@
     sequence: u64,
     published: MonoTime,
     is_near: bool,
+    /// Whether it came from its publisher itself.
+    is_first_hand: bool,
     payload: Vec<u8>,
     change: u64,
 }
 
-impl Held {
-    fn order(&self) -> (Incarnation, u64) {
-        (self.incarnation, self.sequence)
-    }
-}
-
 /// A record that replaces what was known of its publisher.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fresh {
@@ -126,25 +122,20 @@
     pub fn publish(&mut self, payload: Vec<u8>, now: MonoTime) {
         self.sequence += 1;
         let origin = Origin::of_router(&self.own.name);
-        let (incarnation, sequence) = (self.incarnation, self.sequence);
-        self.hold(
-            origin,
-            Held { incarnation, sequence, published: now, is_near: true, payload, change: 0 },
-        );
+        let held = Held::first_hand((self.incarnation, self.sequence), payload, now);
+        self.hold(origin, held);
     }
 
     /// Takes in a record that came from its publisher itself, which is not a router.
     pub fn told(
         &mut self,
         origin: Origin,
-        (incarnation, sequence): (Incarnation, u64),
+        order: (Incarnation, u64),
         payload: Vec<u8>,
         now: MonoTime,
     ) {
-        let held =
-            Held { incarnation, sequence, published: now, is_near: true, payload, change: 0 };
-        if self.is_news(origin, held.order()) {
-            self.hold(origin, held);
+        if self.is_news(origin, order, now) {
+            self.hold(origin, Held::first_hand(order, payload, now));
         }
     }
 
@@ -171,10 +162,10 @@
         let mut news = News::default();
         for record in records {
             let order = (record.incarnation, record.sequence);
-            if record.origin == own || !self.is_news(record.origin, order) {
+            let published = now.minus_ms(record.age_ms);
+            if record.origin == own || !self.is_news(record.origin, order, published) {
                 continue;
             }
-            let published = now.minus_ms(record.age_ms);
             news.fresh.push(Fresh {
                 origin: record.origin,
                 router: self.names.get(&record.origin).cloned(),
@@ -188,6 +179,7 @@
                 sequence: record.sequence,
                 published,
                 is_near: record.is_near && is_neighbour,
+                is_first_hand: false,
                 payload: record.payload.clone(),
                 change: 0,
             };
@@ -196,7 +188,7 @@
         news
     }
 
-    /// The routers to ask now, and for what. They get this router's own record as well.
+    /// The routers to ask now, and for what. They get what this router has first-hand as well.
     pub fn asks(&mut self, now: MonoTime) -> Vec<(InstanceName, Asks)> {
         let mut asks = self.asks_in_own_domain(now);
         if self.relays(now) {
@@ -238,7 +230,6 @@
         let change = self.change;
         let Some(link) = self.links.get_mut(to) else { return Vec::new() };
         let wants = link.wants_now(now);
-        let own = Origin::of_router(&self.own.name);
         let receiver = Origin::of_router(to);
         let is_asked = link.is_asked();
         let sent = std::mem::replace(&mut link.sent_change, change);
@@ -246,8 +237,8 @@
             let is_wanted = match wants {
                 Asks::All => true,
                 Asks::Near => held.is_near,
-                // A router that is asked hears of the one that asks.
-                Asks::Presence | Asks::Nothing => *origin == own && is_asked,
+                // A router that is asked gets what the one that asks has first-hand.
+                Asks::Presence | Asks::Nothing => held.is_first_hand && is_asked,
             };
             held.change > sent && is_wanted && *origin != receiver
         };
@@ -265,8 +256,16 @@
         self.records.insert(origin, Held { change: self.change, ..held });
     }
 
-    fn is_news(&self, origin: Origin, order: (Incarnation, u64)) -> bool {
-        self.records.get(&origin).is_none_or(|known| known.order() < order)
+    /// Whether a record replaces what is known of its publisher.
+    ///
+    /// Of two runs the one that published later is the later one: the number of a run follows the wall clock,
+    /// which may have gone back between them.
+    fn is_news(&self, origin: Origin, order: (Incarnation, u64), published: MonoTime) -> bool {
+        let Some(known) = self.records.get(&origin) else { return true };
+        if known.incarnation == order.0 {
+            return known.sequence < order.1;
+        }
+        known.published < published
     }
 
     fn is_neighbour(&self, name: &InstanceName) -> bool {
@@ -387,6 +386,12 @@
 }
 
 impl Held {
+    fn first_hand(order: (Incarnation, u64), payload: Vec<u8>, now: MonoTime) -> Self {
+        let (incarnation, sequence) = order;
+        let (is_near, is_first_hand) = (true, true);
+        Self { incarnation, sequence, published: now, is_near, is_first_hand, payload, change: 0 }
+    }
+
     fn record(&self, origin: Origin, now: MonoTime) -> Record {
         Record {
             origin,
--- a/crates/fabric/src/record.rs
+++ b/crates/fabric/src/record.rs
@@ -1,7 +1,5 @@
 //! What a process publishes of itself.
 
-use std::net::IpAddr;
-
 use samphirespread_core::prelude::*;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -21,8 +19,8 @@
     }
 
     /// The process that tells of the engine at an address.
-    pub fn of_engine(address: IpAddr) -> Self {
-        Self(xxh3_64_with_seed(address.to_string().as_bytes(), ENGINE_SEED))
+    pub fn of_engine(address: &str) -> Self {
+        Self(xxh3_64_with_seed(address.as_bytes(), ENGINE_SEED))
     }
 }
 
--- a/crates/fabric/tests/spread/network.rs
+++ b/crates/fabric/tests/spread/network.rs
@@ -14,6 +14,8 @@
 const PUBLISH_MS: u64 = 100;
 /// An echo of what was sent this long ago shows that the way is open.
 const ECHO_CURRENT_MS: u64 = 500;
+/// The number of the first run of each router.
+const FIRST_RUN: u64 = 1_000_000;
 const ENGINE_REPORT_MS: u64 = 200;
 /// Engines tell a router that asked them for this long.
 const ENGINE_ASKED_MS: u64 = 1_000;
@@ -103,9 +105,9 @@
         let members: Vec<Member> = (0..plan.routers).map(|n| member(n, plan.domains)).collect();
         let nodes = (0..plan.routers)
             .map(|n| Node {
-                fabric: fabric(&members, n, 1),
+                fabric: fabric(&members, n, FIRST_RUN),
                 member: members[n].clone(),
-                incarnation: 1,
+                incarnation: FIRST_RUN,
                 is_up: true,
                 frozen_until: 0,
                 offset_ms: random.random_range(0..TICK_MS / STEP_MS) * STEP_MS,
@@ -117,7 +119,7 @@
             .collect();
         let engines = (0..plan.engines)
             .map(|n| Engine {
-                origin: Origin::of_engine(engine_address(n)),
+                origin: Origin::of_engine(&format!("engine-{n}")),
                 domain: n % plan.domains,
                 sequence: 0,
                 offset_ms: random.random_range(0..ENGINE_REPORT_MS / STEP_MS) * STEP_MS,
@@ -151,7 +153,9 @@
     /// Starts a router anew, which knows nothing but the list of members.
     pub(crate) fn restart(&mut self, node: usize) {
         let members: Vec<Member> = self.nodes.iter().map(|node| node.member.clone()).collect();
-        let incarnation = self.nodes[node].incarnation + 1;
+        // The wall clock, which the number of a run follows, may have gone back.
+        let step = if self.random.random_bool(0.3) { -1 } else { 1 };
+        let incarnation = self.nodes[node].incarnation.saturating_add_signed(1_000 * step);
         let fresh = fabric(&members, node, incarnation);
         let node = &mut self.nodes[node];
         (node.fabric, node.incarnation, node.is_up) = (fresh, incarnation, true);
@@ -213,9 +217,12 @@
         }
         for fresh in node.fabric.received(&from, &datagram.records, now).fresh {
             let order = (fresh.incarnation, fresh.sequence);
-            let known = node.seen.get(&fresh.origin).map(|seen| seen.order);
-            assert!(known.is_none_or(|known| known < order), "a record went back");
             let published = u64::from_le_bytes(fresh.payload[..8].try_into().unwrap());
+            if let Some(known) = node.seen.get(&fresh.origin) {
+                let is_same_run = known.order.0 == order.0;
+                assert!(!is_same_run || known.order < order, "a record went back");
+                assert!(known.published <= published, "an earlier run came back");
+            }
             node.seen.insert(fresh.origin, Seen { published, order });
         }
     }
@@ -350,8 +357,3 @@
     fabric.set_members(others, MonoTime::ZERO);
     fabric
 }
-
-fn engine_address(number: usize) -> std::net::IpAddr {
-    let [.., high, low] = u64::try_from(number).unwrap().to_be_bytes();
-    std::net::IpAddr::from([10, 0, high, low])
-}
--- a/crates/gateway/src/conduct.rs
+++ b/crates/gateway/src/conduct.rs
@@ -12,6 +12,7 @@
 use crate::{
     fleet::Server,
     gateway::Core,
+    orders::ORDER_TIMEOUT_MS,
     state::{Grant, OtherRouter, State},
 };
 
@@ -45,9 +46,13 @@
 
 /// Whether this router is the one that conducts now.
 pub(crate) fn conducts(core: &Core, state: &State, now: MonoTime) -> bool {
-    let has_precedence = |router: &OtherRouter| {
-        let offers = router.told_lately(now).is_some_and(|told| told.can_conduct);
-        offers && precedes(&router.member, &core.member)
+    // Whoever may order engines without a sidecar goes first, since nobody else can carry their loads out.
+    let has_precedence = |router: &OtherRouter| match router.told_lately(now) {
+        Some(told) if told.holds_orders != state.holds_orders => {
+            told.can_conduct && told.holds_orders
+        }
+        Some(told) => told.can_conduct && precedes(&router.member, &core.member),
+        None => false,
     };
     can_conduct(state, now) && !state.routers.values().any(has_precedence)
 }
@@ -55,7 +60,8 @@
 /// Decides which engines load. Returns whether there is news for their sidecars.
 pub(crate) fn conduct(core: &Core, state: &mut State, now: MonoTime) -> bool {
     settle_grants(state, now);
-    if !conducts(core, state, now) {
+    // An order without the latest epoch could carry a lower fencing token than one before it.
+    if state.orders_epoch.is_none() || !conducts(core, state, now) {
         return false;
     }
     let mut grants = Vec::new();
@@ -98,6 +104,7 @@
 fn phase(state: &State, server: &Server, now: MonoTime) -> Phase {
     match server.fresh_state(now) {
         None => Phase::Unreachable,
+        Some(_) if !may_be_ordered(state, server, now) => Phase::Unreachable,
         Some(reported) if reported.is_loading && reported.running > 0 => Phase::Finishing,
         Some(reported) if reported.is_loading => Phase::Loading,
         Some(_) if state.granted.contains_key(&server.entry.id) => Phase::Finishing,
@@ -105,6 +112,18 @@
     }
 }
 
+/// Whether the process that orders this engine may do so now.
+///
+/// Without a sidecar that is the holder of the lease. A sidecar that comes back waits until the holder's last
+/// order is long enough ago.
+fn may_be_ordered(state: &State, server: &Server, now: MonoTime) -> bool {
+    let turn_ms = state.bounds.order_lease_ms + ORDER_TIMEOUT_MS;
+    match server.has_sidecar {
+        true => server.ordered.is_none_or(|ordered| now.ms_since(ordered) > turn_ms),
+        false => state.holds_orders,
+    }
+}
+
 /// Drops grants that have been carried out, taken up or left unanswered for too long.
 fn settle_grants(state: &mut State, now: MonoTime) {
     let fleet = &state.fleet;
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -2,15 +2,15 @@
 
 use std::{
     collections::{HashMap, HashSet, VecDeque, hash_map::Entry},
-    net::IpAddr,
+    net::{IpAddr, SocketAddr},
     sync::Arc,
 };
 
 use samphirespread_core::prelude::*;
 use samphirespread_outbound::Idle;
-use samphirespread_peer::{EngineState, HeldWeights};
+use samphirespread_peer::EngineKey;
 use samphirespread_routing::{
-    model::{BackendServer, ServiceName, Standing},
+    model::{BackendServer, EngineState, LoadedModel, ServiceName, Standing},
     suspicion::Suspicion,
 };
 
@@ -35,8 +35,14 @@
     pub(crate) unread_tokens: u64,
     /// Memory of this router's requests that the last report can't tell of yet, and when they were sent.
     sent: VecDeque<(MonoTime, u64)>,
-    /// What its sidecar said last.
+    /// What its sidecar said last, or the router that holds the lease on orders.
     pub(crate) report: Option<Report>,
+    /// Whether a process beside it was ever heard; then only that one orders it.
+    pub(crate) has_sidecar: bool,
+    /// When it was first known.
+    pub(crate) known_since: MonoTime,
+    /// When this router, holding the lease on orders, ordered it last.
+    pub(crate) ordered: Option<MonoTime>,
     /// Requests of other routers, from the load that it told with an answer, and when.
     pub(crate) foreign_load: (u32, MonoTime),
     /// Whether another server answers at its address.
@@ -65,6 +71,19 @@
     sequence: u64,
 }
 
+/// What was published of an engine.
+#[derive(Clone, Debug)]
+pub(crate) struct EngineWord {
+    pub(crate) engine: EngineKey,
+    /// The publisher's run, and the number of the word in it.
+    pub(crate) incarnation: Incarnation,
+    pub(crate) sequence: u64,
+    /// None while the engine does not answer.
+    pub(crate) state: Option<EngineState>,
+    /// When it was published, by this router's clock.
+    pub(crate) published: MonoTime,
+}
+
 /// What a newer word of a sidecar tells.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Reported {
@@ -75,7 +94,7 @@
 }
 
 impl Server {
-    fn new(entry: BackendServer) -> Self {
+    fn new(entry: BackendServer, now: MonoTime) -> Self {
         Self {
             entry,
             idle: Idle::default(),
@@ -84,6 +103,9 @@
             unread_tokens: 0,
             sent: VecDeque::new(),
             report: None,
+            has_sidecar: false,
+            known_since: now,
+            ordered: None,
             foreign_load: (0, MonoTime::ZERO),
             is_superseded: false,
             said_leaving: false,
@@ -173,7 +195,7 @@
 }
 
 /// The part of an engine's state that decides on rollouts.
-fn rollout_facts(state: &EngineState) -> (&[HeldWeights], bool, bool) {
+fn rollout_facts(state: &EngineState) -> (&[LoadedModel], bool, bool) {
     (&state.models, state.is_loading, state.running > 0)
 }
 
@@ -192,6 +214,7 @@
     servers: HashMap<Arc<str>, Server>,
     by_service: HashMap<ServiceName, Vec<Arc<str>>>,
     by_ip: HashMap<IpAddr, Arc<str>>,
+    by_address: HashMap<SocketAddr, Arc<str>>,
     /// Runs that said that they drain, and when that was known. They outlast the entry, which may lapse and
     /// come back.
     departures: HashMap<Departure, MonoTime>,
@@ -206,6 +229,7 @@
         &mut self,
         entries: Vec<BackendServer>,
         keeps_missing: bool,
+        now: MonoTime,
     ) -> Vec<FleetNews> {
         let mut news = Vec::new();
         let listed: HashSet<Arc<str>> = entries.iter().map(|entry| entry.id.clone()).collect();
@@ -217,7 +241,7 @@
             stays
         });
         for entry in entries {
-            self.set(entry, &mut news);
+            self.set(entry, now, &mut news);
         }
         if !news.is_empty() {
             self.index();
@@ -225,21 +249,21 @@
         news
     }
 
-    fn set(&mut self, entry: BackendServer, news: &mut Vec<FleetNews>) {
+    fn set(&mut self, entry: BackendServer, now: MonoTime, news: &mut Vec<FleetNews>) {
         let id = entry.id.clone();
         let Some(server) = self.servers.get_mut(&id) else {
             news.push(FleetNews::Appeared(id.clone()));
             if entry.standing == Standing::Draining {
                 news.push(FleetNews::Draining(id.clone()));
             }
-            self.insert(entry);
+            self.insert(entry, now);
             return;
         };
         let was_restarted = server.entry.started_unix_ms != entry.started_unix_ms
             || server.entry.address != entry.address;
         if was_restarted {
             news.push(FleetNews::Restarted(id));
-            self.insert(entry);
+            self.insert(entry, now);
             return;
         }
         if server.entry.standing == Standing::Ready && entry.standing == Standing::Draining {
@@ -248,8 +272,8 @@
         server.entry = entry;
     }
 
-    fn insert(&mut self, entry: BackendServer) {
-        let mut server = Server::new(entry);
+    fn insert(&mut self, entry: BackendServer, now: MonoTime) {
+        let mut server = Server::new(entry, now);
         server.said_leaving = self.departures.contains_key(&server.run());
         self.servers.insert(server.entry.id.clone(), server);
     }
@@ -283,17 +307,17 @@
         self.by_ip.clear();
         let mut ids: Vec<Arc<str>> = self.servers.keys().cloned().collect();
         ids.sort_by_key(|id| (self.servers[id].entry.started_unix_ms, id.clone()));
-        let mut by_address = HashMap::new();
+        self.by_address.clear();
         for id in &ids {
             let entry = &self.servers[id].entry;
             // Of several entries with one address, that of the latest start comes last and stays.
-            by_address.insert(entry.address, id.clone());
+            self.by_address.insert(entry.address, id.clone());
             self.by_ip.insert(entry.address.ip(), id.clone());
         }
         ids.sort();
         for id in ids {
             let Some(server) = self.servers.get_mut(&id) else { continue };
-            let answers = by_address.get(&server.entry.address);
+            let answers = self.by_address.get(&server.entry.address);
             if answers.is_some_and(|latest| *latest != id) {
                 server.is_superseded = true;
             }
@@ -301,21 +325,24 @@
         }
     }
 
-    /// Takes in what the sidecar at an address published of its engine.
+    /// Takes in what was published of the engine at an address.
     ///
     /// Returns what it tells if it is newer than what was known.
-    pub(crate) fn reported(
-        &mut self,
-        address: IpAddr,
-        (incarnation, sequence): (Incarnation, u64),
-        state: Option<EngineState>,
-        published: MonoTime,
-        now: MonoTime,
-    ) -> Option<Reported> {
-        let id = self.by_ip.get(&address)?;
+    pub(crate) fn reported(&mut self, word: EngineWord, now: MonoTime) -> Option<Reported> {
+        let EngineWord { engine, incarnation, sequence, state, published } = word;
+        let id = match engine {
+            EngineKey::Beside(address) => self.by_ip.get(&address)?,
+            EngineKey::At(address) => self.by_address.get(&address)?,
+        };
         let server = self.servers.get_mut(id)?;
-        let known = server.report.as_ref().map(|known| (known.incarnation, known.sequence));
-        if known >= Some((incarnation, sequence)) {
+        server.has_sidecar |= engine.is_of_sidecar();
+        let is_old = server.report.as_ref().is_some_and(|known| match known.incarnation {
+            run if run == incarnation => known.sequence >= sequence,
+            // Of two runs the one that told later is the later one, whatever the wall clock made of their
+            // numbers.
+            _ => known.heard >= published,
+        });
+        if is_old {
             return None;
         }
         server.drop_told(published);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod gateway;
 mod handle;
 mod metrics;
+mod orders;
 mod peers;
 mod publish;
 mod pulse;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,10 +3,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use samphirespread_core::prelude::*;
-use samphirespread_fabric::{Fresh, Origin};
+use samphirespread_fabric::Fresh;
 use samphirespread_logging::event;
 use samphirespread_peer::{
-    Datagram, EngineReport, EngineState, Hop, Published, RECEIVE_BUFFER_BYTES, RouterPacket,
+    Datagram, EngineKey, EngineReport, Hop, Published, RECEIVE_BUFFER_BYTES, RouterPacket,
     RouterState, decode, decode_payload, encode_payload,
 };
 use samphirespread_routing::{
@@ -16,7 +16,13 @@
 use slog::{info, warn};
 use tokio::time;
 
-use crate::{conduct, fleet::Departure, gateway::Core, metrics, reads, state::State};
+use crate::{
+    conduct,
+    fleet::{Departure, EngineWord},
+    gateway::Core,
+    metrics, reads,
+    state::State,
+};
 
 /// Pause after a datagram could not be received.
 const PAUSE_MS: u64 = 100;
@@ -76,9 +82,9 @@
     let hears_this = echoed.is_some_and(|sent| now.ms_since(sent) <= ECHO_CURRENT_MS);
     state.fabric.asked(from, hop.asks, hears_this, now);
     let Some(router) = state.routers.get_mut(from) else { return };
-    let order = |echo: &Echo| (echo.incarnation, echo.sent);
     let echo = Echo { incarnation: hop.incarnation, sent: hop.sent };
-    if router.hop.as_ref().is_none_or(|known| order(known) < order(&echo)) {
+    let is_older = |known: &Echo| known.incarnation == echo.incarnation && known.sent > echo.sent;
+    if !router.hop.as_ref().is_some_and(is_older) {
         router.hop = Some(echo);
     }
     let admin = router.admin;
@@ -98,14 +104,15 @@
     match (published, &fresh.router) {
         (Published::Router(told), Some(name)) => take_router(core, state, name, told, &fresh, now),
         (Published::Router(_), None) => look_for_routers(core, state),
-        (Published::Engine { address, state: engine }, _) => {
-            let order = (fresh.incarnation, fresh.sequence);
-            let reported = state.fleet.reported(address, order, engine, fresh.published, now);
-            if reported.is_some_and(|reported| reported.is_news)
-                && conduct::conduct(core, state, now)
-            {
-                core.told.notify_one();
-            }
+        (Published::Engine { engine, state: engine_state }, _) => {
+            let word = EngineWord {
+                engine,
+                incarnation: fresh.incarnation,
+                sequence: fresh.sequence,
+                state: engine_state,
+                published: fresh.published,
+            };
+            take_engine_word(core, state, word, now);
         }
     }
 }
@@ -126,6 +133,7 @@
             core.told.notify_one();
         }
     }
+    state.orders_epoch = state.orders_epoch.max(told.orders_epoch);
     for server in &told.departures {
         let (id, started_unix_ms) = (server.server_id.as_str().into(), server.started_unix_ms);
         if state.fleet.departs(Departure { id, started_unix_ms }, now) {
@@ -145,28 +153,33 @@
 
 fn take_engine(core: &Core, from: SocketAddr, report: EngineReport) {
     let now = core.now();
-    let mut state = core.state();
-    let order = (report.incarnation, report.sequence);
-    let address = from.ip();
-    state.fabric.told(
-        Origin::of_engine(address),
-        order,
-        engine_payload(address, &report.state),
-        now,
-    );
-    let Some(reported) = state.fleet.reported(address, order, report.state, now, now) else {
-        return;
+    let word = EngineWord {
+        engine: EngineKey::Beside(from.ip()),
+        incarnation: report.incarnation,
+        sequence: report.sequence,
+        state: report.state,
+        published: now,
     };
-    if reported.started_anew && reads::leads(core, &state, now) {
+    pass_on(core, &mut core.state(), word, now);
+}
+
+/// Takes in what this router has of an engine first-hand, and publishes it.
+pub(crate) fn pass_on(core: &Core, state: &mut State, word: EngineWord, now: MonoTime) {
+    let EngineWord { engine, incarnation, sequence, .. } = word;
+    let published = Published::Engine { engine, state: word.state.clone() };
+    let order = (incarnation, sequence);
+    state.fabric.told(engine.origin(), order, encode_payload(&published), now);
+    take_engine_word(core, state, word, now);
+}
+
+fn take_engine_word(core: &Core, state: &mut State, word: EngineWord, now: MonoTime) {
+    let Some(reported) = state.fleet.reported(word, now) else { return };
+    if reported.started_anew && reads::leads(core, state, now) {
         state.reads.news.servers = true;
         core.news.notify_one();
     }
     // Whatever else may change with time is looked at with every round of this router's own.
-    if reported.is_news && conduct::conduct(core, &mut state, now) {
+    if reported.is_news && conduct::conduct(core, state, now) {
         core.told.notify_one();
     }
 }
-
-fn engine_payload(address: std::net::IpAddr, state: &Option<EngineState>) -> Vec<u8> {
-    encode_payload(&Published::Engine { address, state: state.clone() })
-}
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -128,6 +128,8 @@
     RouterState {
         reads_store: state.reads.is_up && state.table.is_some(),
         can_conduct: conduct::can_conduct(state, now),
+        holds_orders: state.holds_orders,
+        orders_epoch: state.orders_epoch,
         weights: weights(state, within_ms, now),
         usage: team_usage(&usage),
         usage_is_full: is_full,
@@ -178,7 +180,7 @@
         let is_known = server.report.is_some();
         let rounds = if is_known { ROUNDS_A_DIRECTIVE } else { ROUNDS_A_FIRST_DIRECTIVE };
         let is_due = wants_reports && (round + index).is_multiple_of(rounds);
-        let grant = state.granted.get(&server.entry.id).filter(|_| publishes);
+        let grant = state.granted.get(&server.entry.id).filter(|_| publishes && server.has_sidecar);
         if grant.is_none() && !is_due {
             continue;
         }
@@ -186,8 +188,11 @@
             from: core.name.clone(),
             server_id: server.entry.id.to_string(),
             wants_reports,
-            load: grant
-                .map(|grant| LoadDirective { model: grant.model.clone(), version: grant.version }),
+            load: grant.map(|grant| LoadDirective {
+                model: grant.model.clone(),
+                version: grant.version,
+                epoch: state.orders_epoch.unwrap_or(0),
+            }),
         };
         let address = SocketAddr::new(server.entry.address.ip(), port);
         outgoing.push((address, encode(&Datagram::Directive(directive))));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
 use crate::{
     conduct,
     fleet::{Fleet, Server},
+    orders::Permit,
     reads::Reads,
 };
 
@@ -83,6 +84,12 @@
     pub(crate) fabric: Fabric,
     /// The other routers.
     pub(crate) routers: HashMap<InstanceName, OtherRouter>,
+    /// Whether this router holds the lease on orders to engines without a sidecar.
+    pub(crate) holds_orders: bool,
+    /// When this router may order engines; looked at right before each order.
+    pub(crate) permit: Option<Permit>,
+    /// The latest epoch of that lease that is known; none before it was looked for.
+    pub(crate) orders_epoch: Option<u64>,
     /// Loads that were asked for and not confirmed yet.
     pub(crate) granted: HashMap<Arc<str>, Grant>,
     /// Whether this process is leaving.
@@ -168,6 +175,9 @@
             caches: HashMap::new(),
             fabric: Fabric::new(own, run),
             routers: HashMap::new(),
+            holds_orders: false,
+            permit: None,
+            orders_epoch: None,
             granted: HashMap::new(),
             is_draining: false,
             unreadable: HashSet::new(),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -19,7 +19,7 @@
     fleet::FleetNews,
     gateway::Core,
     metrics::{self, count},
-    peers, publish,
+    orders, peers, publish,
     reads::{self, Parts},
     routers,
     server_list::{ServerList, Unreadable},
@@ -55,6 +55,7 @@
         tasks.spawn(cache_follow::follow(core.clone()));
         tasks.spawn(peers::receive(core.clone()));
         tasks.spawn(publish::publish(core.clone()));
+        tasks.spawn(orders::hold(core.clone()));
         tasks.spawn(prune(core));
         stop.cancelled().await;
         // Dropping the set ends its tasks.
@@ -380,8 +381,9 @@
             log_unreadable(&self.core, &entry.name, &entry.error);
         }
         let keeps_missing = began < self.missing_until;
+        let now = self.core.now();
         let mut state = self.core.state();
-        let news = state.fleet.replace(self.servers.servers(), keeps_missing);
+        let news = state.fleet.replace(self.servers.servers(), keeps_missing, now);
         state.has_fleet = true;
         if keeps_missing {
             // What is missing has to be looked at again, whatever others say of the list.
--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -6,7 +6,8 @@
 use http::Request;
 use http_body_util::Full;
 use samphirespread_core::prelude::*;
-use samphirespread_peer::{Datagram, EngineReport, EngineState, HeldWeights, encode};
+use samphirespread_peer::{Datagram, EngineReport, encode};
+use samphirespread_routing::model::{EngineState, LoadedModel};
 use samphirespread_standin::published::StoreFault;
 use serde_json::json;
 use tokio::net::UdpSocket;
@@ -102,7 +103,7 @@
 ///
 /// All servers share an address here, so a sidecar's word is taken for the last engine.
 async fn send_beside_a_restart(site: &Site, sidecar: &UdpSocket, number: u64) -> Answer {
-    let held = HeldWeights { model: ModelName::new(MODEL), version: 1 };
+    let held = LoadedModel { model: ModelName::new(MODEL), version: 1 };
     let report = EngineReport {
         from: InstanceName::new("s2"),
         incarnation: Incarnation(1),
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -65,6 +65,8 @@
     WEIGHTS_NAMED, "weights named", "A version of weights is known to be named", "model, version, source, age_ms";
     WEIGHTS_NOT_FOLLOWED, "weights not followed", "A call for the versions of weights failed; it is tried again", "error";
     ROLLOUT_STEP, "rollout: engine is to load", "The conducting router tells an engine to load", "server, model, version";
+    ORDERS_TAKEN, "orders taken", "This router holds the lease on orders to engines without a sidecar", "epoch";
+    ORDERS_GIVEN_UP, "orders given up", "This router may not order engines any more", "epoch";
     ROLLOUT_NOT_RECORDED, "rollout not recorded", "The time of a naming was not written; it is tried again", "model, version, error";
     RECORD_LEFT_OUT, "rollout record left out", "A record of a rollout can't be read", "model, error";
     CACHE_REACHED, "cache store reached", "What a cache store holds was listed", "store, epoch, next, parts";
@@ -76,11 +78,11 @@
     RECEIVING_FAILED, "receiving failed", "The socket for messages failed", "error";
     CONNECTION_NOT_ACCEPTED, "connection not accepted", "A connection could not be accepted", "error";
     ROUTER_HEARD, "router heard", "A sidecar has a new router to report to", "address";
-    ENGINE_LOST, "engine lost", "The engine does not answer its sidecar", "error, failures";
+    ENGINE_LOST, "engine lost", "An engine does not answer the process that reads its reports", "server, error, failures";
     ENGINE_CHANGED, "engine changed", "The engine's weights or readiness have changed", "state";
-    ORDER_GIVEN, "order given", "The engine took an order", "model, version, after_orders, answer";
-    ORDER_REFUSED, "order refused", "The engine refused an order", "model, version, after_orders, answer";
-    ORDER_UNANSWERED, "order without an answer", "An order may or may not be carried out; the next report shows", "model, version, after_orders, error";
+    ORDER_GIVEN, "order given", "An engine took an order", "server, model, version, after_orders, answer";
+    ORDER_REFUSED, "order refused", "An engine refused an order", "server, model, version, after_orders, answer";
+    ORDER_UNANSWERED, "order without an answer", "An order may or may not be carried out; the next report shows", "server, model, version, after_orders, error";
     REPORT_NOT_SENT, "report not sent", "A sidecar's report could not be sent", "to, error";
     SETTINGS_RELOADED, "settings reloaded", "The settings file has changed and is in force", "";
     SETTINGS_REFUSED, "settings refused", "The settings file has faults; the old settings stay in force", "error";
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -29,12 +29,19 @@
 //! A router's record is one datagram's worth: it tells of up to 70 teams at a time in
 //! [`MAX_DATAGRAM_BYTES`], and is sent in fragments beyond.
 
-use std::{error::Error, fmt, net::IpAddr};
+use std::{
+    error::Error,
+    fmt,
+    net::{IpAddr, SocketAddr},
+};
 
 use bincode::config::{Configuration, standard};
 use samphirespread_core::prelude::*;
-use samphirespread_fabric::{Asks, Record};
-use samphirespread_routing::freshness::{Echo, Word};
+use samphirespread_fabric::{Asks, Origin, Record};
+use samphirespread_routing::{
+    freshness::{Echo, Word},
+    model::EngineState,
+};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// Records fill a datagram up to this size, in bytes: what fits one packet of common links.
@@ -95,22 +102,50 @@
 pub enum Published {
     /// A router tells of itself.
     Router(RouterState),
-    /// A sidecar tells of its engine.
+    /// A process tells of an engine.
     Engine {
-        /// Where the engine is.
-        address: IpAddr,
+        /// Which engine, and who tells.
+        engine: EngineKey,
         /// The engine's state; none while it does not answer.
         state: Option<EngineState>,
     },
 }
 
+/// An engine, as the process that tells of it knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum EngineKey {
+    /// The process beside it tells, at the same IP address.
+    Beside(IpAddr),
+    /// The router that holds the lease on orders tells of the engine that answers there.
+    At(SocketAddr),
+}
+
+impl EngineKey {
+    /// Whether the process beside the engine tells.
+    pub fn is_of_sidecar(self) -> bool {
+        matches!(self, Self::Beside(_))
+    }
+
+    /// The publisher of records of this engine.
+    pub fn origin(self) -> Origin {
+        match self {
+            Self::Beside(address) => Origin::of_engine(&address.to_string()),
+            Self::At(address) => Origin::of_engine(&address.to_string()),
+        }
+    }
+}
+
 /// What a router tells all others.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct RouterState {
     /// Whether its last own read of the store succeeded.
     pub reads_store: bool,
-    /// Whether it hears most sidecars and may conduct a rollout.
+    /// Whether it hears of most engines and may conduct a rollout.
     pub can_conduct: bool,
+    /// Whether it holds the lease on orders.
+    pub holds_orders: bool,
+    /// The latest epoch of that lease that it knows of.
+    pub orders_epoch: Option<u64>,
     /// The weights that it knows to have been named.
     pub weights: Vec<NamedWeights>,
     /// What it has admitted in this run.
@@ -170,6 +205,8 @@
     pub model: ModelName,
     /// The version.
     pub version: u64,
+    /// The latest epoch of the lease on orders, which the fencing token has to be above.
+    pub epoch: u64,
 }
 
 /// What a sidecar tells routers of its engine.
@@ -185,34 +222,6 @@
     pub state: Option<EngineState>,
 }
 
-/// The state of an engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EngineState {
-    /// The wall clock's milliseconds at the engine's start, as it says.
-    pub started_unix_ms: Option<u64>,
-    /// The weights it holds.
-    pub models: Vec<HeldWeights>,
-    /// Whether it is about to load or loads.
-    pub is_loading: bool,
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Memory that can't be given up, in tokens.
-    pub used_tokens: u64,
-    /// All of its memory, in tokens.
-    pub memory_tokens: u64,
-}
-
-/// Weights that an engine holds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HeldWeights {
-    /// The model.
-    pub model: ModelName,
-    /// The version.
-    pub version: u64,
-}
-
 /// Bytes that are no datagram of ours.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[non_exhaustive]
--- a/crates/routing/src/model.rs
+++ b/crates/routing/src/model.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use samphirespread_core::prelude::*;
+use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
 /// The name of a service, which routes send requests to.
@@ -205,7 +206,7 @@
 }
 
 /// The weights that an engine holds.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadedModel {
     /// The model.
     pub model: ModelName,
@@ -213,6 +214,32 @@
     pub version: u64,
 }
 
+/// The state of an engine, as it says itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineState {
+    /// The wall clock's milliseconds at the engine's start.
+    pub started_unix_ms: Option<u64>,
+    /// The weights it holds.
+    pub models: Vec<LoadedModel>,
+    /// Whether it is about to load or loads.
+    pub is_loading: bool,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Memory that can't be given up, in tokens.
+    pub used_tokens: u64,
+    /// All of its memory, in tokens.
+    pub memory_tokens: u64,
+}
+
+impl EngineState {
+    /// Whether it holds a version of the model that is older than that.
+    pub fn is_older(&self, model: &ModelName, version: u64) -> bool {
+        self.models.iter().any(|held| held.model == *model && held.version < version)
+    }
+}
+
 /// A backend server, as it registered itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BackendServer {
--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -156,10 +156,11 @@
     ) {
         self.advance(now);
         let router = self.routers.entry(from.clone()).or_default();
-        if incarnation < router.incarnation {
+        let is_new_run = incarnation != router.incarnation && router.heard.is_some();
+        if is_new_run && router.heard > Some(told) {
+            // What the run before told arrives late.
             return;
         }
-        let is_new_run = incarnation > router.incarnation && router.heard.is_some();
         router.incarnation = incarnation;
         router.heard = router.heard.max(Some(told));
         router.is_accounted |= is_new_run;
--- a/crates/routing/tests/quota.rs
+++ b/crates/routing/tests/quota.rs
@@ -383,6 +383,24 @@
     }
 }
 
+/// The number of a run follows the wall clock, which may have gone back before the router started anew.
+#[test]
+fn a_run_with_a_lower_number_is_heard_and_the_run_before_no_more() {
+    let mut quotas = start(0, 2, 0);
+    let report = |total| UsageReport { totals: vec![(TeamKey::of(&team()), total)], is_full: true };
+    let mut level_after = |run, total, told_ms| {
+        let told = MonoTime::from_ms(told_ms);
+        quotas.heard(&name(1), Incarnation(run), &report(total), told, MonoTime::from_ms(300));
+        quotas.admit(&team(), f64::MAX, MonoTime::from_ms(300)).unwrap_err().level
+    };
+
+    let first = level_after(9, 50_000.0, 100);
+    let second = level_after(8, 3_000.0, 300);
+    let late = level_after(9, 59_000.0, 200);
+
+    assert_eq!((first - second, second - late), (3_000.0, 0.0));
+}
+
 /// What is heard now was told long ago: the router counts as silent.
 #[test]
 fn an_old_word_makes_no_router_heard() {
--- a/crates/settings/src/gateway/mod.rs
+++ b/crates/settings/src/gateway/mod.rs
@@ -80,6 +80,8 @@
     pub grace_ms: u64,
     /// No request begins on older weights after this time.
     pub rollout_ms: u64,
+    /// Two processes that order the same engine don't take turns within this time.
+    pub order_lease_ms: u64,
     /// Repeated sends allowed for each request, over all routers.
     pub retry_ratio: f64,
     /// The window over which repeats are counted.
@@ -130,6 +132,7 @@
         server_drain_ms: whole_ms(values.get("bounds", "server_drain_ms")),
         grace_ms: seconds_as_ms(values.get("bounds", "grace_s")),
         rollout_ms: whole_ms(values.get("bounds", "rollout_ms")),
+        order_lease_ms: whole_ms(values.get("bounds", "order_lease_ms")),
         retry_ratio: values.get("bounds", "retry_ratio"),
         retry_window_ms: seconds_as_ms(values.get("bounds", "retry_window_s")),
         retry_slack: values.get("bounds", "retry_slack"),
@@ -245,6 +248,11 @@
         ),
         bound_s_key("grace_s", "8", "The process is ended this long after it was asked to leave."),
         bound_ms_key("rollout_ms", "12000", "No request begins on older weights after this time."),
+        bound_ms_key(
+            "order_lease_ms",
+            "3000",
+            "Two processes that order the same engine don't take turns within this time.",
+        ),
         decimal_key(
             "retry_ratio",
             (0.0, 100.0),
--- a/crates/settings/tests/parse.rs
+++ b/crates/settings/tests/parse.rs
@@ -373,11 +373,12 @@
 }
 
 /// The bounds of a large deployment, as the platform's template names them.
-const BOUNDS: [(&str, f64); 8] = [
+const BOUNDS: [(&str, f64); 9] = [
     ("key_withdrawal_ms", 5_000.0),
     ("server_drain_ms", 4_000.0),
     ("grace_s", 8.0),
     ("rollout_ms", 15_000.0),
+    ("order_lease_ms", 3_000.0),
     ("retry_ratio", 0.2),
     ("retry_window_s", 10.0),
     ("retry_slack", 246.0),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -13,10 +13,9 @@
 //! # }
 //! ```
 //!
-//! Routers ask for reports with each directive. A report goes out at once when the engine's weights
+//! Routers that relay ask for reports with their directives. A report goes out at once when the engine's weights
 //! or its readiness change, and a few times a second besides.
 
-mod engine;
 mod metrics;
 mod routers;
 mod sidecar;
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -6,7 +6,10 @@
     time::Duration,
 };
 
-use samphirespread_adapter::engine::{LoadOrder, OrderAnswer, Report};
+use samphirespread_adapter::{
+    EngineClient,
+    engine::{LoadOrder, OrderAnswer, Report},
+};
 use samphirespread_core::{
     prelude::*,
     time::{Clock, fresh_incarnation},
@@ -14,8 +17,11 @@
 use samphirespread_daemon::BindError;
 use samphirespread_logging::event;
 use samphirespread_peer::{
-    Datagram, EngineReport, EngineState, HeldWeights, LoadDirective, MAX_DATAGRAM_BYTES, decode,
-    encode,
+    Datagram, EngineReport, LoadDirective, MAX_DATAGRAM_BYTES, decode, encode,
+};
+use samphirespread_routing::{
+    lease::{Orderer, fencing_token},
+    model::EngineState,
 };
 use samphirespread_settings::SidecarSettings;
 use slog::{Logger, info, warn};
@@ -27,7 +33,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    engine::Engine,
     metrics::{Dump, Metrics, routes},
     routers::Routers,
 };
@@ -185,7 +190,8 @@
 
     /// Reads the engine's report, tells routers, and gives orders.
     async fn follow_engine(&self) {
-        let mut engine = Engine::new(self.settings.engine.address, self.settings.engine.timeout_ms);
+        let mut engine =
+            EngineClient::new(self.settings.engine.address, self.settings.engine.timeout_ms);
         let mut failures = 0;
         let mut pushed = self.clock.now();
         loop {
@@ -195,7 +201,7 @@
             self.metrics.report_read(outcome, asked.elapsed());
             failures = if report.is_ok() { 0 } else { failures + 1 };
             let state = match &report {
-                Ok(report) => Some(state(report)),
+                Ok(report) => Some(report.state.clone()),
                 Err(error) if failures >= FAILURES_UNTIL_GONE => {
                     if self.lock().state.is_some() {
                         warn!(self.log, "{}", event::ENGINE_LOST; "error" => %error, "failures" => failures);
@@ -227,7 +233,7 @@
     }
 
     /// Orders the engine to load what routers want, unless it holds or does that already.
-    async fn load_if_wanted(&self, engine: &mut Engine, report: &Report) {
+    async fn load_if_wanted(&self, engine: &mut EngineClient, report: &Report) {
         let wanted = {
             let shared = self.lock();
             shared
@@ -236,7 +242,7 @@
                 .map(|(load, server_id)| (load.clone(), server_id.to_owned()))
         };
         let Some((load, server_id)) = wanted else { return };
-        if report.is_busy || !is_older(report, &load) {
+        if report.state.is_loading || !report.state.is_older(&load.model, load.version) {
             return;
         }
         self.mark_loading();
@@ -246,18 +252,18 @@
 
     async fn order(
         &self,
-        engine: &mut Engine,
+        engine: &mut EngineClient,
         report: &Report,
         load: &LoadDirective,
         server_id: &str,
     ) {
-        // Versions only rise, and only this process orders this engine, so the version itself is
-        // a fencing token that survives restarts without being stored.
+        // Versions only rise, and only this process orders this engine while it is there, so version and epoch
+        // make a fencing token that survives restarts without being stored here.
         let order = LoadOrder {
             model: &load.model,
             version: load.version,
             holder: &self.settings.instance.name,
-            fencing_token: load.version,
+            fencing_token: fencing_token(load.epoch, Orderer::Sidecar, load.version),
             after_orders: report.orders_accepted,
         };
         let answered = engine.order(server_id, &order).await;
@@ -336,23 +342,3 @@
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-fn state(report: &Report) -> EngineState {
-    let held = |model: &samphirespread_routing::model::LoadedModel| HeldWeights {
-        model: model.model.clone(),
-        version: model.version,
-    };
-    EngineState {
-        started_unix_ms: report.started_unix_ms,
-        models: report.models.iter().map(held).collect(),
-        is_loading: report.is_busy,
-        running: report.running,
-        waiting: report.waiting,
-        used_tokens: report.used_tokens,
-        memory_tokens: report.memory_tokens,
-    }
-}
-
-fn is_older(report: &Report, load: &LoadDirective) -> bool {
-    report.models.iter().any(|model| model.model == load.model && model.version < load.version)
-}
--- a/crates/sidecar/tests/sidecar.rs
+++ b/crates/sidecar/tests/sidecar.rs
@@ -50,7 +50,11 @@
             wants_reports: true,
             from: InstanceName::new("r1"),
             server_id: "e1".to_owned(),
-            load: version.map(|version| LoadDirective { model: ModelName::new(MODEL), version }),
+            load: version.map(|version| LoadDirective {
+                model: ModelName::new(MODEL),
+                version,
+                epoch: 0,
+            }),
         };
         let bytes = encode(&Datagram::Directive(directive));
         self.router.send_to(&bytes, self.sidecar).await.unwrap();
--- a/crates/standin/src/published/worker.rs
+++ b/crates/standin/src/published/worker.rs
@@ -85,8 +85,12 @@
     pub holder: String,
     /// The weights to load.
     pub version: u64,
+    /// Its fencing token.
+    pub token: u64,
     /// Whether the worker began to load.
     pub accepted: bool,
+    /// When it came.
+    pub at: Instant,
 }
 
 impl Received {
@@ -424,7 +428,8 @@
     let is_expected = order["expect"].as_u64().is_none_or(|expected| expected == state.orders);
     let accepted = is_expected && version != state.version;
     let holder = order["holder"].as_str().unwrap_or_default().to_owned();
-    state.ordered.push(Ordered { holder, version, accepted });
+    let token = order["fenceToken"].as_u64().unwrap_or_default();
+    state.ordered.push(Ordered { holder, version, token, accepted, at: Instant::now() });
     if !is_expected {
         return StatusCode::CONFLICT.into_response();
     }
