Let one router of each failure domain follow the stores of cached parts

Now the domain's first relay follows, waiting for events where few domains do, and the others get from it every 300 ms what they lack (GET /caches with the places they know); whoever takes the duty over goes on from its own place. A router whose source does not answer follows by itself for two seconds.

--- a/crates/fabric/src/fabric.rs
+++ b/crates/fabric/src/fabric.rs
@@ -214,6 +214,23 @@
         self.rank(now) < RELAYS || self.links.iter().any(|(name, link)| is_asked(name, link))
     }
 
+    /// The first of this domain's relays that answers, which does for the domain what one is enough for. None
+    /// when that is this router itself.
+    pub fn first_relay(&self, now: MonoTime) -> Option<&InstanceName> {
+        if self.rank(now) == 0 {
+            return None;
+        }
+        let candidates = self.candidates(self.neighbours(), now);
+        let groups = [&candidates.settled, &candidates.settling, &candidates.untried];
+        let first = groups.into_iter().find_map(|places| places.first())?;
+        Some(&candidates.asked[*first].name)
+    }
+
+    /// Failure domains that have routers.
+    pub fn domains(&self) -> usize {
+        self.domains.len()
+    }
+
     /// Whether this router's failure domain takes care of what runs in another one: that is so for its own,
     /// and for one domain without routers or another.
     pub fn cares_for(&self, domain: &str) -> bool {
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -7,7 +7,12 @@
 use samphirespread_adapter::Object;
 use serde::{Deserialize, Serialize};
 
-use crate::{answers, body::Outgoing, gateway::Core};
+use crate::{
+    answers,
+    body::Outgoing,
+    cache_follow::{self, Known, VIEWS_PATH},
+    gateway::Core,
+};
 
 /// Where a router's copies are.
 pub(crate) const COPIES_PATH: &str = "/copies";
@@ -43,7 +48,7 @@
     pub(crate) routers: Option<Arc<Vec<Object>>>,
 }
 
-/// Answers `/metrics`, `/dump` and `/copies`.
+/// Answers `/metrics`, `/dump`, `/copies` and `/caches`.
 pub(crate) fn answer(core: &Core, uri: &Uri) -> Response<Outgoing> {
     match uri.path() {
         "/metrics" => answers::plain(StatusCode::OK, &core.metrics.text()),
@@ -52,7 +57,24 @@
             Ok(Query(held)) => answers::plain(StatusCode::OK, &copies(core, held)),
             Err(error) => answers::plain(StatusCode::BAD_REQUEST, &error.to_string()),
         },
-        _ => answers::plain(StatusCode::NOT_FOUND, "there are /metrics, /dump and /copies"),
+        VIEWS_PATH => match Query::<Known>::try_from_uri(uri) {
+            Ok(Query(known)) => views(core, &known),
+            Err(error) => answers::plain(StatusCode::BAD_REQUEST, &error.to_string()),
+        },
+        _ => {
+            answers::plain(StatusCode::NOT_FOUND, "there are /metrics, /dump, /copies and /caches")
+        }
+    }
+}
+
+/// This router's views of the stores of cached parts, for a router of its domain.
+fn views(core: &Core, known: &Known) -> Response<Outgoing> {
+    let Some(views) = cache_follow::views(core, known) else {
+        return answers::plain(StatusCode::NOT_FOUND, "this router follows no store itself");
+    };
+    match serde_json::to_string(&views) {
+        Ok(text) => answers::plain(StatusCode::OK, &text),
+        Err(error) => answers::plain(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -80,6 +80,10 @@
     pub(crate) demand: ReadDemand,
     /// The stores of cached parts, by where they answer.
     pub(crate) caches: HashMap<SocketAddr, CacheState>,
+    /// The router that follows those stores for this one; none when this router does so itself.
+    pub(crate) caches_pulled_from: Option<SocketAddr>,
+    /// Until then no other router is asked to follow them.
+    pub(crate) pull_again: MonoTime,
     /// What processes tell of themselves, and with whom this router exchanges it.
     pub(crate) fabric: Fabric,
     /// The other routers.
@@ -104,6 +108,8 @@
     pub(crate) contents: StoreContents,
     /// Whether it answers.
     pub(crate) is_up: bool,
+    /// Whether events are missing, so that all of it has to be read again.
+    pub(crate) is_to_be_listed: bool,
 }
 
 /// Another router.
@@ -173,6 +179,8 @@
             weights: HashMap::new(),
             demand: ReadDemand::default(),
             caches: HashMap::new(),
+            caches_pulled_from: None,
+            pull_again: MonoTime::ZERO,
             fabric: Fabric::new(own, run),
             routers: HashMap::new(),
             holds_orders: false,
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -70,6 +70,7 @@
     ROLLOUT_NOT_RECORDED, "rollout not recorded", "The time of a naming was not written; it is tried again", "model, version, error";
     RECORD_LEFT_OUT, "rollout record left out", "A record of a rollout can't be read", "model, error";
     CACHE_REACHED, "cache store reached", "What a cache store holds was listed", "store, epoch, next, parts";
+    VIEWS_NOT_HAD, "views of cache stores not had", "The router that follows the cache stores did not hand out what it has; this one follows them itself for a while", "router, error";
     CACHE_TO_BE_LISTED, "cache store to be listed", "Events are missing, or the cache store has restarted", "store, epoch, epoch_before, has_gap";
     CACHE_LOST, "cache store lost", "A cache store does not answer; nothing is fetched from it", "store, error";
     DATAGRAM_LEFT_OUT, "datagram left out", "Bytes that are no message of ours", "from, error";
--- a/crates/routing/tests/cache.rs
+++ b/crates/routing/tests/cache.rs
@@ -1,12 +1,16 @@
 //! What the store of cached parts is believed to hold.
 
 use samphirespread_routing::{
-    cache::{CacheEvent, StoreContents},
+    cache::{CacheEvent, CacheUpdate, Position, StoreContents},
     model::PromptPart,
 };
 
 const EPOCH: u64 = 7;
 
+fn at(next: u64) -> Position {
+    Position { epoch: EPOCH, next }
+}
+
 fn part(id: &str, tokens: u64) -> PromptPart {
     PromptPart { id: id.into(), tokens }
 }
@@ -22,7 +26,7 @@
 #[test]
 fn a_part_counts_only_when_all_parts_before_it_are_held() {
     let mut contents = StoreContents::default();
-    contents.apply(EPOCH, [added("a"), added("c")]);
+    contents.apply(at(1), [added("a"), added("c")]);
 
     let tokens = contents.leading_tokens("2", &[part("a", 10), part("b", 20), part("c", 40)]);
 
@@ -32,7 +36,7 @@
 #[test]
 fn parts_of_another_salt_are_not_found() {
     let mut contents = StoreContents::default();
-    contents.apply(EPOCH, [added("a")]);
+    contents.apply(at(1), [added("a")]);
 
     assert_eq!(contents.leading_tokens("2/desk", &[part("a", 10)]), 0);
     assert_eq!(contents.leading_tokens("1", &[part("a", 10)]), 0);
@@ -41,10 +45,10 @@
 #[test]
 fn a_dropped_part_is_gone_and_a_restart_empties_all() {
     let mut contents = StoreContents::default();
-    contents.apply(EPOCH, [added("a"), added("b"), dropped("a")]);
+    contents.apply(at(1), [added("a"), added("b"), dropped("a")]);
     assert_eq!(contents.len(), 1);
 
-    contents.apply(EPOCH + 1, []);
+    contents.apply(Position { epoch: EPOCH + 1, next: 0 }, []);
 
     assert!(contents.is_empty());
 }
@@ -55,8 +59,62 @@
 fn a_full_list_stands_for_events_that_were_missed() {
     let mut contents = StoreContents::default();
 
-    contents.replace(EPOCH, [("2".to_owned(), "a".to_owned())]);
-    contents.apply(EPOCH, [added("b")]);
+    contents.replace(at(0), [("2".to_owned(), "a".to_owned())]);
+    contents.apply(at(1), [added("b")]);
 
     assert_eq!(contents.leading_tokens("2", &[part("a", 10), part("b", 20)]), 30);
 }
+
+/// Brings one view up to another one, and checks that both hold the same.
+fn follow(leader: &StoreContents, follower: &mut StoreContents) -> CacheUpdate {
+    let (to, update) = leader.update_from(follower.position()).expect("the leader knows something");
+    follower.take(to, update.clone());
+    assert_eq!((follower.len(), follower.position()), (leader.len(), leader.position()));
+    update
+}
+
+#[test]
+fn a_router_follows_another_one_by_events_and_lists_only_at_first() {
+    let (mut leader, mut follower) = (StoreContents::default(), StoreContents::default());
+    leader.replace(at(10), [("2".to_owned(), "a".to_owned())]);
+
+    assert!(matches!(follow(&leader, &mut follower), CacheUpdate::All(_)));
+    for next in 11..40 {
+        leader.apply(at(next), [added(&format!("p{next}"))]);
+        if next % 3 == 0 {
+            assert!(matches!(follow(&leader, &mut follower), CacheUpdate::Events(_)));
+        }
+    }
+    assert_eq!(follow(&leader, &mut follower), CacheUpdate::Events(Vec::new()));
+}
+
+/// The store restarts, the follower was away for longer than events are kept, or it knows of another run.
+#[test]
+fn a_router_lists_again_where_events_are_missing() {
+    let (mut leader, mut follower) = (StoreContents::default(), StoreContents::default());
+    leader.replace(at(0), []);
+    follow(&leader, &mut follower);
+    for next in 1..6_000 {
+        leader.apply(at(next), [added(&format!("p{next}"))]);
+    }
+    assert!(matches!(follow(&leader, &mut follower), CacheUpdate::All(_)));
+
+    leader.apply(Position { epoch: EPOCH + 1, next: 3 }, [added("fresh")]);
+
+    assert!(matches!(follow(&leader, &mut follower), CacheUpdate::All(_)));
+    assert_eq!(follower.leading_tokens("2", &[part("fresh", 5)]), 5);
+}
+
+/// Routers that hand the duty on go on from each other's place.
+#[test]
+fn a_follower_can_lead_in_turn() {
+    let (mut first, mut second) = (StoreContents::default(), StoreContents::default());
+    first.replace(at(0), []);
+    first.apply(at(4), [added("a"), added("b")]);
+    follow(&first, &mut second);
+
+    second.apply(at(5), [dropped("a")]);
+
+    follow(&second, &mut first);
+    assert_eq!(first.len(), 1);
+}
