Give prompts a home in the caller's failure domain where that has room and fast links

Where the engines of a domain hold 64 prompts of the size and the shared parts are fetched within 5 ms, the first of them by rendezvous is a home like the one in the fleet, and another domain costs 12 ms instead of 2.

--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -7,9 +7,10 @@
 use samphirespread_routing::{
     choice::{
         EngineView, Estimate, READ_TOKENS_PER_MS, ServerView, Work, choose_engine, choose_server,
+        has_near_home,
     },
     demand::share_within_capacity,
-    model::{Generation, PromptPart, Service, cache_salt},
+    model::{Engine, Generation, PromptPart, Service, cache_salt},
     rollout::NamedVersions,
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -99,8 +100,8 @@
         .filter(|server| is_eligible(state, server, demand.tried, now))
         .collect();
     match (demand.service.engine.as_ref(), demand.generation) {
-        (Some(_), Some(generation)) => {
-            select_engine(state, demand, generation, place, &servers, now)
+        (Some(engine), Some(generation)) => {
+            select_engine(state, demand, (engine, generation), place, &servers, now)
         }
         _ => select_server(state, demand, place, &servers, now),
     }
@@ -129,7 +130,7 @@
         let (foreign, told) = server.foreign_load;
         let is_recent = now.ms_since(told) <= FOREIGN_LOAD_LIFETIME_MS;
         Some(ServerView {
-            is_near: *server.entry.failure_domain == *place.failure_domain,
+            is_near: is_near(server, place),
             is_avoided: server.suspicion.is_avoided(now),
             load: server.in_flight + if is_recent { foreign } else { 0 },
             slots: server.entry.slots,
@@ -155,11 +156,13 @@
 fn select_engine(
     state: &State,
     demand: &Demand<'_>,
-    generation: &Generation,
+    (engine, generation): (&Engine, &Generation),
     place: &Place<'_>,
     servers: &[&Server],
     now: MonoTime,
 ) -> Option<Selected> {
+    let near = servers.iter().filter(|server| is_near(server, place)).count();
+    let has_near_home = has_near_home(engine, near, generation);
     let named = state.weights.get(&generation.model);
     let bound_ms = place.rollout_ms.saturating_sub(ROLLOUT_MARGIN_MS);
     let oldest_allowed = named.map_or(0, |named| named.oldest_allowed(now, bound_ms));
@@ -167,7 +170,7 @@
     let order = homes(servers, generation);
     let mut keys = KeysOfVersions::new(demand.dedicated_team, generation);
     let mut views: Vec<Option<EngineView>> = vec![None; servers.len()];
-    let mut rank_of_newest = 0;
+    let (mut rank_of_newest, mut rank_of_near) = (0, 0);
     for index in order {
         let server = servers[index];
         let Some(version) = server.version(&generation.model) else { continue };
@@ -177,8 +180,10 @@
         }
         let mut view = engine_view(server, generation, &keys.of(version).parts, place, now);
         view.is_newest = is_newest;
-        view.home_rank = rank_of_newest;
+        let is_by_domain = has_near_home && view.is_near;
+        view.home_rank = if is_by_domain { rank_of_near } else { rank_of_newest };
         rank_of_newest += usize::from(is_newest);
+        rank_of_near += usize::from(is_newest && view.is_near);
         views[index] = Some(view);
     }
     let version_of = |index: usize| servers[index].version(&generation.model).unwrap_or(0);
@@ -193,6 +198,7 @@
         stored_tokens: stored(&keys.of(wanted_version).salt),
         footprint_tokens: generation.footprint_tokens(),
         prefers_newest: prefers_newest(state, demand.request_id, rank_of_newest, now),
+        has_near_home,
     };
     let (index, estimate) = choose_engine(&views, &work)?;
     let server = servers[index];
@@ -229,6 +235,10 @@
     })
 }
 
+fn is_near(server: &Server, place: &Place<'_>) -> bool {
+    *server.entry.failure_domain == *place.failure_domain
+}
+
 fn engine_view(
     server: &Server,
     generation: &Generation,
@@ -242,7 +252,7 @@
     let resident_tokens = held.map(|(part, _)| part.tokens).sum();
     let sent_tokens = server.sent_tokens() * OTHER_ROUTERS_FACTOR;
     EngineView {
-        is_near: *server.entry.failure_domain == *place.failure_domain,
+        is_near: is_near(server, place),
         is_newest: true,
         is_avoided: server.suspicion.is_avoided(now) || server.is_reported_gone(now),
         running: reported.map_or(server.in_flight, |state| state.running),
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -4,6 +4,8 @@
 //! it costs besides, also in milliseconds, and the lowest sum wins. Cost: one pass over the servers
 //! of a service.
 
+use crate::model::{Engine, Generation};
+
 /// Prompt tokens that an engine reads in a millisecond, at the slower of today's deployments.
 pub const READ_TOKENS_PER_MS: f64 = 112.0;
 /// Time from an idle engine's admission to its first event.
@@ -19,6 +21,15 @@
 const AWAY_MS: f64 = 40.0;
 /// Added for another failure domain than the router's.
 const CROSS_DOMAIN_MS: f64 = 2.0;
+/// The same where the prompt's shared parts have a home in the router's own domain: more than it takes to
+/// fetch them there, so that prompts don't cross domains for them.
+const CROSS_DOMAIN_FROM_HOME_MS: f64 = 12.0;
+/// Prompts of one size that the engines of a failure domain have to hold for a home of its own.
+const PROMPTS_A_HOME: u64 = 64;
+/// The longest fetch of shared parts that is cheaper than a prompt's way to another failure domain.
+const HOME_FETCH_MS: f64 = 5.0;
+/// Bits that a link of one Mbit/s carries in a millisecond.
+const BITS_A_MS: f64 = 1_000.0;
 /// Added to an engine whose weights are not the newest, for a request that should go to those.
 const OLD_WEIGHTS_MS: f64 = 150.0;
 /// Added to an engine with the newest weights, for a request beyond what such engines can take.
@@ -47,6 +58,8 @@
     pub footprint_tokens: u64,
     /// Whether the engines with the newest weights have room for it.
     pub prefers_newest: bool,
+    /// Whether its shared parts have a home in the router's own failure domain, see [`has_near_home`].
+    pub has_near_home: bool,
 }
 
 /// One engine, as the router sees it.
@@ -85,6 +98,19 @@
     pub cost_ms: f64,
 }
 
+/// Whether the shared parts of a prompt have a home among the engines of one failure domain, beside the one
+/// in the fleet.
+///
+/// That pays where parts are fetched faster than prompts travel, and the engines of the domain hold many
+/// prompts of that size: else the copies push each other out of memory.
+pub fn has_near_home(engine: &Engine, near_engines: usize, generation: &Generation) -> bool {
+    let near_engines = u64::try_from(near_engines).unwrap_or(u64::MAX);
+    let room_tokens = engine.memory_tokens.saturating_mul(near_engines);
+    let shared_bits = tokens(generation.shared_tokens()) * tokens(engine.token_bytes) * 8.0;
+    let fetch_ms = shared_bits / (engine.link_mbps * BITS_A_MS);
+    room_tokens >= PROMPTS_A_HOME * generation.footprint_tokens() && fetch_ms <= HOME_FETCH_MS
+}
+
 /// The estimate for one engine.
 pub fn estimate(view: &EngineView, work: &Work) -> Estimate {
     let held = work.shared_tokens.min(view.resident_tokens.max(work.stored_tokens));
@@ -114,7 +140,7 @@
         added += AWAY_MS;
     }
     if !view.is_near {
-        added += CROSS_DOMAIN_MS;
+        added += if work.has_near_home { CROSS_DOMAIN_FROM_HOME_MS } else { CROSS_DOMAIN_MS };
     }
     match (work.prefers_newest, view.is_newest) {
         (true, false) => added += OLD_WEIGHTS_MS,
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -1,6 +1,10 @@
 //! Choice of the engine or plain server for one request.
 
-use samphirespread_routing::choice::{EngineView, ServerView, Work, choose_engine, choose_server};
+use samphirespread_core::prelude::*;
+use samphirespread_routing::{
+    choice::{EngineView, ServerView, Work, choose_engine, choose_server, has_near_home},
+    model::{Engine, Generation, PromptPart},
+};
 
 const MEMORY_TOKENS: u64 = 160_000;
 
@@ -12,6 +16,7 @@
         stored_tokens: 6_300,
         footprint_tokens: 9_250,
         prefers_newest: true,
+        has_near_home: false,
     }
 }
 
@@ -35,8 +40,61 @@
 }
 
 fn chosen(views: &[EngineView]) -> usize {
+    chosen_for(&classification(), views)
+}
+
+fn chosen_for(work: &Work, views: &[EngineView]) -> usize {
     let views: Vec<Option<EngineView>> = views.iter().copied().map(Some).collect();
-    choose_engine(&views, &classification()).expect("there is an engine").0
+    choose_engine(&views, work).expect("there is an engine").0
+}
+
+/// The same classification as its caller asks for it.
+fn classification_request() -> Generation {
+    let part = |id: &str, tokens| PromptPart { id: id.into(), tokens };
+    Generation {
+        model: ModelName::new("reader"),
+        prompt_tokens: 9_190,
+        max_output_tokens: 60,
+        parts: vec![part("rules", 2_520), part("subject", 3_780), part("own", 2_890)],
+    }
+}
+
+fn engine(memory_tokens: u64, token_bytes: u64, link_mbps: f64) -> Engine {
+    Engine { slots: 64, memory_tokens, token_bytes, link_mbps }
+}
+
+/// Many engines a domain with fast links: thousands of prompts a second would cross domains for parts that
+/// a near engine fetches in a few milliseconds.
+#[test]
+fn a_prompt_stays_in_its_domain_where_that_holds_a_home_for_it() {
+    let work = Work { has_near_home: true, ..classification() };
+    let near_home_without_parts = home();
+    let far_home = EngineView { is_near: false, resident_tokens: 6_300, ..home() };
+
+    assert_eq!(chosen_for(&work, &[far_home, near_home_without_parts]), 1);
+}
+
+#[test]
+fn a_prompt_leaves_its_domain_when_the_home_there_has_a_queue() {
+    let work = Work { has_near_home: true, ..classification() };
+    let busy_near_home = EngineView { unread_tokens: 8_000, running: 20, ..home() };
+    let far_home = EngineView { is_near: false, resident_tokens: 6_300, ..home() };
+
+    assert_eq!(chosen_for(&work, &[far_home, busy_near_home]), 0);
+}
+
+/// Few engines a domain, or parts that are slow to fetch: copies in each domain push each other out.
+#[test]
+fn a_domain_holds_homes_where_it_has_room_and_fast_links() {
+    let request = classification_request();
+    let fast = engine(160_000, 18_432, 370_000.0);
+    let heavy = engine(160_000, 327_680, 740_000.0);
+
+    assert!(has_near_home(&fast, 32, &request));
+    assert!(has_near_home(&fast, 6, &request));
+    assert!(!has_near_home(&fast, 3, &request));
+    assert!(!has_near_home(&fast, 0, &request));
+    assert!(!has_near_home(&heavy, 32, &request));
 }
 
 /// Many hot subjects before a store with one link: a copy of the parts in each failure domain would
