Learn how fast the engines of each service read, and take fetch times from their configuration

A low quantile of the time to the first event is tracked, short prompts show what every request takes besides; bounds, queues and slow engines are in the tests.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,7 +12,7 @@
 use samphirespread_outbound::{Connection, IdleLimits, SendError};
 use samphirespread_routing::{
     attempts::{AttemptRules, Attempts},
-    model::{Generation, RouteKind, Service},
+    model::{Generation, RouteKind, Service, ServiceName},
 };
 use slog::info;
 use tokio::time;
@@ -61,6 +61,16 @@
     tried: Vec<Arc<str>>,
     attempts: Attempts,
     last_event: Option<MonoTime>,
+    /// The send to an engine whose first event is awaited.
+    awaited: Option<Awaited>,
+}
+
+/// A send to an engine whose first event shows how fast it reads.
+#[derive(Debug)]
+struct Awaited {
+    service: ServiceName,
+    read_tokens: u64,
+    sent: MonoTime,
 }
 
 /// The head of an answer, with what it takes to read the rest.
@@ -190,6 +200,7 @@
             tried: Vec::new(),
             attempts: Attempts::new(rules),
             last_event: None,
+            awaited: None,
         }
     }
 
@@ -379,6 +390,12 @@
         let Some(request) = self.request(selected, last_event_id) else {
             return Ok(Sent::NotRun);
         };
+        let is_whole_prompt = selected.engine.is_some() && last_event_id.is_none();
+        self.awaited = self.service().filter(|_| is_whole_prompt).map(|service| Awaited {
+            service: service.name.clone(),
+            read_tokens: selected.read_tokens,
+            sent: self.core.now(),
+        });
         // From here on the server may get the request, whatever becomes of this task.
         self.attempts.begin();
         let left = Duration::from_millis(self.left_ms());
@@ -531,6 +548,11 @@
             return;
         }
         self.story.first_event(now);
+        if let Some(awaited) = self.awaited.take() {
+            let mut state = self.core.state();
+            let speed = state.speeds.entry(awaited.service).or_default();
+            speed.observe(awaited.read_tokens, now.ms_since(awaited.sent));
+        }
         let took_ms = now.ms_since(self.arrival);
         self.core.metrics.first_event_s.observe(metrics::seconds(took_ms));
     }
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -6,7 +6,7 @@
 use samphirespread_core::prelude::*;
 use samphirespread_routing::{
     choice::{
-        EngineView, Estimate, READ_TOKENS_PER_MS, ServerView, Work, choose_engine, choose_server,
+        EngineView, Estimate, ServerView, Work, choose_engine, choose_server, fetch_ms,
         has_near_home,
     },
     demand::share_within_capacity,
@@ -163,6 +163,7 @@
 ) -> Option<Selected> {
     let near = servers.iter().filter(|server| is_near(server, place)).count();
     let has_near_home = has_near_home(engine, near, generation);
+    let speed = state.speeds.get(&demand.service.name).copied().unwrap_or_default().tokens_per_ms();
     let named = state.weights.get(&generation.model);
     let bound_ms = place.rollout_ms.saturating_sub(ROLLOUT_MARGIN_MS);
     let oldest_allowed = named.map_or(0, |named| named.oldest_allowed(now, bound_ms));
@@ -197,7 +198,9 @@
         shared_tokens: generation.shared_tokens(),
         stored_tokens: stored(&keys.of(wanted_version).salt),
         footprint_tokens: generation.footprint_tokens(),
-        prefers_newest: prefers_newest(state, demand.request_id, rank_of_newest, now),
+        read_tokens_per_ms: speed,
+        fetch_ms: fetch_ms(engine, generation),
+        prefers_newest: prefers_newest(state, demand.request_id, rank_of_newest, speed, now),
         has_near_home,
     };
     let (index, estimate) = choose_engine(&views, &work)?;
@@ -266,10 +269,16 @@
 }
 
 /// Whether a request is among those that the engines with the newest weights have room for.
-fn prefers_newest(state: &State, request_id: &str, engines: usize, now: MonoTime) -> bool {
+fn prefers_newest(
+    state: &State,
+    request_id: &str,
+    engines: usize,
+    speed: f64,
+    now: MonoTime,
+) -> bool {
     let routers = f64::from(u32::try_from(state.routers.len() + 1).unwrap_or(u32::MAX));
     let demand = state.demand.tokens_per_ms(now) * routers;
-    let share = share_within_capacity(engines, READ_TOKENS_PER_MS, demand);
+    let share = share_within_capacity(engines, speed, demand);
     let point = xxh3_64_with_seed(request_id.as_bytes(), 0) % SHARE_STEPS;
     #[expect(clippy::cast_precision_loss, reason = "there are few steps")]
     let point = point as f64 / SHARE_STEPS as f64;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,6 +19,7 @@
     quota::{Quotas, SILENT_AFTER_MS},
     retry::{RetryBudget, RetryLimits, part_of_slack},
     rollout::NamedVersions,
+    speed::ReadingSpeed,
     table::Table,
 };
 use samphirespread_settings::{BoundsSettings, ClockSettings, GatewaySettings};
@@ -76,6 +77,8 @@
     pub(crate) retries: HashMap<ServiceName, RetryBudget>,
     /// The weights of each model that operators have named.
     pub(crate) weights: HashMap<ModelName, NamedVersions>,
+    /// How fast the engines of each service read.
+    pub(crate) speeds: HashMap<ServiceName, ReadingSpeed>,
     /// Prompt tokens that this router sends to be read.
     pub(crate) demand: ReadDemand,
     /// The stores of cached parts, by where they answer.
@@ -177,6 +180,7 @@
             quotas: Quotas::new(now, settings.bounds.quota_slack / STARTS_A_WINDOW),
             retries: HashMap::new(),
             weights: HashMap::new(),
+            speeds: HashMap::new(),
             demand: ReadDemand::default(),
             caches: HashMap::new(),
             caches_pulled_from: None,
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -6,16 +6,14 @@
 
 use crate::model::{Engine, Generation};
 
-/// Prompt tokens that an engine reads in a millisecond, at the slower of today's deployments.
-pub const READ_TOKENS_PER_MS: f64 = 112.0;
 /// Time from an idle engine's admission to its first event.
 const FIRST_EVENT_MS: f64 = 45.0;
 /// What each running request adds to that.
 const RUNNING_MS: f64 = 1.0;
 /// What each request that waits at the engine adds.
 const WAITING_MS: f64 = 25.0;
-/// Time to fetch the shared parts of a prompt from the store.
-const FETCH_MS: f64 = 8.0;
+/// Time of a fetch from the store, beside what its bytes take.
+const FETCH_SETUP_MS: f64 = 5.0;
 /// Added to an engine that is not the first choice for the prompt's parts: what a further copy of
 /// them does to the memory of the engines and to the link of the store.
 const AWAY_MS: f64 = 40.0;
@@ -56,6 +54,10 @@
     pub stored_tokens: u64,
     /// Memory while it runs.
     pub footprint_tokens: u64,
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub read_tokens_per_ms: f64,
+    /// Time to fetch the shared parts from the store, see [`fetch_ms`].
+    pub fetch_ms: f64,
     /// Whether the engines with the newest weights have room for it.
     pub prefers_newest: bool,
     /// Whether its shared parts have a home in the router's own failure domain, see [`has_near_home`].
@@ -106,19 +108,29 @@
 pub fn has_near_home(engine: &Engine, near_engines: usize, generation: &Generation) -> bool {
     let near_engines = u64::try_from(near_engines).unwrap_or(u64::MAX);
     let room_tokens = engine.memory_tokens.saturating_mul(near_engines);
+    let has_room = room_tokens >= PROMPTS_A_HOME * generation.footprint_tokens();
+    has_room && transfer_ms(engine, generation) <= HOME_FETCH_MS
+}
+
+/// Time to fetch the shared parts of a prompt from the store.
+pub fn fetch_ms(engine: &Engine, generation: &Generation) -> f64 {
+    FETCH_SETUP_MS + transfer_ms(engine, generation)
+}
+
+/// What the bytes of a prompt's shared parts take on an engine's link.
+fn transfer_ms(engine: &Engine, generation: &Generation) -> f64 {
     let shared_bits = tokens(generation.shared_tokens()) * tokens(engine.token_bytes) * 8.0;
-    let fetch_ms = shared_bits / (engine.link_mbps * BITS_A_MS);
-    room_tokens >= PROMPTS_A_HOME * generation.footprint_tokens() && fetch_ms <= HOME_FETCH_MS
+    shared_bits / (engine.link_mbps * BITS_A_MS).max(f64::MIN_POSITIVE)
 }
 
 /// The estimate for one engine.
 pub fn estimate(view: &EngineView, work: &Work) -> Estimate {
     let held = work.shared_tokens.min(view.resident_tokens.max(work.stored_tokens));
     let read_tokens = work.prompt_tokens.saturating_sub(held);
-    let read_ms = tokens(read_tokens) / READ_TOKENS_PER_MS;
+    let read_ms = tokens(read_tokens) / work.read_tokens_per_ms;
     let fetches = work.stored_tokens > view.resident_tokens;
-    let fetch_ms = if fetches { FETCH_MS } else { 0.0 };
-    let queue_ms = tokens(view.unread_tokens) / READ_TOKENS_PER_MS;
+    let fetch_ms = if fetches { work.fetch_ms } else { 0.0 };
+    let queue_ms = tokens(view.unread_tokens) / work.read_tokens_per_ms;
     let load_ms = f64::from(view.running) * RUNNING_MS + f64::from(view.waiting) * WAITING_MS;
     let first_event_ms = FIRST_EVENT_MS + read_ms + fetch_ms + queue_ms + load_ms;
     let cost_ms = first_event_ms + additions(view, work);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -30,5 +30,6 @@
 pub mod quota;
 pub mod retry;
 pub mod rollout;
+pub mod speed;
 pub mod suspicion;
 pub mod table;
--- /dev/null
+++ b/crates/routing/src/speed.rs
@@ -0,0 +1,78 @@
+//! How fast the engines of a service read prompts, learnt from the requests that were sent to them.
+//!
+//! Deployments differ by several times in that, and nothing tells it. The time to the first event holds the
+//! time in a queue as well, so a low quantile of it is tracked: that of an engine with little to do. Short
+//! prompts show what every request takes besides.
+//!
+//! ```
+//! use samphirespread_routing::speed::ReadingSpeed;
+//!
+//! let mut speed = ReadingSpeed::default();
+//! for _ in 0..2_000 {
+//!     speed.observe(100, 40);
+//!     speed.observe(4_000, 140);
+//! }
+//!
+//! assert!((35.0..46.0).contains(&speed.tokens_per_ms()));
+//! ```
+//!
+//! Cost: two numbers for each service.
+
+/// Prompt tokens that an engine reads in a millisecond, before anything was learnt.
+pub const FIRST_TOKENS_PER_MS: f64 = 112.0;
+/// The bounds of what is learnt.
+const TOKENS_PER_MS: std::ops::RangeInclusive<f64> = 5.0..=2_000.0;
+/// What a request takes besides reading, before anything was learnt, in milliseconds.
+const FIRST_BASE_MS: f64 = 45.0;
+/// The part of requests that are faster than what is tracked.
+const QUANTILE: f64 = 0.3;
+/// A prompt of up to this many tokens shows what every request takes.
+const SHORT_TOKENS: u64 = 400;
+/// A prompt of this many tokens shows the reading.
+const LONG_TOKENS: u64 = 2_000;
+/// One request moves what is tracked by this part of it.
+const STEP: f64 = 0.02;
+
+/// The speed of one service's engines.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReadingSpeed {
+    base_ms: f64,
+    ms_per_token: f64,
+}
+
+impl Default for ReadingSpeed {
+    fn default() -> Self {
+        Self { base_ms: FIRST_BASE_MS, ms_per_token: FIRST_TOKENS_PER_MS.recip() }
+    }
+}
+
+impl ReadingSpeed {
+    /// Takes in how long a request took to its first event, for which the engine had to read that much.
+    pub fn observe(&mut self, read_tokens: u64, first_event_ms: u64) {
+        let took_ms = number(first_event_ms);
+        if read_tokens <= SHORT_TOKENS {
+            self.base_ms = tracked(self.base_ms, took_ms).max(1.0);
+        } else if read_tokens >= LONG_TOKENS {
+            let reading_ms = (took_ms - self.base_ms).max(0.0);
+            let ms_per_token = tracked(self.ms_per_token, reading_ms / number(read_tokens));
+            let (slowest, fastest) = (TOKENS_PER_MS.start().recip(), TOKENS_PER_MS.end().recip());
+            self.ms_per_token = ms_per_token.clamp(fastest, slowest);
+        }
+    }
+
+    /// Prompt tokens that an engine with little to do reads in a millisecond.
+    pub fn tokens_per_ms(&self) -> f64 {
+        self.ms_per_token.recip()
+    }
+}
+
+/// A quantile that is moved towards one more value.
+fn tracked(quantile: f64, value: f64) -> f64 {
+    let towards = if value < quantile { QUANTILE - 1.0 } else { QUANTILE };
+    quantile * (1.0 + STEP * towards)
+}
+
+#[expect(clippy::cast_precision_loss, reason = "tokens and spans are far below 2^52")]
+fn number(number: u64) -> f64 {
+    number as f64
+}
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -2,7 +2,7 @@
 
 use samphirespread_core::prelude::*;
 use samphirespread_routing::{
-    choice::{EngineView, ServerView, Work, choose_engine, choose_server, has_near_home},
+    choice::{EngineView, ServerView, Work, choose_engine, choose_server, fetch_ms, has_near_home},
     model::{Engine, Generation, PromptPart},
 };
 
@@ -15,6 +15,8 @@
         shared_tokens: 6_300,
         stored_tokens: 6_300,
         footprint_tokens: 9_250,
+        read_tokens_per_ms: 112.0,
+        fetch_ms: 8.0,
         prefers_newest: true,
         has_near_home: false,
     }
@@ -83,6 +85,16 @@
     assert_eq!(chosen_for(&work, &[far_home, busy_near_home]), 0);
 }
 
+/// Engines that read slowly: what waits to be read at the home takes longer than elsewhere from the start.
+#[test]
+fn a_queue_weighs_more_where_engines_read_slowly() {
+    let home_with_queue = EngineView { unread_tokens: 3_000, resident_tokens: 6_300, ..home() };
+    let slow = Work { read_tokens_per_ms: 42.6, ..classification() };
+
+    assert_eq!(chosen_for(&classification(), &[idle_engine(), home_with_queue]), 1);
+    assert_eq!(chosen_for(&slow, &[idle_engine(), home_with_queue]), 0);
+}
+
 /// Few engines a domain, or parts that are slow to fetch: copies in each domain push each other out.
 #[test]
 fn a_domain_holds_homes_where_it_has_room_and_fast_links() {
@@ -95,6 +107,8 @@
     assert!(!has_near_home(&fast, 3, &request));
     assert!(!has_near_home(&fast, 0, &request));
     assert!(!has_near_home(&heavy, 32, &request));
+    assert!(fetch_ms(&fast, &request) < 8.0);
+    assert!(fetch_ms(&heavy, &request) > 20.0);
 }
 
 /// Many hot subjects before a store with one link: a copy of the parts in each failure domain would
--- /dev/null
+++ b/crates/routing/tests/speed.rs
@@ -0,0 +1,54 @@
+//! Learning of the reading speed, beside queues and engines that turn slow.
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use samphirespread_routing::speed::{FIRST_TOKENS_PER_MS, ReadingSpeed};
+
+const BASE_MS: f64 = 38.0;
+
+/// Requests to engines of that speed, some of which wait, and some of which go to slow engines.
+fn learnt(tokens_per_ms: f64, waiting: f64, slow: f64, seed: u64) -> f64 {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut speed = ReadingSpeed::default();
+    for _ in 0..4_000 {
+        let tokens: u64 = if random.random_bool(0.5) {
+            random.random_range(50..400)
+        } else {
+            random.random_range(2_000..9_000)
+        };
+        let queue_ms =
+            if random.random_bool(waiting) { random.random_range(5.0..300.0) } else { 0.0 };
+        let times = if random.random_bool(slow) { 3.5 } else { 1.0 };
+        let took_ms = (BASE_MS + tokens as f64 / tokens_per_ms) * times + queue_ms;
+        speed.observe(tokens, took_ms as u64);
+    }
+    speed.tokens_per_ms()
+}
+
+#[test]
+fn speeds_of_very_different_engines_are_learnt() {
+    for tokens_per_ms in [20.0, 42.6, 112.0, 157.0, 400.0] {
+        let ratio = learnt(tokens_per_ms, 0.0, 0.0, 1) / tokens_per_ms;
+
+        assert!((0.8..1.25).contains(&ratio), "{tokens_per_ms}: {ratio}");
+    }
+}
+
+#[test]
+fn queues_and_slow_engines_don_t_mislead() {
+    for seed in 0..10 {
+        let ratio = learnt(42.6, 0.4, 0.15, seed) / 42.6;
+
+        assert!((0.7..1.25).contains(&ratio), "seed {seed}: {ratio}");
+    }
+}
+
+#[test]
+fn what_is_learnt_stays_within_bounds() {
+    let mut speed = ReadingSpeed::default();
+    assert!((speed.tokens_per_ms() - FIRST_TOKENS_PER_MS).abs() < 1e-6);
+
+    (0..10_000).for_each(|_| speed.observe(4_000, 0));
+    assert!(speed.tokens_per_ms() <= 2_000.0);
+    (0..10_000).for_each(|_| speed.observe(2_000, u64::MAX));
+    assert!(speed.tokens_per_ms() >= 5.0);
+}
