Read parts again while fetches from the cache store wait for each other

How much longer requests that fetch take than expected, beyond those that don't, is tracked; above 100 ms it counts, and what would be fetched more slowly than three times its reading (or 150 ms) is read.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,6 +12,7 @@
 use samphirespread_outbound::{Connection, IdleLimits, SendError};
 use samphirespread_routing::{
     attempts::{AttemptRules, Attempts},
+    choice::Estimate,
     model::{Generation, RouteKind, Service, ServiceName},
 };
 use slog::info;
@@ -69,7 +70,7 @@
 #[derive(Debug)]
 struct Awaited {
     service: ServiceName,
-    read_tokens: u64,
+    expected: Estimate,
     sent: MonoTime,
 }
 
@@ -390,10 +391,10 @@
         let Some(request) = self.request(selected, last_event_id) else {
             return Ok(Sent::NotRun);
         };
-        let is_whole_prompt = selected.engine.is_some() && last_event_id.is_none();
-        self.awaited = self.service().filter(|_| is_whole_prompt).map(|service| Awaited {
+        let expected = selected.expected.filter(|_| last_event_id.is_none());
+        self.awaited = self.service().zip(expected).map(|(service, expected)| Awaited {
             service: service.name.clone(),
-            read_tokens: selected.read_tokens,
+            expected,
             sent: self.core.now(),
         });
         // From here on the server may get the request, whatever becomes of this task.
@@ -549,9 +550,14 @@
         }
         self.story.first_event(now);
         if let Some(awaited) = self.awaited.take() {
+            let Awaited { service, expected, sent } = awaited;
+            let took_ms = now.ms_since(sent);
             let mut state = self.core.state();
-            let speed = state.speeds.entry(awaited.service).or_default();
-            speed.observe(awaited.read_tokens, now.ms_since(awaited.sent));
+            let times = state.times.entry(service).or_default();
+            if !expected.fetches {
+                times.speed.observe(expected.read_tokens, took_ms);
+            }
+            times.fetch_delay.observe(expected.fetches, expected.first_event_ms, took_ms, now);
         }
         let took_ms = now.ms_since(self.arrival);
         self.core.metrics.first_event_s.observe(metrics::seconds(took_ms));
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -43,6 +43,8 @@
     pub(crate) part_keys: Vec<u64>,
     /// Prompt tokens that an engine will have to read.
     pub(crate) read_tokens: u64,
+    /// What is expected of an engine.
+    pub(crate) expected: Option<Estimate>,
     /// What its sidecar said last.
     pub(crate) heard: Option<Heard>,
     /// When this run of the server started.
@@ -147,6 +149,7 @@
         max_idle: max_idle(state, demand.service),
         part_keys: Vec::new(),
         read_tokens: 0,
+        expected: None,
         heard: None,
         started_unix_ms: server.entry.started_unix_ms,
         step: chose(server, servers.len(), is_near, true, None, None, place, now),
@@ -163,7 +166,8 @@
 ) -> Option<Selected> {
     let near = servers.iter().filter(|server| is_near(server, place)).count();
     let has_near_home = has_near_home(engine, near, generation);
-    let speed = state.speeds.get(&demand.service.name).copied().unwrap_or_default().tokens_per_ms();
+    let times = state.times.get(&demand.service.name).copied().unwrap_or_default();
+    let speed = times.speed.tokens_per_ms();
     let named = state.weights.get(&generation.model);
     let bound_ms = place.rollout_ms.saturating_sub(ROLLOUT_MARGIN_MS);
     let oldest_allowed = named.map_or(0, |named| named.oldest_allowed(now, bound_ms));
@@ -199,7 +203,7 @@
         stored_tokens: stored(&keys.of(wanted_version).salt),
         footprint_tokens: generation.footprint_tokens(),
         read_tokens_per_ms: speed,
-        fetch_ms: fetch_ms(engine, generation),
+        fetch_ms: fetch_ms(engine, generation) + times.fetch_delay.ms(now),
         prefers_newest: prefers_newest(state, demand.request_id, rank_of_newest, speed, now),
         has_near_home,
     };
@@ -217,12 +221,13 @@
         engine: Some(EngineInstructions {
             version,
             salt,
-            fetch_from: store.filter(|_| stored_tokens > 0),
+            fetch_from: store.filter(|_| stored_tokens > 0 && estimate.may_fetch),
             save_to: store.filter(|_| stored_tokens < work.shared_tokens),
         }),
         max_idle: max_idle(state, demand.service),
         part_keys,
         read_tokens: estimate.read_tokens,
+        expected: Some(estimate),
         heard: heard(server, now),
         started_unix_ms: server.entry.started_unix_ms,
         step: chose(
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -19,7 +19,7 @@
     quota::{Quotas, SILENT_AFTER_MS},
     retry::{RetryBudget, RetryLimits, part_of_slack},
     rollout::NamedVersions,
-    speed::ReadingSpeed,
+    speed::{FetchDelay, ReadingSpeed},
     table::Table,
 };
 use samphirespread_settings::{BoundsSettings, ClockSettings, GatewaySettings};
@@ -77,8 +77,8 @@
     pub(crate) retries: HashMap<ServiceName, RetryBudget>,
     /// The weights of each model that operators have named.
     pub(crate) weights: HashMap<ModelName, NamedVersions>,
-    /// How fast the engines of each service read.
-    pub(crate) speeds: HashMap<ServiceName, ReadingSpeed>,
+    /// What requests to the engines of each service have shown.
+    pub(crate) times: HashMap<ServiceName, EngineTimes>,
     /// Prompt tokens that this router sends to be read.
     pub(crate) demand: ReadDemand,
     /// The stores of cached parts, by where they answer.
@@ -105,6 +105,15 @@
     pub(crate) unreadable: HashSet<String>,
 }
 
+/// What requests to the engines of a service have shown.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct EngineTimes {
+    /// How fast they read.
+    pub(crate) speed: ReadingSpeed,
+    /// How long their fetches wait.
+    pub(crate) fetch_delay: FetchDelay,
+}
+
 /// What is known of a store of cached parts.
 #[derive(Debug, Default)]
 pub(crate) struct CacheState {
@@ -180,7 +189,7 @@
             quotas: Quotas::new(now, settings.bounds.quota_slack / STARTS_A_WINDOW),
             retries: HashMap::new(),
             weights: HashMap::new(),
-            speeds: HashMap::new(),
+            times: HashMap::new(),
             demand: ReadDemand::default(),
             caches: HashMap::new(),
             caches_pulled_from: None,
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -14,6 +14,10 @@
 const WAITING_MS: f64 = 25.0;
 /// Time of a fetch from the store, beside what its bytes take.
 const FETCH_SETUP_MS: f64 = 5.0;
+/// A fetch may take this many times as long as reading: an engine that reads keeps others waiting.
+const READING_WEIGHT: f64 = 3.0;
+/// A fetch that takes no longer than this is not given up, however short the parts.
+const PATIENT_FETCH_MS: f64 = 150.0;
 /// Added to an engine that is not the first choice for the prompt's parts: what a further copy of
 /// them does to the memory of the engines and to the link of the store.
 const AWAY_MS: f64 = 40.0;
@@ -94,6 +98,10 @@
 pub struct Estimate {
     /// Prompt tokens that the engine will have to read.
     pub read_tokens: u64,
+    /// Whether it is expected to fetch shared parts from the store.
+    pub fetches: bool,
+    /// Whether it is to fetch what it lacks, which may be more than is believed; else it reads that.
+    pub may_fetch: bool,
     /// Milliseconds to the first event.
     pub first_event_ms: f64,
     /// The estimate and all additions.
@@ -125,16 +133,20 @@
 
 /// The estimate for one engine.
 pub fn estimate(view: &EngineView, work: &Work) -> Estimate {
-    let held = work.shared_tokens.min(view.resident_tokens.max(work.stored_tokens));
+    let resident = work.shared_tokens.min(view.resident_tokens);
+    let stored = work.shared_tokens.min(work.stored_tokens);
+    let stored_reading_ms = tokens(stored) / work.read_tokens_per_ms;
+    let may_fetch = work.fetch_ms < (READING_WEIGHT * stored_reading_ms).max(PATIENT_FETCH_MS);
+    let fetches = may_fetch && stored > resident;
+    let held = if fetches { stored } else { resident };
     let read_tokens = work.prompt_tokens.saturating_sub(held);
     let read_ms = tokens(read_tokens) / work.read_tokens_per_ms;
-    let fetches = work.stored_tokens > view.resident_tokens;
     let fetch_ms = if fetches { work.fetch_ms } else { 0.0 };
     let queue_ms = tokens(view.unread_tokens) / work.read_tokens_per_ms;
     let load_ms = f64::from(view.running) * RUNNING_MS + f64::from(view.waiting) * WAITING_MS;
     let first_event_ms = FIRST_EVENT_MS + read_ms + fetch_ms + queue_ms + load_ms;
     let cost_ms = first_event_ms + additions(view, work);
-    Estimate { read_tokens, first_event_ms, cost_ms }
+    Estimate { read_tokens, fetches, may_fetch, first_event_ms, cost_ms }
 }
 
 /// The index of the engine to choose.
--- a/crates/routing/src/speed.rs
+++ b/crates/routing/src/speed.rs
@@ -18,6 +18,8 @@
 //!
 //! Cost: two numbers for each service.
 
+use samphirespread_core::prelude::*;
+
 /// Prompt tokens that an engine reads in a millisecond, before anything was learnt.
 pub const FIRST_TOKENS_PER_MS: f64 = 112.0;
 /// The bounds of what is learnt.
@@ -76,3 +78,51 @@
 fn number(number: u64) -> f64 {
     number as f64
 }
+
+/// How much longer fetches from the cache store take than its links would make them: the time that they wait
+/// for each other.
+///
+/// After a loss of all caches every prompt is fetched at once. Reading a prompt again is faster then, and
+/// fetching goes on where it helps; without news the delay is forgotten, so that fetches are tried again.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct FetchDelay {
+    fetched: Overrun,
+    others: Overrun,
+}
+
+/// How much longer requests took than expected.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Overrun {
+    ms: f64,
+    updated: MonoTime,
+}
+
+/// One request moves an overrun by this part of the way.
+const OVERRUN_STEP: f64 = 0.1;
+/// Fetches vary by this much on calm days.
+const NOTICEABLE_MS: f64 = 100.0;
+/// Without news an overrun halves in this time.
+const OVERRUN_HALF_LIFE_MS: f64 = 1_000.0;
+
+impl FetchDelay {
+    /// Takes in how long a request took to its first event, how long that was expected, and whether it
+    /// fetched.
+    pub fn observe(&mut self, fetched: bool, expected_ms: f64, first_event_ms: u64, now: MonoTime) {
+        let overrun_ms = (number(first_event_ms) - expected_ms).max(0.0);
+        let overrun = if fetched { &mut self.fetched } else { &mut self.others };
+        let known_ms = overrun.at(now);
+        *overrun = Overrun { ms: known_ms + OVERRUN_STEP * (overrun_ms - known_ms), updated: now };
+    }
+
+    /// What a fetch takes on top of the expected. Nothing, while that is little.
+    pub fn ms(&self, now: MonoTime) -> f64 {
+        let delay_ms = self.fetched.at(now) - self.others.at(now);
+        if delay_ms >= NOTICEABLE_MS { delay_ms } else { 0.0 }
+    }
+}
+
+impl Overrun {
+    fn at(&self, now: MonoTime) -> f64 {
+        self.ms * (-number(now.ms_since(self.updated)) / OVERRUN_HALF_LIFE_MS).exp2()
+    }
+}
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -85,6 +85,39 @@
     assert_eq!(chosen_for(&work, &[far_home, busy_near_home]), 0);
 }
 
+/// All caches were lost at once, and every prompt is fetched through the store's one link.
+#[test]
+fn parts_are_read_again_while_fetches_wait_longer_than_that_takes() {
+    let views = [Some(home())];
+    let crowded = Work { fetch_ms: 900.0, ..classification() };
+
+    let (_, calm) = choose_engine(&views, &classification()).unwrap();
+    let (_, reads) = choose_engine(&views, &crowded).unwrap();
+
+    assert_eq!((calm.fetches, calm.read_tokens), (true, 2_890));
+    assert_eq!((reads.fetches, reads.read_tokens), (false, 9_190));
+    assert!(reads.first_event_ms < 200.0);
+}
+
+/// The parts may have been dropped since: what the engine lacks is fetched then, not read.
+#[test]
+fn an_engine_that_is_believed_to_hold_the_parts_may_fetch_them_all_the_same() {
+    let holds = EngineView { resident_tokens: 6_300, ..home() };
+
+    let (_, estimate) = choose_engine(&[Some(holds)], &classification()).unwrap();
+
+    assert_eq!((estimate.fetches, estimate.may_fetch), (false, true));
+}
+
+/// An engine that holds the parts needs no fetch, in whichever domain it is.
+#[test]
+fn the_engine_with_the_parts_is_chosen_while_fetches_wait() {
+    let work = Work { fetch_ms: 900.0, has_near_home: true, ..classification() };
+    let far_home = EngineView { is_near: false, resident_tokens: 6_300, ..home() };
+
+    assert_eq!(chosen_for(&work, &[home(), far_home]), 1);
+}
+
 /// Engines that read slowly: what waits to be read at the home takes longer than elsewhere from the start.
 #[test]
 fn a_queue_weighs_more_where_engines_read_slowly() {
--- a/crates/routing/tests/speed.rs
+++ b/crates/routing/tests/speed.rs
@@ -1,7 +1,8 @@
 //! Learning of the reading speed, beside queues and engines that turn slow.
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use samphirespread_routing::speed::{FIRST_TOKENS_PER_MS, ReadingSpeed};
+use samphirespread_core::prelude::*;
+use samphirespread_routing::speed::{FIRST_TOKENS_PER_MS, FetchDelay, ReadingSpeed};
 
 const BASE_MS: f64 = 38.0;
 
@@ -52,3 +53,29 @@
     (0..10_000).for_each(|_| speed.observe(2_000, u64::MAX));
     assert!(speed.tokens_per_ms() >= 5.0);
 }
+
+/// Fetches wait for each other for two seconds, then nobody fetches.
+#[test]
+fn a_crowd_of_fetches_is_noticed_within_some_requests_and_forgotten_without_news() {
+    let mut delay = FetchDelay::default();
+    let at = MonoTime::from_ms;
+    for request in 0..20 {
+        delay.observe(true, 80.0, 1_080, at(1_000 + 10 * request));
+        delay.observe(false, 80.0, 90, at(1_000 + 10 * request));
+    }
+
+    assert!(delay.ms(at(1_200)) > 600.0, "{}", delay.ms(at(1_200)));
+    assert!(delay.ms(at(9_000)) < 10.0, "{}", delay.ms(at(9_000)));
+}
+
+/// Everything is late, whether it fetches or not: the fetches are not what makes it so.
+#[test]
+fn engines_that_are_late_with_everything_don_t_count_as_slow_to_fetch() {
+    let mut delay = FetchDelay::default();
+    for request in 0..200 {
+        let now = MonoTime::from_ms(1_000 + 5 * request);
+        delay.observe(request % 2 == 0, 80.0, 700, now);
+    }
+
+    assert!(delay.ms(MonoTime::from_ms(2_000)) < 60.0);
+}
