--- a/crates/gateway/tests/gateway/departures.rs
+++ b/crates/gateway/tests/gateway/departures.rs
@@ -273,3 +273,47 @@
     assert!(!answer.headers.contains_key("server-leaving"));
     assert_eq!(site.workers.iter().map(Worker::ran).sum::<usize>(), 1);
 }
+
+/// A server that sends the head of a stream, and then a comment of two bytes now and then for ever.
+async fn stalls(mut stream: TcpStream) {
+    let head = "HTTP/1.1 200 OK\r\nx-samphirespread-response-seal: s\r\ntransfer-encoding: chunked\r\n\r\n";
+    let mut request = [0; 4_096];
+    let mut written = match stream.read(&mut request).await {
+        Ok(length) if length > 0 => stream.write_all(head.as_bytes()).await,
+        _ => return,
+    };
+    while written.is_ok() {
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        written = stream.write_all(b"2\r\n:\n\r\n").await;
+    }
+}
+
+/// Bytes that are no event don't keep a stream alive beyond the time that its caller waits.
+#[tokio::test]
+async fn a_stalled_stream_ends_although_bytes_come_now_and_then() {
+    let site = start_site(configuration()).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(stalls(stream));
+        }
+    });
+    let model = json!([{ "name": crate::support::MODEL, "version": 1, "adapters": [] }]);
+    let entry = json!({ "service": "engines", "address": address.to_string(), "zone": "khomas-1",
+        "version": "v1", "slots": 6, "state": "ready", "models": model, "seq": 1, "born": 1 });
+    site.store.remove("servers", "e1");
+    site.store.remove("servers", "e2");
+    site.store.put("servers", "stalls", entry);
+    logged(&site, "server gone", "server", "e2").await;
+    logged(&site, "server appeared", "server", "stalls").await;
+
+    let mut request = crate::support::generation("/stream/a", "q1");
+    let deadline = "700".parse().unwrap();
+    request.headers_mut().insert("x-samphirespread-deadline-ms", deadline);
+    let answer = send(site.gateway.addresses.callers, request).await.expect("a head");
+
+    assert!(!answer.is_whole);
+    let end = site.gateway.log.line("request ended", "q1").await;
+    assert_eq!((end["outcome"].as_str(), end["cause"].as_str()), (Some("cut"), Some("timeout")));
+}
