Split following cache stores from getting views of routers; short steps for an order

No change of behaviour: one way to make a call on a kept connection for both, the permission and the log of an order in functions of their own.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -10,7 +10,7 @@
 use crate::{
     answers,
     body::Outgoing,
-    cache_follow::{self, Known, VIEWS_PATH},
+    cache_pull::{self, Known, VIEWS_PATH},
     gateway::Core,
 };
 
@@ -69,7 +69,7 @@
 
 /// This router's views of the stores of cached parts, for a router of its domain.
 fn views(core: &Core, known: &Known) -> Response<Outgoing> {
-    let Some(views) = cache_follow::views(core, known) else {
+    let Some(views) = cache_pull::views(core, known) else {
         return answers::plain(StatusCode::NOT_FOUND, "this router follows no store itself");
     };
     match serde_json::to_string(&views) {
--- /dev/null
+++ b/crates/gateway/src/cache_pull.rs
@@ -0,0 +1,142 @@
+//! Views of the stores of cached parts, which one router of a failure domain follows and the others get from it.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use http::StatusCode;
+use samphirespread_logging::event;
+use samphirespread_outbound::Connection;
+use samphirespread_routing::cache::{CacheUpdate, Position};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use tokio::time;
+
+use crate::{
+    cache_follow::{FollowError, TIMEOUT_MS, get},
+    gateway::Core,
+    state::CacheState,
+};
+
+/// Time between two calls to the router that follows for this domain.
+pub(crate) const PULL_MS: u64 = 300;
+/// A router that does not hand out what it has is not asked again for this long.
+const PULL_PAUSE_MS: u64 = 2_000;
+
+/// Where a router hands out its views.
+pub(crate) const VIEWS_PATH: &str = "/caches";
+
+/// How far a router knows the stores, in the query of its call: `IP:PORT/EPOCH/NEXT`, separated by commas.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub(crate) struct Known {
+    pub(crate) stores: String,
+}
+
+impl Known {
+    fn new(positions: &HashMap<SocketAddr, Position>) -> Self {
+        let entry =
+            |(address, at): (&SocketAddr, &Position)| format!("{address}/{}/{}", at.epoch, at.next);
+        Self { stores: positions.iter().map(entry).collect::<Vec<_>>().join(",") }
+    }
+
+    /// The positions. Entries that can't be read are left out, and their stores are listed in full.
+    fn positions(&self) -> HashMap<SocketAddr, Position> {
+        let entry = |entry: &str| {
+            let mut fields = entry.split('/');
+            let address = fields.next()?.parse().ok()?;
+            let epoch = fields.next()?.parse().ok()?;
+            Some((address, Position { epoch, next: fields.next()?.parse().ok()? }))
+        };
+        self.stores.split(',').filter_map(entry).collect()
+    }
+}
+
+/// One router's view of a store, less what the router that asks knows already.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct View {
+    address: SocketAddr,
+    is_up: bool,
+    /// None while nothing is known of the store.
+    update: Option<(Position, CacheUpdate)>,
+}
+
+/// This router's views of all stores, for a router of its domain. None when it does not follow them itself.
+pub(crate) fn views(core: &Core, known: &Known) -> Option<Vec<View>> {
+    let positions = known.positions();
+    let state = core.state();
+    if state.caches_pulled_from.is_some() {
+        return None;
+    }
+    let view = |(address, cache): (&SocketAddr, &CacheState)| View {
+        address: *address,
+        is_up: cache.is_up,
+        update: cache.contents.update_from(positions.get(address).copied()),
+    };
+    Some(state.caches.iter().map(view).collect())
+}
+
+/// Gets from the router that follows for this domain what this one lacks, for as long as the process runs.
+pub(crate) async fn pull(core: Arc<Core>) {
+    let mut puller = Puller { core, connection: None };
+    loop {
+        time::sleep(Duration::from_millis(PULL_MS)).await;
+        let Some(address) = puller.core.state().caches_pulled_from else {
+            puller.connection = None;
+            continue;
+        };
+        let limit = Duration::from_millis(TIMEOUT_MS);
+        let outcome = time::timeout(limit, puller.step(address)).await;
+        if let Err(error) = outcome.unwrap_or(Err(FollowError::Silent)) {
+            info!(puller.core.log, "{}", event::VIEWS_NOT_HAD; "router" => %address, "error" => %error);
+            let now = puller.core.now();
+            let mut state = puller.core.state();
+            state.pull_again = now.plus_ms(PULL_PAUSE_MS);
+            state.caches_pulled_from = None;
+        }
+    }
+}
+
+struct Puller {
+    core: Arc<Core>,
+    /// The router that is asked, and the connection to it.
+    connection: Option<(SocketAddr, Connection)>,
+}
+
+impl Puller {
+    async fn step(&mut self, address: SocketAddr) -> Result<(), FollowError> {
+        let rested = self.connection.take().filter(|(to, _)| *to == address);
+        let rested = rested.map(|(_, connection)| connection);
+        let path = format!("{VIEWS_PATH}?stores={}", self.known().stores);
+        let (connection, status, body) = get(rested, address, &path, 0).await?;
+        if status != StatusCode::OK {
+            return Err(FollowError::Failed(format!("status {}", status.as_u16())));
+        }
+        let views: Vec<View> =
+            serde_json::from_slice(&body).map_err(|error| FollowError::failed(&error))?;
+        self.connection = Some((address, connection));
+        self.take(views);
+        Ok(())
+    }
+
+    fn known(&self) -> Known {
+        let state = self.core.state();
+        let positions = state.caches.iter();
+        Known::new(
+            &positions.filter_map(|(to, cache)| Some((*to, cache.contents.position()?))).collect(),
+        )
+    }
+
+    fn take(&self, views: Vec<View>) {
+        let mut state = self.core.state();
+        for view in views {
+            let cache = state.caches.entry(view.address).or_default();
+            if std::mem::replace(&mut cache.is_up, view.is_up) && !view.is_up {
+                warn!(self.core.log, "{}", event::CACHE_LOST; "store" => %view.address,
+                    "error" => "told by the router that follows it");
+            }
+            if let Some((to, update)) = view.update {
+                cache.contents.take(to, update);
+                cache.is_to_be_listed = false;
+            }
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod answers;
 mod body;
 mod cache_follow;
+mod cache_pull;
 mod conduct;
 mod copies;
 mod fleet;
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -6,7 +6,7 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use samphirespread_adapter::{
-    EngineClient, Kind, StoreError, Written,
+    EngineClient, EngineError, Kind, StoreError, Written,
     engine::{LoadOrder, OrderAnswer, Report},
 };
 use samphirespread_core::prelude::*;
@@ -336,19 +336,10 @@
         if self.loads(report) || !report.state.is_older(&grant.model, grant.version) {
             return false;
         }
-        // Requests that are on their way have this long to arrive; the engine finishes what it has.
+        // Other routers hear that it loads before it does.
         self.tell(report, true);
         let now = self.core.now();
-        let is_permitted = {
-            let mut state = self.core.state();
-            let is_permitted =
-                state.permit.is_some_and(|permit| permit.epoch == self.epoch && permit.holds(now));
-            if let Some(server) = state.fleet.get_mut(&self.id).filter(|_| is_permitted) {
-                server.ordered = Some(now);
-            }
-            is_permitted
-        };
-        if !is_permitted {
+        if !self.is_permitted(now) {
             return false;
         }
         let order = LoadOrder {
@@ -358,9 +349,33 @@
             fencing_token: fencing_token(self.epoch, Orderer::Holder, grant.version),
             after_orders: report.orders_accepted,
         };
-        match self.engine.order(&self.id, &order).await {
+        let answered = self.engine.order(&self.id, &order).await;
+        if matches!(answered, Ok(OrderAnswer::Accepted | OrderAnswer::AlreadyHolds)) {
+            self.taken = Some(Taken { version: grant.version, at: now });
+        }
+        self.log_order(&grant, report, &answered);
+        true
+    }
+
+    /// Whether this router may order now. If so, notes that it does.
+    fn is_permitted(&self, now: MonoTime) -> bool {
+        let mut state = self.core.state();
+        let permit = state.permit.filter(|permit| permit.epoch == self.epoch && permit.holds(now));
+        let Some(server) = state.fleet.get_mut(&self.id).filter(|_| permit.is_some()) else {
+            return false;
+        };
+        server.ordered = Some(now);
+        true
+    }
+
+    fn log_order(
+        &self,
+        grant: &Grant,
+        report: &Report,
+        answered: &Result<OrderAnswer, EngineError>,
+    ) {
+        match answered {
             Ok(answer @ (OrderAnswer::Accepted | OrderAnswer::AlreadyHolds)) => {
-                self.taken = Some(Taken { version: grant.version, at: now });
                 info!(self.core.log, "{}", event::ORDER_GIVEN; "server" => &*self.id, "model" => %grant.model,
                     "version" => grant.version, "after_orders" => report.orders_accepted, "answer" => ?answer);
             }
@@ -374,6 +389,5 @@
                     "version" => grant.version, "after_orders" => report.orders_accepted, "error" => %error);
             }
         }
-        true
     }
 }
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     admin::Held,
-    cache_follow, copies,
+    cache_follow, cache_pull, copies,
     fleet::FleetNews,
     gateway::Core,
     metrics::{self, count},
@@ -53,7 +53,7 @@
         tasks.spawn(weights::follow(core.clone()));
         tasks.spawn(weights::record(core.clone()));
         tasks.spawn(cache_follow::follow(core.clone()));
-        tasks.spawn(cache_follow::pull(core.clone()));
+        tasks.spawn(cache_pull::pull(core.clone()));
         tasks.spawn(peers::receive(core.clone()));
         tasks.spawn(publish::publish(core.clone()));
         tasks.spawn(orders::hold(core.clone()));
