Move running streams off engines that are to load or that leave

Cause: an order to load waits for the engine's last stream, 1 to 4 s for a load of 0.44 s; the engine takes nothing meanwhile.

The router that relays a stream copies the run's memory to an engine of the same weights that loads later, stops the run and goes on from the copy: one run, one stream. It goes on elsewhere only on the source's word that the run has stopped. Moves come out of the ratio of the budget for repeats; its slack stays for failures.

--- a/crates/gateway/src/conduct.rs
+++ b/crates/gateway/src/conduct.rs
@@ -1,11 +1,13 @@
 //! Conducts the rollout of weights: one router at a time says which engine loads next.
 
+use std::{collections::HashSet, sync::Arc};
+
 use samphirespread_core::prelude::*;
 use samphirespread_fabric::precedes;
 use samphirespread_logging::event;
 use samphirespread_routing::{
     model::Standing,
-    rollout::{Candidate, Phase, at_once, next},
+    rollout::{Candidate, Phase, at_once, next, order},
 };
 use slog::info;
 
@@ -83,6 +85,18 @@
     !grants.is_empty()
 }
 
+/// The engines that load last of those that are to load a version.
+pub(crate) fn last_to_load(
+    state: &State,
+    model: &ModelName,
+    target: u64,
+    now: MonoTime,
+) -> HashSet<Arc<str>> {
+    let candidates = candidates(state, model, now);
+    let order = order(&candidates, target);
+    order[order.len() / 2..].iter().map(|index| candidates[*index].id.clone()).collect()
+}
+
 fn candidates(state: &State, model: &ModelName, now: MonoTime) -> Vec<Candidate> {
     engines(state)
         .filter(|server| server.entry.standing == Standing::Ready && !server.said_leaving)
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -116,7 +116,12 @@
 
     /// Whether it wants no new requests from this router.
     pub(crate) fn declines(&self, now: MonoTime) -> bool {
-        self.entry.standing != Standing::Ready || self.said_leaving || now < self.rests_until
+        self.leaves() || now < self.rests_until
+    }
+
+    /// Whether it is on its way out.
+    pub(crate) fn leaves(&self) -> bool {
+        self.entry.standing != Standing::Ready || self.said_leaving
     }
 
     fn run(&self) -> Departure {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod pulse;
 mod reads;
 mod relay;
+mod relocate;
 mod routers;
 mod run;
 mod select;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,8 @@
     pub(crate) not_run: Causes,
     /// Sends beyond the first of a request, by what led to them.
     pub(crate) repeats: Causes,
+    /// Moves of runs, by their outcome.
+    pub(crate) moves: Causes,
     /// Answers that were lost in their bodies, by what was wrong with them.
     pub(crate) lost_answers: Causes,
     /// Calls to the store that failed, by the kind of failure.
@@ -63,6 +65,7 @@
             ended: Causes::default(),
             not_run: Causes::default(),
             repeats: Causes::default(),
+            moves: Causes::default(),
             lost_answers: Causes::default(),
             store_failures: Causes::default(),
             connections: Counter::default(),
@@ -89,6 +92,7 @@
         registry.register("requests", "Requests by how they ended", self.ended.clone());
         registry.register("not_run", "Refusals by reason", self.not_run.clone());
         registry.register("repeats", "Sends beyond the first", self.repeats.clone());
+        registry.register("run_moves", "Moves of runs by outcome", self.moves.clone());
         registry.register("lost_answers", "Lost in their bodies", self.lost_answers.clone());
         registry.register("store_failures", "Failed store calls", self.store_failures.clone());
         registry.register("server_connections", "Connections opened", self.connections.clone());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -10,10 +10,14 @@
 
 use crate::{
     body::{Piece, StreamBroken},
-    run::{Attempt, Live, Run},
+    relocate::Moves,
+    run::{Attempt, CarriedOn, Live, Run},
     story::{End, Step},
 };
 
+/// The stream of a run that has stopped ends within this time.
+const STREAM_END_MS: u64 = 200;
+
 /// Why copying a server's events came to its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Copied {
@@ -30,8 +34,12 @@
 /// Copies a stream to its caller, and goes on at another server where that is allowed.
 pub(crate) async fn relay(mut run: Run, live: Box<Live>, pieces: mpsc::Sender<Piece>) {
     let status = live.status.as_u16();
-    let mut relay =
-        Relay { pieces, splitter: EventSplitter::default(), last_id: run.facts.last_event_id };
+    let mut relay = Relay {
+        pieces,
+        splitter: EventSplitter::default(),
+        last_id: run.facts.last_event_id,
+        moves: Moves::default(),
+    };
     let mut live = live;
     let end = loop {
         match relay.copy(&mut run, &mut live).await {
@@ -42,6 +50,10 @@
             Copied::CallerGone => break End::CallerGone,
             Copied::TimedOut => break End::Cut { cause: "timeout" },
             Copied::Broken(cause) => {
+                if let Some(next) = relay.carry_on(&mut run).await {
+                    live = next;
+                    continue;
+                }
                 let may_repeat = run.may_repeat();
                 let server = live.lease.server.clone();
                 run.story.step(run.core.now(), Step::Failed { server, cause, may_repeat });
@@ -67,6 +79,7 @@
     pieces: mpsc::Sender<Piece>,
     splitter: EventSplitter,
     last_id: Option<u64>,
+    moves: Moves,
 }
 
 impl Relay {
@@ -74,10 +87,15 @@
         let deadline = time::sleep(Duration::from_millis(run.left_ms()));
         tokio::pin!(deadline);
         loop {
+            let has_stopped = self.moves.has_stopped_run();
             let frame = tokio::select! {
                 biased;
                 () = self.pieces.closed() => return Copied::CallerGone,
                 frame = live.body.frame() => frame,
+                () = self.moves.answered() => continue,
+                () = time::sleep(Duration::from_millis(STREAM_END_MS)), if has_stopped => {
+                    return Copied::Broken("its run has stopped".to_owned());
+                }
                 () = &mut deadline => return Copied::TimedOut,
             };
             match frame {
@@ -115,6 +133,9 @@
             if !self.send(event.bytes).await {
                 return false;
             }
+            if self.last_id.is_some() {
+                self.moves.begin_if_due(run, &live.lease.server);
+            }
         }
         true
     }
@@ -123,6 +144,28 @@
         self.pieces.send(Ok(bytes)).await.is_ok()
     }
 
+    /// Goes on where the run's memory is, if the stream ended because the run was stopped to be moved.
+    async fn carry_on(&mut self, run: &mut Run) -> Option<Box<Live>> {
+        let last_id = self.last_id?;
+        while let Some(place) = self.moves.next_place(&run.core).await {
+            self.splitter.clear();
+            let carried_on = tokio::select! {
+                biased;
+                () = self.pieces.closed() => return None,
+                carried_on = run.carry_on(&place, last_id) => carried_on,
+            };
+            match carried_on {
+                CarriedOn::Live(live) => {
+                    self.moves.done();
+                    return Some(live);
+                }
+                CarriedOn::Refused => self.moves.refused(),
+                CarriedOn::Failed => self.moves.failed(),
+            }
+        }
+        None
+    }
+
     async fn resume(&mut self, run: &mut Run) -> Option<Box<Live>> {
         self.splitter.clear();
         run.story.step(run.core.now(), Step::Resumes { after: self.last_id.unwrap_or(0) });
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use samphirespread_adapter::headers::{self, AnswerFacts, Instructions, RequestFacts};
+use samphirespread_adapter::headers::{self, AnswerFacts, Instructions, RequestFacts, RunMemory};
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
 use samphirespread_outbound::{Connection, IdleLimits, SendError};
@@ -14,6 +14,7 @@
     attempts::{AttemptRules, Attempts},
     choice::Estimate,
     model::{Generation, RouteKind, Service, ServiceName},
+    retry::RetryLimits,
 };
 use slog::info;
 use tokio::time;
@@ -97,6 +98,17 @@
     Unknown { status: StatusCode, cause: &'static str },
 }
 
+/// What became of a run that was to go on elsewhere.
+#[derive(Debug)]
+pub(crate) enum CarriedOn {
+    /// It goes on.
+    Live(Box<Live>),
+    /// The server says that it does not.
+    Refused,
+    /// It may have gone on, and its events are lost.
+    Failed,
+}
+
 /// What one send came to.
 enum Sent {
     Answer(Box<Live>),
@@ -251,6 +263,16 @@
         }
     }
 
+    /// Sends the request to where its run, which was stopped, goes on from its memory.
+    pub(crate) async fn carry_on(&mut self, selected: &Selected, last_event_id: u64) -> CarriedOn {
+        self.story.step(self.core.now(), selected.step.clone());
+        match self.send(selected, Some(last_event_id)).await {
+            Sent::Answer(live) if live.status.is_success() => CarriedOn::Live(live),
+            Sent::NotRun => CarriedOn::Refused,
+            Sent::Answer(_) | Sent::Failed(_) | Sent::TimedOut => CarriedOn::Failed,
+        }
+    }
+
     fn given_up(&self, reason: NotRun, cause: &'static str) -> Attempt {
         if self.may_have_run() {
             return Attempt::Unknown { status: StatusCode::BAD_GATEWAY, cause };
@@ -267,7 +289,7 @@
     }
 
     /// The service that the route leads to for this request.
-    fn service(&self) -> Option<&Service> {
+    pub(crate) fn service(&self) -> Option<&Service> {
         let table = &self.grant.table;
         let id = self.facts.id.as_deref().unwrap_or_default();
         table.service(table.upstream(&self.grant.route, id)?)
@@ -324,6 +346,15 @@
         may
     }
 
+    /// Takes the send that moves the run out of the budget for repeats, all but what is kept for failures.
+    pub(crate) fn may_move(&self) -> bool {
+        let Some(service) = self.service() else { return false };
+        let mut state = self.core.state();
+        let limits = RetryLimits { slack: 0, ..state.retry_limits(&self.core.name) };
+        let budget = state.retries.entry(service.name.clone()).or_default();
+        budget.try_spend(&limits, self.core.now())
+    }
+
     async fn send(&mut self, selected: &Selected, last_event_id: Option<u64>) -> Sent {
         let footprint = self.facts.generation.as_ref().map_or(0, Generation::footprint_tokens);
         let lease = Lease::take(&self.core, selected, footprint);
@@ -398,7 +429,10 @@
             sent: self.core.now(),
         });
         // From here on the server may get the request, whatever becomes of this task.
-        self.attempts.begin();
+        match selected.carries_on {
+            Some(_) => self.attempts.carry_on(),
+            None => self.attempts.begin(),
+        }
         let left = Duration::from_millis(self.left_ms());
         let response = match time::timeout(left, connection.send(request)).await {
             Ok(Ok(response)) => response,
@@ -452,6 +486,10 @@
             urgency,
             engine: selected.engine.clone(),
             last_event_id: last_event_id.or(self.facts.last_event_id),
+            memory_from: selected
+                .carries_on
+                .as_ref()
+                .map(|run| RunMemory { source: run.source, handle: &run.handle }),
         };
         let mut forwarded = headers::forwarded(&self.headers, &instructions);
         if !forwarded.contains_key(header::HOST)
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -49,10 +49,21 @@
     pub(crate) heard: Option<Heard>,
     /// When this run of the server started.
     pub(crate) started_unix_ms: Option<u64>,
+    /// The stopped run that goes on there, if it is not a new one.
+    pub(crate) carries_on: Option<CarriesOn>,
     /// The decision, for the log.
     pub(crate) step: Step,
 }
 
+/// A stopped run that goes on from a copy of its memory.
+#[derive(Clone, Debug)]
+pub(crate) struct CarriesOn {
+    /// The engine that ran it before.
+    pub(crate) source: SocketAddr,
+    /// The name of the copy.
+    pub(crate) handle: Box<str>,
+}
+
 impl Selected {
     /// The run of the server that was chosen.
     pub(crate) fn run(&self) -> Departure {
@@ -115,7 +126,13 @@
     resting.map(|server| server.rests_until.ms_since(now)).min()
 }
 
-fn is_eligible(state: &State, server: &Server, tried: &[Arc<str>], now: MonoTime) -> bool {
+/// Whether a server takes new requests.
+pub(crate) fn is_eligible(
+    state: &State,
+    server: &Server,
+    tried: &[Arc<str>],
+    now: MonoTime,
+) -> bool {
     let is_loading = server.fresh_state(now).is_some_and(|state| state.is_loading);
     let may_take = !server.declines(now) && !state.is_another(server, now);
     may_take && !is_loading && !tried.contains(&server.entry.id)
@@ -152,6 +169,7 @@
         expected: None,
         heard: None,
         started_unix_ms: server.entry.started_unix_ms,
+        carries_on: None,
         step: chose(server, servers.len(), is_near, true, None, None, place, now),
     })
 }
@@ -230,6 +248,7 @@
         expected: Some(estimate),
         heard: heard(server, now),
         started_unix_ms: server.entry.started_unix_ms,
+        carries_on: None,
         step: chose(
             server,
             candidates,
@@ -356,7 +375,7 @@
 }
 
 /// This router's part of the connections that a server takes, less those in use at a change.
-fn max_idle(state: &State, service: &Service) -> usize {
+pub(crate) fn max_idle(state: &State, service: &Service) -> usize {
     (service.max_connections / (state.routers.len() + 2)).max(1)
 }
 
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -36,6 +36,10 @@
     BudgetSpent { slack: u64 },
     /// A stream goes on elsewhere after an event.
     Resumes { after: u64 },
+    /// Its run is to be moved to another engine.
+    Moves { from: Arc<str>, to: Arc<str> },
+    /// Its run was stopped and goes on from its memory.
+    GoesOn { server: Arc<str> },
 }
 
 /// How a request ended.
@@ -107,9 +111,13 @@
     }
 
     pub(crate) fn step(&mut self, at: MonoTime, step: Step) {
-        if let Step::Chose { server, version, .. } = &step {
-            self.server = Some(server.clone());
-            self.version = *version;
+        match &step {
+            Step::Chose { server, version, .. } => {
+                self.server = Some(server.clone());
+                self.version = *version;
+            }
+            Step::GoesOn { server } => self.server = Some(server.clone()),
+            _ => {}
         }
         if self.steps.len() < MAX_STEPS {
             self.steps.push((at, step));
@@ -223,6 +231,14 @@
                     info!(self.core.log, "{}", event::BUDGET_SPENT; "request" => &self.id,
                         "at_ms" => at_ms, "slack" => slack);
                 }
+                Step::Moves { from, to } => {
+                    info!(self.core.log, "{}", event::RUN_MOVES; "request" => &self.id,
+                        "at_ms" => at_ms, "server" => &**from, "to" => &**to);
+                }
+                Step::GoesOn { server } => {
+                    info!(self.core.log, "{}", event::RUN_GOES_ON; "request" => &self.id,
+                        "at_ms" => at_ms, "server" => &**server);
+                }
                 Step::Resumes { after } => {
                     info!(self.core.log, "{}", event::STREAM_RESUMES; "request" => &self.id, "at_ms" => at_ms,
                         "after_event" => after);
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -38,6 +38,11 @@
     SERVER_FAILED, "server failed", "A backend server broke off, or its answer was of no use", "request, server, cause, may_repeat";
     BUDGET_SPENT, "no repeat: budget spent", "A repeat was left out since the budget for repeats is spent", "request, slack";
     STREAM_RESUMES, "stream resumes", "A stream goes on at another engine", "request, after_event";
+    RUN_MOVES, "run moves", "A run is to be moved to another engine", "request, server, to";
+    RUN_GOES_ON, "run goes on", "A run that was stopped goes on from its memory", "request, server";
+    RUN_COPIED, "run copied", "The engine of a run that was to be moved answered its last call", "request, server, to, outcome";
+    RUN_NOT_COPIED, "run not copied", "A call to copy a run's memory was not answered", "request, server, to, stops, error";
+    COPY_NOT_FREED, "copy not freed", "A copy that nobody uses was not freed; it expires", "request, server, error";
     CONFIGURATION_ADOPTED, "configuration adopted", "A configuration is in force", "generation, before, read_age_ms, routes, services, teams";
     IN_TOUCH, "in touch", "Keys are trusted again: the configuration was confirmed", "contact_age_ms";
     OUT_OF_TOUCH, "out of touch", "Keys are not trusted: the configuration was not confirmed for too long", "contact_age_ms";
--- a/crates/routing/src/attempts.rs
+++ b/crates/routing/src/attempts.rs
@@ -34,12 +34,14 @@
     sends: u32,
     /// Sends of which it is not certain that they have not run.
     possible_runs: u32,
+    /// Whether the last send carried on a run that was counted already.
+    carries_on: bool,
 }
 
 impl Attempts {
     /// A request that was not sent yet.
     pub fn new(rules: AttemptRules) -> Self {
-        Self { rules, sends: 0, possible_runs: 0 }
+        Self { rules, sends: 0, possible_runs: 0, carries_on: false }
     }
 
     /// Whether it may be sent now, to its first server or to another one.
@@ -75,16 +77,31 @@
         assert!(self.may_send(), "a request is sent although it may not run again: {self:?}");
         self.sends += 1;
         self.possible_runs += 1;
+        self.carries_on = false;
+    }
+
+    /// It is about to be written to a server where a run that was stopped goes on from its memory.
+    ///
+    /// # Panics
+    ///
+    /// When it has not been sent before.
+    pub fn carry_on(&mut self) {
+        assert!(self.possible_runs > 0, "a run goes on that never began: {self:?}");
+        self.carries_on = true;
     }
 
     /// It is certain that nothing of the last send was written.
     pub fn not_written(&mut self) {
-        self.sends -= 1;
-        self.possible_runs -= 1;
+        if !self.carries_on {
+            self.sends -= 1;
+            self.possible_runs -= 1;
+        }
     }
 
     /// The server of the last send says that it has not run it and will not.
     pub fn said_not_run(&mut self) {
-        self.possible_runs -= 1;
+        if !self.carries_on {
+            self.possible_runs -= 1;
+        }
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod lease;
 pub mod model;
 pub mod quota;
+pub mod relocation;
 pub mod retry;
 pub mod rollout;
 pub mod speed;
--- a/crates/routing/src/model.rs
+++ b/crates/routing/src/model.rs
@@ -130,6 +130,8 @@
     pub token_bytes: u64,
     /// Speed of its link in Mbit/s.
     pub link_mbps: f64,
+    /// Whether it can hand a run over to another engine.
+    pub moves_runs: bool,
 }
 
 /// A store of cached prompt parts.
--- a/crates/routing/src/rollout.rs
+++ b/crates/routing/src/rollout.rs
@@ -58,6 +58,13 @@
         |candidate: &&Candidate| matches!(candidate.phase, Phase::Loading | Phase::Finishing);
     let out = candidates.iter().filter(is_out).count();
     let free = (at_once + ahead(candidates, at_once)).saturating_sub(out);
+    let mut waiting = order(candidates, target);
+    waiting.truncate(free);
+    waiting
+}
+
+/// The servers that have yet to load `target`, in the order in which they will.
+pub fn order(candidates: &[Candidate], target: u64) -> Vec<usize> {
     let mut waiting: Vec<usize> = candidates
         .iter()
         .enumerate()
@@ -70,7 +77,6 @@
     });
     let turns = turns(candidates, &waiting, target);
     waiting.sort_by_key(|index| (candidates[*index].version, turns[index]));
-    waiting.truncate(free);
     waiting
 }
 
--- a/crates/routing/tests/attempts.rs
+++ b/crates/routing/tests/attempts.rs
@@ -123,3 +123,16 @@
 
     attempts.begin();
 }
+
+#[test]
+fn a_run_that_goes_on_elsewhere_is_counted_once() {
+    let rules = AttemptRules { is_idempotent: false, max_runs: 1, max_sends: 4 };
+    let mut attempts = Attempts::new(rules);
+    attempts.begin();
+
+    attempts.carry_on();
+    attempts.said_not_run();
+
+    assert!(attempts.may_have_run());
+    assert!(!attempts.may_send());
+}
--- a/crates/standin/src/published/mod.rs
+++ b/crates/standin/src/published/mod.rs
@@ -8,5 +8,8 @@
 pub use self::{
     asking::{Ask, Generation, says_not_run},
     objects::{ObjectStore, StoreCalls, StoreFault, StoreRates},
-    worker::{Behaviour, Ordered, Received, STREAM_EVENTS, Worker, WorkerConfig},
+    worker::{
+        Behaviour, CopyBehaviour, MOVED_EVENTS, Ordered, Received, RunCopied, STREAM_EVENTS,
+        Worker, WorkerConfig,
+    },
 };
--- a/crates/standin/src/published/worker.rs
+++ b/crates/standin/src/published/worker.rs
@@ -1,7 +1,7 @@
 //! A backend server that answers as it is told to, and records what it was sent.
 
 use std::{
-    collections::VecDeque,
+    collections::{HashMap, VecDeque},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -18,6 +18,7 @@
 use futures_util::stream;
 use serde_json::{Value, json};
 use tokio::time;
+use tokio_util::sync::CancellationToken;
 
 use crate::server::{LostAnswer, Server};
 
@@ -29,6 +30,10 @@
 pub(super) const NOT_RUN: &str = "x-samphirespread-not-executed";
 /// Events of a whole stream.
 pub const STREAM_EVENTS: u64 = 5;
+/// Events of a run that goes on from its memory.
+pub const MOVED_EVENTS: u64 = 3;
+/// Pause between two events of a stream that goes on until its run is stopped.
+const EVENT_PAUSE_MS: u64 = 10;
 
 /// How one request is treated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -53,6 +58,30 @@
     AnswerUnsigned,
     /// It runs and its stream is cut after that many events, in the middle of the next one.
     CutStreamAfter(u64),
+    /// It runs and its stream goes on until the run is stopped by a call that moves it.
+    StreamUntilMoved,
+}
+
+/// How one call to copy the memory of a run is treated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyBehaviour {
+    /// It is copied, and stops if it is the last call.
+    Copy,
+    /// There is no room at the destination. The last call stops the run, and its memory is kept.
+    NoRoom,
+    /// It is copied, and the answer is lost.
+    LoseAnswer,
+}
+
+/// A call to copy the memory of a run, as it came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunCopied {
+    /// The request whose run it is.
+    pub request_id: String,
+    /// The destination.
+    pub to: String,
+    /// Whether the run was to stop first.
+    pub stops: bool,
 }
 
 impl Behaviour {
@@ -184,6 +213,11 @@
     next: VecDeque<Behaviour>,
     received: Vec<Received>,
     ordered: Vec<Ordered>,
+    next_copies: VecDeque<CopyBehaviour>,
+    copied: Vec<RunCopied>,
+    released: Vec<String>,
+    /// Streams that go on until their run is stopped.
+    moving: HashMap<String, CancellationToken>,
 }
 
 impl Worker {
@@ -243,6 +277,21 @@
         self.inner.lock().received.clone()
     }
 
+    /// Treats the next calls to copy runs that way, then copies again.
+    pub fn expect_copies(&self, behaviours: impl IntoIterator<Item = CopyBehaviour>) {
+        self.inner.lock().next_copies.extend(behaviours);
+    }
+
+    /// Calls to copy runs.
+    pub fn copied(&self) -> Vec<RunCopied> {
+        self.inner.lock().copied.clone()
+    }
+
+    /// Handles of copies that were freed.
+    pub fn released(&self) -> Vec<String> {
+        self.inner.lock().released.clone()
+    }
+
     /// The orders that it was given.
     pub fn ordered(&self) -> Vec<Ordered> {
         self.inner.lock().ordered.clone()
@@ -306,7 +355,13 @@
     match uri.path() {
         "/-/report" => return report(&inner),
         "/-/order" => return order(&inner, &body),
-        _ => {}
+        "/-/kv-move" => return copy_run(&inner, &body),
+        path => {
+            if let Some(handle) = path.strip_prefix("/-/kv-handle/") {
+                inner.lock().released.push(handle.to_owned());
+                return StatusCode::OK.into_response();
+            }
+        }
     }
     let at = Instant::now();
     let mut received = Received { method, uri, headers, body, ran: false, at };
@@ -325,11 +380,60 @@
             if received.ran && inner.config.work_ms > 0 {
                 time::sleep(Duration::from_millis(inner.config.work_ms)).await;
             }
+            if behaviour == Behaviour::StreamUntilMoved {
+                return stream_until_moved(&inner, &received);
+            }
             treat(&received, behaviour).await
         }
     }
 }
 
+/// Answers with events that go on until the run is stopped, and then end without their end.
+fn stream_until_moved(inner: &Inner, received: &Received) -> Response {
+    let id = received.request_id().to_owned();
+    let stopped = CancellationToken::new();
+    inner.lock().moving.insert(id.clone(), stopped.clone());
+    let events = stream::unfold((1, stopped, id.clone()), |(number, stopped, id)| async move {
+        if stopped.is_cancelled() {
+            return (number > 0)
+                .then(|| (Err(io::Error::other("the run has stopped")), (0, stopped, id)));
+        }
+        time::sleep(Duration::from_millis(EVENT_PAUSE_MS)).await;
+        Some((Ok(format!("id: {number}\ndata: {id} {number}\n\n")), (number + 1, stopped, id)))
+    });
+    let headers = [(SEAL, "seal".to_owned()), (REQUEST_ID, id)];
+    (headers, Body::from_stream(events)).into_response()
+}
+
+fn copy_run(inner: &Inner, body: &Bytes) -> Response {
+    let Ok(call) = serde_json::from_slice::<Value>(body) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let copied = RunCopied {
+        request_id: call["id"].as_str().unwrap_or_default().to_owned(),
+        to: call["to"].as_str().unwrap_or_default().to_owned(),
+        stops: call["last"].as_bool().unwrap_or_default(),
+    };
+    let mut state = inner.lock();
+    let Some(stopped) = state.moving.get(&copied.request_id).cloned() else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    let behaviour = state.next_copies.pop_front().unwrap_or(CopyBehaviour::Copy);
+    if copied.stops {
+        stopped.cancel();
+    }
+    state.copied.push(copied.clone());
+    let answer = json!({ "handle": format!("h-{}", copied.request_id), "createRevision": 0 });
+    match behaviour {
+        CopyBehaviour::Copy => axum::Json(answer).into_response(),
+        CopyBehaviour::NoRoom if copied.stops => {
+            (StatusCode::SERVICE_UNAVAILABLE, axum::Json(answer)).into_response()
+        }
+        CopyBehaviour::NoRoom => StatusCode::SERVICE_UNAVAILABLE.into_response(),
+        CopyBehaviour::LoseAnswer => (Extension(LostAnswer), ()).into_response(),
+    }
+}
+
 fn misdirected(inner: &Inner, received: &Received) -> bool {
     let expected = received.header(EXPECT_SERVER);
     let version = received.header(EXPECT_VERSION);
@@ -366,6 +470,7 @@
         Behaviour::BreakOff => (Extension(LostAnswer), ()).into_response(),
         Behaviour::AnswerAnother => answer(received, "another"),
         Behaviour::AnswerUnsigned => ([(REQUEST_ID, id)], "unsigned").into_response(),
+        Behaviour::StreamUntilMoved => unreachable!("such a stream is answered before"),
         Behaviour::CutStreamAfter(events) => {
             let body = Body::from_stream(events_of(received, Some(events)));
             ([(SEAL, "seal".to_owned()), (REQUEST_ID, id)], body).into_response()
@@ -388,8 +493,10 @@
 ) -> impl stream::Stream<Item = io::Result<String>> + use<> {
     let id = received.request_id().to_owned();
     let last: u64 = received.header("last-event-id").parse().unwrap_or(0);
+    let goes_on = !received.header("kv-from").is_empty();
+    let end = if goes_on { last + MOVED_EVENTS } else { STREAM_EVENTS };
     let mut pieces: Vec<io::Result<String>> = Vec::new();
-    for number in last + 1..=STREAM_EVENTS {
+    for number in last + 1..=end {
         if cut_after.is_some_and(|events| number > last + events) {
             pieces.push(Ok(format!("id: {number}\nda")));
             pieces.push(Err(io::Error::other("cut")));
