Learn soon how fast the engines read, and take the time beside reading from it

A new router began with the speed of other deployments and moved 2 % a request; every kill began anew, and the time beside the reading was a constant that nobody learnt.

The first requests move what is learnt by up to 0.6 of themselves, later ones by 0.02 as before. The line of a request's end says what was expected, how much was to be read, and whether parts were to be fetched.

Ruled out: queues at the engines as the cause (the ratio was 2 also for estimates under 100 ms).

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -309,7 +309,6 @@
         };
         let place = Place {
             failure_domain: &self.core.settings.instance.failure_domain,
-            rollout_ms: state.bounds.rollout_ms,
             list_age_ms: state.reads.servers.confirmed().map(|at| now.ms_since(at)),
         };
         let selected = select(&state, &demand, &place, now);
--- a/crates/gateway/src/select.rs
+++ b/crates/gateway/src/select.rs
@@ -11,6 +11,7 @@
     },
     demand::share_within_capacity,
     model::{Engine, Generation, PromptPart, Service, cache_salt},
+    relocation::Handle,
     rollout::NamedVersions,
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -18,7 +19,7 @@
 use crate::{
     fleet::{Departure, Server},
     state::{CacheState, State},
-    story::Step,
+    story::{Choice, Step},
 };
 
 /// What a router has sent since an engine's last report stands for what the others have sent too.
@@ -61,7 +62,7 @@
     /// The engine that ran it before.
     pub(crate) source: SocketAddr,
     /// The name of the copy.
-    pub(crate) handle: Box<str>,
+    pub(crate) handle: Handle,
 }
 
 impl Selected {
@@ -95,7 +96,6 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Place<'a> {
     pub(crate) failure_domain: &'a str,
-    pub(crate) rollout_ms: u64,
     /// Time since the list of servers was confirmed.
     pub(crate) list_age_ms: Option<u64>,
 }
@@ -126,6 +126,12 @@
     resting.map(|server| server.rests_until.ms_since(now)).min()
 }
 
+/// The lowest version of a model on which a request may still be sent.
+pub(crate) fn oldest_allowed(state: &State, model: &ModelName, now: MonoTime) -> u64 {
+    let bound_ms = state.bounds.rollout_ms.saturating_sub(ROLLOUT_MARGIN_MS);
+    state.weights.get(model).map_or(0, |named| named.oldest_allowed(now, bound_ms))
+}
+
 /// Whether a server takes new requests.
 pub(crate) fn is_eligible(
     state: &State,
@@ -170,7 +176,16 @@
         heard: None,
         started_unix_ms: server.entry.started_unix_ms,
         carries_on: None,
-        step: chose(server, servers.len(), is_near, true, None, None, place, now),
+        step: Step::Chose(Choice {
+            server: server.entry.id.clone(),
+            candidates: servers.len(),
+            near: is_near,
+            newest: true,
+            version: None,
+            estimate: None,
+            report_age_ms: heard(server, now).map(|heard| heard.age_ms),
+            list_age_ms: place.list_age_ms,
+        }),
     })
 }
 
@@ -187,8 +202,7 @@
     let times = state.times.get(&demand.service.name).copied().unwrap_or_default();
     let speed = times.speed.tokens_per_ms();
     let named = state.weights.get(&generation.model);
-    let bound_ms = place.rollout_ms.saturating_sub(ROLLOUT_MARGIN_MS);
-    let oldest_allowed = named.map_or(0, |named| named.oldest_allowed(now, bound_ms));
+    let oldest_allowed = oldest_allowed(state, &generation.model, now);
     let wanted_version = named.map_or(0, NamedVersions::newest);
     let order = homes(servers, generation);
     let mut keys = KeysOfVersions::new(demand.dedicated_team, generation);
@@ -220,6 +234,7 @@
         shared_tokens: generation.shared_tokens(),
         stored_tokens: stored(&keys.of(wanted_version).salt),
         footprint_tokens: generation.footprint_tokens(),
+        base_ms: times.speed.base_ms(),
         read_tokens_per_ms: speed,
         fetch_ms: fetch_ms(engine, generation) + times.fetch_delay.ms(now),
         prefers_newest: prefers_newest(state, demand.request_id, rank_of_newest, speed, now),
@@ -249,16 +264,16 @@
         heard: heard(server, now),
         started_unix_ms: server.entry.started_unix_ms,
         carries_on: None,
-        step: chose(
-            server,
+        step: Step::Chose(Choice {
+            server: server.entry.id.clone(),
             candidates,
-            view.is_near,
-            view.is_newest,
-            Some(version),
-            Some(estimate),
-            place,
-            now,
-        ),
+            near: view.is_near,
+            newest: view.is_newest,
+            version: Some(version),
+            estimate: Some(estimate),
+            report_age_ms: heard(server, now).map(|heard| heard.age_ms),
+            list_age_ms: place.list_age_ms,
+        }),
     })
 }
 
@@ -384,36 +399,3 @@
     let waiting = report.state.as_ref().map_or(0, |state| state.waiting);
     Some(Heard { age_ms: now.ms_since(report.heard), waiting })
 }
-
-#[expect(clippy::too_many_arguments, reason = "one line of the log")]
-fn chose(
-    server: &Server,
-    candidates: usize,
-    near: bool,
-    newest: bool,
-    version: Option<u64>,
-    estimate: Option<Estimate>,
-    place: &Place<'_>,
-    now: MonoTime,
-) -> Step {
-    Step::Chose {
-        server: server.entry.id.clone(),
-        candidates,
-        near,
-        newest,
-        version,
-        first_event_ms: estimate.map_or(0, |estimate| whole(estimate.first_event_ms)),
-        cost_ms: estimate.map_or(0, |estimate| whole(estimate.cost_ms)),
-        report_age_ms: heard(server, now).map(|heard| heard.age_ms),
-        list_age_ms: place.list_age_ms,
-    }
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "an estimate is positive and short"
-)]
-fn whole(ms: f64) -> u64 {
-    ms as u64
-}
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -4,6 +4,7 @@
 
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
+use samphirespread_routing::choice::Estimate;
 use slog::{info, warn};
 
 use crate::{answers::NotRun, gateway::Core, metrics::count};
@@ -15,17 +16,7 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Step {
     /// A backend server was chosen.
-    Chose {
-        server: Arc<str>,
-        candidates: usize,
-        near: bool,
-        newest: bool,
-        version: Option<u64>,
-        first_event_ms: u64,
-        cost_ms: u64,
-        report_age_ms: Option<u64>,
-        list_age_ms: Option<u64>,
-    },
+    Chose(Choice),
     /// No connection could be opened.
     NoConnection { server: Arc<str>, error: String, avoid_ms: u64 },
     /// The server said that it has not run the request.
@@ -42,6 +33,35 @@
     GoesOn { server: Arc<str> },
 }
 
+/// A choice of a backend server, and what it rests on.
+#[derive(Clone, Debug)]
+pub(crate) struct Choice {
+    pub(crate) server: Arc<str>,
+    pub(crate) candidates: usize,
+    pub(crate) near: bool,
+    pub(crate) newest: bool,
+    /// The weights, where it is an engine.
+    pub(crate) version: Option<u64>,
+    pub(crate) estimate: Option<Estimate>,
+    pub(crate) report_age_ms: Option<u64>,
+    pub(crate) list_age_ms: Option<u64>,
+}
+
+impl Choice {
+    fn expected_ms(&self) -> Option<u64> {
+        self.estimate.map(|estimate| whole(estimate.first_event_ms))
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "an estimate is positive and short"
+)]
+fn whole(ms: f64) -> u64 {
+    ms as u64
+}
+
 /// How a request ended.
 #[derive(Clone, Debug)]
 pub(crate) enum End {
@@ -69,8 +89,9 @@
     generation: u64,
     contact_age_ms: u64,
     began: MonoTime,
+    /// The server that was sent the request last.
     server: Option<Arc<str>>,
-    version: Option<u64>,
+    choice: Option<Choice>,
     first_event: Option<MonoTime>,
     /// What the team's bucket held and the request costs, where that led to a refusal.
     over_quota: Option<(f64, f64)>,
@@ -90,7 +111,7 @@
             contact_age_ms: 0,
             began,
             server: None,
-            version: None,
+            choice: None,
             first_event: None,
             over_quota: None,
             steps: Vec::new(),
@@ -112,9 +133,9 @@
 
     pub(crate) fn step(&mut self, at: MonoTime, step: Step) {
         match &step {
-            Step::Chose { server, version, .. } => {
-                self.server = Some(server.clone());
-                self.version = *version;
+            Step::Chose(choice) => {
+                self.server = Some(choice.server.clone());
+                self.choice = Some(choice.clone());
             }
             Step::GoesOn { server } => self.server = Some(server.clone()),
             _ => {}
@@ -183,10 +204,15 @@
             End::CallerGone => ("caller_gone", "", 0, None),
             End::Cut { cause } => ("cut", *cause, 0, None),
         };
+        let estimate = self.choice.as_ref().and_then(|choice| choice.estimate);
         info!(self.core.log, "{}", event::REQUEST_ENDED; "request" => &self.id, "outcome" => outcome,
             "cause" => detail, "status" => status, "retry_after_ms" => retry_after_ms,
             "route" => self.route.as_deref(), "team" => self.team.as_ref().map(TeamName::as_str),
-            "server" => self.server.as_deref(), "version" => self.version,
+            "server" => self.server.as_deref(),
+            "version" => self.choice.as_ref().and_then(|choice| choice.version),
+            "expected_ms" => self.choice.as_ref().and_then(Choice::expected_ms),
+            "reading_tokens" => estimate.map(|estimate| estimate.read_tokens),
+            "fetches" => estimate.map(|estimate| estimate.fetches),
             "generation" => self.generation, "contact_age_ms" => self.contact_age_ms,
             "first_event_ms" => self.first_event_ms(), "took_ms" => took_ms, "late" => is_late,
             "quota_level" => self.over_quota.map(|(level, _)| level.round()),
@@ -198,22 +224,14 @@
         for (at, step) in &self.steps {
             let at_ms = at.ms_since(self.began);
             match step {
-                Step::Chose {
-                    server,
-                    candidates,
-                    near,
-                    newest,
-                    version,
-                    first_event_ms,
-                    cost_ms,
-                    report_age_ms,
-                    list_age_ms,
-                } => {
+                Step::Chose(choice) => {
                     info!(self.core.log, "{}", event::SERVER_CHOSEN; "request" => &self.id, "at_ms" => at_ms,
-                    "server" => &**server, "candidates" => candidates, "near" => near,
-                    "newest" => newest, "version" => version, "expected_ms" => first_event_ms,
-                    "cost_ms" => cost_ms, "report_age_ms" => report_age_ms,
-                    "list_age_ms" => list_age_ms);
+                        "server" => &*choice.server, "candidates" => choice.candidates,
+                        "near" => choice.near, "newest" => choice.newest,
+                        "version" => choice.version, "expected_ms" => choice.expected_ms(),
+                        "cost_ms" => choice.estimate.map(|estimate| whole(estimate.cost_ms)),
+                        "report_age_ms" => choice.report_age_ms,
+                        "list_age_ms" => choice.list_age_ms);
                 }
                 Step::NoConnection { server, error, avoid_ms } => {
                     warn!(self.core.log, "{}", event::NO_CONNECTION; "request" => &self.id, "at_ms" => at_ms,
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -31,7 +31,7 @@
     STARTED, "started", "A process has started", "instance, incarnation";
     STOPPED, "stopped", "A process has ended", "cause, requests_cut";
     DRAINING, "draining", "A process was asked to leave and sends callers elsewhere", "cause, grace_ms";
-    REQUEST_ENDED, "request ended", "A request has its outcome", "request, outcome, cause, status, retry_after_ms, route, team, server, version, generation, contact_age_ms, first_event_ms, took_ms, late, quota_level, quota_cost, steps";
+    REQUEST_ENDED, "request ended", "A request has its outcome", "request, outcome, cause, status, retry_after_ms, route, team, server, version, expected_ms, reading_tokens, fetches, generation, contact_age_ms, first_event_ms, took_ms, late, quota_level, quota_cost, steps";
     SERVER_CHOSEN, "server chosen", "A backend server was chosen for a send", "request, server, candidates, near, newest, version, expected_ms, cost_ms, report_age_ms, list_age_ms";
     NO_CONNECTION, "no connection", "A backend server was not reached; the request has not run there", "request, server, error, avoid_ms";
     SERVER_REFUSED, "server refused", "A backend server said that the request has not run", "request, server, status";
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -6,8 +6,6 @@
 
 use crate::model::{Engine, Generation};
 
-/// Time from an idle engine's admission to its first event.
-const FIRST_EVENT_MS: f64 = 45.0;
 /// What each running request adds to that.
 const RUNNING_MS: f64 = 1.0;
 /// What each request that waits at the engine adds.
@@ -58,6 +56,8 @@
     pub stored_tokens: u64,
     /// Memory while it runs.
     pub footprint_tokens: u64,
+    /// Time to the first event at an engine with little to do, beside the reading.
+    pub base_ms: f64,
     /// Prompt tokens that an engine reads in a millisecond.
     pub read_tokens_per_ms: f64,
     /// Time to fetch the shared parts from the store, see [`fetch_ms`].
@@ -144,7 +144,7 @@
     let fetch_ms = if fetches { work.fetch_ms } else { 0.0 };
     let queue_ms = tokens(view.unread_tokens) / work.read_tokens_per_ms;
     let load_ms = f64::from(view.running) * RUNNING_MS + f64::from(view.waiting) * WAITING_MS;
-    let first_event_ms = FIRST_EVENT_MS + read_ms + fetch_ms + queue_ms + load_ms;
+    let first_event_ms = work.base_ms + read_ms + fetch_ms + queue_ms + load_ms;
     let cost_ms = first_event_ms + additions(view, work);
     Estimate { read_tokens, fetches, may_fetch, first_event_ms, cost_ms }
 }
--- a/crates/routing/src/relocation.rs
+++ b/crates/routing/src/relocation.rs
@@ -18,17 +18,22 @@
 //! A run goes on elsewhere only after its engine said that it has stopped it: a call to stop without an answer may
 //! have been carried out or not, and then nothing is sent to another engine. Cost: one handle.
 
+use std::sync::Arc;
+
 use statig::{blocking::StateMachine, prelude::*};
 
+/// The name of a copy.
+pub type Handle = Arc<str>;
+
 /// What an engine said to a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
     /// The copy is complete. Its handle names it.
-    Copied(Box<str>),
+    Copied(Handle),
     /// The engine runs no such request.
     NoRun,
     /// No copy was made. A run that was to stop has stopped if there is a handle of what its engine keeps.
-    NotCopied(Option<Box<str>>),
+    NotCopied(Option<Handle>),
     /// There was no answer that can be read: the call may have been carried out.
     Unknown,
 }
@@ -54,12 +59,12 @@
         /// Where.
         place: Place,
         /// The handle.
-        handle: Box<str>,
+        handle: Handle,
     },
     /// The run stays where it is. A copy is to be freed.
     Stay {
         /// The handle of a copy that nobody will use.
-        release: Option<Box<str>>,
+        release: Option<Handle>,
     },
     /// Whether the run goes on is not known, or it can't go on from its memory: the rules for a stream that broke
     /// off hold.
@@ -104,7 +109,7 @@
 
     /// A copy is complete but for what the run has made since.
     #[state]
-    fn copied(handle: &Box<str>, event: &Event) -> statig::Outcome<State> {
+    fn copied(handle: &Handle, event: &Event) -> statig::Outcome<State> {
         let copy = handle.clone();
         match event {
             Event::Answered(Answer::Copied(handle)) => {
@@ -123,7 +128,7 @@
 
     /// The run has stopped; the request goes on at that place.
     #[state]
-    fn leaving(place: &Place, handle: &Box<str>, event: &Event) -> statig::Outcome<State> {
+    fn leaving(place: &Place, handle: &Handle, event: &Event) -> statig::Outcome<State> {
         match (event, place) {
             (Event::Refused, Place::Destination) => {
                 Transition(State::leaving(Place::Source, handle.clone()))
@@ -135,7 +140,7 @@
 
     /// The run stays where it is.
     #[state]
-    fn staying(release: &Option<Box<str>>, event: &Event) -> statig::Outcome<State> {
+    fn staying(release: &Option<Handle>, event: &Event) -> statig::Outcome<State> {
         let _ = (release, event);
         Handled
     }
--- a/crates/routing/src/speed.rs
+++ b/crates/routing/src/speed.rs
@@ -32,19 +32,31 @@
 const SHORT_TOKENS: u64 = 400;
 /// A prompt of this many tokens shows the reading.
 const LONG_TOKENS: u64 = 2_000;
-/// One request moves what is tracked by this part of it.
+/// One request moves what is tracked by this part of it, once many have.
 const STEP: f64 = 0.02;
+/// The same for the first request: a new router soon knows engines that differ from all others by several times.
+const FIRST_STEP: f64 = 0.6;
+/// After this many requests the step is half of the first one.
+const REQUESTS_TO_HALVE: f64 = 10.0;
 
 /// The speed of one service's engines.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReadingSpeed {
-    base_ms: f64,
-    ms_per_token: f64,
+    base_ms: Tracked,
+    ms_per_token: Tracked,
+}
+
+/// A low quantile of what requests have shown.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Tracked {
+    quantile: f64,
+    seen: u32,
 }
 
 impl Default for ReadingSpeed {
     fn default() -> Self {
-        Self { base_ms: FIRST_BASE_MS, ms_per_token: FIRST_TOKENS_PER_MS.recip() }
+        let unseen = |quantile| Tracked { quantile, seen: 0 };
+        Self { base_ms: unseen(FIRST_BASE_MS), ms_per_token: unseen(FIRST_TOKENS_PER_MS.recip()) }
     }
 }
 
@@ -53,25 +65,35 @@
     pub fn observe(&mut self, read_tokens: u64, first_event_ms: u64) {
         let took_ms = number(first_event_ms);
         if read_tokens <= SHORT_TOKENS {
-            self.base_ms = tracked(self.base_ms, took_ms).max(1.0);
+            self.base_ms.observe(took_ms, 1.0..=f64::MAX);
         } else if read_tokens >= LONG_TOKENS {
-            let reading_ms = (took_ms - self.base_ms).max(0.0);
-            let ms_per_token = tracked(self.ms_per_token, reading_ms / number(read_tokens));
+            let reading_ms = (took_ms - self.base_ms.quantile).max(0.0);
             let (slowest, fastest) = (TOKENS_PER_MS.start().recip(), TOKENS_PER_MS.end().recip());
-            self.ms_per_token = ms_per_token.clamp(fastest, slowest);
+            self.ms_per_token.observe(reading_ms / number(read_tokens), fastest..=slowest);
         }
     }
 
+    /// Time to the first event at an engine with little to do, beside the reading, in milliseconds.
+    pub fn base_ms(&self) -> f64 {
+        self.base_ms.quantile
+    }
+
     /// Prompt tokens that an engine with little to do reads in a millisecond.
     pub fn tokens_per_ms(&self) -> f64 {
-        self.ms_per_token.recip()
+        self.ms_per_token.quantile.recip()
     }
 }
 
-/// A quantile that is moved towards one more value.
-fn tracked(quantile: f64, value: f64) -> f64 {
-    let towards = if value < quantile { QUANTILE - 1.0 } else { QUANTILE };
-    quantile * (1.0 + STEP * towards)
+impl Tracked {
+    /// Moves the quantile towards one more value.
+    fn observe(&mut self, value: f64, bounds: std::ops::RangeInclusive<f64>) {
+        let half = REQUESTS_TO_HALVE / (REQUESTS_TO_HALVE + f64::from(self.seen));
+        let step = (FIRST_STEP * half).max(STEP);
+        let towards = if value < self.quantile { QUANTILE - 1.0 } else { QUANTILE };
+        let moved = self.quantile * (1.0 + step * towards);
+        self.quantile = moved.clamp(*bounds.start(), *bounds.end());
+        self.seen = self.seen.saturating_add(1);
+    }
 }
 
 #[expect(clippy::cast_precision_loss, reason = "tokens and spans are far below 2^52")]
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -15,6 +15,7 @@
         shared_tokens: 6_300,
         stored_tokens: 6_300,
         footprint_tokens: 9_250,
+        base_ms: 45.0,
         read_tokens_per_ms: 112.0,
         fetch_ms: 8.0,
         prefers_newest: true,
--- a/crates/routing/tests/speed.rs
+++ b/crates/routing/tests/speed.rs
@@ -43,6 +43,20 @@
     }
 }
 
+/// A router that starts in the middle of a day is told nothing of its engines.
+#[test]
+fn a_new_router_knows_slow_engines_after_some_requests() {
+    let mut speed = ReadingSpeed::default();
+
+    for _ in 0..10 {
+        speed.observe(300, (BASE_MS + 300.0 / 42.6) as u64);
+        speed.observe(6_000, (BASE_MS + 6_000.0 / 42.6) as u64);
+    }
+
+    let ratio = speed.tokens_per_ms() / 42.6;
+    assert!((0.8..1.3).contains(&ratio), "{ratio}");
+}
+
 #[test]
 fn what_is_learnt_stays_within_bounds() {
     let mut speed = ReadingSpeed::default();
