--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -147,7 +147,7 @@
     /// Goes on where the run's memory is, if the stream ended because the run was stopped to be moved.
     async fn carry_on(&mut self, run: &mut Run) -> Option<Box<Live>> {
         let last_id = self.last_id?;
-        while let Some(place) = self.moves.next_place(&run.core).await {
+        while let Some(place) = self.moves.next_place(run).await {
             self.splitter.clear();
             let carried_on = tokio::select! {
                 biased;
--- a/crates/gateway/src/relocate.rs
+++ b/crates/gateway/src/relocate.rs
@@ -9,9 +9,10 @@
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
 use samphirespread_routing::{
+    hosts::{Host, RunToMove, choose_host},
     model::{Generation, Service, cache_salt},
     relocation::{Answer, Place, Relocation, Step as MoveStep},
-    rollout,
+    rollout::NamedVersions,
 };
 use slog::info;
 use tokio::sync::oneshot;
@@ -33,8 +34,6 @@
 const AGAIN_MS: u64 = 150;
 /// Tries to move one run off one engine.
 const MAX_TRIES: u32 = 4;
-/// The part of an engine's memory up to which it takes runs of others.
-const COMFORTABLE_PART: f64 = 0.85;
 
 /// The moves of one stream.
 #[derive(Debug, Default)]
@@ -111,7 +110,7 @@
     }
 
     /// Where the request goes on, now that its stream has ended without its end.
-    pub(crate) async fn next_place(&mut self, core: &Core) -> Option<Selected> {
+    pub(crate) async fn next_place(&mut self, run: &Run) -> Option<Selected> {
         if self.under_way.is_some() && !self.has_stopped_run() {
             self.answered().await;
         }
@@ -119,10 +118,15 @@
         let Calls::Done(relocation) = &under_way.calls else { return None };
         let MoveStep::GoOn { place, handle } = relocation.step() else { return None };
         let source = under_way.source.address;
+        let version = under_way.source.engine.as_ref()?.version;
+        let generation = run.facts.generation.as_ref()?;
+        if !to_move(&run.core.state(), generation, version, run.core.now()).may_move() {
+            return None;
+        }
         let mut selected = match place {
             Place::Destination => under_way.destination.clone(),
             // A server that leaves gets nothing more.
-            Place::Source if is_leaving(core, &under_way.source.id) => return None,
+            Place::Source if is_leaving(&run.core, &under_way.source.id) => return None,
             Place::Source => under_way.source.clone(),
         };
         selected.carries_on = Some(CarriesOn { source, handle });
@@ -156,61 +160,58 @@
     }
     let state = run.core.state();
     let source = state.fleet.get(server)?;
-    if !is_to_be_emptied(source, now) {
+    if !source.leaves() && !source.fresh_state(now).is_some_and(|state| state.is_loading) {
         return None;
     }
     let version = source.version(&generation.model)?;
-    let destination = destination(&state, service, generation, source, version, now)?;
+    let to_move = to_move(&state, generation, version, now);
+    let destination = destination(&state, service, &generation.model, source, &to_move, now)?;
     let team = run.grant.dedicated_team();
     let place = |server: &Server| selected(&state, service, server, version, team);
     Some((place(source), place(destination)))
 }
 
-fn is_to_be_emptied(server: &Server, now: MonoTime) -> bool {
-    server.leaves() || server.fresh_state(now).is_some_and(|state| state.is_loading)
+fn to_move(state: &State, generation: &Generation, version: u64, now: MonoTime) -> RunToMove {
+    RunToMove {
+        version,
+        oldest_allowed: select::oldest_allowed(state, &generation.model, now),
+        footprint_tokens: generation.footprint_tokens(),
+    }
 }
 
 fn destination<'a>(
     state: &'a State,
     service: &Service,
-    generation: &Generation,
+    model: &ModelName,
     source: &Server,
-    version: u64,
+    to_move: &RunToMove,
     now: MonoTime,
 ) -> Option<&'a Server> {
-    let named = state.weights.get(&generation.model);
-    let newest = named.map_or(0, rollout::NamedVersions::newest);
-    let late =
-        (version < newest).then(|| conduct::last_to_load(state, &generation.model, newest, now));
-    let footprint = generation.footprint_tokens();
-    let candidates = state.fleet.of_service(&service.name).filter(|server| {
-        server.entry.id != source.entry.id
+    let newest = state.weights.get(model).map_or(0, NamedVersions::newest);
+    let loads = to_move.version < newest;
+    let last = loads.then(|| conduct::last_to_load(state, model, newest, now));
+    let servers: Vec<&Server> = state.fleet.of_service(&service.name).collect();
+    let host = |server: &&Server| {
+        let takes_requests = server.entry.id != source.entry.id
             && select::is_eligible(state, server, &[], now)
-            && !server.suspicion.is_avoided(now)
-            && server.version(&generation.model) == Some(version)
-            && late.as_ref().is_none_or(|late| late.contains(&server.entry.id))
-            && has_room(server, footprint, now)
-    });
-    candidates.min_by_key(|server| {
-        let is_far = server.entry.failure_domain != source.entry.failure_domain;
-        (is_far, used_tokens(server, now))
-    })
-}
-
-fn used_tokens(server: &Server, now: MonoTime) -> u64 {
-    server.fresh_state(now).map_or(0, |state| state.used_tokens) + server.sent_tokens()
-}
-
-fn has_room(server: &Server, footprint: u64, now: MonoTime) -> bool {
-    // An engine that tells nothing of itself refuses what it has no room for.
-    let Some(reported) = server.fresh_state(now) else { return true };
-    #[expect(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
-    let filled = (used_tokens(server, now) + footprint) as f64;
-    #[expect(clippy::cast_precision_loss, reason = "token counts are far below 2^52")]
-    let memory = reported.memory_tokens as f64;
-    reported.waiting == 0
-        && reported.running < server.entry.slots
-        && filled <= COMFORTABLE_PART * memory
+            && !server.suspicion.is_avoided(now);
+        if !takes_requests {
+            return None;
+        }
+        // An engine that tells nothing of itself refuses what it has no room for.
+        let told = server.fresh_state(now);
+        Some(Host {
+            version: server.version(model)?,
+            is_far: server.entry.failure_domain != source.entry.failure_domain,
+            loads_soon: last.as_ref().is_some_and(|last| !last.contains(&server.entry.id)),
+            used_tokens: told.map_or(0, |state| state.used_tokens) + server.sent_tokens(),
+            memory_tokens: told.map_or(u64::MAX, |state| state.memory_tokens),
+            waiting: told.map_or(0, |state| state.waiting),
+            free_slots: server.entry.slots.saturating_sub(told.map_or(0, |state| state.running)),
+        })
+    };
+    let hosts: Vec<Option<Host>> = servers.iter().map(host).collect();
+    choose_host(&hosts, to_move).map(|index| servers[index])
 }
 
 fn selected(
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod demand;
 pub mod events;
 pub mod freshness;
+pub mod hosts;
 pub mod lease;
 pub mod model;
 pub mod quota;
