Fetch shared parts from other engines, and weigh each link's time

Parts were fetched from the store only, with the engines' link in the estimate (22 ms; 44 near and 88 far are true) and what the store holds of the newest weights for all.

Each engine has a source of its own: the engine of the same weights that holds most by what this router sent, the store, or else the home, which may hold it (a miss costs a millisecond). Time by link, domain, what is lacking, and, for the store, the learnt delay.

Ruled out by counting expected against actual reading: fetches that fail (both agree within 3 %). The view of the store lags 0.2 s.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -15,6 +15,7 @@
     choice::Estimate,
     model::{Generation, RouteKind, Service, ServiceName},
     retry::RetryLimits,
+    sources::Kind,
 };
 use slog::info;
 use tokio::time;
@@ -591,10 +592,13 @@
             let took_ms = now.ms_since(sent);
             let mut state = self.core.state();
             let times = state.times.entry(service).or_default();
-            if !expected.fetches {
+            if expected.fetches.is_none() {
                 times.speed.observe(expected.read_tokens, took_ms);
             }
-            times.fetch_delay.observe(expected.fetches, expected.first_event_ms, took_ms, now);
+            if !matches!(expected.fetches, Some(Kind::Engine(_))) {
+                let is_fetched = expected.fetches.is_some();
+                times.fetch_delay.observe(is_fetched, expected.first_event_ms, took_ms, now);
+            }
         }
         let took_ms = now.ms_since(self.arrival);
         self.core.metrics.first_event_s.observe(metrics::seconds(took_ms));
--- /dev/null
+++ b/crates/gateway/src/select/engines.rs
@@ -0,0 +1,222 @@
+//! Chooses the engine for a generation.
+
+use samphirespread_adapter::headers::EngineInstructions;
+use samphirespread_core::prelude::*;
+use samphirespread_routing::{
+    choice::{EngineView, Work, choose_engine, has_near_home},
+    demand::share_within_capacity,
+    model::{Engine, Generation},
+    rollout::NamedVersions,
+    sources::{Holder, Kind, Links, Stored, sources},
+};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{
+    Demand, Place, Selected, heard, is_near, max_idle, oldest_allowed,
+    parts::{KeysOfVersion, KeysOfVersions, cache_store, configured, homes},
+};
+use crate::{
+    fleet::Server,
+    state::State,
+    story::{Choice, Step},
+};
+
+/// What a router has sent since an engine's last report stands for what the others have sent too.
+const OTHER_ROUTERS_FACTOR: u64 = 2;
+/// Steps in which a share of the requests is told.
+const SHARE_STEPS: u64 = 1_000;
+
+pub(super) fn select_engine(
+    state: &State,
+    demand: &Demand<'_>,
+    (engine, generation): (&Engine, &Generation),
+    place: &Place<'_>,
+    servers: &[&Server],
+    now: MonoTime,
+) -> Option<Selected> {
+    let mut keys = KeysOfVersions::new(demand.dedicated_team, generation);
+    let asked = Asked { state, engine, generation, place, now };
+    let near = servers.iter().filter(|server| is_near(server, place)).count();
+    let has_near_home = has_near_home(engine, near, generation);
+    let times = state.times.get(&demand.service.name).copied().unwrap_or_default();
+    let mut views = asked.views(servers, has_near_home, &mut keys);
+    asked.add_sources(servers, &mut views, times.fetch_delay.ms(now), &mut keys);
+    let newest = views.iter().flatten().filter(|view| view.is_newest).count();
+    let speed = times.speed.tokens_per_ms();
+    let work = Work {
+        prompt_tokens: generation.prompt_tokens,
+        shared_tokens: generation.shared_tokens(),
+        footprint_tokens: generation.footprint_tokens(),
+        base_ms: times.speed.base_ms(),
+        read_tokens_per_ms: speed,
+        prefers_newest: prefers_newest(state, demand.request_id, newest, speed, now),
+        has_near_home,
+    };
+    let (index, estimate) = choose_engine(&views, &work)?;
+    let server = servers[index];
+    let version = server.version(&generation.model).unwrap_or(0);
+    let KeysOfVersion { salt, parts: part_keys, .. } = keys.of(version).clone();
+    let view = views[index]?;
+    let store = cache_store(state, generation);
+    let stored = store
+        .map_or(0, |(_, cache)| cache.contents.leading_tokens(&salt, generation.shared_parts()));
+    let store = store.map(|(address, _)| address);
+    let fetch_from = match estimate.may_fetch {
+        Some(Kind::Store) => store,
+        Some(Kind::Engine(other)) => Some(servers[other].entry.address),
+        None => None,
+    };
+    Some(Selected {
+        id: server.entry.id.clone(),
+        address: server.entry.address,
+        engine: Some(EngineInstructions {
+            version,
+            salt,
+            fetch_from,
+            save_to: store.filter(|_| stored < work.shared_tokens),
+        }),
+        max_idle: max_idle(state, demand.service),
+        part_keys,
+        read_tokens: estimate.read_tokens,
+        expected: Some(estimate),
+        heard: heard(server, now),
+        started_unix_ms: server.entry.started_unix_ms,
+        carries_on: None,
+        step: Step::Chose(Choice {
+            server: server.entry.id.clone(),
+            candidates: views.iter().flatten().count(),
+            near: view.is_near,
+            newest: view.is_newest,
+            version: Some(version),
+            estimate: Some(estimate),
+            report_age_ms: heard(server, now).map(|heard| heard.age_ms),
+            list_age_ms: place.list_age_ms,
+        }),
+    })
+}
+
+/// One request to an engine, and where and when it is asked.
+#[derive(Clone, Copy)]
+struct Asked<'a> {
+    state: &'a State,
+    engine: &'a Engine,
+    generation: &'a Generation,
+    place: &'a Place<'a>,
+    now: MonoTime,
+}
+
+impl Asked<'_> {
+    /// The engines whose weights may still be used.
+    fn views(
+        &self,
+        servers: &[&Server],
+        has_near_home: bool,
+        keys: &mut KeysOfVersions<'_>,
+    ) -> Vec<Option<EngineView>> {
+        let model = &self.generation.model;
+        let oldest_allowed = oldest_allowed(self.state, model, self.now);
+        let wanted = self.state.weights.get(model).map_or(0, NamedVersions::newest);
+        let mut views: Vec<Option<EngineView>> = vec![None; servers.len()];
+        let (mut rank_of_newest, mut rank_of_near) = (0, 0);
+        for index in homes(servers, self.generation) {
+            let server = servers[index];
+            let version = server.version(model).filter(|version| *version >= oldest_allowed);
+            let Some(version) = version else { continue };
+            let mut view = self.view(server, &keys.of(version).parts);
+            view.is_newest = version >= wanted;
+            let is_by_domain = has_near_home && view.is_near;
+            view.home_rank = if is_by_domain { rank_of_near } else { rank_of_newest };
+            rank_of_newest += usize::from(view.is_newest);
+            rank_of_near += usize::from(view.is_newest && view.is_near);
+            views[index] = Some(view);
+        }
+        views
+    }
+
+    fn view(&self, server: &Server, keys: &[u64]) -> EngineView {
+        let now = self.now;
+        let reported = server.fresh_state(now);
+        let parts = self.generation.shared_parts();
+        let held = parts.iter().zip(keys).take_while(|(_, key)| server.holds_part(**key, now));
+        let resident_tokens = held.map(|(part, _)| part.tokens).sum();
+        let sent_tokens = server.sent_tokens() * OTHER_ROUTERS_FACTOR;
+        EngineView {
+            is_near: is_near(server, self.place),
+            is_newest: true,
+            is_avoided: server.suspicion.is_avoided(now) || server.is_reported_gone(now),
+            running: reported.map_or(server.in_flight, |state| state.running),
+            waiting: reported.map_or(0, |state| state.waiting),
+            used_tokens: reported.map_or(0, |state| state.used_tokens) + sent_tokens,
+            memory_tokens: reported.map_or(u64::MAX, |state| state.memory_tokens),
+            unread_tokens: server.unread_tokens * OTHER_ROUTERS_FACTOR,
+            resident_tokens,
+            source: None,
+            home_rank: 0,
+        }
+    }
+
+    /// Adds where each engine may fetch what it lacks of the shared parts.
+    fn add_sources(
+        &self,
+        servers: &[&Server],
+        views: &mut [Option<EngineView>],
+        store_delay_ms: f64,
+        keys: &mut KeysOfVersions<'_>,
+    ) {
+        let model = &self.generation.model;
+        let holders: Vec<Option<Holder<'_>>> = servers
+            .iter()
+            .zip(views.iter())
+            .map(|(server, view)| {
+                let view = view.as_ref()?;
+                Some(Holder {
+                    domain: &server.entry.failure_domain,
+                    version: server.version(model)?,
+                    resident_tokens: view.resident_tokens,
+                    is_home: view.home_rank == 0,
+                })
+            })
+            .collect();
+        let mut versions: Vec<u64> =
+            holders.iter().flatten().map(|holder| holder.version).collect();
+        versions.sort_unstable();
+        versions.dedup();
+        let stored: Vec<Stored<'_>> = versions
+            .into_iter()
+            .filter_map(|version| self.stored(version, &keys.of(version).salt, store_delay_ms))
+            .collect();
+        let links =
+            Links { token_bytes: self.engine.token_bytes, engine_mbps: self.engine.link_mbps };
+        for (view, source) in views.iter_mut().zip(sources(&holders, &stored, &links)) {
+            if let Some(view) = view {
+                view.source = source;
+            }
+        }
+    }
+
+    fn stored(&self, version: u64, salt: &str, delay_ms: f64) -> Option<Stored<'_>> {
+        let (address, cache) = cache_store(self.state, self.generation)?;
+        let tokens = cache.contents.leading_tokens(salt, self.generation.shared_parts());
+        let store = configured(self.state, address);
+        let link_mbps = store.and_then(|store| store.link_mbps).unwrap_or(self.engine.link_mbps);
+        let domain = store.map_or("", |store| &*store.failure_domain);
+        (tokens > 0).then_some(Stored { version, tokens, domain, link_mbps, delay_ms })
+    }
+}
+
+/// Whether a request is among those that the engines with the newest weights have room for.
+fn prefers_newest(
+    state: &State,
+    request_id: &str,
+    engines: usize,
+    speed: f64,
+    now: MonoTime,
+) -> bool {
+    let routers = f64::from(u32::try_from(state.routers.len() + 1).unwrap_or(u32::MAX));
+    let demand = state.demand.tokens_per_ms(now) * routers;
+    let share = share_within_capacity(engines, speed, demand);
+    let point = xxh3_64_with_seed(request_id.as_bytes(), 0) % SHARE_STEPS;
+    #[expect(clippy::cast_precision_loss, reason = "there are few steps")]
+    let point = point as f64 / SHARE_STEPS as f64;
+    point < share
+}
--- /dev/null
+++ b/crates/gateway/src/select/parts.rs
@@ -0,0 +1,84 @@
+//! The shared parts of a prompt: where they are kept, and under which keys.
+
+use std::net::SocketAddr;
+
+use samphirespread_core::prelude::*;
+use samphirespread_routing::model::{CacheStore, Generation, PromptPart, cache_salt};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{
+    fleet::Server,
+    state::{CacheState, State},
+};
+
+/// The store that keeps the parts of this prompt: one of those that answer, the same for all routers.
+pub(super) fn cache_store<'a>(
+    state: &'a State,
+    generation: &Generation,
+) -> Option<(SocketAddr, &'a CacheState)> {
+    let subject = subject(generation).as_bytes();
+    let up = state.caches.iter().filter(|(_, cache)| cache.is_up);
+    up.max_by_key(|(address, _)| rendezvous::score(subject, &address.to_string()))
+        .map(|(address, cache)| (*address, cache))
+}
+
+/// The part of a prompt that decides where its shared parts are kept.
+fn subject(generation: &Generation) -> &str {
+    let part = generation.shared_parts().last().or(generation.parts.last());
+    part.map_or("", |part| &part.id)
+}
+
+/// The servers in the order in which they are preferred for a prompt's shared parts.
+pub(super) fn homes(servers: &[&Server], generation: &Generation) -> Vec<usize> {
+    rendezvous::rank(subject(generation).as_bytes(), servers, |server| &server.entry.id)
+}
+
+/// Salts and keys of a prompt's shared parts by the version of the weights, of which a fleet holds few.
+pub(super) struct KeysOfVersions<'a> {
+    dedicated_team: Option<&'a TeamName>,
+    generation: &'a Generation,
+    known: Vec<KeysOfVersion>,
+}
+
+#[derive(Clone)]
+pub(super) struct KeysOfVersion {
+    version: u64,
+    pub(super) salt: String,
+    pub(super) parts: Vec<u64>,
+}
+
+impl<'a> KeysOfVersions<'a> {
+    pub(super) fn new(dedicated_team: Option<&'a TeamName>, generation: &'a Generation) -> Self {
+        Self { dedicated_team, generation, known: Vec::new() }
+    }
+
+    pub(super) fn of(&mut self, version: u64) -> &KeysOfVersion {
+        let known = self.known.iter().position(|keys| keys.version == version);
+        let index = known.unwrap_or_else(|| {
+            let salt = cache_salt(version, self.dedicated_team);
+            let parts = part_keys(&salt, self.generation.shared_parts());
+            self.known.push(KeysOfVersion { version, salt, parts });
+            self.known.len() - 1
+        });
+        &self.known[index]
+    }
+}
+
+/// Keys of parts, each covering the parts before it.
+fn part_keys(salt: &str, parts: &[PromptPart]) -> Vec<u64> {
+    let mut key = xxh3_64_with_seed(salt.as_bytes(), 0);
+    parts
+        .iter()
+        .map(|part| {
+            key = xxh3_64_with_seed(part.id.as_bytes(), key);
+            key
+        })
+        .collect()
+}
+
+/// What the configuration says of a store.
+pub(super) fn configured(state: &State, address: SocketAddr) -> Option<&CacheStore> {
+    let services = state.table.iter().flat_map(|table| &table.configuration().services);
+    let mut stores = services.filter_map(|service| service.cache_store.as_ref());
+    stores.find(|store| store.address == address)
+}
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -4,7 +4,7 @@
 
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
-use samphirespread_routing::choice::Estimate;
+use samphirespread_routing::{choice::Estimate, sources::Kind};
 use slog::{info, warn};
 
 use crate::{answers::NotRun, gateway::Core, metrics::count};
@@ -53,6 +53,13 @@
     }
 }
 
+fn source_name(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Store => "store",
+        Kind::Engine(_) => "engine",
+    }
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
@@ -212,7 +219,7 @@
             "version" => self.choice.as_ref().and_then(|choice| choice.version),
             "expected_ms" => self.choice.as_ref().and_then(Choice::expected_ms),
             "reading_tokens" => estimate.map(|estimate| estimate.read_tokens),
-            "fetches" => estimate.map(|estimate| estimate.fetches),
+            "fetches" => estimate.and_then(|estimate| estimate.fetches).map(source_name),
             "generation" => self.generation, "contact_age_ms" => self.contact_age_ms,
             "first_event_ms" => self.first_event_ms(), "took_ms" => took_ms, "late" => is_late,
             "quota_level" => self.over_quota.map(|(level, _)| level.round()),
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -4,14 +4,15 @@
 //! it costs besides, also in milliseconds, and the lowest sum wins. Cost: one pass over the servers
 //! of a service.
 
-use crate::model::{Engine, Generation};
+use crate::{
+    model::{Engine, Generation},
+    sources::{Kind, Links, Source},
+};
 
 /// What each running request adds to that.
 const RUNNING_MS: f64 = 1.0;
 /// What each request that waits at the engine adds.
 const WAITING_MS: f64 = 25.0;
-/// Time of a fetch from the store, beside what its bytes take.
-const FETCH_SETUP_MS: f64 = 5.0;
 /// A fetch may take this many times as long as reading: an engine that reads keeps others waiting.
 const READING_WEIGHT: f64 = 3.0;
 /// A fetch that takes no longer than this is not given up, however short the parts.
@@ -28,8 +29,6 @@
 const PROMPTS_A_HOME: u64 = 64;
 /// The longest fetch of shared parts that is cheaper than a prompt's way to another failure domain.
 const HOME_FETCH_MS: f64 = 5.0;
-/// Bits that a link of one Mbit/s carries in a millisecond.
-const BITS_A_MS: f64 = 1_000.0;
 /// Added to an engine whose weights are not the newest, for a request that should go to those.
 const OLD_WEIGHTS_MS: f64 = 150.0;
 /// Added to an engine with the newest weights, for a request beyond what such engines can take.
@@ -52,16 +51,12 @@
     pub prompt_tokens: u64,
     /// The part of it that other requests have too.
     pub shared_tokens: u64,
-    /// Shared tokens that the store of cached parts can hand out.
-    pub stored_tokens: u64,
     /// Memory while it runs.
     pub footprint_tokens: u64,
     /// Time to the first event at an engine with little to do, beside the reading.
     pub base_ms: f64,
     /// Prompt tokens that an engine reads in a millisecond.
     pub read_tokens_per_ms: f64,
-    /// Time to fetch the shared parts from the store, see [`fetch_ms`].
-    pub fetch_ms: f64,
     /// Whether the engines with the newest weights have room for it.
     pub prefers_newest: bool,
     /// Whether its shared parts have a home in the router's own failure domain, see [`has_near_home`].
@@ -89,6 +84,8 @@
     pub unread_tokens: u64,
     /// Shared tokens of this prompt that it is believed to hold.
     pub resident_tokens: u64,
+    /// Where it may fetch shared parts.
+    pub source: Option<Source>,
     /// Its place among the engines in the order of preference for this prompt's parts.
     pub home_rank: usize,
 }
@@ -98,10 +95,10 @@
 pub struct Estimate {
     /// Prompt tokens that the engine will have to read.
     pub read_tokens: u64,
-    /// Whether it is expected to fetch shared parts from the store.
-    pub fetches: bool,
-    /// Whether it is to fetch what it lacks, which may be more than is believed; else it reads that.
-    pub may_fetch: bool,
+    /// From what it is expected to fetch shared parts.
+    pub fetches: Option<Kind>,
+    /// From what it is to fetch what it lacks, which may be more than is believed; else it reads that.
+    pub may_fetch: Option<Kind>,
     /// Milliseconds to the first event.
     pub first_event_ms: f64,
     /// The estimate and all additions.
@@ -117,36 +114,37 @@
     let near_engines = u64::try_from(near_engines).unwrap_or(u64::MAX);
     let room_tokens = engine.memory_tokens.saturating_mul(near_engines);
     let has_room = room_tokens >= PROMPTS_A_HOME * generation.footprint_tokens();
-    has_room && transfer_ms(engine, generation) <= HOME_FETCH_MS
-}
-
-/// Time to fetch the shared parts of a prompt from the store.
-pub fn fetch_ms(engine: &Engine, generation: &Generation) -> f64 {
-    FETCH_SETUP_MS + transfer_ms(engine, generation)
-}
-
-/// What the bytes of a prompt's shared parts take on an engine's link.
-fn transfer_ms(engine: &Engine, generation: &Generation) -> f64 {
-    let shared_bits = tokens(generation.shared_tokens()) * tokens(engine.token_bytes) * 8.0;
-    shared_bits / (engine.link_mbps * BITS_A_MS).max(f64::MIN_POSITIVE)
+    let links = Links { token_bytes: engine.token_bytes, engine_mbps: engine.link_mbps };
+    let transfer_ms = links.transfer_ms(generation.shared_tokens(), engine.link_mbps, true);
+    has_room && transfer_ms <= HOME_FETCH_MS
 }
 
 /// The estimate for one engine.
 pub fn estimate(view: &EngineView, work: &Work) -> Estimate {
     let resident = work.shared_tokens.min(view.resident_tokens);
-    let stored = work.shared_tokens.min(work.stored_tokens);
-    let stored_reading_ms = tokens(stored) / work.read_tokens_per_ms;
-    let may_fetch = work.fetch_ms < (READING_WEIGHT * stored_reading_ms).max(PATIENT_FETCH_MS);
-    let fetches = may_fetch && stored > resident;
-    let held = if fetches { stored } else { resident };
+    let source = view.source.filter(|source| is_worth_it(source, work));
+    let fetched = source.filter(|source| source.tokens > resident);
+    let held = fetched.map_or(resident, |source| work.shared_tokens.min(source.tokens));
     let read_tokens = work.prompt_tokens.saturating_sub(held);
     let read_ms = tokens(read_tokens) / work.read_tokens_per_ms;
-    let fetch_ms = if fetches { work.fetch_ms } else { 0.0 };
+    let fetch_ms = fetched.map_or(0.0, |source| source.fetch_ms);
     let queue_ms = tokens(view.unread_tokens) / work.read_tokens_per_ms;
     let load_ms = f64::from(view.running) * RUNNING_MS + f64::from(view.waiting) * WAITING_MS;
     let first_event_ms = work.base_ms + read_ms + fetch_ms + queue_ms + load_ms;
     let cost_ms = first_event_ms + additions(view, work);
-    Estimate { read_tokens, fetches, may_fetch, first_event_ms, cost_ms }
+    Estimate {
+        read_tokens,
+        fetches: fetched.map(|source| source.kind),
+        may_fetch: source.map(|source| source.kind),
+        first_event_ms,
+        cost_ms,
+    }
+}
+
+/// Whether a fetch takes little enough time for what it spares the engine.
+fn is_worth_it(source: &Source, work: &Work) -> bool {
+    let reading_ms = tokens(work.shared_tokens.min(source.tokens)) / work.read_tokens_per_ms;
+    source.fetch_ms < (READING_WEIGHT * reading_ms).max(PATIENT_FETCH_MS)
 }
 
 /// The index of the engine to choose.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod relocation;
 pub mod retry;
 pub mod rollout;
+pub mod sources;
 pub mod speed;
 pub mod suspicion;
 pub mod table;
--- a/crates/routing/src/model.rs
+++ b/crates/routing/src/model.rs
@@ -135,12 +135,14 @@
 }
 
 /// A store of cached prompt parts.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct CacheStore {
     /// Where it answers.
     pub address: SocketAddr,
     /// Its failure domain.
     pub failure_domain: Arc<str>,
+    /// Speed of its link in Mbit/s; none where that is not told.
+    pub link_mbps: Option<f64>,
 }
 
 /// SHA-256 of a caller's key. The key itself is kept nowhere.
--- /dev/null
+++ b/crates/routing/src/sources.rs
@@ -0,0 +1,145 @@
+//! Where an engine gets the shared parts of a prompt that it lacks: from another engine, or from the store.
+//!
+//! Each engine has a link of its own, and the store one for the whole fleet; memory takes twice as long to another
+//! failure domain. A source that turns out to hold nothing costs a millisecond, so one is named also where it only
+//! may hold the parts.
+//!
+//! ```
+//! use samphirespread_routing::sources::{Holder, Kind, Stored, sources};
+//!
+//! let home = Holder { domain: "a", version: 4, resident_tokens: 6_300, is_home: true };
+//! let other = Holder { domain: "b", version: 4, resident_tokens: 0, is_home: false };
+//! let link = samphirespread_routing::sources::Links { token_bytes: 18_432, engine_mbps: 370_000.0 };
+//!
+//! let found = sources(&[Some(home), Some(other)], &[], &link);
+//! assert_eq!(found[1].unwrap().kind, Kind::Engine(0));
+//! ```
+//!
+//! Cost: two passes over the engines of a service.
+
+/// Time of a fetch, beside what its bytes take.
+const FETCH_SETUP_MS: f64 = 5.0;
+/// A copy to another failure domain takes this many times as long.
+const CROSS_DOMAIN_FACTOR: f64 = 2.0;
+/// Bits that a link of one Mbit/s carries in a millisecond.
+const BITS_A_MS: f64 = 1_000.0;
+
+/// An engine that takes requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Holder<'a> {
+    /// Its failure domain.
+    pub domain: &'a str,
+    /// The weights that it holds; parts of other weights are of no use.
+    pub version: u64,
+    /// Tokens at the beginning of the prompt that it is believed to hold.
+    pub resident_tokens: u64,
+    /// Whether it is the engine of its weights that the prompt's parts are sent to.
+    pub is_home: bool,
+}
+
+/// What the store holds of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stored<'a> {
+    /// The weights.
+    pub version: u64,
+    /// Tokens at the beginning of the prompt.
+    pub tokens: u64,
+    /// The store's failure domain.
+    pub domain: &'a str,
+    /// The speed of its link in Mbit/s.
+    pub link_mbps: f64,
+    /// How long fetches from it wait for each other.
+    pub delay_ms: f64,
+}
+
+/// Memory of an engine and its way to others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Links {
+    /// Bytes of one token.
+    pub token_bytes: u64,
+    /// The speed of an engine's link in Mbit/s.
+    pub engine_mbps: f64,
+}
+
+/// What has the parts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The store.
+    Store,
+    /// The engine of that index.
+    Engine(usize),
+}
+
+/// Where an engine may get shared parts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Source {
+    /// What has them.
+    pub kind: Kind,
+    /// Tokens at the beginning of the prompt that it is believed to hold; none of an engine that only may hold them.
+    pub tokens: u64,
+    /// Time to fetch what the engine lacks of these.
+    pub fetch_ms: f64,
+}
+
+impl Links {
+    /// Time that the memory of that many tokens takes over a link.
+    pub fn transfer_ms(&self, tokens: u64, mbps: f64, is_near: bool) -> f64 {
+        let bits = number(tokens) * number(self.token_bytes) * 8.0;
+        let ms = bits / (mbps.min(self.engine_mbps) * BITS_A_MS).max(f64::MIN_POSITIVE);
+        if is_near { ms } else { ms * CROSS_DOMAIN_FACTOR }
+    }
+}
+
+/// The best source for each engine.
+pub fn sources(
+    holders: &[Option<Holder<'_>>],
+    stored: &[Stored<'_>],
+    links: &Links,
+) -> Vec<Option<Source>> {
+    let best = |(index, holder): (usize, &Option<Holder<'_>>)| {
+        let holder = holder.as_ref()?;
+        let from_store = stored.iter().find(|stored| stored.version == holder.version);
+        let from_store = from_store.map(|stored| of_store(holder, stored, links));
+        let from_engine = of_engines(index, holder, holders, links);
+        from_store.into_iter().chain(from_engine).max_by(|a, b| {
+            let by_time = || b.fetch_ms.total_cmp(&a.fetch_ms);
+            a.tokens.cmp(&b.tokens).then_with(by_time)
+        })
+    };
+    holders.iter().enumerate().map(best).collect()
+}
+
+fn of_store(holder: &Holder<'_>, stored: &Stored<'_>, links: &Links) -> Source {
+    let lacks = stored.tokens.saturating_sub(holder.resident_tokens);
+    let is_near = holder.domain == stored.domain;
+    let transfer_ms = links.transfer_ms(lacks, stored.link_mbps, is_near);
+    let fetch_ms = FETCH_SETUP_MS + transfer_ms + stored.delay_ms;
+    Source { kind: Kind::Store, tokens: stored.tokens, fetch_ms }
+}
+
+/// The engine of the same weights that holds most, or else their home.
+fn of_engines(
+    index: usize,
+    holder: &Holder<'_>,
+    holders: &[Option<Holder<'_>>],
+    links: &Links,
+) -> Option<Source> {
+    let others = holders.iter().enumerate().filter_map(|(at, other)| Some((at, other.as_ref()?)));
+    let others = others.filter(|(at, other)| *at != index && other.version == holder.version);
+    let (at, other) = others.max_by_key(|(_, other)| {
+        (other.resident_tokens, other.domain == holder.domain, other.is_home)
+    })?;
+    if other.resident_tokens == 0 && !other.is_home {
+        return None;
+    }
+    let lacks = other.resident_tokens.saturating_sub(holder.resident_tokens);
+    let is_near = other.domain == holder.domain;
+    let transfer_ms = links.transfer_ms(lacks, links.engine_mbps, is_near);
+    let fetch_ms = FETCH_SETUP_MS + transfer_ms;
+    Some(Source { kind: Kind::Engine(at), tokens: other.resident_tokens, fetch_ms })
+}
+
+#[expect(clippy::cast_precision_loss, reason = "tokens and bytes are far below 2^52")]
+fn number(number: u64) -> f64 {
+    number as f64
+}
