--- a/crates/gateway/src/conduct.rs
+++ b/crates/gateway/src/conduct.rs
@@ -7,7 +7,7 @@
 use samphirespread_logging::event;
 use samphirespread_routing::{
     model::Standing,
-    rollout::{Candidate, Phase, at_once, next, order},
+    rollout::{Candidate, Phase, at_once, last_of_version, next},
 };
 use slog::info;
 
@@ -85,16 +85,17 @@
     !grants.is_empty()
 }
 
-/// The engines that load last of those that are to load a version.
+/// The engines that load a newer version last of those that hold this one.
 pub(crate) fn last_to_load(
     state: &State,
     model: &ModelName,
-    target: u64,
+    held: u64,
+    newest: u64,
     now: MonoTime,
 ) -> HashSet<Arc<str>> {
     let candidates = candidates(state, model, now);
-    let order = order(&candidates, target);
-    order[order.len() / 2..].iter().map(|index| candidates[*index].id.clone()).collect()
+    let last = last_of_version(&candidates, held, newest);
+    last.into_iter().map(|index| candidates[index].id.clone()).collect()
 }
 
 fn candidates(state: &State, model: &ModelName, now: MonoTime) -> Vec<Candidate> {
--- a/crates/gateway/src/relocate.rs
+++ b/crates/gateway/src/relocate.rs
@@ -71,13 +71,15 @@
         if self.under_way.is_some() || is_resting || self.tries >= MAX_TRIES {
             return;
         }
-        let Some((source, destination)) = ends(run, server, now) else { return };
+        let Some(request_id) = run.facts.id.clone() else { return };
+        let (source, destination) = match ends(run, server, now) {
+            Due::Not => return,
+            Due::WithoutHost => return self.stays(run, server, "no_host"),
+            Due::Move(ends) if run.may_move() => *ends,
+            Due::Move(_) => return self.stays(run, server, "retry_budget"),
+        };
         self.tries += 1;
         self.tried = Some(now);
-        let Some(request_id) = run.facts.id.clone() else { return };
-        if !run.may_move() {
-            return count(&run.core.metrics.moves, "retry_budget");
-        }
         let step = Step::Moves { from: source.id.clone(), to: destination.id.clone() };
         run.story.step(now, step);
         let (sender, receiver) = oneshot::channel();
@@ -87,6 +89,15 @@
         self.under_way = Some(UnderWay { destination, source, calls });
     }
 
+    /// Leaves the run where it is for now. The log says so once for each engine.
+    fn stays(&mut self, run: &mut Run, server: &Arc<str>, cause: &'static str) {
+        let now = run.core.now();
+        if self.tried.replace(now).is_none() {
+            count(&run.core.metrics.moves, cause);
+            run.story.step(now, Step::Stays { server: server.clone(), cause });
+        }
+    }
+
     /// Waits until the engine's last answer. Never ends while no move is under way.
     pub(crate) async fn answered(&mut self) {
         let Some(under_way) = &mut self.under_way else { return std::future::pending().await };
@@ -151,24 +162,32 @@
     }
 }
 
-/// The engine of the run and the one that is to take it.
-fn ends(run: &Run, server: &Arc<str>, now: MonoTime) -> Option<(Selected, Selected)> {
-    let generation = run.facts.generation.as_ref()?;
-    let service = run.service()?;
-    if !service.engine.as_ref()?.moves_runs {
-        return None;
-    }
+/// Whether a run is to be moved.
+enum Due {
+    Not,
+    /// It is, and no engine can take it now.
+    WithoutHost,
+    /// It is, from one engine to another one.
+    Move(Box<(Selected, Selected)>),
+}
+
+fn ends(run: &Run, server: &Arc<str>, now: MonoTime) -> Due {
+    let Some((service, generation)) = run.service().zip(run.facts.generation.as_ref()) else {
+        return Due::Not;
+    };
+    let moves_runs = service.engine.is_some_and(|engine| engine.moves_runs);
     let state = run.core.state();
-    let source = state.fleet.get(server)?;
+    let Some(source) = state.fleet.get(server).filter(|_| moves_runs) else { return Due::Not };
     if !source.leaves() && !source.fresh_state(now).is_some_and(|state| state.is_loading) {
-        return None;
+        return Due::Not;
     }
-    let version = source.version(&generation.model)?;
+    let Some(version) = source.version(&generation.model) else { return Due::Not };
     let to_move = to_move(&state, generation, version, now);
-    let destination = destination(&state, service, &generation.model, source, &to_move, now)?;
+    let destination = destination(&state, service, &generation.model, source, &to_move, now);
+    let Some(destination) = destination else { return Due::WithoutHost };
     let team = run.grant.dedicated_team();
     let place = |server: &Server| selected(&state, service, server, version, team);
-    Some((place(source), place(destination)))
+    Due::Move(Box::new((place(source), place(destination))))
 }
 
 fn to_move(state: &State, generation: &Generation, version: u64, now: MonoTime) -> RunToMove {
@@ -189,7 +208,7 @@
 ) -> Option<&'a Server> {
     let newest = state.weights.get(model).map_or(0, NamedVersions::newest);
     let loads = to_move.version < newest;
-    let last = loads.then(|| conduct::last_to_load(state, model, newest, now));
+    let last = loads.then(|| conduct::last_to_load(state, model, to_move.version, newest, now));
     let servers: Vec<&Server> = state.fleet.of_service(&service.name).collect();
     let host = |server: &&Server| {
         let takes_requests = server.entry.id != source.entry.id
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -29,6 +29,8 @@
     Resumes { after: u64 },
     /// Its run is to be moved to another engine.
     Moves { from: Arc<str>, to: Arc<str> },
+    /// Its run is to be moved and can't be now.
+    Stays { server: Arc<str>, cause: &'static str },
     /// Its run was stopped and goes on from its memory.
     GoesOn { server: Arc<str> },
 }
@@ -260,6 +262,10 @@
                     info!(self.core.log, "{}", event::RUN_MOVES; "request" => &self.id,
                         "at_ms" => at_ms, "server" => &**from, "to" => &**to);
                 }
+                Step::Stays { server, cause } => {
+                    info!(self.core.log, "{}", event::RUN_STAYS; "request" => &self.id,
+                        "at_ms" => at_ms, "server" => &**server, "cause" => cause);
+                }
                 Step::GoesOn { server } => {
                     info!(self.core.log, "{}", event::RUN_GOES_ON; "request" => &self.id,
                         "at_ms" => at_ms, "server" => &**server);
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -39,6 +39,7 @@
     BUDGET_SPENT, "no repeat: budget spent", "A repeat was left out since the budget for repeats is spent", "request, slack";
     STREAM_RESUMES, "stream resumes", "A stream goes on at another engine", "request, after_event";
     RUN_MOVES, "run moves", "A run is to be moved to another engine", "request, server, to";
+    RUN_STAYS, "run stays", "A run is to be moved to another engine and can't be now", "request, server, cause";
     RUN_GOES_ON, "run goes on", "A run that was stopped goes on from its memory", "request, server";
     RUN_COPIED, "run copied", "The engine of a run that was to be moved answered its last call", "request, server, to, outcome";
     RUN_NOT_COPIED, "run not copied", "A call to copy a run's memory was not answered", "request, server, to, stops, error";
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -19,7 +19,7 @@
 const PATIENT_FETCH_MS: f64 = 150.0;
 /// Added to an engine that is not the first choice for the prompt's parts: what a further copy of
 /// them does to the memory of the engines and to the link of the store.
-const AWAY_MS: f64 = 40.0;
+const AWAY_MS: f64 = 80.0;
 /// Added for another failure domain than the router's.
 const CROSS_DOMAIN_MS: f64 = 2.0;
 /// The same where the prompt's shared parts have a home in the router's own domain: more than it takes to
--- a/crates/routing/src/rollout.rs
+++ b/crates/routing/src/rollout.rs
@@ -87,6 +87,16 @@
     if candidates.iter().any(is_short) { 0 } else { at_once.div_ceil(2) }
 }
 
+/// The servers that hold a version and will load `target` last of these: half of them, and at least one.
+///
+/// Runs of that version that have to leave their servers go there. Versions mix where they follow each other quickly,
+/// and all that hold the oldest one are the next to load.
+pub fn last_of_version(candidates: &[Candidate], held: u64, target: u64) -> Vec<usize> {
+    let mut waiting = order(candidates, target);
+    waiting.retain(|index| candidates[*index].version == held);
+    waiting.split_off(waiting.len() / 2)
+}
+
 /// How many servers of its failure domain are done, load or go before each waiting server.
 fn turns(candidates: &[Candidate], waiting: &[usize], target: u64) -> HashMap<usize, usize> {
     let mut taken: HashMap<&str, usize> = HashMap::new();
--- a/crates/routing/tests/rollout.rs
+++ b/crates/routing/tests/rollout.rs
@@ -1,7 +1,9 @@
 //! Which engine loads newer weights next, and on which versions requests may begin.
 
 use samphirespread_core::prelude::*;
-use samphirespread_routing::rollout::{Candidate, NamedVersions, Phase, at_once, next};
+use samphirespread_routing::rollout::{
+    Candidate, NamedVersions, Phase, at_once, last_of_version, next,
+};
 
 const BOUND_MS: u64 = 12_000;
 
@@ -118,3 +120,25 @@
 fn the_number_at_once_grows_with_the_engines() {
     assert_eq!([1, 9, 18, 47, 58].map(at_once), [1, 2, 3, 8, 10]);
 }
+
+/// Three versions within seconds: the engines that still hold the oldest one are the next to load, and their runs fit
+/// nowhere else.
+#[test]
+fn runs_of_the_oldest_version_have_engines_to_go_to_while_versions_mix() {
+    let mixed = [
+        engine("a1", "a", 1, Phase::Finishing),
+        engine("a2", "a", 1, Phase::Serving),
+        engine("b1", "b", 1, Phase::Serving),
+        engine("b2", "b", 2, Phase::Serving),
+        engine("c1", "c", 2, Phase::Serving),
+        engine("c2", "c", 3, Phase::Serving),
+    ];
+
+    let oldest: Vec<&str> =
+        last_of_version(&mixed, 1, 3).iter().map(|index| &*mixed[*index].id).collect();
+
+    assert_eq!(oldest.len(), 1);
+    assert!(["a2", "b1"].contains(&oldest[0]), "{oldest:?}");
+    assert_ne!(next(&mixed, 3, 2), last_of_version(&mixed, 1, 3));
+    assert_eq!(last_of_version(&mixed, 3, 3), [0; 0]);
+}
