Tell other routers which parts engines have read

Told when the first event has come, so that a fetch finds it.

Ruled out: the engines' own events, followed by sidecars: they tell of private parts as well, most of what changes, and of evictions, whose price is a miss of a millisecond.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -11,6 +11,7 @@
 use samphirespread_peer::EngineKey;
 use samphirespread_routing::{
     model::{BackendServer, EngineState, LoadedModel, ServiceName, Standing},
+    read_parts::EngineTag,
     suspicion::Suspicion,
 };
 
@@ -220,6 +221,7 @@
     by_service: HashMap<ServiceName, Vec<Arc<str>>>,
     by_ip: HashMap<IpAddr, Arc<str>>,
     by_address: HashMap<SocketAddr, Arc<str>>,
+    by_tag: HashMap<EngineTag, Arc<str>>,
     /// Runs that said that they drain, and when that was known. They outlast the entry, which may lapse and
     /// come back.
     departures: HashMap<Departure, MonoTime>,
@@ -313,6 +315,7 @@
         let mut ids: Vec<Arc<str>> = self.servers.keys().cloned().collect();
         ids.sort_by_key(|id| (self.servers[id].entry.started_unix_ms, id.clone()));
         self.by_address.clear();
+        self.by_tag = ids.iter().map(|id| (EngineTag::of(id), id.clone())).collect();
         for id in &ids {
             let entry = &self.servers[id].entry;
             // Of several entries with one address, that of the latest start comes last and stays.
@@ -367,6 +370,11 @@
         self.servers.get_mut(id)
     }
 
+    /// The server of a tag.
+    pub(crate) fn tagged_mut(&mut self, tag: EngineTag) -> Option<&mut Server> {
+        self.servers.get_mut(self.by_tag.get(&tag)?)
+    }
+
     /// The servers of a service, in the order of their ids.
     pub(crate) fn of_service(&self, service: &str) -> impl Iterator<Item = &Server> {
         let ids = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -141,6 +141,11 @@
                 "source" => name.as_str());
         }
     }
+    for fact in &told.read_parts {
+        if let Some(server) = state.fleet.tagged_mut(fact.engine) {
+            server.remember_parts(&[fact.part], fresh.published);
+        }
+    }
     let totals = told.usage.iter().map(|usage| (TeamKey(usage.team), usage.total)).collect();
     let usage = UsageReport { totals, is_full: told.usage_is_full };
     state.quotas.heard(name, fresh.incarnation, &usage, fresh.published, now);
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -134,6 +134,7 @@
         usage: team_usage(&usage),
         usage_is_full: is_full,
         departures: departures(state, within_ms.min(DEPARTURE_TOLD_MS), now),
+        read_parts: state.read_parts.told(LATELY_MS, now).collect(),
     }
 }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,6 +14,7 @@
     attempts::{AttemptRules, Attempts},
     choice::Estimate,
     model::{Generation, RouteKind, Service, ServiceName},
+    read_parts::EngineTag,
     retry::RetryLimits,
     sources::Kind,
 };
@@ -127,6 +128,8 @@
     core: Arc<Core>,
     pub(crate) server: Arc<str>,
     unread_tokens: u64,
+    /// Keys of the parts that it will hold once it has read the prompt.
+    part_keys: Vec<u64>,
 }
 
 impl Lease {
@@ -142,13 +145,21 @@
             server.remember_parts(&selected.part_keys, now);
         }
         drop(state);
-        Self { core: core.clone(), server: selected.id.clone(), unread_tokens }
+        let part_keys = selected.part_keys.clone();
+        Self { core: core.clone(), server: selected.id.clone(), unread_tokens, part_keys }
     }
 
     /// The server has read the prompt.
     pub(crate) fn first_event(&mut self) {
         let tokens = std::mem::take(&mut self.unread_tokens);
-        if let Some(server) = self.core.state().fleet.get_mut(&self.server) {
+        let part_keys = std::mem::take(&mut self.part_keys);
+        if tokens == 0 && part_keys.is_empty() {
+            return;
+        }
+        let now = self.core.now();
+        let mut state = self.core.state();
+        state.read_parts.note(EngineTag::of(&self.server), &part_keys, now);
+        if let Some(server) = state.fleet.get_mut(&self.server) {
             server.unread_tokens = server.unread_tokens.saturating_sub(tokens);
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -17,6 +17,7 @@
     freshness::Echo,
     model::ServiceName,
     quota::{Quotas, SILENT_AFTER_MS},
+    read_parts::ReadParts,
     retry::{RetryBudget, RetryLimits, part_of_slack},
     rollout::NamedVersions,
     speed::{FetchDelay, ReadingSpeed},
@@ -81,6 +82,8 @@
     pub(crate) times: HashMap<ServiceName, EngineTimes>,
     /// Prompt tokens that this router sends to be read.
     pub(crate) demand: ReadDemand,
+    /// What engines have read for this router's requests.
+    pub(crate) read_parts: ReadParts,
     /// The stores of cached parts, by where they answer.
     pub(crate) caches: HashMap<SocketAddr, CacheState>,
     /// The router that follows those stores for this one; none when this router does so itself.
@@ -191,6 +194,7 @@
             weights: HashMap::new(),
             times: HashMap::new(),
             demand: ReadDemand::default(),
+            read_parts: ReadParts::default(),
             caches: HashMap::new(),
             caches_pulled_from: None,
             pull_again: MonoTime::ZERO,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -41,6 +41,7 @@
 use samphirespread_routing::{
     freshness::{Echo, Word},
     model::EngineState,
+    read_parts::ReadPart,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -54,7 +55,7 @@
 const HOP_BYTES: usize = 160;
 
 /// The format's version, which leads each datagram. Others are dropped.
-const FORMAT: u8 = 4;
+const FORMAT: u8 = 5;
 
 /// A message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -154,6 +155,8 @@
     pub usage_is_full: bool,
     /// Backend servers that told it that they drain.
     pub departures: Vec<DepartingServer>,
+    /// Parts of prompts that engines have read for it lately.
+    pub read_parts: Vec<ReadPart>,
 }
 
 /// A version of a model's weights that operators have named.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod lease;
 pub mod model;
 pub mod quota;
+pub mod read_parts;
 pub mod relocation;
 pub mod retry;
 pub mod rollout;
