Work out how long parts stay in memory; the store goes first where it is as fast

How long a part stays follows from the engines' memory and from what all routers have to read (seen by each); a fetch from an engine counts a fifth of the reading for the chance that it finds nothing.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -21,8 +21,8 @@
 const MAX_REMEMBERED_PARTS: usize = 4_096;
 /// How long it is remembered that a run of a server drains. Entries that lapse are back long before that.
 const DEPARTURE_LIFETIME_MS: u64 = 600_000;
-/// How long an engine is believed to hold parts that were sent there.
-const PART_LIFETIME_MS: u64 = 6_000;
+/// Parts are remembered for this long: longer than an engine is ever believed to hold them.
+const PART_REMEMBERED_MS: u64 = 10_000;
 
 /// A backend server.
 #[derive(Debug)]
@@ -187,16 +187,16 @@
     /// Remembers that the engine reads parts now.
     pub(crate) fn remember_parts(&mut self, keys: &[u64], now: MonoTime) {
         if self.parts.len() > MAX_REMEMBERED_PARTS {
-            self.parts.retain(|_, sent| now.ms_since(*sent) < PART_LIFETIME_MS);
+            self.parts.retain(|_, sent| now.ms_since(*sent) < PART_REMEMBERED_MS);
         }
         for key in keys {
             self.parts.insert(*key, now);
         }
     }
 
-    /// Whether the engine is believed to hold a part.
-    pub(crate) fn holds_part(&self, key: u64, now: MonoTime) -> bool {
-        self.parts.get(&key).is_some_and(|sent| now.ms_since(*sent) < PART_LIFETIME_MS)
+    /// Whether the engine is believed to hold a part, where parts stay for that long.
+    pub(crate) fn holds_part(&self, key: u64, lifetime_ms: u64, now: MonoTime) -> bool {
+        self.parts.get(&key).is_some_and(|sent| now.ms_since(*sent) < lifetime_ms)
     }
 }
 
--- a/crates/gateway/src/select/engines.rs
+++ b/crates/gateway/src/select/engines.rs
@@ -6,8 +6,9 @@
     choice::{EngineView, Work, choose_engine, has_near_home},
     demand::share_within_capacity,
     model::{Engine, Generation},
+    read_parts::lifetime_ms,
     rollout::NamedVersions,
-    sources::{Holder, Kind, Links, Stored, sources},
+    sources::{Holder, Kind, Stored, sources},
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -17,7 +18,7 @@
 };
 use crate::{
     fleet::Server,
-    state::State,
+    state::{EngineTimes, State},
     story::{Choice, Step},
 };
 
@@ -35,12 +36,14 @@
     now: MonoTime,
 ) -> Option<Selected> {
     let mut keys = KeysOfVersions::new(demand.dedicated_team, generation);
-    let asked = Asked { state, engine, generation, place, now };
+    let part_lifetime_ms =
+        lifetime_ms(engine.memory_tokens, servers.len(), read_demand(state, now));
+    let asked = Asked { state, engine, generation, place, part_lifetime_ms, now };
     let near = servers.iter().filter(|server| is_near(server, place)).count();
     let has_near_home = has_near_home(engine, near, generation);
     let times = state.times.get(&demand.service.name).copied().unwrap_or_default();
     let mut views = asked.views(servers, has_near_home, &mut keys);
-    asked.add_sources(servers, &mut views, times.fetch_delay.ms(now), &mut keys);
+    asked.add_sources(servers, &mut views, &times, &mut keys);
     let newest = views.iter().flatten().filter(|view| view.is_newest).count();
     let speed = times.speed.tokens_per_ms();
     let work = Work {
@@ -102,6 +105,8 @@
     engine: &'a Engine,
     generation: &'a Generation,
     place: &'a Place<'a>,
+    /// How long engines keep parts.
+    part_lifetime_ms: u64,
     now: MonoTime,
 }
 
@@ -137,7 +142,10 @@
         let now = self.now;
         let reported = server.fresh_state(now);
         let parts = self.generation.shared_parts();
-        let held = parts.iter().zip(keys).take_while(|(_, key)| server.holds_part(**key, now));
+        let held = parts
+            .iter()
+            .zip(keys)
+            .take_while(|(_, key)| server.holds_part(**key, self.part_lifetime_ms, now));
         let resident_tokens = held.map(|(part, _)| part.tokens).sum();
         let sent_tokens = server.sent_tokens() * OTHER_ROUTERS_FACTOR;
         EngineView {
@@ -160,10 +168,11 @@
         &self,
         servers: &[&Server],
         views: &mut [Option<EngineView>],
-        store_delay_ms: f64,
+        times: &EngineTimes,
         keys: &mut KeysOfVersions<'_>,
     ) {
         let model = &self.generation.model;
+        let delay_ms = times.fetch_delay.ms(self.now);
         let holders: Vec<Option<Holder<'_>>> = servers
             .iter()
             .zip(views.iter())
@@ -183,11 +192,10 @@
         versions.dedup();
         let stored: Vec<Stored<'_>> = versions
             .into_iter()
-            .filter_map(|version| self.stored(version, &keys.of(version).salt, store_delay_ms))
+            .filter_map(|version| self.stored(version, &keys.of(version).salt, delay_ms))
             .collect();
-        let links =
-            Links { token_bytes: self.engine.token_bytes, engine_mbps: self.engine.link_mbps };
-        for (view, source) in views.iter_mut().zip(sources(&holders, &stored, &links)) {
+        let sources = sources(&holders, &stored, self.engine, times.speed.tokens_per_ms());
+        for (view, source) in views.iter_mut().zip(sources) {
             if let Some(view) = view {
                 view.source = source;
             }
@@ -204,6 +212,12 @@
     }
 }
 
+/// Prompt tokens that all routers together send to be read in a millisecond, if they are asked alike.
+fn read_demand(state: &State, now: MonoTime) -> f64 {
+    let routers = f64::from(u32::try_from(state.routers.len() + 1).unwrap_or(u32::MAX));
+    state.demand.tokens_per_ms(now) * routers
+}
+
 /// Whether a request is among those that the engines with the newest weights have room for.
 fn prefers_newest(
     state: &State,
@@ -212,9 +226,7 @@
     speed: f64,
     now: MonoTime,
 ) -> bool {
-    let routers = f64::from(u32::try_from(state.routers.len() + 1).unwrap_or(u32::MAX));
-    let demand = state.demand.tokens_per_ms(now) * routers;
-    let share = share_within_capacity(engines, speed, demand);
+    let share = share_within_capacity(engines, speed, read_demand(state, now));
     let point = xxh3_64_with_seed(request_id.as_bytes(), 0) % SHARE_STEPS;
     #[expect(clippy::cast_precision_loss, reason = "there are few steps")]
     let point = point as f64 / SHARE_STEPS as f64;
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     model::{Engine, Generation},
-    sources::{Kind, Links, Source},
+    sources::{Kind, Source, transfer_ms},
 };
 
 /// What each running request adds to that.
@@ -114,8 +114,7 @@
     let near_engines = u64::try_from(near_engines).unwrap_or(u64::MAX);
     let room_tokens = engine.memory_tokens.saturating_mul(near_engines);
     let has_room = room_tokens >= PROMPTS_A_HOME * generation.footprint_tokens();
-    let links = Links { token_bytes: engine.token_bytes, engine_mbps: engine.link_mbps };
-    let transfer_ms = links.transfer_ms(generation.shared_tokens(), engine.link_mbps, true);
+    let transfer_ms = transfer_ms(engine, generation.shared_tokens(), engine.link_mbps, true);
     has_room && transfer_ms <= HOME_FETCH_MS
 }
 
--- a/crates/routing/src/read_parts.rs
+++ b/crates/routing/src/read_parts.rs
@@ -29,6 +29,29 @@
 /// Facts in one record.
 pub const MAX_TOLD: usize = 48;
 
+/// The part of an engine's memory that cached parts have, beside what runs there.
+const CACHED_PART: f64 = 0.6;
+/// Without a demand that was seen, parts are believed to stay for this long.
+const LONGEST_LIFETIME_MS: f64 = 8_000.0;
+/// The least time for which a part that was just read is believed to stay.
+const SHORTEST_LIFETIME_MS: f64 = 1_000.0;
+
+/// How long a part stays in an engine's memory before what is read after it pushes it out, in milliseconds.
+///
+/// `read_tokens_per_ms` is what all engines together have to read, and `memory_tokens` the memory of each.
+pub fn lifetime_ms(memory_tokens: u64, engines: usize, read_tokens_per_ms: f64) -> u64 {
+    #[expect(clippy::cast_precision_loss, reason = "tokens and engines are far below 2^52")]
+    let cached = CACHED_PART * memory_tokens as f64 * engines as f64;
+    let lifetime_ms = cached / read_tokens_per_ms.max(f64::MIN_POSITIVE);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the bounds are positive and short"
+    )]
+    let whole = lifetime_ms.clamp(SHORTEST_LIFETIME_MS, LONGEST_LIFETIME_MS) as u64;
+    whole
+}
+
 /// A short name of an engine among those of a fleet. Two engines of one tag cost fetches that find nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EngineTag(u32);
--- a/crates/routing/src/sources.rs
+++ b/crates/routing/src/sources.rs
@@ -5,20 +5,30 @@
 //! may hold the parts.
 //!
 //! ```
-//! use samphirespread_routing::sources::{Holder, Kind, Stored, sources};
+//! use samphirespread_routing::{
+//!     model::Engine,
+//!     sources::{Holder, Kind, sources},
+//! };
 //!
+//! let engine = Engine {
+//!     slots: 64, memory_tokens: 90_000, token_bytes: 18_432, link_mbps: 370_000.0, moves_runs: true,
+//! };
 //! let home = Holder { domain: "a", version: 4, resident_tokens: 6_300, is_home: true };
 //! let other = Holder { domain: "b", version: 4, resident_tokens: 0, is_home: false };
-//! let link = samphirespread_routing::sources::Links { token_bytes: 18_432, engine_mbps: 370_000.0 };
 //!
-//! let found = sources(&[Some(home), Some(other)], &[], &link);
+//! let found = sources(&[Some(home), Some(other)], &[], &engine, 157.0);
 //! assert_eq!(found[1].unwrap().kind, Kind::Engine(0));
 //! ```
 //!
 //! Cost: two passes over the engines of a service.
 
+use crate::model::Engine;
+
 /// Time of a fetch, beside what its bytes take.
 const FETCH_SETUP_MS: f64 = 5.0;
+/// The part of the reading by which an engine's fetch is dearer than one from the store: what it is believed to hold
+/// may have been dropped, and then is read.
+const UNSURE_PART: f64 = 0.2;
 /// A copy to another failure domain takes this many times as long.
 const CROSS_DOMAIN_FACTOR: f64 = 2.0;
 /// Bits that a link of one Mbit/s carries in a millisecond.
@@ -52,15 +62,6 @@
     pub delay_ms: f64,
 }
 
-/// Memory of an engine and its way to others.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Links {
-    /// Bytes of one token.
-    pub token_bytes: u64,
-    /// The speed of an engine's link in Mbit/s.
-    pub engine_mbps: f64,
-}
-
 /// What has the parts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -81,26 +82,26 @@
     pub fetch_ms: f64,
 }
 
-impl Links {
-    /// Time that the memory of that many tokens takes over a link.
-    pub fn transfer_ms(&self, tokens: u64, mbps: f64, is_near: bool) -> f64 {
-        let bits = number(tokens) * number(self.token_bytes) * 8.0;
-        let ms = bits / (mbps.min(self.engine_mbps) * BITS_A_MS).max(f64::MIN_POSITIVE);
-        if is_near { ms } else { ms * CROSS_DOMAIN_FACTOR }
-    }
+/// Time that the memory of that many tokens takes over a link to an engine.
+pub fn transfer_ms(engine: &Engine, tokens: u64, link_mbps: f64, is_near: bool) -> f64 {
+    let bits = number(tokens) * number(engine.token_bytes) * 8.0;
+    let ms = bits / (link_mbps.min(engine.link_mbps) * BITS_A_MS).max(f64::MIN_POSITIVE);
+    if is_near { ms } else { ms * CROSS_DOMAIN_FACTOR }
 }
 
 /// The best source for each engine.
 pub fn sources(
     holders: &[Option<Holder<'_>>],
     stored: &[Stored<'_>],
-    links: &Links,
+    engine: &Engine,
+    read_tokens_per_ms: f64,
 ) -> Vec<Option<Source>> {
     let best = |(index, holder): (usize, &Option<Holder<'_>>)| {
         let holder = holder.as_ref()?;
         let from_store = stored.iter().find(|stored| stored.version == holder.version);
-        let from_store = from_store.map(|stored| of_store(holder, stored, links));
-        let from_engine = of_engines(index, holder, holders, links);
+        let from_store = from_store.map(|stored| of_store(holder, stored, engine));
+        let from_engine = of_engines(index, holder, holders)
+            .map(|(at, other)| of_engine(holder, at, other, engine, read_tokens_per_ms));
         from_store.into_iter().chain(from_engine).max_by(|a, b| {
             let by_time = || b.fetch_ms.total_cmp(&a.fetch_ms);
             a.tokens.cmp(&b.tokens).then_with(by_time)
@@ -109,34 +110,41 @@
     holders.iter().enumerate().map(best).collect()
 }
 
-fn of_store(holder: &Holder<'_>, stored: &Stored<'_>, links: &Links) -> Source {
+fn of_store(holder: &Holder<'_>, stored: &Stored<'_>, engine: &Engine) -> Source {
     let lacks = stored.tokens.saturating_sub(holder.resident_tokens);
     let is_near = holder.domain == stored.domain;
-    let transfer_ms = links.transfer_ms(lacks, stored.link_mbps, is_near);
+    let transfer_ms = transfer_ms(engine, lacks, stored.link_mbps, is_near);
     let fetch_ms = FETCH_SETUP_MS + transfer_ms + stored.delay_ms;
     Source { kind: Kind::Store, tokens: stored.tokens, fetch_ms }
 }
 
-/// The engine of the same weights that holds most, or else their home.
-fn of_engines(
+/// The other engine of the same weights that holds most, or else their home.
+fn of_engines<'a, 'b>(
     index: usize,
     holder: &Holder<'_>,
-    holders: &[Option<Holder<'_>>],
-    links: &Links,
-) -> Option<Source> {
+    holders: &'a [Option<Holder<'b>>],
+) -> Option<(usize, &'a Holder<'b>)> {
     let others = holders.iter().enumerate().filter_map(|(at, other)| Some((at, other.as_ref()?)));
     let others = others.filter(|(at, other)| *at != index && other.version == holder.version);
-    let (at, other) = others.max_by_key(|(_, other)| {
+    let most = others.max_by_key(|(_, other)| {
         (other.resident_tokens, other.domain == holder.domain, other.is_home)
-    })?;
-    if other.resident_tokens == 0 && !other.is_home {
-        return None;
-    }
+    });
+    most.filter(|(_, other)| other.resident_tokens > 0 || other.is_home)
+}
+
+fn of_engine(
+    holder: &Holder<'_>,
+    at: usize,
+    other: &Holder<'_>,
+    engine: &Engine,
+    read_tokens_per_ms: f64,
+) -> Source {
     let lacks = other.resident_tokens.saturating_sub(holder.resident_tokens);
     let is_near = other.domain == holder.domain;
-    let transfer_ms = links.transfer_ms(lacks, links.engine_mbps, is_near);
-    let fetch_ms = FETCH_SETUP_MS + transfer_ms;
-    Some(Source { kind: Kind::Engine(at), tokens: other.resident_tokens, fetch_ms })
+    let transfer_ms = transfer_ms(engine, lacks, engine.link_mbps, is_near);
+    let unsure_ms = UNSURE_PART * number(lacks) / read_tokens_per_ms;
+    let fetch_ms = FETCH_SETUP_MS + transfer_ms + unsure_ms;
+    Source { kind: Kind::Engine(at), tokens: other.resident_tokens, fetch_ms }
 }
 
 #[expect(clippy::cast_precision_loss, reason = "tokens and bytes are far below 2^52")]
--- a/crates/routing/tests/read_parts.rs
+++ b/crates/routing/tests/read_parts.rs
@@ -1,7 +1,9 @@
 //! What routers tell each other of the parts that engines have read.
 
 use samphirespread_core::prelude::*;
-use samphirespread_routing::read_parts::{EngineTag, MAX_TOLD, ReadParts, TOLD_AGAIN_MS};
+use samphirespread_routing::read_parts::{
+    EngineTag, MAX_TOLD, ReadParts, TOLD_AGAIN_MS, lifetime_ms,
+};
 
 const TOLD_MS: u64 = 400;
 
@@ -51,3 +53,17 @@
 
     assert_eq!(told(&parts, 1_000).len(), 2);
 }
+
+/// Many prompts with long parts of their own push shared parts out of every engine within seconds.
+#[test]
+fn parts_are_believed_to_stay_for_as_long_as_memory_lasts() {
+    let calm = lifetime_ms(105_000, 12, 97.0);
+    let busy = lifetime_ms(164_000, 18, 478.0);
+    let flood = lifetime_ms(164_000, 18, 950.0);
+
+    assert!((6_000..8_001).contains(&calm), "{calm}");
+    assert!((3_000..4_500).contains(&busy), "{busy}");
+    assert!((1_500..2_250).contains(&flood), "{flood}");
+    assert_eq!(lifetime_ms(105_000, 12, 0.0), 8_000);
+    assert_eq!(lifetime_ms(105_000, 0, 97.0), 1_000);
+}
--- a/crates/routing/tests/sources.rs
+++ b/crates/routing/tests/sources.rs
@@ -1,11 +1,20 @@
 //! Where engines get shared parts, when weights are new, when all caches were lost, and while one link is busy.
 
-use samphirespread_routing::sources::{Holder, Kind, Links, Stored, sources};
+use samphirespread_routing::{
+    model::Engine,
+    sources::{Holder, Kind, Stored, sources},
+};
 
 const VERSION: u64 = 4;
 const SHARED_TOKENS: u64 = 6_300;
 /// Heavy parts: those of one prompt are 2 GB.
-const LINKS: Links = Links { token_bytes: 327_680, engine_mbps: 740_000.0 };
+const HEAVY: Engine = engine_of(327_680, 740_000.0);
+/// Light parts, engines that read fast, and a store with a link like theirs.
+const LIGHT: Engine = engine_of(18_432, 370_000.0);
+
+const fn engine_of(token_bytes: u64, link_mbps: f64) -> Engine {
+    Engine { slots: 64, memory_tokens: 100_000, token_bytes, link_mbps, moves_runs: true }
+}
 
 fn engine(domain: &str, resident_tokens: u64) -> Holder<'_> {
     Holder { domain, version: VERSION, resident_tokens, is_home: false }
@@ -24,7 +33,7 @@
 /// The source of the first engine.
 fn source(holders: &[Holder<'_>], stored: &[Stored<'_>]) -> Option<(Kind, f64)> {
     let holders: Vec<Option<Holder<'_>>> = holders.iter().copied().map(Some).collect();
-    sources(&holders, stored, &LINKS)[0].map(|source| (source.kind, source.fetch_ms))
+    sources(&holders, stored, &HEAVY, 42.6)[0].map(|source| (source.kind, source.fetch_ms))
 }
 
 /// Weights are new: the first engine has read the parts, and the store does not hold them yet.
@@ -38,9 +47,26 @@
 /// Every prompt is fetched, and the store has one link for all.
 #[test]
 fn engines_spare_the_link_of_the_store() {
+    let far_from_store = [engine("b", 0), engine("b", SHARED_TOKENS)];
+    let crowded = Stored { delay_ms: 100.0, ..store() };
+    let near_store = [engine("a", 0), engine("a", SHARED_TOKENS)];
+
+    assert_eq!(source(&far_from_store, &[store()]).unwrap().0, Kind::Engine(1));
+    assert_eq!(source(&near_store, &[crowded]).unwrap().0, Kind::Engine(1));
+}
+
+/// Engines drop parts within seconds, and the store's word on what it holds is sure.
+#[test]
+fn the_store_goes_first_where_its_link_is_as_fast() {
     let holds = engine("a", SHARED_TOKENS);
+    let store = Stored { link_mbps: 370_000.0, ..store() };
+    let crowded = Stored { delay_ms: 200.0, ..store };
+    let holders = [Some(engine("a", 0)), Some(holds)];
+
+    let calm = sources(&holders, &[store], &LIGHT, 157.0)[0].unwrap();
+    let busy = sources(&holders, &[crowded], &LIGHT, 157.0)[0].unwrap();
 
-    assert_eq!(source(&[engine("a", 0), holds], &[store()]).unwrap().0, Kind::Engine(1));
+    assert_eq!((calm.kind, busy.kind), (Kind::Store, Kind::Engine(1)));
 }
 
 /// All caches of engines were lost.
