--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -10,6 +10,7 @@
     TeamUsage, encode, encode_payload, router_packets,
 };
 use samphirespread_routing::quota::UsageReport;
+use samphirespread_settings::Mechanism;
 use slog::warn;
 use tokio::time;
 
@@ -73,7 +74,7 @@
     let publishes = was_told || round.is_multiple_of(ROUNDS_A_RECORD);
     if publishes {
         conduct::conduct(core, state, now);
-        let payload = encode_payload(&Published::Router(own_state(state, round, now)));
+        let payload = encode_payload(&Published::Router(own_state(core, state, round, now)));
         state.fabric.publish(payload, now);
     }
     packets(core, state, publishes, now, &mut outgoing);
@@ -118,7 +119,7 @@
 }
 
 /// What this router tells of itself.
-fn own_state(state: &State, round: u64, now: MonoTime) -> RouterState {
+fn own_state(core: &Core, state: &State, round: u64, now: MonoTime) -> RouterState {
     let has_just_started = now.ms_since(state.started) <= FULL_AT_START_MS;
     let is_full = has_just_started || (round / ROUNDS_A_RECORD).is_multiple_of(RECORDS_A_FULL_ONE);
     let (usage, within_ms) = match is_full {
@@ -134,7 +135,10 @@
         usage: team_usage(&usage),
         usage_is_full: is_full,
         departures: departures(state, within_ms.min(DEPARTURE_TOLD_MS), now),
-        read_parts: state.read_parts.told(LATELY_MS, now).collect(),
+        read_parts: match core.settings.decisions.uses(Mechanism::ReadParts) {
+            true => state.read_parts.told(LATELY_MS, now).collect(),
+            false => Vec::new(),
+        },
     }
 }
 
--- a/crates/gateway/src/relocate.rs
+++ b/crates/gateway/src/relocate.rs
@@ -14,6 +14,7 @@
     relocation::{Answer, Place, Relocation, Step as MoveStep},
     rollout::NamedVersions,
 };
+use samphirespread_settings::Mechanism;
 use slog::info;
 use tokio::sync::oneshot;
 
@@ -175,7 +176,8 @@
     let Some((service, generation)) = run.service().zip(run.facts.generation.as_ref()) else {
         return Due::Not;
     };
-    let moves_runs = service.engine.is_some_and(|engine| engine.moves_runs);
+    let moves_runs = service.engine.is_some_and(|engine| engine.moves_runs)
+        && run.core.settings.decisions.uses(Mechanism::Moves);
     let state = run.core.state();
     let Some(source) = state.fleet.get(server).filter(|_| moves_runs) else { return Due::Not };
     if !source.leaves() && !source.fresh_state(now).is_some_and(|state| state.is_loading) {
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -18,6 +18,7 @@
     retry::RetryLimits,
     sources::Kind,
 };
+use samphirespread_settings::Mechanism;
 use slog::info;
 use tokio::time;
 
@@ -321,6 +322,7 @@
         };
         let place = Place {
             failure_domain: &self.core.settings.instance.failure_domain,
+            decisions: &self.core.settings.decisions,
             list_age_ms: state.reads.servers.confirmed().map(|at| now.ms_since(at)),
         };
         let selected = select(&state, &demand, &place, now);
@@ -603,7 +605,8 @@
             let took_ms = now.ms_since(sent);
             let mut state = self.core.state();
             let times = state.times.entry(service).or_default();
-            if expected.fetches.is_none() {
+            let learns = self.core.settings.decisions.uses(Mechanism::LearntSpeed);
+            if expected.fetches.is_none() && learns {
                 times.speed.observe(expected.read_tokens, took_ms);
             }
             if !matches!(expected.fetches, Some(Kind::Engine(_))) {
--- a/crates/gateway/src/select/engines.rs
+++ b/crates/gateway/src/select/engines.rs
@@ -10,6 +10,7 @@
     rollout::NamedVersions,
     sources::{Holder, Kind, Stored, sources},
 };
+use samphirespread_settings::Mechanism;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
@@ -24,6 +25,8 @@
 
 /// What a router has sent since an engine's last report stands for what the others have sent too.
 const OTHER_ROUTERS_FACTOR: u64 = 2;
+/// How long engines are believed to keep parts where that is not worked out.
+const PART_LIFETIME_MS: u64 = 6_000;
 /// Steps in which a share of the requests is told.
 const SHARE_STEPS: u64 = 1_000;
 
@@ -36,11 +39,14 @@
     now: MonoTime,
 ) -> Option<Selected> {
     let mut keys = KeysOfVersions::new(demand.dedicated_team, generation);
-    let part_lifetime_ms =
-        lifetime_ms(engine.memory_tokens, servers.len(), read_demand(state, now));
+    let part_lifetime_ms = match place.decisions.uses(Mechanism::PartLifetime) {
+        true => lifetime_ms(engine.memory_tokens, servers.len(), read_demand(state, now)),
+        false => PART_LIFETIME_MS,
+    };
     let asked = Asked { state, engine, generation, place, part_lifetime_ms, now };
     let near = servers.iter().filter(|server| is_near(server, place)).count();
-    let has_near_home = has_near_home(engine, near, generation);
+    let has_near_home =
+        place.decisions.uses(Mechanism::DomainHomes) && has_near_home(engine, near, generation);
     let times = state.times.get(&demand.service.name).copied().unwrap_or_default();
     let mut views = asked.views(servers, has_near_home, &mut keys);
     asked.add_sources(servers, &mut views, &times, &mut keys);
@@ -52,7 +58,8 @@
         footprint_tokens: generation.footprint_tokens(),
         base_ms: times.speed.base_ms(),
         read_tokens_per_ms: speed,
-        prefers_newest: prefers_newest(state, demand.request_id, newest, speed, now),
+        prefers_newest: !place.decisions.uses(Mechanism::NewestShare)
+            || prefers_newest(state, demand.request_id, newest, speed, now),
         has_near_home,
     };
     let (index, estimate) = choose_engine(&views, &work)?;
@@ -130,7 +137,9 @@
             let mut view = self.view(server, &keys.of(version).parts);
             view.is_newest = version >= wanted;
             let is_by_domain = has_near_home && view.is_near;
-            view.home_rank = if is_by_domain { rank_of_near } else { rank_of_newest };
+            if self.place.decisions.uses(Mechanism::Homes) {
+                view.home_rank = if is_by_domain { rank_of_near } else { rank_of_newest };
+            }
             rank_of_newest += usize::from(view.is_newest);
             rank_of_near += usize::from(view.is_newest && view.is_near);
             views[index] = Some(view);
@@ -172,7 +181,11 @@
         keys: &mut KeysOfVersions<'_>,
     ) {
         let model = &self.generation.model;
-        let delay_ms = times.fetch_delay.ms(self.now);
+        let decisions = self.place.decisions;
+        let delay_ms = match decisions.uses(Mechanism::StoreDelay) {
+            true => times.fetch_delay.ms(self.now),
+            false => 0.0,
+        };
         let holders: Vec<Option<Holder<'_>>> = servers
             .iter()
             .zip(views.iter())
@@ -194,7 +207,14 @@
             .into_iter()
             .filter_map(|version| self.stored(version, &keys.of(version).salt, delay_ms))
             .collect();
-        let sources = sources(&holders, &stored, self.engine, times.speed.tokens_per_ms());
+        let speed = times.speed.tokens_per_ms();
+        let sources = match decisions.uses(Mechanism::EngineFetches) {
+            true => sources(&holders, &stored, self.engine, speed),
+            false => holders
+                .iter()
+                .flat_map(|holder| sources(&[*holder], &stored, self.engine, speed))
+                .collect(),
+        };
         for (view, source) in views.iter_mut().zip(sources) {
             if let Some(view) = view {
                 view.source = source;
--- a/crates/gateway/src/select/mod.rs
+++ b/crates/gateway/src/select/mod.rs
@@ -12,6 +12,7 @@
     model::{Generation, Service},
     relocation::Handle,
 };
+use samphirespread_settings::DecisionSettings;
 
 use self::engines::select_engine;
 use crate::{
@@ -90,6 +91,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Place<'a> {
     pub(crate) failure_domain: &'a str,
+    /// Mechanisms in use.
+    pub(crate) decisions: &'a DecisionSettings,
     /// Time since the list of servers was confirmed.
     pub(crate) list_age_ms: Option<u64>,
 }
--- a/crates/settings/src/gateway/mod.rs
+++ b/crates/settings/src/gateway/mod.rs
@@ -5,6 +5,7 @@
 use crate::{
     check::Values,
     common::{self, DAY_MS, InstanceSettings, LogSettings, address_key, ms_key, remote_key},
+    decisions::{DECISIONS, DecisionSettings, decisions},
     file::settings_file,
     schema::{KeySpec, Kind, Preset, Schema, SectionSpec},
 };
@@ -34,6 +35,8 @@
     pub bounds: BoundsSettings,
     /// The wall clock.
     pub clock: ClockSettings,
+    /// Mechanisms in use.
+    pub decisions: DecisionSettings,
     /// Logging.
     pub log: LogSettings,
 }
@@ -121,6 +124,7 @@
             },
             bounds: bounds(values),
             clock: clock(values),
+            decisions: decisions(values),
             log: common::log(values),
         }
     }
@@ -228,6 +232,7 @@
             "Added to what the machine's clock shows, to try out wrong clocks.",
         )],
     },
+    DECISIONS,
     common::LOG,
 ];
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -52,6 +52,7 @@
 mod agent;
 mod check;
 mod common;
+mod decisions;
 mod error;
 mod example;
 mod file;
@@ -67,6 +68,7 @@
         DrainSettings, InstanceSettings, LogFormat, LogLevel, LogSettings, Secret,
         SecuritySettings, TlsSettings,
     },
+    decisions::{DecisionSettings, Mechanism},
     error::{SettingsError, SettingsErrors},
     file::Settings,
     gateway::{
--- a/crates/settings/src/schema/mod.rs
+++ b/crates/settings/src/schema/mod.rs
@@ -64,6 +64,8 @@
     Decimal { min: f64, max: f64, unit: &'static str },
     /// One of these words.
     Choice(&'static [&'static str]),
+    /// Any number of these words, separated by commas.
+    Choices(&'static [&'static str]),
     /// The path of a file.
     Path,
     /// Text that is never shown.
@@ -82,6 +84,7 @@
                 value.parse::<f64>().is_ok_and(|number| (*min..=*max).contains(&number))
             }
             Self::Choice(words) => words.contains(&value),
+            Self::Choices(words) => items(value).all(|item| words.contains(&item)),
             Self::Path => !value.is_empty(),
             Self::Secret { min_chars } => value.chars().count() >= *min_chars,
         }
@@ -108,6 +111,7 @@
                 write!(f, "a number of {unit} from {min} to {max}")
             }
             Self::Choice(words) => write!(f, "one of {}", words.join(", ")),
+            Self::Choices(words) => write!(f, "any of {}, separated by commas", words.join(", ")),
             Self::Path => f.write_str("the path of a file"),
             Self::Secret { min_chars } => write!(f, "at least {min_chars} characters"),
         }
--- a/crates/settings/tests/parse.rs
+++ b/crates/settings/tests/parse.rs
@@ -6,7 +6,8 @@
     test_runner::{Config, TestRng, TestRunner},
 };
 use samphirespread_settings::{
-    AgentSettings, BackendKind, GatewaySettings, LogFormat, LogLevel, RouterSettings, SettingsError,
+    AgentSettings, BackendKind, GatewaySettings, LogFormat, LogLevel, Mechanism, RouterSettings,
+    SettingsError,
 };
 
 const SECRET: &str = "an-example-of-a-secret";
@@ -428,3 +429,24 @@
         line 9: [bounds] rollout_ms = NaN: allowed is a number of milliseconds from 0 to 86400000"#]]
     .assert_eq(&errors.to_string());
 }
+
+#[test]
+fn mechanisms_are_switched_off_by_name() {
+    let text = format!("{}\n[decisions]\noff = moves, read_parts\n", gateway_text(&[]));
+
+    let settings = GatewaySettings::parse(&text).unwrap();
+
+    assert_eq!(settings.decisions.off, [Mechanism::Moves, Mechanism::ReadParts]);
+    assert!(!settings.decisions.uses(Mechanism::Moves));
+    assert!(settings.decisions.uses(Mechanism::Homes));
+    assert!(GatewaySettings::parse(&gateway_text(&[])).unwrap().decisions.off.is_empty());
+}
+
+#[test]
+fn an_unknown_mechanism_is_refused_with_the_allowed_ones() {
+    let text = format!("{}\n[decisions]\noff = moves, magic\n", gateway_text(&[]));
+
+    let errors = GatewaySettings::parse(&text).unwrap_err();
+
+    expect!["line 10: [decisions] off = moves, magic: allowed is any of moves, engine_fetches, read_parts, homes, domain_homes, newest_share, store_delay, part_lifetime, learnt_speed, separated by commas"].assert_eq(&errors.to_string());
+}
