--- a/crates/gateway/src/relocate.rs
+++ b/crates/gateway/src/relocate.rs
@@ -192,7 +192,12 @@
     Due::Move(Box::new((place(source), place(destination))))
 }
 
-fn to_move(state: &State, generation: &Generation, version: u64, now: MonoTime) -> RunToMove {
+pub(crate) fn to_move(
+    state: &State,
+    generation: &Generation,
+    version: u64,
+    now: MonoTime,
+) -> RunToMove {
     RunToMove {
         version,
         oldest_allowed: select::oldest_allowed(state, &generation.model, now),
@@ -200,7 +205,7 @@
     }
 }
 
-fn destination<'a>(
+pub(crate) fn destination<'a>(
     state: &'a State,
     service: &Service,
     model: &ModelName,
@@ -235,7 +240,7 @@
     choose_host(&hosts, to_move).map(|index| servers[index])
 }
 
-fn selected(
+pub(crate) fn selected(
     state: &State,
     service: &Service,
     server: &Server,
@@ -250,6 +255,7 @@
             salt: cache_salt(version, dedicated_team),
             fetch_from: None,
             save_to: None,
+            backup_to: None,
         }),
         max_idle: select::max_idle(state, service),
         part_keys: Vec::new(),
@@ -310,7 +316,7 @@
 }
 
 /// Whether the destination still takes runs.
-fn is_able(core: &Core, destination: &Selected) -> bool {
+pub(crate) fn is_able(core: &Core, destination: &Selected) -> bool {
     let now = core.now();
     let state = core.state();
     let server = state.fleet.get(&destination.id);
