--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,6 @@
 mod access;
 mod admin;
 mod answers;
-mod backup;
 mod body;
 mod cache_follow;
 mod cache_pull;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -178,11 +178,7 @@
 }
 
 fn take_engine_word(core: &Core, state: &mut State, word: EngineWord, now: MonoTime) {
-    let is_lost = word.state.is_none();
     let Some(reported) = state.fleet.reported(word, now) else { return };
-    if is_lost && reported.is_news {
-        state.engine_lost = Some(now);
-    }
     if reported.started_anew && reads::leads(core, state, now) {
         state.reads.news.servers = true;
         core.news.notify_one();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,6 @@
     body::{Piece, StreamBroken},
     relocate::Moves,
     run::{Attempt, CarriedOn, Live, Run},
-    select::Selected,
     story::{End, Step},
 };
 
@@ -55,7 +54,6 @@
                     live = next;
                     continue;
                 }
-                run.core.state().engine_lost = Some(run.core.now());
                 let may_repeat = run.may_repeat();
                 let server = live.lease.server.clone();
                 run.story.step(run.core.now(), Step::Failed { server, cause, may_repeat });
@@ -146,11 +144,17 @@
         self.pieces.send(Ok(bytes)).await.is_ok()
     }
 
-    /// Goes on where the run's memory is: where it was moved to, or where a copy was kept for an engine that died.
+    /// Goes on where the run's memory is, if the stream ended because the run was stopped to be moved.
     async fn carry_on(&mut self, run: &mut Run) -> Option<Box<Live>> {
         let last_id = self.last_id?;
         while let Some(place) = self.moves.next_place(run).await {
-            match self.carry_on_at(run, &place, last_id).await? {
+            self.splitter.clear();
+            let carried_on = tokio::select! {
+                biased;
+                () = self.pieces.closed() => return None,
+                carried_on = run.carry_on(&place, last_id) => carried_on,
+            };
+            match carried_on {
                 CarriedOn::Live(live) => {
                     self.moves.done();
                     return Some(live);
@@ -159,26 +163,7 @@
                 CarriedOn::Failed => self.moves.failed(),
             }
         }
-        let place = run.backup_place().await?;
-        match self.carry_on_at(run, &place, last_id).await? {
-            CarriedOn::Live(live) => Some(live),
-            CarriedOn::Refused | CarriedOn::Failed => None,
-        }
-    }
-
-    /// None when the caller left.
-    async fn carry_on_at(
-        &mut self,
-        run: &mut Run,
-        place: &Selected,
-        last_id: u64,
-    ) -> Option<CarriedOn> {
-        self.splitter.clear();
-        tokio::select! {
-            biased;
-            () = self.pieces.closed() => None,
-            carried_on = run.carry_on(place, last_id) => Some(carried_on),
-        }
+        None
     }
 
     async fn resume(&mut self, run: &mut Run) -> Option<Box<Live>> {
--- a/crates/gateway/src/relocate.rs
+++ b/crates/gateway/src/relocate.rs
@@ -192,12 +192,7 @@
     Due::Move(Box::new((place(source), place(destination))))
 }
 
-pub(crate) fn to_move(
-    state: &State,
-    generation: &Generation,
-    version: u64,
-    now: MonoTime,
-) -> RunToMove {
+fn to_move(state: &State, generation: &Generation, version: u64, now: MonoTime) -> RunToMove {
     RunToMove {
         version,
         oldest_allowed: select::oldest_allowed(state, &generation.model, now),
@@ -205,7 +200,7 @@
     }
 }
 
-pub(crate) fn destination<'a>(
+fn destination<'a>(
     state: &'a State,
     service: &Service,
     model: &ModelName,
@@ -240,7 +235,7 @@
     choose_host(&hosts, to_move).map(|index| servers[index])
 }
 
-pub(crate) fn selected(
+fn selected(
     state: &State,
     service: &Service,
     server: &Server,
@@ -255,7 +250,6 @@
             salt: cache_salt(version, dedicated_team),
             fetch_from: None,
             save_to: None,
-            backup_to: None,
         }),
         max_idle: select::max_idle(state, service),
         part_keys: Vec::new(),
@@ -316,7 +310,7 @@
 }
 
 /// Whether the destination still takes runs.
-pub(crate) fn is_able(core: &Core, destination: &Selected) -> bool {
+fn is_able(core: &Core, destination: &Selected) -> bool {
     let now = core.now();
     let state = core.state();
     let server = state.fleet.get(&destination.id);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -25,7 +25,6 @@
 use crate::{
     access::Grant,
     answers::NotRun,
-    backup::{self, Backup},
     body::BodyError,
     gateway::Core,
     metrics::{self, count},
@@ -67,8 +66,6 @@
     tried: Vec<Arc<str>>,
     attempts: Attempts,
     last_event: Option<MonoTime>,
-    /// Where a copy of the run's memory is kept, and the engine that runs it.
-    backup: Option<Backup>,
     /// The send to an engine whose first event is awaited.
     awaited: Option<Awaited>,
 }
@@ -229,7 +226,6 @@
             tried: Vec::new(),
             attempts: Attempts::new(rules),
             last_event: None,
-            backup: None,
             awaited: None,
         }
     }
@@ -280,19 +276,9 @@
         }
     }
 
-    /// Where the request goes on from the copy of its run's memory, now that its stream has broken off. None where
-    /// there is no copy, or the engine may still run it.
-    pub(crate) async fn backup_place(&mut self) -> Option<Selected> {
-        let backup = self.backup.take()?;
-        let place = backup.place_if_gone(self).await?;
-        let service = self.service()?.clone();
-        self.may_send_again(&service).then_some(place)
-    }
-
     /// Sends the request to where its run, which was stopped, goes on from its memory.
     pub(crate) async fn carry_on(&mut self, selected: &Selected, last_event_id: u64) -> CarriedOn {
         self.story.step(self.core.now(), selected.step.clone());
-        self.backup = None;
         match self.send(selected, Some(last_event_id)).await {
             Sent::Answer(live) if live.status.is_success() => CarriedOn::Live(live),
             Sent::NotRun => CarriedOn::Refused,
@@ -341,8 +327,7 @@
         };
         let selected = select(&state, &demand, &place, now);
         drop(state);
-        let mut selected = selected?;
-        self.backup = backup::add(self, &mut selected, now);
+        let selected = selected?;
         self.observe(&selected, &place);
         self.story.step(now, selected.step.clone());
         Some((service, selected))
--- a/crates/gateway/src/select/engines.rs
+++ b/crates/gateway/src/select/engines.rs
@@ -84,7 +84,6 @@
             salt,
             fetch_from,
             save_to: store.filter(|_| stored < work.shared_tokens),
-            backup_to: None,
         }),
         max_idle: max_idle(state, demand.service),
         part_keys,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -82,8 +82,6 @@
     pub(crate) times: HashMap<ServiceName, EngineTimes>,
     /// Prompt tokens that this router sends to be read.
     pub(crate) demand: ReadDemand,
-    /// When an engine was last seen to be lost: its stream broke off, or it doesn't answer.
-    pub(crate) engine_lost: Option<MonoTime>,
     /// What engines have read for this router's requests.
     pub(crate) read_parts: ReadParts,
     /// The stores of cached parts, by where they answer.
@@ -196,7 +194,6 @@
             weights: HashMap::new(),
             times: HashMap::new(),
             demand: ReadDemand::default(),
-            engine_lost: None,
             read_parts: ReadParts::default(),
             caches: HashMap::new(),
             caches_pulled_from: None,
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,6 +1,5 @@
 //! Tests of a real gateway on loopback in front of stand-ins.
 
-mod backups;
 mod departures;
 mod explained;
 mod fleet;
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -43,7 +43,6 @@
     RUN_GOES_ON, "run goes on", "A run that was stopped goes on from its memory", "request, server";
     RUN_COPIED, "run copied", "The engine of a run that was to be moved answered its last call", "request, server, to, outcome";
     RUN_NOT_COPIED, "run not copied", "A call to copy a run's memory was not answered", "request, server, to, stops, error";
-    BACKUP_LOOKED_FOR, "backup looked for", "A stream broke off, and a copy of its run's memory is used if its engine is gone", "request, server, to, gone, error";
     COPY_NOT_FREED, "copy not freed", "A copy that nobody uses was not freed; it expires", "request, server, error";
     CONFIGURATION_ADOPTED, "configuration adopted", "A configuration is in force", "generation, before, read_age_ms, routes, services, teams";
     IN_TOUCH, "in touch", "Keys are trusted again: the configuration was confirmed", "contact_age_ms";
--- a/crates/routing/src/model.rs
+++ b/crates/routing/src/model.rs
@@ -132,8 +132,6 @@
     pub link_mbps: f64,
     /// Whether it can hand a run over to another engine.
     pub moves_runs: bool,
-    /// Whether it can keep a copy of a run's memory at another engine while the run goes on.
-    pub backs_up_runs: bool,
 }
 
 /// A store of cached prompt parts.
--- a/crates/routing/src/relocation.rs
+++ b/crates/routing/src/relocation.rs
@@ -82,11 +82,6 @@
     }
 }
 
-/// Whether an engine that tells of its start began anew since it was sent a request, so that the run has ended.
-pub fn is_other_run(sent_to_unix_ms: Option<u64>, told_unix_ms: Option<u64>) -> bool {
-    sent_to_unix_ms.is_some() && told_unix_ms.is_some() && sent_to_unix_ms != told_unix_ms
-}
-
 #[derive(Debug)]
 struct Mover;
 
--- a/crates/routing/src/sources.rs
+++ b/crates/routing/src/sources.rs
@@ -12,7 +12,6 @@
 //!
 //! let engine = Engine {
 //!     slots: 64, memory_tokens: 90_000, token_bytes: 18_432, link_mbps: 370_000.0, moves_runs: true,
-//!     backs_up_runs: true,
 //! };
 //! let home = Holder { domain: "a", version: 4, resident_tokens: 6_300, is_home: true };
 //! let other = Holder { domain: "b", version: 4, resident_tokens: 0, is_home: false };
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -68,14 +68,7 @@
 }
 
 fn engine(memory_tokens: u64, token_bytes: u64, link_mbps: f64) -> Engine {
-    Engine {
-        slots: 64,
-        memory_tokens,
-        token_bytes,
-        link_mbps,
-        moves_runs: true,
-        backs_up_runs: true,
-    }
+    Engine { slots: 64, memory_tokens, token_bytes, link_mbps, moves_runs: true }
 }
 
 /// Many engines a domain with fast links: thousands of prompts a second would cross domains for parts that
--- a/crates/routing/tests/sources.rs
+++ b/crates/routing/tests/sources.rs
@@ -13,14 +13,7 @@
 const LIGHT: Engine = engine_of(18_432, 370_000.0);
 
 const fn engine_of(token_bytes: u64, link_mbps: f64) -> Engine {
-    Engine {
-        slots: 64,
-        memory_tokens: 100_000,
-        token_bytes,
-        link_mbps,
-        moves_runs: true,
-        backs_up_runs: true,
-    }
+    Engine { slots: 64, memory_tokens: 100_000, token_bytes, link_mbps, moves_runs: true }
 }
 
 fn engine(domain: &str, resident_tokens: u64) -> Holder<'_> {
--- a/crates/settings/src/decisions/mod.rs
+++ b/crates/settings/src/decisions/mod.rs
@@ -13,8 +13,6 @@
 pub enum Mechanism {
     /// Runs move off engines that are to load or that leave.
     Moves,
-    /// Runs that may not be repeated have a copy of their memory at another engine.
-    Backups,
     /// Engines fetch shared parts from each other, not only from the store.
     EngineFetches,
     /// Routers tell each other which parts engines have read.
@@ -35,7 +33,6 @@
 
 const NAMED: &[(&str, Mechanism)] = &[
     ("moves", Mechanism::Moves),
-    ("backups", Mechanism::Backups),
     ("engine_fetches", Mechanism::EngineFetches),
     ("read_parts", Mechanism::ReadParts),
     ("homes", Mechanism::Homes),
--- a/crates/settings/tests/parse.rs
+++ b/crates/settings/tests/parse.rs
@@ -448,5 +448,5 @@
 
     let errors = GatewaySettings::parse(&text).unwrap_err();
 
-    expect!["line 10: [decisions] off = moves, magic: allowed is any of moves, backups, engine_fetches, read_parts, homes, domain_homes, newest_share, store_delay, part_lifetime, learnt_speed, separated by commas"].assert_eq(&errors.to_string());
+    expect!["line 10: [decisions] off = moves, magic: allowed is any of moves, engine_fetches, read_parts, homes, domain_homes, newest_share, store_delay, part_lifetime, learnt_speed, separated by commas"].assert_eq(&errors.to_string());
 }
--- a/crates/standin/src/published/worker.rs
+++ b/crates/standin/src/published/worker.rs
@@ -218,8 +218,6 @@
     released: Vec<String>,
     /// Streams that go on until their run is stopped.
     moving: HashMap<String, CancellationToken>,
-    /// Events of these streams so far.
-    events_sent: HashMap<String, u64>,
 }
 
 impl Worker {
@@ -284,11 +282,6 @@
         self.inner.lock().next_copies.extend(behaviours);
     }
 
-    /// Events so far of a stream that goes on until it is moved.
-    pub fn events_sent(&self, request_id: &str) -> u64 {
-        self.inner.lock().events_sent.get(request_id).copied().unwrap_or(0)
-    }
-
     /// Calls to copy runs.
     pub fn copied(&self) -> Vec<RunCopied> {
         self.inner.lock().copied.clone()
@@ -388,7 +381,7 @@
                 time::sleep(Duration::from_millis(inner.config.work_ms)).await;
             }
             if behaviour == Behaviour::StreamUntilMoved {
-                return stream_until_moved(inner, &received);
+                return stream_until_moved(&inner, &received);
             }
             treat(&received, behaviour).await
         }
@@ -396,20 +389,17 @@
 }
 
 /// Answers with events that go on until the run is stopped, and then end without their end.
-fn stream_until_moved(inner: Arc<Inner>, received: &Received) -> Response {
+fn stream_until_moved(inner: &Inner, received: &Received) -> Response {
     let id = received.request_id().to_owned();
     let stopped = CancellationToken::new();
     inner.lock().moving.insert(id.clone(), stopped.clone());
-    let start = (1, stopped, inner, id.clone());
-    let events = stream::unfold(start, |(number, stopped, inner, id)| async move {
+    let events = stream::unfold((1, stopped, id.clone()), |(number, stopped, id)| async move {
         if stopped.is_cancelled() {
-            let end = Err(io::Error::other("the run has stopped"));
-            return (number > 0).then_some((end, (0, stopped, inner, id)));
+            return (number > 0)
+                .then(|| (Err(io::Error::other("the run has stopped")), (0, stopped, id)));
         }
         time::sleep(Duration::from_millis(EVENT_PAUSE_MS)).await;
-        inner.lock().events_sent.insert(id.clone(), number);
-        let event = Ok(format!("id: {number}\ndata: {id} {number}\n\n"));
-        Some((event, (number + 1, stopped, inner, id)))
+        Some((Ok(format!("id: {number}\ndata: {id} {number}\n\n")), (number + 1, stopped, id)))
     });
     let headers = [(SEAL, "seal".to_owned()), (REQUEST_ID, id)];
     (headers, Body::from_stream(events)).into_response()
