Look for sources among the engines that hold most only

Every engine was compared with every other one for each request: 25,600 looks at 160 engines. Up to eight of a version are looked at now. The choice is the same where no more than eight hold anything.

--- a/crates/routing/src/sources.rs
+++ b/crates/routing/src/sources.rs
@@ -20,7 +20,9 @@
 //! assert_eq!(found[1].unwrap().kind, Kind::Engine(0));
 //! ```
 //!
-//! Cost: two passes over the engines of a service.
+//! Cost: a pass over the engines of a service, and for each a look at up to eight others.
+
+use std::cmp::Reverse;
 
 use crate::model::Engine;
 
@@ -89,6 +91,9 @@
     if is_near { ms } else { ms * CROSS_DOMAIN_FACTOR }
 }
 
+/// Engines of one version that are looked at as sources.
+const MAX_LIKELY: usize = 8;
+
 /// The best source for each engine.
 pub fn sources(
     holders: &[Option<Holder<'_>>],
@@ -96,11 +101,12 @@
     engine: &Engine,
     read_tokens_per_ms: f64,
 ) -> Vec<Option<Source>> {
+    let likely = likely(holders);
     let best = |(index, holder): (usize, &Option<Holder<'_>>)| {
         let holder = holder.as_ref()?;
         let from_store = stored.iter().find(|stored| stored.version == holder.version);
         let from_store = from_store.map(|stored| of_store(holder, stored, engine));
-        let from_engine = of_engines(index, holder, holders)
+        let from_engine = of_engines(index, holder, &likely)
             .map(|(at, other)| of_engine(holder, at, other, engine, read_tokens_per_ms));
         from_store.into_iter().chain(from_engine).max_by(|a, b| {
             let by_time = || b.fetch_ms.total_cmp(&a.fetch_ms);
@@ -118,18 +124,36 @@
     Source { kind: Kind::Store, tokens: stored.tokens, fetch_ms }
 }
 
+/// An engine that may hold parts of the prompt, and its index.
+type Likely<'a, 'b> = (usize, &'a Holder<'b>);
+
+/// The engines of each version that hold most, or may hold parts as their home.
+fn likely<'a, 'b>(holders: &'a [Option<Holder<'b>>]) -> Vec<Likely<'a, 'b>> {
+    let known = holders.iter().enumerate().filter_map(|(at, holder)| Some((at, holder.as_ref()?)));
+    let mut likely: Vec<Likely<'a, 'b>> =
+        known.filter(|(_, holder)| holder.resident_tokens > 0 || holder.is_home).collect();
+    likely.sort_by_key(|(_, holder)| {
+        (holder.version, Reverse((holder.resident_tokens, holder.is_home)))
+    });
+    let mut kept: (u64, usize) = (0, 0);
+    likely.retain(|(_, holder)| {
+        kept = if kept.0 == holder.version { (kept.0, kept.1 + 1) } else { (holder.version, 1) };
+        kept.1 <= MAX_LIKELY
+    });
+    likely
+}
+
 /// The other engine of the same weights that holds most, or else their home.
 fn of_engines<'a, 'b>(
     index: usize,
     holder: &Holder<'_>,
-    holders: &'a [Option<Holder<'b>>],
-) -> Option<(usize, &'a Holder<'b>)> {
-    let others = holders.iter().enumerate().filter_map(|(at, other)| Some((at, other.as_ref()?)));
+    likely: &[Likely<'a, 'b>],
+) -> Option<Likely<'a, 'b>> {
+    let others = likely.iter().copied();
     let others = others.filter(|(at, other)| *at != index && other.version == holder.version);
-    let most = others.max_by_key(|(_, other)| {
+    others.max_by_key(|(_, other)| {
         (other.resident_tokens, other.domain == holder.domain, other.is_home)
-    });
-    most.filter(|(_, other)| other.resident_tokens > 0 || other.is_home)
+    })
 }
 
 fn of_engine(
--- a/crates/routing/tests/sources.rs
+++ b/crates/routing/tests/sources.rs
@@ -107,3 +107,16 @@
 
     assert_eq!(source(&[engine("a", 0), older], &[older_store]), None);
 }
+
+/// A large fleet in which every engine holds the part that all prompts have in common.
+#[test]
+fn an_engine_with_the_whole_prompt_is_found_among_many_with_its_beginning() {
+    let mut holders: Vec<Option<Holder<'_>>> =
+        (0..1_000).map(|_| Some(engine("a", 2_520))).collect();
+    holders[700] = Some(engine("b", SHARED_TOKENS));
+
+    let found = sources(&holders, &[], &HEAVY, 42.6);
+
+    assert!((0..700).all(|at| found[at].unwrap().kind == Kind::Engine(700)));
+    assert_eq!(found[700].unwrap().tokens, 2_520);
+}
