Send nothing to wait where the bound on the weights would be over first

A request was sent 6.2 s after newer weights were named, waited 1.85 s at an engine with a queue, and began after 8 s.

An engine gets a request only if that begins in time also when it waits for three times as long as expected (seen: 2.0 and 2.8 times).

--- a/crates/gateway/src/select/engines.rs
+++ b/crates/gateway/src/select/engines.rs
@@ -136,6 +136,7 @@
             let Some(version) = version else { continue };
             let mut view = self.view(server, &keys.of(version).parts);
             view.is_newest = version >= wanted;
+            view.usable_ms = usable_ms(self.state, model, version, self.now);
             let is_by_domain = has_near_home && view.is_near;
             if self.place.decisions.uses(Mechanism::Homes) {
                 view.home_rank = if is_by_domain { rank_of_near } else { rank_of_newest };
@@ -160,6 +161,7 @@
         EngineView {
             is_near: is_near(server, self.place),
             is_newest: true,
+            usable_ms: u64::MAX,
             is_avoided: server.suspicion.is_avoided(now) || server.is_reported_gone(now),
             running: reported.map_or(server.in_flight, |state| state.running),
             waiting: reported.map_or(0, |state| state.waiting),
@@ -232,6 +234,11 @@
     }
 }
 
+fn usable_ms(state: &State, model: &ModelName, version: u64, now: MonoTime) -> u64 {
+    let named = state.weights.get(model);
+    named.map_or(u64::MAX, |named| named.left_ms(version, now, state.bounds.rollout_ms))
+}
+
 /// Prompt tokens that all routers together send to be read in a millisecond, if they are asked alike.
 fn read_demand(state: &State, now: MonoTime) -> f64 {
     let routers = f64::from(u32::try_from(state.routers.len() + 1).unwrap_or(u32::MAX));
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -20,6 +20,8 @@
 /// Added to an engine that is not the first choice for the prompt's parts: what a further copy of
 /// them does to the memory of the engines and to the link of the store.
 const AWAY_MS: f64 = 80.0;
+/// A request waits for up to this many times as long as expected.
+const LONGEST_WAIT: f64 = 3.0;
 /// Added for another failure domain than the router's.
 const CROSS_DOMAIN_MS: f64 = 2.0;
 /// The same where the prompt's shared parts have a home in the router's own domain: more than it takes to
@@ -72,6 +74,8 @@
     pub is_newest: bool,
     /// Whether it failed lately.
     pub is_avoided: bool,
+    /// The time for which requests may still begin on its weights, in milliseconds.
+    pub usable_ms: u64,
     /// Requests that run there.
     pub running: u32,
     /// Requests that wait there.
@@ -150,11 +154,16 @@
 pub fn choose_engine(views: &[Option<EngineView>], work: &Work) -> Option<(usize, Estimate)> {
     let estimates = views.iter().enumerate().filter_map(|(index, view)| {
         let view = view.as_ref()?;
-        Some((index, estimate(view, work)))
+        Some((index, estimate(view, work))).filter(|(_, estimate)| begins_in_time(view, estimate))
     });
     estimates.min_by(|a, b| a.1.cost_ms.total_cmp(&b.1.cost_ms))
 }
 
+/// Whether a request begins while it may on these weights, also where it waits for longer than expected.
+fn begins_in_time(view: &EngineView, estimate: &Estimate) -> bool {
+    LONGEST_WAIT * estimate.first_event_ms <= number(view.usable_ms)
+}
+
 fn additions(view: &EngineView, work: &Work) -> f64 {
     let mut added = 0.0;
     if view.home_rank > 0 {
@@ -216,3 +225,8 @@
 fn tokens(tokens: u64) -> f64 {
     tokens as f64
 }
+
+#[expect(clippy::cast_precision_loss, reason = "an end that far away is none")]
+fn number(ms: u64) -> f64 {
+    ms as f64
+}
--- a/crates/routing/src/rollout.rs
+++ b/crates/routing/src/rollout.rs
@@ -150,6 +150,13 @@
         self.named.iter().map(move |(version, named_by)| (*version, now.ms_since(*named_by)))
     }
 
+    /// The time for which requests may still begin on a version; without an end while no newer one is named.
+    pub fn left_ms(&self, held: u64, now: MonoTime, bound_ms: u64) -> u64 {
+        let newer = self.named.iter().filter(|(version, _)| **version > held);
+        let left = newer.map(|(_, named_by)| bound_ms.saturating_sub(now.ms_since(*named_by)));
+        left.min().unwrap_or(u64::MAX)
+    }
+
     /// The lowest version on which a request may still begin.
     pub fn oldest_allowed(&self, now: MonoTime, bound_ms: u64) -> u64 {
         let is_due = |(_, named_by): &(&u64, &MonoTime)| now.ms_since(**named_by) >= bound_ms;
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -32,6 +32,7 @@
         is_near: true,
         is_newest: true,
         is_avoided: false,
+        usable_ms: u64::MAX,
         running: 0,
         waiting: 0,
         used_tokens: 0,
@@ -211,3 +212,16 @@
     assert_eq!(choose_server(&[near(0), far(0)]), Some(0));
     assert_eq!(choose_server(&[near(6), far(1)]), Some(1));
 }
+
+/// Versions follow each other while engines crash: the few that are left have queues, and a request that waits there
+/// would begin on weights whose bound is over.
+#[test]
+fn a_request_does_not_wait_at_an_engine_until_the_bound_on_its_weights_is_over() {
+    let ending = EngineView { usable_ms: 1_850, is_newest: false, ..home() };
+    let queued = EngineView { unread_tokens: 100_000, ..ending };
+    let newest_with_queue = EngineView { unread_tokens: 200_000, ..idle_engine() };
+
+    assert_eq!(chosen(&[ending, newest_with_queue]), 0);
+    assert_eq!(chosen(&[queued, newest_with_queue]), 1);
+    assert!(choose_engine(&[Some(queued)], &classification()).is_none());
+}
--- a/crates/routing/tests/rollout.rs
+++ b/crates/routing/tests/rollout.rs
@@ -142,3 +142,13 @@
     assert_ne!(next(&mixed, 3, 2), last_of_version(&mixed, 1, 3));
     assert_eq!(last_of_version(&mixed, 3, 3), [0; 0]);
 }
+
+#[test]
+fn the_time_left_on_a_version_ends_with_the_first_newer_one() {
+    let versions = named(&[(2, 1_000), (3, 5_000)]);
+    let now = MonoTime::from_ms(6_000);
+
+    let left: Vec<u64> = [1, 2, 3].map(|held| versions.left_ms(held, now, BOUND_MS)).into();
+
+    assert_eq!(left, [BOUND_MS - 5_000, BOUND_MS - 1_000, u64::MAX]);
+}
