End a move when its stream is resumed in the ordinary way

A move whose run had stopped and could go on nowhere stayed under way: a resumable stream that was then resumed counted as one whose run has stopped, and was taken to be broken at the first pause of 200 ms. Shown by a test that failed first (gateway: a_stream_that_is_resumed_after_a_move_that_failed_may_pause).

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -163,6 +163,8 @@
                 CarriedOn::Failed => self.moves.failed(),
             }
         }
+        // Whatever becomes of the stream now, it is no longer one whose run has stopped.
+        self.moves.done();
         None
     }
 
--- a/crates/gateway/tests/gateway/moves.rs
+++ b/crates/gateway/tests/gateway/moves.rs
@@ -33,11 +33,21 @@
 
 /// Sends a request, and lets the engine that runs it leave. Returns the answer, source and destination.
 async fn send_and_drain(site: &Site, path: &str) -> (Answer, usize, usize) {
+    send_and_drain_to(site, path, Behaviour::Answer).await
+}
+
+/// The same, where the other engine treats the request that way.
+async fn send_and_drain_to(
+    site: &Site,
+    path: &str,
+    behaviour: Behaviour,
+) -> (Answer, usize, usize) {
     let source = async {
         let is_asked = |engine: &Worker| !received(engine).is_empty();
         let source = crate::support::eventually(|| engines(site).iter().position(is_asked)).await;
         let destination = &engines(site)[1 - source];
         destination.expect_nothing();
+        destination.expect([behaviour]);
         let leaving = &engines(site)[source];
         site.store.put("servers", leaving.id(), leaving.entry("draining"));
         source
@@ -115,3 +125,17 @@
     assert_eq!(received(&engines(&site)[source]).len(), 1);
     assert!(received(&engines(&site)[destination]).is_empty());
 }
+
+/// The move is over when the stream has been resumed: it may pause like any other one.
+#[tokio::test]
+async fn a_stream_that_is_resumed_after_a_move_that_failed_may_pause() {
+    let site = site(&[CopyBehaviour::Copy, CopyBehaviour::NoRoom]).await;
+    let pause_ms = 300;
+
+    let (answer, _, destination) =
+        send_and_drain_to(&site, "/resumable/a", Behaviour::AnswerSlowly(pause_ms)).await;
+
+    assert!(answer.is_whole);
+    assert_contiguous(&answer);
+    assert_eq!(received(&engines(&site)[destination]).len(), 1);
+}
--- a/crates/standin/src/published/worker.rs
+++ b/crates/standin/src/published/worker.rs
@@ -30,8 +30,10 @@
 pub(super) const NOT_RUN: &str = "x-samphirespread-not-executed";
 /// Events of a whole stream.
 pub const STREAM_EVENTS: u64 = 5;
-/// Events of a run that goes on from its memory.
+/// Events of a run that goes on from its memory, or after more events than a whole stream has.
 pub const MOVED_EVENTS: u64 = 3;
+/// Pause before an event.
+const EVENT_MS: u64 = 2;
 /// Pause between two events of a stream that goes on until its run is stopped.
 const EVENT_PAUSE_MS: u64 = 10;
 
@@ -56,6 +58,8 @@
     AnswerAnother,
     /// It runs and the answer lacks its signature.
     AnswerUnsigned,
+    /// It runs and is answered with that pause before each event.
+    AnswerSlowly(u64),
     /// It runs and its stream is cut after that many events, in the middle of the next one.
     CutStreamAfter(u64),
     /// It runs and its stream goes on until the run is stopped by a call that moves it.
@@ -471,8 +475,12 @@
         Behaviour::AnswerAnother => answer(received, "another"),
         Behaviour::AnswerUnsigned => ([(REQUEST_ID, id)], "unsigned").into_response(),
         Behaviour::StreamUntilMoved => unreachable!("such a stream is answered before"),
+        Behaviour::AnswerSlowly(pause_ms) => {
+            let body = Body::from_stream(events_of(received, None, pause_ms));
+            ([(SEAL, "seal".to_owned()), (REQUEST_ID, id)], body).into_response()
+        }
         Behaviour::CutStreamAfter(events) => {
-            let body = Body::from_stream(events_of(received, Some(events)));
+            let body = Body::from_stream(events_of(received, Some(events), EVENT_MS));
             ([(SEAL, "seal".to_owned()), (REQUEST_ID, id)], body).into_response()
         }
     }
@@ -483,17 +491,18 @@
     if received.header("x-samphirespread-model").is_empty() {
         return (headers, format!("answered {id}")).into_response();
     }
-    (headers, Body::from_stream(events_of(received, None))).into_response()
+    (headers, Body::from_stream(events_of(received, None, EVENT_MS))).into_response()
 }
 
 /// The events of a stream after the one that the request names, cut after some.
 fn events_of(
     received: &Received,
     cut_after: Option<u64>,
+    pause_ms: u64,
 ) -> impl stream::Stream<Item = io::Result<String>> + use<> {
     let id = received.request_id().to_owned();
     let last: u64 = received.header("last-event-id").parse().unwrap_or(0);
-    let goes_on = !received.header("kv-from").is_empty();
+    let goes_on = !received.header("kv-from").is_empty() || last >= STREAM_EVENTS;
     let end = if goes_on { last + MOVED_EVENTS } else { STREAM_EVENTS };
     let mut pieces: Vec<io::Result<String>> = Vec::new();
     for number in last + 1..=end {
@@ -505,9 +514,9 @@
         pieces.push(Ok(format!("id: {number}\ndata: {id} {number}\n\n")));
     }
     // The pause lets what came before a cut reach the router.
-    stream::unfold(pieces.into_iter(), |mut pieces| async move {
+    stream::unfold(pieces.into_iter(), move |mut pieces| async move {
         let piece = pieces.next()?;
-        time::sleep(Duration::from_millis(2)).await;
+        time::sleep(Duration::from_millis(pause_ms)).await;
         Some((piece, pieces))
     })
 }
