Read, log and count servers' limits, without acting on them yet

Change: the adapter decodes Server-Limit (and no longer passes it on to callers), the gateway logs 'server limited', 'server unlimited' and 'server limit left out', all within the budget of their events, and counts sends to such servers by kind. No choice of a server depends on it. Not a number, negative, infinite, huge, zero and several values are tested.

--- a/crates/gateway/src/active_request.rs
+++ b/crates/gateway/src/active_request.rs
@@ -31,6 +31,7 @@
     metrics::{self, count},
     request_log::{RequestLog, Step},
     select::{RouterContext, Selected, SelectionQuery, next_return_ms, select},
+    server_limits,
 };
 
 /// Timeout for opening a connection to a backend server.
@@ -444,11 +445,13 @@
             return Ok(Sent::NotRun);
         };
         let expected = selected.expected.filter(|_| last_event_id.is_none());
+        let sent = self.core.now();
         self.read_timing = self.service().zip(expected).map(|(service, expected)| ReadTiming {
             service: service.name.clone(),
             expected,
-            sent: self.core.now(),
+            sent,
         });
+        self.count_limited_send(selected);
         // From here on the server may receive the request, even if this task is cancelled.
         match selected.stopped_run {
             Some(_) => self.attempts.begin_resumption(),
@@ -469,6 +472,7 @@
         if facts.request_id.is_some() && facts.request_id != self.facts.id {
             return Ok(self.server_failed(selected, "the answer is to another request".to_owned()));
         }
+        server_limits::note_answer(&self.core, selected, &facts, sent);
         if facts.not_run {
             self.attempts.record_not_run();
             let step = Step::Refused { server: selected.id.clone(), status: parts.status.as_u16() };
@@ -493,6 +497,19 @@
         })))
     }
 
+    /// Counts a send if its server limits the requests of all routers.
+    fn count_limited_send(&self, selected: &Selected) {
+        if self.core.state().server_limits.rate(selected.run()).is_none() {
+            return;
+        }
+        let kind = match selected.stopped_run {
+            Some(_) => "moved",
+            None if self.attempts.is_repeat() => "repeat",
+            None => "first",
+        };
+        count(&self.core.metrics.limited_sends, kind);
+    }
+
     fn request(
         &self,
         selected: &Selected,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod routers;
 mod select;
 mod serve;
+mod server_limits;
 mod server_list;
 mod state;
 mod sync;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,10 @@
     pub(crate) repeats: Causes,
     /// Moves of runs between engines, by outcome.
     pub(crate) moves: Causes,
+    /// Sends to servers that limit the requests of all routers, by kind of send.
+    pub(crate) limited_sends: Causes,
+    /// Servers that limit the requests of all routers.
+    pub(crate) limited_servers: Gauge,
     /// Answers whose body could not be read, by cause.
     pub(crate) lost_answers: Causes,
     /// Failed calls to the store, by kind of failure.
@@ -67,6 +71,8 @@
             not_run: Causes::default(),
             repeats: Causes::default(),
             moves: Causes::default(),
+            limited_sends: Causes::default(),
+            limited_servers: Gauge::default(),
             lost_answers: Causes::default(),
             store_failures: Causes::default(),
             connections: Counter::default(),
@@ -94,6 +100,8 @@
         registry.register("not_run", "Refusals by reason", self.not_run.clone());
         registry.register("repeats", "Sends beyond the first", self.repeats.clone());
         registry.register("run_moves", "Moves of runs by outcome", self.moves.clone());
+        registry.register("limited_sends", "Sends under a limit", self.limited_sends.clone());
+        registry.register("limited_servers", "Servers with limits", self.limited_servers.clone());
         registry.register("lost_answers", "Lost in their bodies", self.lost_answers.clone());
         registry.register("store_failures", "Failed store calls", self.store_failures.clone());
         registry.register("server_connections", "Connections opened", self.connections.clone());
--- a/crates/gateway/src/select/mod.rs
+++ b/crates/gateway/src/select/mod.rs
@@ -11,6 +11,7 @@
     choice::{Estimate, ServerView, choose_server},
     model::{Generation, Service},
     relocation::Handle,
+    server_limit::ServerRun,
 };
 use samphirespread_settings::DecisionSettings;
 
@@ -66,6 +67,11 @@
     pub(crate) fn incarnation(&self) -> Departure {
         Departure { id: self.id.clone(), started_unix_ms: self.started_unix_ms }
     }
+
+    /// The same process as [`incarnation`](Self::incarnation), as a short tag.
+    pub(crate) fn run(&self) -> ServerRun {
+        ServerRun::of(&self.id, self.started_unix_ms)
+    }
 }
 
 /// What a sidecar last reported about its engine.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,7 @@
     read_parts::ReadParts,
     retry::{RetryBudget, RetryLimits, share_of_slack},
     rollout::NamedVersions,
+    server_limit::ServerLimits,
     speed::{FetchDelay, ReadingSpeed},
     table::Table,
 };
@@ -74,6 +75,8 @@
     pub(crate) fleet: Fleet,
     /// Whether the list of backend servers has ever been read.
     pub(crate) has_fleet: bool,
+    /// What backend servers in need take from all routers together.
+    pub(crate) server_limits: ServerLimits,
     /// The teams' quotas and what they have used of them.
     pub(crate) quotas: Quotas,
     /// The budget for repeated sends, for each service.
@@ -193,6 +196,7 @@
             router_objects: Arc::default(),
             fleet: Fleet::default(),
             has_fleet: false,
+            server_limits: ServerLimits::default(),
             quotas: Quotas::new(now, settings.bounds.quota_slack / STARTS_PER_QUOTA_WINDOW),
             retries: HashMap::new(),
             weights: HashMap::new(),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -70,7 +70,9 @@
     loop {
         time::sleep(Duration::from_millis(PRUNE_INTERVAL_MS)).await;
         let now = core.now();
-        core.state().fleet.prune(now);
+        let mut state = core.state();
+        state.fleet.prune(now);
+        state.server_limits.expire(now);
     }
 }
 
--- a/crates/gateway/tests/gateway/departures.rs
+++ b/crates/gateway/tests/gateway/departures.rs
@@ -31,26 +31,11 @@
     }
 }
 
-/// Sends calls until the first server has received one. Neither server has load, so either may be
-/// chosen first.
-async fn until_first_server_gets_a_call(site: &Site) {
-    for number in 0..100 {
-        // Two calls at the same time reach both servers.
-        let (one, two) = (format!("f{number}a"), format!("f{number}b"));
-        let _ =
-            tokio::join!(site.send(call("/lookup/a", &one)), site.send(call("/lookup/a", &two)));
-        if !site.workers[0].received().is_empty() {
-            return;
-        }
-    }
-    panic!("the first server received no call");
-}
-
 #[tokio::test]
 async fn a_server_that_says_it_drains_gets_no_more_requests() {
     let site = start_site(configuration()).await;
     site.workers[0].expect([Behaviour::AnswerLeaving]);
-    until_first_server_gets_a_call(&site).await;
+    site.until_first_server_gets_a_call().await;
     let before = site.workers[0].received().len();
 
     send_calls(&site, "q", 20).await;
@@ -63,7 +48,7 @@
 async fn a_departure_is_remembered_when_list_and_configuration_change() {
     let site = start_site(configuration()).await;
     site.workers[0].expect([Behaviour::AnswerLeaving]);
-    until_first_server_gets_a_call(&site).await;
+    site.until_first_server_gets_a_call().await;
     let before = site.workers[0].received().len();
 
     site.store.remove("servers", "d1");
@@ -87,7 +72,7 @@
 async fn a_new_run_of_a_drained_server_gets_requests() {
     let site = start_site(configuration()).await;
     site.workers[0].expect([Behaviour::AnswerLeaving]);
-    until_first_server_gets_a_call(&site).await;
+    site.until_first_server_gets_a_call().await;
     let before = site.workers[0].received().len();
 
     site.workers[0].restart();
@@ -107,7 +92,7 @@
     let site = start_site(configuration()).await;
     let other = start_gateway(settings_of("r2", site.store.address())).await;
     site.workers[0].expect([Behaviour::AnswerLeaving]);
-    until_first_server_gets_a_call(&site).await;
+    site.until_first_server_gets_a_call().await;
 
     let line = eventually(|| {
         let is_it =
@@ -123,7 +108,7 @@
 async fn a_server_that_asks_for_a_pause_gets_no_requests() {
     let site = start_site(configuration()).await;
     site.workers[0].expect([Behaviour::RefuseForMs(LONG_REST_MS)]);
-    until_first_server_gets_a_call(&site).await;
+    site.until_first_server_gets_a_call().await;
     let before = site.workers[0].received().len();
 
     send_calls(&site, "q", 20).await;
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 mod departures;
 mod explained;
 mod fleet;
+mod limits;
 mod moves;
 mod orders;
 mod serving;
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -175,6 +175,23 @@
     pub(crate) async fn send(&self, request: Request<Full<Bytes>>) -> Answer {
         send(self.gateway.addresses.callers, request).await.expect("an answer")
     }
+
+    /// Sends calls until the first server has received one. Neither server has load, so either may
+    /// be chosen first.
+    pub(crate) async fn until_first_server_gets_a_call(&self) {
+        for number in 0..100 {
+            // Two calls at the same time reach both servers.
+            let (one, two) = (format!("f{number}a"), format!("f{number}b"));
+            let _ = tokio::join!(
+                self.send(call("/lookup/a", &one)),
+                self.send(call("/lookup/a", &two))
+            );
+            if !self.workers[0].received().is_empty() {
+                return;
+            }
+        }
+        panic!("the first server received no call");
+    }
 }
 
 async fn wait_until_ready(readiness: SocketAddr) {
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -50,6 +50,9 @@
     SERVER_APPEARED, "server appeared", "A backend server is new on the list", "server";
     SERVER_DRAINS, "server drains", "A backend server leaves; it gets no new requests", "server, source";
     SERVER_RESTS, "server rests", "A backend server wants no requests from this router for a while", "server, for_ms";
+    SERVER_LIMITED, "server limited", "A backend server takes no more requests a second from all routers together", "server, limit_per_s, source";
+    SERVER_UNLIMITED, "server unlimited", "A backend server names no limit any more", "server, source";
+    SERVER_LIMIT_LEFT_OUT, "server limit left out", "A backend server named a limit that can't be read; what was known before stays", "server, error";
     SERVER_GONE, "server gone", "A backend server is no longer on the list", "server";
     SERVER_RESTARTED, "server restarted", "A backend server runs anew under its id", "server";
     SERVER_SUPERSEDED, "server superseded", "Another server answers at the address of an entry, which is left out", "server, answers";
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod relocation;
 pub mod retry;
 pub mod rollout;
+pub mod server_limit;
 pub mod sources;
 pub mod speed;
 pub mod table;
--- a/crates/standin/src/published/worker.rs
+++ b/crates/standin/src/published/worker.rs
@@ -220,6 +220,8 @@
     next_copies: VecDeque<CopyBehaviour>,
     copied: Vec<RunCopied>,
     released: Vec<String>,
+    /// The limit that all answers name.
+    limit: Option<String>,
     /// Streams that go on until their run is stopped.
     moving: HashMap<String, CancellationToken>,
 }
@@ -286,6 +288,11 @@
         self.inner.lock().next_copies.extend(behaviours);
     }
 
+    /// Names a limit in all answers from now on, or none.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        self.inner.lock().limit = limit.map(str::to_owned);
+    }
+
     /// Calls to copy runs.
     pub fn copied(&self) -> Vec<RunCopied> {
         self.inner.lock().copied.clone()
@@ -349,17 +356,33 @@
     }
 }
 
+/// Answers a request or a call, and names the limit in the answer if there is one.
 async fn serve(
     State(inner): State<Arc<Inner>>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
     body: Bytes,
+) -> Response {
+    let mut response = respond(&inner, method, uri, headers, body).await;
+    let limit = inner.lock().limit.clone();
+    if let Some(value) = limit.and_then(|limit| HeaderValue::try_from(limit).ok()) {
+        response.headers_mut().insert("server-limit", value);
+    }
+    response
+}
+
+async fn respond(
+    inner: &Arc<Inner>,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
 ) -> Response {
     match uri.path() {
-        "/-/report" => return report(&inner),
-        "/-/order" => return order(&inner, &body),
-        "/-/kv-move" => return copy_run(&inner, &body),
+        "/-/report" => return report(inner),
+        "/-/order" => return order(inner, &body),
+        "/-/kv-move" => return copy_run(inner, &body),
         path => {
             if let Some(handle) = path.strip_prefix("/-/kv-handle/") {
                 inner.lock().released.push(handle.to_owned());
@@ -369,7 +392,7 @@
     }
     let at = Instant::now();
     let mut received = Received { method, uri, headers, body, ran: false, at };
-    let behaviour = match misdirected(&inner, &received) {
+    let behaviour = match misdirected(inner, &received) {
         true => None,
         false => Some(inner.lock().next.pop_front().unwrap_or(Behaviour::Answer)),
     };
@@ -385,7 +408,7 @@
                 time::sleep(Duration::from_millis(inner.config.work_ms)).await;
             }
             if behaviour == Behaviour::StreamUntilMoved {
-                return stream_until_moved(&inner, &received);
+                return stream_until_moved(inner, &received);
             }
             treat(&received, behaviour).await
         }
