Keep the limits that servers name for all routers together

The class: a figure that a server names for all routers is not read, or is kept by each one alone. Evidence: one router sent 60 streams in under 4 s to an engine that names 0.5 a second; two routers sent a plain server 120.

Why this works: for each server, one router for each whole request of the limit (at least one, at most all) holds an equal share; all routers compute the same holders from the list of routers, those near the server first. A holder keeps a token bucket of one second that begins empty. So the sum over the fleet stays under the limit plus one second's worth, whether or not the routers hear each other; nothing is agreed on per request. Routers tell each other of limits, so that one that starts knows them before it sends. An answer without a limit ends it only if its request was sent after the last answer that named one. Every send passes one gate: first sends, repeats, resumed streams; runs are not moved to an engine that names a limit. What no limit leaves room for goes elsewhere, or gets 503 server_limit with the time of its own slot. Zero: one request in five seconds, to learn of the end; infinite and huge: no limit that binds; not a number or negative: what was known stays; gone: as before.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -82,6 +82,11 @@
         "no_server" | "servers_refused" | "retry_budget" => {
             format!("no backend server took it ({})", failed_attempts(lines))
         }
+        "server_limit" => {
+            "the backend servers that would have taken it limit the requests of all routers, and \
+             there was no room"
+                .to_owned()
+        }
         "no_time_left" => "its time was over before a server could be asked".to_owned(),
         other => other.to_owned(),
     };
--- a/crates/gateway/src/active_request.rs
+++ b/crates/gateway/src/active_request.rs
@@ -30,7 +30,7 @@
     gateway::Core,
     metrics::{self, count},
     request_log::{RequestLog, Step},
-    select::{RouterContext, Selected, SelectionQuery, next_return_ms, select},
+    select::{RouterContext, Selected, SelectionQuery, limited_return_ms, next_return_ms, select},
     server_limits,
 };
 
@@ -137,10 +137,20 @@
 }
 
 impl InFlightGuard {
-    fn new(core: &Arc<Core>, selected: &Selected, footprint: u64) -> Self {
+    /// Counts a request that is sent now. Returns `None` if the server's limit leaves no room for
+    /// it, which may have been taken since the server was chosen.
+    ///
+    /// A run that has stopped has to continue, whatever the limit.
+    fn new(core: &Arc<Core>, selected: &Selected, footprint: u64) -> Option<Self> {
         let unread_tokens = selected.read_tokens;
         let now = core.now();
         let mut state = core.state();
+        let has_room =
+            state.fleet.get(&selected.id).is_none_or(|server| state.has_room(server, now));
+        if !has_room && selected.stopped_run.is_none() {
+            return None;
+        }
+        state.server_limits.charge(selected.run(), now);
         state.demand.count(unread_tokens, now);
         if let Some(server) = state.fleet.get_mut(&selected.id) {
             server.in_flight += 1;
@@ -150,7 +160,8 @@
         }
         drop(state);
         let part_keys = selected.part_keys.clone();
-        Self { core: core.clone(), server: selected.id.clone(), unread_tokens, part_keys }
+        let server = selected.id.clone();
+        Some(Self { core: core.clone(), server, unread_tokens, part_keys })
     }
 
     /// Records that the server has read the prompt, as its first event shows.
@@ -255,7 +266,7 @@
                 return self.give_up(NotRun::NoTimeLeft, "deadline");
             }
             let Some((service, selected)) = self.choose() else {
-                return self.give_up(NotRun::NoServer, "no other server");
+                return self.give_up_without_server();
             };
             if !self.attempts.has_sends_left() {
                 return self.give_up(NotRun::ServersRefused, "too many sends");
@@ -294,6 +305,24 @@
         }
     }
 
+    fn give_up_without_server(&self) -> AttemptOutcome {
+        if self.may_have_run() {
+            return self.give_up(NotRun::NoServer, "no other server");
+        }
+        let now = self.core.now();
+        let mut state = self.core.state();
+        let limited = self
+            .service()
+            .and_then(|service| limited_return_ms(&mut state, service, &self.tried, now));
+        drop(state);
+        match limited {
+            Some(retry_after_ms) => {
+                AttemptOutcome::NotRun { reason: NotRun::ServerLimit, retry_after_ms }
+            }
+            None => self.give_up(NotRun::NoServer, "no other server"),
+        }
+    }
+
     fn give_up(&self, reason: NotRun, cause: &'static str) -> AttemptOutcome {
         if self.may_have_run() {
             return AttemptOutcome::Unknown { status: StatusCode::BAD_GATEWAY, cause };
@@ -379,7 +408,9 @@
 
     async fn send(&mut self, selected: &Selected, last_event_id: Option<u64>) -> Sent {
         let footprint = self.facts.generation.as_ref().map_or(0, Generation::footprint_tokens);
-        let guard = InFlightGuard::new(&self.core, selected, footprint);
+        let Some(guard) = InFlightGuard::new(&self.core, selected, footprint) else {
+            return Sent::NotRun;
+        };
         self.tried.push(selected.id.clone());
         let idle = self.idle_connection(selected);
         let is_reused = idle.is_some();
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -17,6 +17,8 @@
     OverQuota,
     /// No backend server can take it.
     NoServer,
+    /// The servers that would take it limit the requests of all routers, and there is no room.
+    ServerLimit,
     /// The retry budget is used up.
     RetryBudget,
     /// All backend servers that were tried refused.
@@ -33,6 +35,7 @@
             Self::OutOfTouch => "out_of_touch",
             Self::OverQuota => "over_quota",
             Self::NoServer => "no_server",
+            Self::ServerLimit => "server_limit",
             Self::RetryBudget => "retry_budget",
             Self::ServersRefused => "servers_refused",
             Self::NoTimeLeft => "no_time_left",
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -13,6 +13,7 @@
     backoff::FailureBackoff,
     model::{Availability, BackendServer, EngineState, LoadedModel, ServiceName},
     read_parts::EngineTag,
+    server_limit::ServerRun,
 };
 
 /// A report of an engine's state is ignored when it is older than this.
@@ -29,6 +30,7 @@
 #[derive(Debug)]
 pub(crate) struct Server {
     pub(crate) entry: BackendServer,
+    run_tag: ServerRun,
     pub(crate) idle: IdlePool,
     pub(crate) suspicion: FailureBackoff,
     /// Requests that this router has sent to it and that have not ended.
@@ -104,6 +106,7 @@
 impl Server {
     fn new(entry: BackendServer, now: MonoTime) -> Self {
         Self {
+            run_tag: ServerRun::of(&entry.id, entry.started_unix_ms),
             entry,
             idle: IdlePool::default(),
             suspicion: FailureBackoff::default(),
@@ -132,6 +135,11 @@
         self.entry.availability != Availability::Ready || self.said_leaving
     }
 
+    /// The run that the entry describes, as a short tag.
+    pub(crate) fn run_tag(&self) -> ServerRun {
+        self.run_tag
+    }
+
     fn run(&self) -> Departure {
         Departure { id: self.entry.id.clone(), started_unix_ms: self.entry.started_unix_ms }
     }
@@ -229,6 +237,7 @@
     by_ip: HashMap<IpAddr, Arc<str>>,
     by_address: HashMap<SocketAddr, Arc<str>>,
     by_tag: HashMap<EngineTag, Arc<str>>,
+    by_run: HashMap<ServerRun, Arc<str>>,
     /// Runs that said that they drain, and when this router learned it. They are kept apart from
     /// the servers, since an entry may lapse and come back.
     departures: HashMap<Departure, MonoTime>,
@@ -325,6 +334,7 @@
         ids.sort_by_key(|id| (self.servers[id].entry.started_unix_ms, id.clone()));
         self.by_address.clear();
         self.by_tag = ids.iter().map(|id| (EngineTag::of(id), id.clone())).collect();
+        self.by_run = ids.iter().map(|id| (self.servers[id].run_tag, id.clone())).collect();
         for id in &ids {
             let entry = &self.servers[id].entry;
             // Of several entries with one address, the one that started last comes last and stays.
@@ -389,6 +399,11 @@
         self.servers.get_mut(self.by_tag.get(&tag)?)
     }
 
+    /// Returns the server whose listed run has this tag.
+    pub(crate) fn get_by_run(&self, run: ServerRun) -> Option<&Server> {
+        self.servers.get(self.by_run.get(&run)?)
+    }
+
     /// Returns the servers of a service, in the order of their ids.
     pub(crate) fn of_service(&self, service: &str) -> impl Iterator<Item = &Server> {
         let ids = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -20,7 +20,7 @@
     conduct,
     fleet::{Departure, EngineUpdate},
     gateway::Core,
-    metrics, reads,
+    metrics, reads, server_limits,
     state::State,
 };
 
@@ -148,6 +148,9 @@
                 "source" => name.as_str());
         }
     }
+    for limit in &published_state.server_limits {
+        server_limits::note_news(core, state, name, limit, fresh.published, now);
+    }
     for read_part in &published_state.read_parts {
         if let Some(server) = state.fleet.get_by_tag_mut(read_part.engine) {
             server.remember_parts(&[read_part.part], fresh.published);
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -7,8 +7,8 @@
 use samphirespread_fabric::RecordRequest;
 use samphirespread_logging::event;
 use samphirespread_peer::{
-    Datagram, DepartingServer, Directive, LinkStatus, LoadDirective, NamedWeights, Payload,
-    RouterState, TeamUsage, encode, encode_payload, router_packets,
+    Datagram, DepartingServer, Directive, LinkStatus, LoadDirective, NamedLimit, NamedWeights,
+    Payload, RouterState, TeamUsage, encode, encode_payload, router_packets,
 };
 use samphirespread_routing::quota::UsageReport;
 use samphirespread_settings::Mechanism;
@@ -157,6 +157,7 @@
             true => state.read_parts.recent(RECENT_CHANGE_MS, now).collect(),
             false => Vec::new(),
         },
+        server_limits: server_limits(state, within_ms, now),
     }
 }
 
@@ -186,6 +187,16 @@
     departures.collect()
 }
 
+fn server_limits(state: &State, within_ms: u64, now: MonoTime) -> Vec<NamedLimit> {
+    let news = state.server_limits.news(within_ms, now).into_iter();
+    let limits = news.map(|news| NamedLimit {
+        server: news.server,
+        rate: news.rate,
+        age_ms: now.ms_since(news.as_of),
+    });
+    limits.collect()
+}
+
 /// Adds the directives to the sidecars: in turn to those that this router cares for, if it relays,
 /// and to those whose engines are to load.
 fn directives(
--- a/crates/gateway/src/relocate.rs
+++ b/crates/gateway/src/relocate.rs
@@ -227,7 +227,7 @@
     let servers: Vec<&Server> = state.fleet.of_service(&service.name).collect();
     let host = |server: &&Server| {
         let takes_requests = server.entry.id != source.entry.id
-            && select::is_eligible(state, server, &[], now)
+            && takes_moved_runs(state, server, now)
             && !server.suspicion.is_avoided(now);
         if !takes_requests {
             return None;
@@ -294,7 +294,8 @@
             MoveStep::Stop => true,
             _ => break,
         };
-        if outcome.is_closed() || (stops && !can_take_runs(&core, &destination)) {
+        let can_stop = || can_take_runs(&core, &destination) && has_way_back(&core, &source.id);
+        if outcome.is_closed() || (stops && !can_stop()) {
             relocation.record_withdrawal();
             continue;
         }
@@ -330,7 +331,22 @@
     let now = core.now();
     let state = core.state();
     let server = state.fleet.get(&destination.id);
-    server.is_some_and(|server| select::is_eligible(&state, server, &[], now))
+    server.is_some_and(|server| takes_moved_runs(&state, server, now))
+}
+
+/// Whether runs may be moved to an engine. One that limits requests is in need.
+fn takes_moved_runs(state: &State, server: &Server, now: MonoTime) -> bool {
+    let is_limited = state.server_limits.rate(server.run_tag()).is_some();
+    select::is_eligible(state, server, &[], now) && !is_limited
+}
+
+/// Whether the run may be sent back to its engine if the destination refuses it. It never goes back
+/// to an engine that leaves.
+fn has_way_back(core: &Core, source: &str) -> bool {
+    let now = core.now();
+    let state = core.state();
+    let server = state.fleet.get(source);
+    server.is_none_or(|server| server.is_leaving() || state.has_room(server, now))
 }
 
 fn log_outcome(
--- a/crates/gateway/src/routers.rs
+++ b/crates/gateway/src/routers.rs
@@ -17,7 +17,7 @@
 use tokio::time;
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::{gateway::Core, state::OtherRouter, sync::log_store_failure};
+use crate::{gateway::Core, server_limits, state::OtherRouter, sync::log_store_failure};
 
 /// Routers that start at the same time have all registered within this time.
 const JOINT_START_MS: u64 = 400;
@@ -112,6 +112,7 @@
     let names: Vec<InstanceName> = state.routers.keys().cloned().collect();
     state.quotas.set_routers(&names, now);
     let members: Vec<Member> = state.routers.values().map(|router| router.member.clone()).collect();
+    state.server_limits.set_routers(members.iter().map(server_limits::holder).collect(), now);
     state.fabric.set_members(members, now);
     let silent =
         state.routers.iter().filter(|(_, router)| router.silence_ms(now) > MAX_ROUTER_SILENCE_MS);
--- a/crates/gateway/src/select/mod.rs
+++ b/crates/gateway/src/select/mod.rs
@@ -114,7 +114,7 @@
     let servers: Vec<&Server> = state
         .fleet
         .of_service(&query.service.name)
-        .filter(|server| is_eligible(state, server, query.tried, now))
+        .filter(|server| can_be_sent_to(state, server, query.tried, now))
         .collect();
     match (query.service.engine.as_ref(), query.generation) {
         (Some(engine), Some(generation)) => {
@@ -148,6 +148,27 @@
     may_take && !is_loading && !tried.contains(&server.entry.id)
 }
 
+/// Whether a server takes new requests, is not among those already tried, and its limit has room.
+fn can_be_sent_to(state: &State, server: &Server, tried: &[Arc<str>], now: MonoTime) -> bool {
+    is_eligible(state, server, tried, now) && state.has_room(server, now)
+}
+
+/// When a refused caller should return to a service whose servers would take the request but for
+/// the limits that they name. `None` if there is no such server.
+pub(crate) fn limited_return_ms(
+    state: &mut State,
+    service: &Service,
+    tried: &[Arc<str>],
+    now: MonoTime,
+) -> Option<u64> {
+    let servers = state.fleet.of_service(&service.name);
+    let limited: Vec<ServerRun> = servers
+        .filter(|server| is_eligible(state, server, tried, now) && !state.has_room(server, now))
+        .map(Server::run_tag)
+        .collect();
+    state.server_limits.return_after_ms(limited, now)
+}
+
 fn select_server(
     state: &State,
     query: &SelectionQuery<'_>,
--- a/crates/gateway/src/server_limits.rs
+++ b/crates/gateway/src/server_limits.rs
@@ -2,11 +2,13 @@
 
 use samphirespread_adapter::headers::AnswerFacts;
 use samphirespread_core::prelude::*;
+use samphirespread_fabric::Member;
 use samphirespread_logging::event;
-use samphirespread_routing::server_limit::LimitChange;
+use samphirespread_peer::NamedLimit;
+use samphirespread_routing::server_limit::{Holder, LimitChange, LimitedServer};
 use slog::{info, warn};
 
-use crate::{gateway::Core, select::Selected};
+use crate::{gateway::Core, select::Selected, state::State};
 
 /// Records what the answer to a request that was sent at `sent` says of its server's limit.
 pub(crate) fn note_answer(core: &Core, selected: &Selected, facts: &AnswerFacts, sent: MonoTime) {
@@ -25,14 +27,42 @@
     }
     let now = core.now();
     let mut state = core.state();
-    let change = state.server_limits.observe(selected.run(), named, sent, now);
-    core.metrics.limited_servers.set(state.server_limits.count().try_into().unwrap_or(i64::MAX));
+    let run = selected.run();
+    let Some(server) = state.fleet.get_by_run(run) else { return };
+    let failure_domain = server.entry.failure_domain.clone();
+    let limited = LimitedServer { run, failure_domain: &failure_domain };
+    let change = state.server_limits.observe(limited, named, sent, now);
     drop(state);
     if let Some(change) = change {
         log_change(core, &selected.id, change, "answer");
+        core.wake_publisher.notify_one();
     }
 }
 
+/// Records a limit that another router has published, or its end.
+pub(crate) fn note_news(
+    core: &Core,
+    state: &mut State,
+    from: &InstanceName,
+    limit: &NamedLimit,
+    published: MonoTime,
+    now: MonoTime,
+) {
+    // A server that is not on this router's list yet gets no requests. The news comes again.
+    let Some(server) = state.fleet.get_by_run(limit.server) else { return };
+    let (id, failure_domain) = (server.entry.id.clone(), server.entry.failure_domain.clone());
+    let limited = LimitedServer { run: limit.server, failure_domain: &failure_domain };
+    let as_of = published.minus_ms(limit.age_ms);
+    if let Some(change) = state.server_limits.apply_news(limited, limit.rate, as_of, now) {
+        log_change(core, &id, change, from.as_str());
+    }
+}
+
+/// The holder of shares of limits that a router is.
+pub(crate) fn holder(router: &Member) -> Holder {
+    Holder { name: router.name.clone(), failure_domain: router.failure_domain.clone() }
+}
+
 fn log_change(core: &Core, server: &str, change: LimitChange, source: &str) {
     match change {
         LimitChange::Limited(rate) => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -31,6 +31,7 @@
     fleet::{Fleet, Server},
     orders::Permit,
     reads::Reads,
+    server_limits,
 };
 
 /// Subtracted from the bound on the use of withdrawn keys, for the time that a request takes to
@@ -196,7 +197,7 @@
             router_objects: Arc::default(),
             fleet: Fleet::default(),
             has_fleet: false,
-            server_limits: ServerLimits::default(),
+            server_limits: ServerLimits::new(server_limits::holder(&own)),
             quotas: Quotas::new(now, settings.bounds.quota_slack / STARTS_PER_QUOTA_WINDOW),
             retries: HashMap::new(),
             weights: HashMap::new(),
@@ -243,6 +244,18 @@
         server.is_superseded || (is_current && server.has_unlisted_run(now))
     }
 
+    /// Whether this router may send a server a request now by the limit that the server names.
+    ///
+    /// A router that is out of touch with the store may no longer be on the list of routers, by
+    /// which the limits are divided.
+    pub(crate) fn has_room(&self, server: &Server, now: MonoTime) -> bool {
+        let run = server.run_tag();
+        match self.server_limits.rate(run) {
+            Some(_) => self.server_limits.has_room(run, now) && !self.contact.is_stale(now),
+            None => true,
+        }
+    }
+
     /// This router's part of the bound on repeats.
     ///
     /// The slack is halved, so that routers that restart and begin a new count stay within the
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -73,6 +73,8 @@
         let mut state = core.state();
         state.fleet.prune(now);
         state.server_limits.expire(now);
+        let limited = state.server_limits.count();
+        core.metrics.limited_servers.set(limited.try_into().unwrap_or(i64::MAX));
     }
 }
 
--- a/crates/gateway/tests/gateway/limits.rs
+++ b/crates/gateway/tests/gateway/limits.rs
@@ -188,3 +188,59 @@
         assert!(most <= ALLOWED, "{most} requests, allowed {ALLOWED}");
     }
 }
+
+#[tokio::test]
+async fn other_routers_learn_of_a_limit_and_of_its_end() {
+    let site = start_site(configuration()).await;
+    let other = start_gateway(settings_of("r2", site.store.address())).await;
+
+    site.workers[0].set_limit(Some("20"));
+    until_known(&site.gateway, "d1").await;
+    let limited = logged(&other, "server limited", "d1").await;
+    site.workers[0].set_limit(None);
+    eventually_unlimited(&site).await;
+    let unlimited = logged(&other, "server unlimited", "d1").await;
+
+    assert_eq!((&limited["source"], &limited["limit_per_s"]), (&json!("r1"), &json!(20.0)));
+    assert_eq!(unlimited["source"], json!("r1"));
+}
+
+/// A router that started after the limit was named sent the server everything until its first
+/// answer.
+#[tokio::test]
+async fn a_router_that_starts_later_learns_of_a_limit() {
+    let site = start_site(configuration()).await;
+    site.workers[0].set_limit(Some("20"));
+    until_known(&site.gateway, "d1").await;
+
+    let other = start_gateway(settings_of("r2", site.store.address())).await;
+
+    let limited = logged(&other, "server limited", "d1").await;
+    assert_eq!(limited["source"], json!("r1"));
+}
+
+/// The list shows the server again after its entry lapsed, as after an outage of the store.
+#[tokio::test]
+async fn a_limit_is_remembered_while_an_entry_is_missing() {
+    let site = start_site(configuration()).await;
+    site.workers[0].set_limit(Some(LIMIT));
+    until_known(&site.gateway, "d1").await;
+    site.store.remove("servers", "d1");
+    logged(&site.gateway, "server gone", "d1").await;
+    site.store.put("servers", "d1", site.workers[0].entry("ready"));
+    eventually(|| {
+        let lines = site.gateway.log.lines();
+        let appeared = |line: &&Value| line["msg"] == "server appeared" && line["server"] == "d1";
+        (lines.iter().filter(appeared).count() == 2).then_some(())
+    })
+    .await;
+    let since = Instant::now();
+
+    for number in 0..40 {
+        let answer = site.send(call("/lookup/a", &format!("q{number}"))).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+
+    let most = most_in_a_window(&site.workers[0], since);
+    assert!(most <= ALLOWED, "{most} requests, allowed {ALLOWED}");
+}
--- a/crates/gateway/tests/gateway/moves.rs
+++ b/crates/gateway/tests/gateway/moves.rs
@@ -128,6 +128,38 @@
     assert!(received(&engines(&site)[destination]).is_empty());
 }
 
+/// An engine in need names a limit, and would get the runs of every engine that loads weights.
+#[tokio::test]
+async fn does_not_move_a_run_to_an_engine_that_names_a_limit() {
+    let site = start_site(moving_configuration()).await;
+    for engine in engines(&site) {
+        engine.set_limit(Some("50"));
+    }
+    let knows_limits = || {
+        let lines = site.gateway.log.lines();
+        lines.iter().filter(|line| line["msg"] == "server limited").count() == 2
+    };
+    for number in 0..400 {
+        if knows_limits() {
+            break;
+        }
+        let mut request = generation("/stream/a", &format!("before{number}"));
+        let parts = format!("a{number:x}:10,b{number:x}:20");
+        request.headers_mut().insert("x-samphirespread-prompt-prefix", parts.parse().unwrap());
+        site.send(request).await;
+    }
+    assert!(knows_limits(), "an engine was not asked");
+    for engine in engines(&site) {
+        engine.expect([Behaviour::StreamUntilMoved]);
+    }
+
+    let (answer, source, destination) = send_and_drain(&site, "/stream/a").await;
+
+    assert_contiguous(&answer);
+    assert!(engines(&site)[source].copied().is_empty());
+    assert!(received(&engines(&site)[destination]).is_empty());
+}
+
 /// Once a stream has been resumed, the move is over, and a pause must not be taken for the stream's
 /// end.
 #[tokio::test]
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -23,7 +23,7 @@
 //! # Costs
 //!
 //! A [`LinkStatus`] takes about 60 bytes. A router's record takes about 40 bytes, plus 17 for each
-//! team that it reports. An engine's record takes about 70 bytes.
+//! team that it reports and 16 for each limit of a backend server. An engine's record takes about 70 bytes.
 //!
 //! # Limits
 //!
@@ -43,6 +43,7 @@
     freshness::{Echo, FreshnessReport},
     model::EngineState,
     read_parts::ReadPart,
+    server_limit::{RequestRate, ServerRun},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -58,7 +59,7 @@
 
 /// Version of the format, which is the first byte of each datagram. Datagrams of other versions are
 /// rejected.
-const FORMAT_VERSION: u8 = 5;
+const FORMAT_VERSION: u8 = 6;
 
 /// A message in one datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -160,6 +161,20 @@
     pub departures: Vec<DepartingServer>,
     /// Parts of prompts that engines have recently read for this router.
     pub read_parts: Vec<ReadPart>,
+    /// Limits that backend servers named, or ceased to name, in answers to the router.
+    pub server_limits: Vec<NamedLimit>,
+}
+
+/// A limit that a backend server named in an answer, or its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NamedLimit {
+    /// The server's run.
+    pub server: ServerRun,
+    /// The requests per second that it takes from all routers together; `None` if it names no limit
+    /// any more.
+    pub rate: Option<RequestRate>,
+    /// Time since the limit was known to hold or to have ended, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// A version of a model's weights that operators have named.
