Test that fails: servers get more connections than they accept

Only idle connections were divided among the routers; with two routers and slow answers, a server that accepts 9 connections gets 30 calls at the same time.

--- a/crates/gateway/tests/gateway/limits.rs
+++ b/crates/gateway/tests/gateway/limits.rs
@@ -244,3 +244,47 @@
     let most = most_in_a_window(&site.workers[0], since);
     assert!(most <= ALLOWED, "{most} requests, allowed {ALLOWED}");
 }
+
+/// The longest time for which the server of this test works on a call.
+const LONG_WORK_MS: u64 = 1_000;
+
+/// A server resets connections beyond those that it accepts from all routers together. A call that
+/// may not be repeated then ended as unknown.
+#[tokio::test]
+async fn all_routers_together_keep_the_connections_that_a_server_accepts() {
+    let mut configuration = configuration();
+    configuration["services"][0]["maxConns"] = json!(9);
+    let site = start_site(configuration).await;
+    let other = start_gateway(settings_of("r2", site.store.address())).await;
+    eventually(|| {
+        let lines = site.gateway.log.lines();
+        lines.iter().any(|line| line["msg"] == "router appeared").then_some(())
+    })
+    .await;
+    for worker in &site.workers[..2] {
+        worker.expect([Behaviour::AnswerAfterMs(LONG_WORK_MS); 60]);
+    }
+
+    let mut calls = JoinSet::new();
+    for (index, router) in [&site.gateway, &other].into_iter().enumerate() {
+        for number in 0..30 {
+            let request = call("/issue/a", &format!("q{index}-{number}"));
+            calls.spawn(send(router.addresses.callers, request));
+        }
+    }
+    let answers = calls.join_all().await;
+
+    let served = answers.iter().flatten().filter(|answer| answer.status == StatusCode::OK).count();
+    for worker in &site.workers[..2] {
+        let first = worker.received().first().expect("a call").at;
+        let is_at_once = |at: Instant| at < first + Duration::from_millis(LONG_WORK_MS);
+        let at_once = worker.received().iter().filter(|call| is_at_once(call.at)).count();
+        assert!(at_once <= 9, "{at_once} calls at the same time, 9 connections allowed");
+    }
+    assert_eq!(site.ran(), served, "a refused call has not run");
+    let refused = |answer: &&crate::support::Answer| {
+        answer.status == StatusCode::SERVICE_UNAVAILABLE
+            && answer.headers.contains_key("retry-after")
+    };
+    assert_eq!(answers.iter().flatten().filter(refused).count(), 60 - served);
+}
