Divide the connections that a server accepts among all routers

What callers saw: a server resets connections beyond those that it accepts from all routers together; a call that may not be repeated then ends as unknown (502) though it could have been refused. Cause: only idle connections were divided (and one was kept by each router, however many there are); connections in use were not bounded at all. Change: a router has an equal share of each server's connections, in use and idle; with more routers than connections, other routers for each server have one. Beyond it a request goes elsewhere, or is refused at once with 503 connection_limit.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -87,6 +87,11 @@
              there was no room"
                 .to_owned()
         }
+        "connection_limit" => {
+            "the backend servers that would have taken it had as many connections from the router \
+             as they accept"
+                .to_owned()
+        }
         "no_time_left" => "its time was over before a server could be asked".to_owned(),
         other => other.to_owned(),
     };
--- a/crates/explain/tests/explain.rs
+++ b/crates/explain/tests/explain.rs
@@ -38,6 +38,10 @@
             r#""outcome":"not_run","cause":"server_limit","retry_after_ms":900"#,
             "limit the requests of all routers, and there was no room; told to come back in 900 ms",
         ),
+        (
+            r#""outcome":"not_run","cause":"connection_limit","retry_after_ms":400"#,
+            "as many connections from the router as they accept; told to come back in 400 ms",
+        ),
         (
             r#""outcome":"denied","cause":"key","status":401"#,
             "its key belongs to no team of the configuration in force",
--- a/crates/gateway/src/active_request.rs
+++ b/crates/gateway/src/active_request.rs
@@ -30,7 +30,7 @@
     gateway::Core,
     metrics::{self, count},
     request_log::{RequestLog, Step},
-    select::{RouterContext, Selected, SelectionQuery, limited_return_ms, next_return_ms, select},
+    select::{self, Obstacle, RouterContext, Selected, SelectionQuery, next_return_ms, select},
     server_limits,
 };
 
@@ -90,7 +90,7 @@
     pub(crate) body: Incoming,
     pub(crate) guard: InFlightGuard,
     connection: Connection,
-    max_idle: usize,
+    max_connections: usize,
 }
 
 /// The outcome of an attempt to have the request answered.
@@ -193,7 +193,7 @@
 impl ServerAnswer {
     /// Keeps the connection for another request. Call this only after the body was read to its end.
     pub(crate) fn keep_connection(self) {
-        let Self { facts, connection, guard, max_idle, .. } = self;
+        let Self { facts, connection, guard, max_connections, .. } = self;
         if facts.closes {
             return;
         }
@@ -203,7 +203,9 @@
             .min(MAX_IDLE_LIFETIME_MS);
         let now_ms = guard.core.now().as_ms();
         if let Some(server) = guard.core.state().fleet.get_mut(&guard.server) {
-            let limits = IdleLimits { max_connections: max_idle };
+            // This request still counts as one in flight.
+            let in_use = usize::try_from(server.in_flight).unwrap_or(usize::MAX).saturating_sub(1);
+            let limits = IdleLimits { max_connections: max_connections.saturating_sub(in_use) };
             server.idle.put(connection, now_ms + idle_lifetime_ms, limits);
         }
     }
@@ -306,20 +308,19 @@
     }
 
     fn give_up_without_server(&self) -> AttemptOutcome {
-        if self.may_have_run() {
-            return self.give_up(NotRun::NoServer, "no other server");
-        }
+        const CAUSE: &str = "no other server";
+        let service = self.service().filter(|_| !self.may_have_run());
+        let Some(service) = service else { return self.give_up(NotRun::NoServer, CAUSE) };
         let now = self.core.now();
         let mut state = self.core.state();
-        let limited = self
-            .service()
-            .and_then(|service| limited_return_ms(&mut state, service, &self.tried, now));
+        let obstacle = select::obstacle(&mut state, service, &self.tried, now);
         drop(state);
-        match limited {
-            Some(retry_after_ms) => {
+        match obstacle {
+            Obstacle::Limits { retry_after_ms } => {
                 AttemptOutcome::NotRun { reason: NotRun::ServerLimit, retry_after_ms }
             }
-            None => self.give_up(NotRun::NoServer, "no other server"),
+            Obstacle::Connections => self.give_up(NotRun::ConnectionLimit, CAUSE),
+            Obstacle::NoServer => self.give_up(NotRun::NoServer, CAUSE),
         }
     }
 
@@ -384,7 +385,7 @@
     fn may_send_again(&mut self, service: &Service) -> bool {
         let now = self.core.now();
         let mut state = self.core.state();
-        let limits = state.retry_limits(&self.core.name);
+        let limits = state.retry_limits();
         let budget = state.retries.entry(service.name.clone()).or_default();
         let is_allowed = budget.try_spend(&limits, now);
         drop(state);
@@ -401,7 +402,7 @@
     pub(crate) fn try_spend_move(&self) -> bool {
         let Some(service) = self.service() else { return false };
         let mut state = self.core.state();
-        let limits = RetryLimits { slack: 0, ..state.retry_limits(&self.core.name) };
+        let limits = RetryLimits { slack: 0, ..state.retry_limits() };
         let budget = state.retries.entry(service.name.clone()).or_default();
         budget.try_spend(&limits, self.core.now())
     }
@@ -524,7 +525,7 @@
             body,
             guard,
             connection,
-            max_idle: selected.max_idle,
+            max_connections: selected.max_connections,
         })))
     }
 
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -19,6 +19,8 @@
     NoServer,
     /// The servers that would take it limit the requests of all routers, and there is no room.
     ServerLimit,
+    /// The servers that would take it have accepted this router's share of their connections.
+    ConnectionLimit,
     /// The retry budget is used up.
     RetryBudget,
     /// All backend servers that were tried refused.
@@ -36,6 +38,7 @@
             Self::OverQuota => "over_quota",
             Self::NoServer => "no_server",
             Self::ServerLimit => "server_limit",
+            Self::ConnectionLimit => "connection_limit",
             Self::RetryBudget => "retry_budget",
             Self::ServersRefused => "servers_refused",
             Self::NoTimeLeft => "no_time_left",
--- a/crates/gateway/src/relocate.rs
+++ b/crates/gateway/src/relocate.rs
@@ -267,7 +267,7 @@
             fetch_from: None,
             save_to: None,
         }),
-        max_idle: select::max_idle(state, service),
+        max_connections: select::max_connections(state, service, server),
         part_keys: Vec::new(),
         read_tokens: 0,
         expected: None,
--- a/crates/gateway/src/select/engines.rs
+++ b/crates/gateway/src/select/engines.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
-    RouterContext, Selected, SelectionQuery, is_near, max_idle, oldest_allowed,
+    RouterContext, Selected, SelectionQuery, is_near, max_connections, oldest_allowed,
     parts::{KeysOfVersion, KeysOfVersions, cache_store, configured_store, preferred_order},
     report_summary,
 };
@@ -87,7 +87,7 @@
             fetch_from,
             save_to: store.filter(|_| stored < work.shared_tokens),
         }),
-        max_idle: max_idle(state, query.service),
+        max_connections: max_connections(state, query.service, server),
         part_keys,
         read_tokens: estimate.read_tokens,
         expected: Some(estimate),
--- a/crates/gateway/src/select/mod.rs
+++ b/crates/gateway/src/select/mod.rs
@@ -9,6 +9,7 @@
 use samphirespread_core::prelude::*;
 use samphirespread_routing::{
     choice::{Estimate, ServerView, choose_server},
+    connections::ConnectionShares,
     model::{Generation, Service},
     relocation::Handle,
     server_limit::ServerRun,
@@ -35,8 +36,8 @@
     pub(crate) address: SocketAddr,
     /// Instructions for an engine; `None` for other servers.
     pub(crate) engine: Option<EngineInstructions>,
-    /// Maximum number of idle connections to keep to the server.
-    pub(crate) max_idle: usize,
+    /// This router's share of the connections that the server accepts.
+    pub(crate) max_connections: usize,
     /// Keys of the prompt's shared parts, which the engine will have in its cache.
     pub(crate) part_keys: Vec<u64>,
     /// Prompt tokens that an engine will have to read.
@@ -111,10 +112,11 @@
     router: &RouterContext<'_>,
     now: MonoTime,
 ) -> Option<Selected> {
+    let connections = (query.service, state.connection_shares());
     let servers: Vec<&Server> = state
         .fleet
         .of_service(&query.service.name)
-        .filter(|server| can_be_sent_to(state, server, query.tried, now))
+        .filter(|server| can_be_sent_to(state, connections, server, query.tried, now))
         .collect();
     match (query.service.engine.as_ref(), query.generation) {
         (Some(engine), Some(generation)) => {
@@ -148,25 +150,52 @@
     may_take && !is_loading && !tried.contains(&server.entry.id)
 }
 
-/// Whether a server takes new requests, is not among those already tried, and its limit has room.
-fn can_be_sent_to(state: &State, server: &Server, tried: &[Arc<str>], now: MonoTime) -> bool {
-    is_eligible(state, server, tried, now) && state.has_room(server, now)
+/// Whether a server may be sent a request now: it takes new requests and was not tried, and neither
+/// its limit nor its connections are used up.
+fn can_be_sent_to(
+    state: &State,
+    (service, shares): (&Service, ConnectionShares),
+    server: &Server,
+    tried: &[Arc<str>],
+    now: MonoTime,
+) -> bool {
+    is_eligible(state, server, tried, now)
+        && state.has_room(server, now)
+        && has_connection(server, service, shares)
+}
+
+/// Why no server of a service can be sent a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Obstacle {
+    /// No server takes new requests.
+    NoServer,
+    /// Those that would take it limit requests. The caller should return after this time.
+    Limits { retry_after_ms: u64 },
+    /// Those that would take it have accepted this router's share of connections.
+    Connections,
 }
 
-/// When a refused caller should return to a service whose servers would take the request but for
-/// the limits that they name. `None` if there is no such server.
-pub(crate) fn limited_return_ms(
+/// Determines why no server of a service can be sent a request.
+pub(crate) fn obstacle(
     state: &mut State,
     service: &Service,
     tried: &[Arc<str>],
     now: MonoTime,
-) -> Option<u64> {
+) -> Obstacle {
     let servers = state.fleet.of_service(&service.name);
-    let limited: Vec<ServerRun> = servers
-        .filter(|server| is_eligible(state, server, tried, now) && !state.has_room(server, now))
-        .map(Server::run_tag)
-        .collect();
-    state.server_limits.return_after_ms(limited, now)
+    let eligible = servers.filter(|server| is_eligible(state, server, tried, now));
+    let (with_room, limited): (Vec<&Server>, Vec<&Server>) =
+        eligible.partition(|server| state.has_room(server, now));
+    if !with_room.is_empty() {
+        let shares = state.connection_shares();
+        let is_free = with_room.iter().any(|server| has_connection(server, service, shares));
+        return if is_free { Obstacle::NoServer } else { Obstacle::Connections };
+    }
+    let limited: Vec<ServerRun> = limited.into_iter().map(Server::run_tag).collect();
+    match state.server_limits.return_after_ms(limited, now) {
+        Some(retry_after_ms) => Obstacle::Limits { retry_after_ms },
+        None => Obstacle::NoServer,
+    }
 }
 
 fn select_server(
@@ -194,7 +223,7 @@
         id: server.entry.id.clone(),
         address: server.entry.address,
         engine: None,
-        max_idle: max_idle(state, query.service),
+        max_connections: max_connections(state, query.service, server),
         part_keys: Vec::new(),
         read_tokens: 0,
         expected: None,
@@ -218,10 +247,16 @@
     *server.entry.failure_domain == *router.failure_domain
 }
 
-/// This router's share of the connections that a server takes. One router more is counted, to leave
-/// room for the connections that are in use when the number of routers changes.
-pub(crate) fn max_idle(state: &State, service: &Service) -> usize {
-    (service.max_connections / (state.routers.len() + 2)).max(1)
+/// This router's share of the connections that a server accepts.
+pub(crate) fn max_connections(state: &State, service: &Service, server: &Server) -> usize {
+    state.connection_shares().of_server(&server.entry.id, service.max_connections)
+}
+
+/// Whether this router may send a server another request at the same time, each of which takes one
+/// of its connections.
+fn has_connection(server: &Server, service: &Service, shares: ConnectionShares) -> bool {
+    let in_flight = usize::try_from(server.in_flight).unwrap_or(usize::MAX);
+    in_flight < shares.of_server(&server.entry.id, service.max_connections)
 }
 
 fn report_summary(server: &Server, now: MonoTime) -> Option<ReportSummary> {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
 use samphirespread_peer::RouterState;
 use samphirespread_routing::{
     cache::StoreContents,
+    connections::ConnectionShares,
     demand::ReadDemand,
     freshness::Echo,
     model::ServiceName,
@@ -49,6 +50,8 @@
 /// The shared state of a gateway.
 #[derive(Debug)]
 pub(crate) struct State {
+    /// This router's name.
+    name: InstanceName,
     /// When this process started.
     pub(crate) started: MonoTime,
     /// The bounds that the settings promise to operators.
@@ -183,6 +186,7 @@
         now: MonoTime,
     ) -> Self {
         Self {
+            name: own.name.clone(),
             started: now,
             bounds: settings.bounds,
             wall_clock: settings.clock,
@@ -260,14 +264,19 @@
     ///
     /// The slack is halved, so that routers that restart and begin a new count stay within the
     /// bound.
-    pub(crate) fn retry_limits(&self, own: &InstanceName) -> RetryLimits {
+    pub(crate) fn retry_limits(&self) -> RetryLimits {
         RetryLimits {
             ratio: self.bounds.retry_ratio,
             window_ms: self.bounds.retry_window_ms,
-            slack: share_of_slack(self.bounds.retry_slack / 2.0, own, self.routers.keys()),
+            slack: share_of_slack(self.bounds.retry_slack / 2.0, &self.name, self.routers.keys()),
         }
     }
 
+    /// This router's part of the connections that servers accept from all routers.
+    pub(crate) fn connection_shares(&self) -> ConnectionShares {
+        ConnectionShares::new(&self.name, self.routers.keys())
+    }
+
     /// Replaces the bounds.
     pub(crate) fn set_bounds(&mut self, bounds: BoundsSettings) {
         self.bounds = bounds;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod backoff;
 pub mod cache;
 pub mod choice;
+pub mod connections;
 pub mod demand;
 pub mod destinations;
 pub mod events;
