Soak: servers in need name limits, several at once

Half of the servers name a limit at some time, 0.3 to 4 requests a second or none at all, for 6 to 14 s, beside all other faults. The checker counts what reaches such a server from gateways that were left alone: at most one and a half times the limit in any 4 s, and 5 more. The limits are drawn apart from the other faults, so earlier seeds keep theirs.

--- a/crates/soak/src/checker/changes.rs
+++ b/crates/soak/src/checker/changes.rs
@@ -8,6 +8,7 @@
     if seen.bounds.timed {
         withdrawn_key(seen, broken);
         draining(seen, broken);
+        limits(seen, broken);
     }
 }
 
@@ -61,6 +62,62 @@
     }
 }
 
+/// The span in which requests to a limited server are counted.
+const LIMIT_WINDOW_MS: u64 = 4_000;
+/// What may reach a limited server in a window, relative to its limit.
+const LIMIT_RATIO: f64 = 1.5;
+/// What may reach it in a window besides.
+const LIMIT_SLACK: f64 = 5.0;
+
+/// Holds from a while after a server has named its limit until it names another or none, for
+/// gateways and a server that were left alone.
+fn limits(seen: &Seen<'_>, broken: &mut Vec<Broken>) {
+    let is_limit = |what: &Changed| matches!(what, Changed::Limited { .. });
+    for change in seen.history.changes.iter().filter(|change| is_limit(&change.what)) {
+        let Changed::Limited { server, per_s: Some(per_s) } = &change.what else { continue };
+        let is_own = |what: &Changed| matches!(what, Changed::Limited { server: other, .. } if other == server);
+        let later = seen.history.changes.iter().filter(|later| later.at_ms > change.at_ms);
+        let until_ms = later.filter(|later| is_own(&later.what)).map(|later| later.at_ms).min();
+        let span = change.at_ms + seen.bounds.contact_ms..until_ms.unwrap_or(RunMs::MAX);
+        let arrivals = undisturbed_arrivals(seen, server, &span);
+        #[expect(clippy::cast_precision_loss, reason = "there are few requests")]
+        let allowed = LIMIT_RATIO * per_s * LIMIT_WINDOW_MS as f64 / 1_000.0 + LIMIT_SLACK;
+        for (index, first_ms) in arrivals.iter().enumerate() {
+            let window =
+                arrivals[index..].iter().take_while(|ms| **ms < first_ms + LIMIT_WINDOW_MS);
+            let count = window.count();
+            #[expect(clippy::cast_precision_loss, reason = "there are few requests")]
+            if count as f64 > allowed {
+                let what =
+                    format!("{server} got {count}, allowed {allowed}, naming {per_s} a second");
+                broken.push(Broken::new(Promise::Limit, *first_ms, what));
+                break;
+            }
+        }
+    }
+}
+
+/// When requests reached a server within a span, in order.
+fn undisturbed_arrivals(
+    seen: &Seen<'_>,
+    server: &str,
+    span: &std::ops::Range<RunMs>,
+) -> Vec<RunMs> {
+    let is_disturbed = |run: &&crate::history::Run| {
+        let Some(request) = seen.requests.get(run.request.as_str()) else { return true };
+        let from_ms = run.at_ms.saturating_sub(seen.bounds.contact_ms);
+        let gateway = request.gateway;
+        let victims =
+            [Victim::Server(server.to_owned()), Victim::Gateway(gateway), Victim::Leaving(gateway)];
+        victims.iter().any(|victim| seen.history.disturbed(victim, from_ms, run.at_ms))
+    };
+    let own = seen.history.runs.iter().filter(|run| run.server == server);
+    let counted = own.filter(|run| span.contains(&run.at_ms) && !is_disturbed(run));
+    let mut arrivals: Vec<RunMs> = counted.map(|run| run.at_ms).collect();
+    arrivals.sort_unstable();
+    arrivals
+}
+
 fn newest_weights(seen: &Seen<'_>, broken: &mut Vec<Broken>) {
     let named = seen.history.changes.iter().filter_map(|change| match change.what {
         Changed::Weights(version) => Some(version),
--- a/crates/soak/src/checker/mod.rs
+++ b/crates/soak/src/checker/mod.rs
@@ -37,6 +37,8 @@
     Quota,
     /// a draining server gets no new work
     Drain,
+    /// a server gets no more than the limit that it names
+    Limit,
     /// cache entries are shared only within a version and a wall
     Cache,
     /// an engine has one orderer and newer weights only
--- a/crates/soak/src/history/mod.rs
+++ b/crates/soak/src/history/mod.rs
@@ -195,8 +195,8 @@
     pub what: Changed,
 }
 
-/// What the store acknowledged.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// What the store acknowledged, or what a server says of itself.
+#[derive(Clone, Debug, PartialEq)]
 pub enum Changed {
     /// The changing team's key does not hold any more.
     KeyWithdrawn,
@@ -206,6 +206,13 @@
     Draining(String),
     /// It may get work again.
     Ready(String),
+    /// A server names a limit in its answers from now on, or none any more.
+    Limited {
+        /// The server.
+        server: String,
+        /// Requests in a second, of all gateways together.
+        per_s: Option<f64>,
+    },
     /// New weights were named.
     Weights(u64),
 }
--- a/crates/soak/src/plan/mod.rs
+++ b/crates/soak/src/plan/mod.rs
@@ -20,6 +20,16 @@
 const SERIES_GAP_MS: Range<u64> = 60..900;
 /// Requests that a server treats in odd ways.
 const ODD_REQUESTS: Range<usize> = 10..200;
+/// How long a server names a limit.
+const LIMIT_LENGTH_MS: Range<u64> = 6_000..14_000;
+/// The limits that servers name, in requests in 1,000 seconds.
+const LIMITS_PER_1000_S: Range<u64> = 300..4_000;
+/// One server in this many names a limit at some time; several do so at once.
+const LIMITED_ONE_IN: u32 = 2;
+/// One of this many limits lets nothing pass.
+const ZERO_LIMIT_ONE_IN: u32 = 8;
+/// Sets the draw of limits apart from that of the other faults, so that these stay as they were.
+const LIMITS_SEED: u64 = 0x11;
 /// Clocks are set wrong by up to this much.
 const WRONG_CLOCK_MS: i64 = 120_000;
 
@@ -140,6 +150,13 @@
         /// How many requests.
         requests: usize,
     },
+    /// A backend server names a limit on the requests of all gateways.
+    ServerLimits {
+        /// The server.
+        server: usize,
+        /// The limit, in requests in 1,000 seconds.
+        per_1000_s: u64,
+    },
     /// A backend server is marked as leaving.
     ServerDrains(usize),
     /// A backend server's entry is gone.
@@ -192,6 +209,7 @@
             }
             at_ms += random.random_range(GAP_MS);
         }
+        faults.extend(draw_limits(seed, last_ms, size));
         faults.sort_by_key(|planned| planned.at_ms);
         let Size { gateways, engines, desks } = size;
         Self { seed, length_ms, gateways, engines, desks, faults }
@@ -203,6 +221,22 @@
     }
 }
 
+fn draw_limits(seed: u64, last_ms: u64, size: Size) -> Vec<Planned> {
+    let mut random = SmallRng::seed_from_u64(seed ^ LIMITS_SEED);
+    let mut limits = Vec::new();
+    for server in 0..size.engines + size.desks {
+        if !random.random_ratio(1, LIMITED_ONE_IN) || last_ms <= CALM_AT_START_MS {
+            continue;
+        }
+        let is_zero = random.random_ratio(1, ZERO_LIMIT_ONE_IN);
+        let per_1000_s = if is_zero { 0 } else { random.random_range(LIMITS_PER_1000_S) };
+        let at_ms = random.random_range(CALM_AT_START_MS..last_ms);
+        let for_ms = random.random_range(LIMIT_LENGTH_MS).min(last_ms - at_ms);
+        limits.push(Planned { at_ms, for_ms, fault: Fault::ServerLimits { server, per_1000_s } });
+    }
+    limits
+}
+
 fn draw_fault(random: &mut SmallRng, size: Size) -> Fault {
     let gateway = random.random_range(0..size.gateways);
     let engine = random.random_range(0..size.engines);
--- a/crates/soak/src/site/faults.rs
+++ b/crates/soak/src/site/faults.rs
@@ -57,6 +57,9 @@
                 self.configure(*gateway, true)?;
             }
             Fault::Path(path, fault) => self.begin_path(*path, *fault, from_ms, until_ms),
+            Fault::ServerLimits { server, per_1000_s } => {
+                self.set_limit(*server, Some(*per_1000_s));
+            }
             Fault::KeyWithdrawn => self.set_key(false),
             Fault::Reconfigured => {
                 self.generation += 1;
@@ -106,6 +109,7 @@
             Fault::ServerDown(server) => self.servers[*server].worker.resume()?,
             Fault::ServerFrozen(server) => self.servers[*server].worker.set_frozen(false),
             Fault::ServerMisbehaves { server, .. } => self.servers[*server].worker.expect_nothing(),
+            Fault::ServerLimits { server, .. } => self.set_limit(*server, None),
             Fault::ServerDrains(server) | Fault::EntryLapses(server) => {
                 self.write_entry(*server, "ready");
                 let id = self.servers[*server].worker.id().to_owned();
@@ -163,6 +167,15 @@
         Ok(())
     }
 
+    #[expect(clippy::cast_precision_loss, reason = "limits are small")]
+    fn set_limit(&mut self, index: usize, per_1000_s: Option<u64>) {
+        let worker = &self.servers[index].worker;
+        let per_s = per_1000_s.map(|limit| limit as f64 / 1_000.0);
+        worker.set_limit(per_s.map(|per_s| per_s.to_string()).as_deref());
+        let server = worker.id().to_owned();
+        self.change(Changed::Limited { server, per_s });
+    }
+
     fn set_key(&mut self, with_key: bool) {
         self.with_key = with_key;
         self.generation += 1;
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -338,3 +338,41 @@
 
     assert_eq!(sentences.len(), PROMISES.len());
 }
+
+/// A history with as many requests to a plain server as given, 100 ms apart, after it named a limit
+/// of one request a second.
+fn with_requests_to_a_limited_server(requests: usize) -> History {
+    let mut history = clean();
+    let per_s = Some(1.0);
+    let limited = Changed::Limited { server: "d0".to_owned(), per_s };
+    history.changes.push(Change { at_ms: 5_000, what: limited });
+    let mut at_ms = 5_000 + bounds().contact_ms;
+    for number in 0..requests {
+        at_ms += 100;
+        let id = format!("limited-{number}");
+        let request = request(&id, Caller::Steady, Route::Lookup, at_ms);
+        history.runs.push(run_of(&request, "d0", at_ms + 5));
+        history.requests.push(request);
+    }
+    history
+}
+
+#[test]
+fn more_requests_than_a_servers_limit_are_found() {
+    // One and a half times the limit in four seconds, and five more.
+    assert_eq!(broken(&with_requests_to_a_limited_server(11)), BTreeSet::new());
+    assert_eq!(broken(&with_requests_to_a_limited_server(12)), only(Promise::Limit));
+}
+
+#[test]
+fn requests_after_a_limit_has_ended_or_through_a_disturbed_gateway_are_allowed() {
+    let mut ended = with_requests_to_a_limited_server(30);
+    let unlimited = Changed::Limited { server: "d0".to_owned(), per_s: None };
+    ended.changes.push(Change { at_ms: 5_500, what: unlimited });
+    let mut disturbed = with_requests_to_a_limited_server(30);
+    let victim = Victim::Gateway(0);
+    disturbed.disturbances.push(Disturbance { victim, from_ms: 7_000, until_ms: 20_000 });
+
+    assert_eq!(broken(&ended), BTreeSet::new());
+    assert_eq!(broken(&disturbed), BTreeSet::new());
+}
