Count repeats over the whole window of the settings

Not seen on any deployment: all name 10 s. Change: requests are counted with the window of the settings.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -149,8 +149,10 @@
 fn charge(core: &Core, grant: &Grant) -> Result<(), OverQuota> {
     let now = core.now();
     let mut state = core.state();
+    let window_ms = state.bounds.retry_window_ms;
     for upstream in &grant.route.upstreams {
-        state.retries.entry(upstream.service.clone()).or_default().count_request(now);
+        let budget = state.retries.entry(upstream.service.clone()).or_default();
+        budget.count_request(window_ms, now);
     }
     let Some(team) = &grant.team else { return Ok(()) };
     state.quotas.admit(&team.name, team.cost, now)
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,7 +9,7 @@
 //! let limits = RetryLimits { ratio: 0.2, window_ms: 10_000, slack: 0 };
 //! let mut budget = RetryBudget::default();
 //! for _ in 0..10 {
-//!     budget.count_request(MonoTime::from_ms(5));
+//!     budget.count_request(limits.window_ms, MonoTime::from_ms(5));
 //! }
 //!
 //! assert!(budget.try_spend(&limits, MonoTime::from_ms(6)));
--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/retry.rs
@@ -68,9 +68,9 @@
 }
 
 impl RetryBudget {
-    /// Counts a request from a caller.
-    pub fn count_request(&mut self, now: MonoTime) {
-        self.current_slice(now, 10_000).requests += 1;
+    /// Counts a request from a caller. The window has the length that the limits give it.
+    pub fn count_request(&mut self, window_ms: u64, now: MonoTime) {
+        self.current_slice(now, window_ms).requests += 1;
     }
 
     /// Spends one repeat if the budget has one left, and returns whether it did.
--- a/crates/routing/tests/retry.rs
+++ b/crates/routing/tests/retry.rs
@@ -19,7 +19,7 @@
     let mut budget = RetryBudget::default();
     let mut repeats = Vec::new();
     for ms in (0..60_000).step_by(20) {
-        budget.count_request(at(ms));
+        budget.count_request(LIMITS.window_ms, at(ms));
         if budget.try_spend(&LIMITS, at(ms)) {
             repeats.push(ms);
         }
@@ -86,7 +86,7 @@
                 budgets[router] = RetryBudget::default();
             }
             if random.random_bool(0.3) {
-                budgets[router].count_request(at(ms));
+                budgets[router].count_request(limits[router].window_ms, at(ms));
                 requests.push(ms);
             }
             if budgets[router].try_spend(&limits[router], at(ms)) {
@@ -130,3 +130,19 @@
 
     assert_eq!(pauses, [250, 500, 1_000, 2_000, 2_000]);
 }
+
+/// Repeats older than ten seconds were forgotten when a request was counted, so that a longer
+/// window of the settings did not bind.
+#[test]
+fn repeats_count_for_the_whole_window_of_the_settings() {
+    let limits = RetryLimits { ratio: 0.0, window_ms: 30_000, slack: 2 };
+    let mut budget = RetryBudget::default();
+    let first = (0..3).filter(|_| budget.try_spend(&limits, at(0))).count();
+    assert_eq!(first, 2);
+
+    for ms in (0..29_000).step_by(500) {
+        budget.count_request(limits.window_ms, at(ms));
+        assert!(!budget.try_spend(&limits, at(ms)), "a third repeat within the window, at {ms} ms");
+    }
+    assert!(budget.try_spend(&limits, at(33_000)));
+}
