--- a/crates/standin/src/published/objects/http_api.rs
+++ b/crates/standin/src/published/objects/http_api.rs
@@ -180,6 +180,6 @@
         let (status, object) = change(&mut state)?;
         state.written(status, object)
     };
-    shared.tell();
+    shared.notify_watches();
     Ok(response)
 }
--- a/crates/standin/src/published/objects/mod.rs
+++ b/crates/standin/src/published/objects/mod.rs
@@ -16,10 +16,10 @@
 use self::{rate::CallRate, state::Objects};
 use crate::server::Server;
 
-/// How the store fails.
+/// A fault of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreFault {
-    /// It does not.
+    /// No fault.
     #[default]
     None,
     /// Every call is refused; nothing is done.
@@ -30,7 +30,7 @@
     LoseWriteAnswers,
 }
 
-/// Calls since the start.
+/// The number of calls since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StoreCalls {
     /// Reads, watches included.
@@ -39,9 +39,9 @@
     pub watches: u64,
     /// Listings, each page of them.
     pub listings: u64,
-    /// Writes, those that met another revision included.
+    /// Writes, including those that failed because of another revision.
     pub writes: u64,
-    /// Calls that were past a rate.
+    /// Calls that were refused because of a rate.
     pub rate_limited: u64,
     /// Calls during an outage.
     pub during_outage: u64,
@@ -49,7 +49,7 @@
     pub answers_lost: u64,
 }
 
-/// The calls that the store takes in a second. None: any number.
+/// The number of calls that the store accepts per second. `None` stands for any number.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StoreRates {
     /// Reads. A watch is one read.
@@ -88,8 +88,8 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Wakes the watches that wait.
-    fn tell(&self) {
+    /// Wakes the waiting watches.
+    fn notify_watches(&self) {
         let revision = self.lock().objects.revision();
         self.changed.send_replace(revision);
     }
@@ -124,55 +124,55 @@
         Ok(Self { server: Server::start(http_api::router(shared.clone()))?, shared })
     }
 
-    /// Where it answers.
+    /// Returns the address of the store.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
     }
 
-    /// Puts an object there, as its writer would, and returns its revision. Not counted as a call.
+    /// Writes an object and returns its revision. This does not count as a call.
     pub fn put(&self, kind: &str, name: &str, spec: impl Into<Value>) -> u64 {
         let object = self.shared.lock().objects.put(kind, name, &spec.into());
-        self.shared.tell();
+        self.shared.notify_watches();
         state::revision_of(&object)
     }
 
-    /// Removes an object without a word to watches.
+    /// Removes an object without notifying watches.
     pub fn forget(&self, kind: &str, name: &str) {
         self.shared.lock().objects.forget(kind, name);
     }
 
-    /// Tells watches of a change whose object can't be read, not even its name.
+    /// Notifies watches of a change of an object without a name.
     pub fn change_nameless(&self, kind: &str) {
         self.shared.lock().objects.change_nameless(kind);
-        self.shared.tell();
+        self.shared.notify_watches();
     }
 
-    /// Removes an object, not counted as a call.
+    /// Removes an object. This does not count as a call.
     pub fn remove(&self, kind: &str, name: &str) {
         self.shared.lock().objects.remove(kind, name);
-        self.shared.tell();
+        self.shared.notify_watches();
     }
 
-    /// The spec of an object.
+    /// Returns the spec of an object.
     pub fn spec(&self, kind: &str, name: &str) -> Option<Value> {
         self.object(kind, name).map(|object| object["spec"].clone())
     }
 
-    /// An object as the store gives it, not counted as a call.
+    /// Returns an object as the store sends it. This does not count as a call.
     pub fn object(&self, kind: &str, name: &str) -> Option<Value> {
         self.shared.lock().objects.get(kind, name).cloned()
     }
 
-    /// All objects of a kind, not counted as a call.
+    /// Returns all objects of a kind. This does not count as a call.
     pub fn objects(&self, kind: &str) -> Vec<Value> {
         self.shared.lock().objects.of_kind(kind).map(|(_, object)| object.clone()).collect()
     }
 
-    /// Sets how it fails.
+    /// Sets the fault of the store.
     pub fn set_fault(&self, fault: StoreFault) {
         self.shared.lock().fault = fault;
-        // Watches that wait end with the fault's answer.
-        self.shared.tell();
+        // Waiting watches are answered according to the fault.
+        self.shared.notify_watches();
     }
 
     /// The next writes that succeed take effect and get no answer: their connections are closed.
@@ -185,7 +185,7 @@
         self.server.set_frozen(frozen);
     }
 
-    /// Lets no byte through on the connections that are open now, for good. New ones work.
+    /// Silences the open connections for good. New connections work.
     pub fn silence_open_connections(&self) {
         self.server.silence_open_connections();
     }
@@ -195,12 +195,12 @@
         self.server.set_slow_ms(slow_ms);
     }
 
-    /// Drops the history, so that watches have to begin anew.
+    /// Drops the history, so that watches have to restart from a listing.
     pub fn forget_history(&self) {
         self.shared.lock().objects.forget_history();
     }
 
-    /// Calls since the start.
+    /// Returns the number of calls since the start.
     pub fn calls(&self) -> StoreCalls {
         self.shared.lock().calls
     }
--- a/crates/standin/src/published/worker.rs
+++ b/crates/standin/src/published/worker.rs
@@ -1,4 +1,4 @@
-//! A backend server that answers as it is told to, and records what it was sent.
+//! A backend server whose answers the test chooses, and which records the requests that it receives.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -37,54 +37,54 @@
 /// Pause between two events of a stream that goes on until its run is stopped.
 const EVENT_PAUSE_MS: u64 = 10;
 
-/// How one request is treated.
+/// How a worker handles one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Behaviour {
-    /// It runs and is answered.
+    /// Runs it and answers.
     Answer,
-    /// It runs and is answered after a while.
+    /// Runs it and answers after a delay.
     AnswerAfterMs(u64),
-    /// It does not run, and the answer says so.
+    /// Refuses it without running it, and says so.
     Refuse,
-    /// It does not run, and nothing more is wanted for a while.
+    /// Refuses it without running it, and asks for a pause.
     RefuseForMs(u64),
-    /// It runs and is answered, and the answer says that the worker drains.
+    /// Runs it and answers that the worker drains.
     AnswerLeaving,
-    /// It runs and fails.
+    /// Runs it and answers with a failure.
     Fail,
-    /// It runs and the connection is closed without an answer.
+    /// Runs it and closes the connection without an answer.
     BreakOff,
-    /// It runs and gets the answer to another request.
+    /// Runs it and sends the answer to another request.
     AnswerAnother,
-    /// It runs and the answer lacks its signature.
+    /// Runs it and answers without a signature.
     AnswerUnsigned,
-    /// It runs and is answered with that pause before each event.
+    /// Runs it and pauses that many milliseconds before each event.
     AnswerSlowly(u64),
-    /// It runs and its stream is cut after that many events, in the middle of the next one.
+    /// Runs it and cuts the stream after that many events, in the middle of the next one.
     CutStreamAfter(u64),
-    /// It runs and its stream goes on until the run is stopped by a call that moves it.
+    /// Runs it and streams until a call that moves the run stops it.
     StreamUntilMoved,
 }
 
-/// How one call to copy the memory of a run is treated.
+/// How a worker handles one call to copy a run's memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CopyBehaviour {
-    /// It is copied, and stops if it is the last call.
+    /// Copies the memory, and stops the run if this is the last call.
     Copy,
-    /// There is no room at the destination. The last call stops the run, and its memory is kept.
+    /// Answers that the destination has no room. The last call still stops the run and keeps its memory.
     NoRoom,
-    /// It is copied, and the answer is lost.
+    /// Copies the memory, and loses the answer.
     LoseAnswer,
 }
 
-/// A call to copy the memory of a run, as it came.
+/// A received call to copy a run's memory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RunCopied {
-    /// The request whose run it is.
+    /// The id of the request whose run is copied.
     pub request_id: String,
     /// The destination.
     pub to: String,
-    /// Whether the run was to stop first.
+    /// Whether the run has to stop first.
     pub stops: bool,
 }
 
@@ -94,7 +94,7 @@
     }
 }
 
-/// A request as it came.
+/// A received request.
 #[derive(Clone, Debug)]
 pub struct Received {
     /// The method.
@@ -107,51 +107,51 @@
     pub body: Bytes,
     /// Whether it ran.
     pub ran: bool,
-    /// When it came.
+    /// When it arrived.
     pub at: Instant,
 }
 
-/// An order as it came.
+/// A received order.
 #[derive(Clone, Debug)]
 pub struct Ordered {
-    /// Who claims to give it.
+    /// The sender that it names.
     pub holder: String,
     /// The weights to load.
     pub version: u64,
     /// Its fencing token.
     pub token: u64,
-    /// Whether the worker began to load.
+    /// Whether the worker began to load the weights.
     pub accepted: bool,
 }
 
 impl Received {
-    /// A header as text, empty if it is not there.
+    /// Returns a header as text, or an empty text if it is missing.
     pub fn header(&self, name: &str) -> &str {
         self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
     }
 
-    /// The id of the request.
+    /// Returns the id of the request.
     pub fn request_id(&self) -> &str {
         self.header(REQUEST_ID)
     }
 
-    /// The team for which it is to run.
+    /// Returns the team for which it is to run.
     pub fn team(&self) -> &str {
         self.header("x-samphirespread-tenant")
     }
 
-    /// What separates its cache entries from others.
+    /// Returns the salt of its cache entries.
     pub fn cache_salt(&self) -> &str {
         self.header("x-samphirespread-cache-salt")
     }
 
-    /// The version of the weights on which it is to run, if it names one.
+    /// Returns the version of the weights that it requires, if it names one.
     pub fn expected_version(&self) -> Option<u64> {
         self.header(EXPECT_VERSION).parse().ok()
     }
 }
 
-/// What a worker is.
+/// The configuration of a worker.
 #[derive(Clone, Debug)]
 pub struct WorkerConfig {
     id: String,
@@ -162,7 +162,7 @@
 }
 
 impl WorkerConfig {
-    /// A worker of a plain service.
+    /// Creates the configuration of a worker of a plain service.
     pub fn new(id: &str, service: &str) -> Self {
         Self {
             id: id.to_owned(),
@@ -268,47 +268,47 @@
                 "models": models, "seq": 1, "born": self.inner.lock().restarts + 1 })
     }
 
-    /// Treats the next requests that way, then answers again.
+    /// Sets how the next requests are handled. Later ones are answered.
     pub fn expect(&self, behaviours: impl IntoIterator<Item = Behaviour>) {
         self.inner.lock().next.extend(behaviours);
     }
 
-    /// Treats the next requests as usual, whatever was expected of it.
+    /// Answers all further requests.
     pub fn expect_nothing(&self) {
         self.inner.lock().next.clear();
     }
 
-    /// What it was sent.
+    /// Returns the received requests.
     pub fn received(&self) -> Vec<Received> {
         self.inner.lock().received.clone()
     }
 
-    /// Treats the next calls to copy runs that way, then copies again.
+    /// Sets how the next calls to copy runs are handled. Later ones are carried out.
     pub fn expect_copies(&self, behaviours: impl IntoIterator<Item = CopyBehaviour>) {
         self.inner.lock().next_copies.extend(behaviours);
     }
 
-    /// Names a limit in all answers from now on, or none.
+    /// Names a limit in all further answers, or none.
     pub fn set_limit(&self, limit: Option<&str>) {
         self.inner.lock().limit = limit.map(str::to_owned);
     }
 
-    /// Calls to copy runs.
+    /// Returns the received calls to copy runs.
     pub fn copied(&self) -> Vec<RunCopied> {
         self.inner.lock().copied.clone()
     }
 
-    /// Handles of copies that were freed.
+    /// Returns the handles of released copies.
     pub fn released(&self) -> Vec<String> {
         self.inner.lock().released.clone()
     }
 
-    /// The orders that it was given.
+    /// Returns the received orders.
     pub fn ordered(&self) -> Vec<Ordered> {
         self.inner.lock().ordered.clone()
     }
 
-    /// Requests that ran.
+    /// Returns the number of requests that ran.
     pub fn ran(&self) -> usize {
         self.inner.lock().received.iter().filter(|received| received.ran).count()
     }
@@ -328,7 +328,7 @@
         self.server.begin_to_stop();
     }
 
-    /// Takes connections again.
+    /// Accepts connections again.
     ///
     /// # Errors
     ///
@@ -337,7 +337,7 @@
         self.server.resume()
     }
 
-    /// Counts as started anew, with the weights that it had. Its entry and report tell so.
+    /// Simulates a restart with the same weights, which its entry and its reports show.
     pub fn restart(&self) {
         let mut state = self.inner.lock();
         state.restarts += 1;
@@ -410,12 +410,12 @@
             if behaviour == Behaviour::StreamUntilMoved {
                 return stream_until_moved(inner, &received);
             }
-            treat(&received, behaviour).await
+            respond_as(&received, behaviour).await
         }
     }
 }
 
-/// Answers with events that go on until the run is stopped, and then end without their end.
+/// Streams events until the run is stopped, and then breaks the stream off.
 fn stream_until_moved(inner: &Inner, received: &Received) -> Response {
     let id = received.request_id().to_owned();
     let stopped = CancellationToken::new();
@@ -468,7 +468,7 @@
     is_other || (!version.is_empty() && version != inner.lock().version.to_string())
 }
 
-async fn treat(received: &Received, behaviour: Behaviour) -> Response {
+async fn respond_as(received: &Received, behaviour: Behaviour) -> Response {
     let id = received.request_id().to_owned();
     match behaviour {
         Behaviour::Answer => answer(received, &id),
@@ -517,7 +517,7 @@
     (headers, Body::from_stream(events_of(received, None, EVENT_MS))).into_response()
 }
 
-/// The events of a stream after the one that the request names, cut after some.
+/// Returns the events of a stream after the one that the request names, cut after some.
 fn events_of(
     received: &Received,
     cut_after: Option<u64>,
