Stand-in: refuse orders and moves that name another engine

Cause: an engine stand-in that had taken over another one's address carried out the order of that one's sidecar, though it named the other engine. The platform answers 421 to it, as to a request. The programs were right.

--- a/crates/gateway/tests/gateway/orders.rs
+++ b/crates/gateway/tests/gateway/orders.rs
@@ -1,13 +1,17 @@
 //! Load orders to engines without a sidecar, which one router sends.
 
 use http::StatusCode;
+use samphirespread_adapter::{
+    EngineClient,
+    engine::{LoadOrder, OrderAnswer},
+};
 use samphirespread_core::prelude::*;
 use samphirespread_peer::{Datagram, EngineReport, encode};
 use samphirespread_routing::{
     lease::{Orderer, fencing_token},
     model::{EngineState, LoadedModel},
 };
-use samphirespread_standin::published::{StoreFault, Worker};
+use samphirespread_standin::published::{StoreFault, Worker, WorkerConfig};
 use serde_json::json;
 use tokio::net::UdpSocket;
 
@@ -166,3 +170,21 @@
 
     assert!(tokens.windows(2).all(|pair| pair[0] < pair[1]));
 }
+
+/// The stand-in carried out orders that were meant for another engine, whose address it had taken
+/// over (soak seed 3000).
+#[tokio::test]
+async fn a_stand_in_refuses_an_order_that_names_another_engine() {
+    let engine = Worker::start(WorkerConfig::new("e1", "engines").model(MODEL, 1)).unwrap();
+    let mut client = EngineClient::new(engine.address(), 1_000);
+    let model = ModelName::new(MODEL);
+    let order =
+        LoadOrder { model: &model, version: 2, holder: "s2", fencing_token: 1, after_orders: 0 };
+
+    let answer = client.order("e2", &order).await.unwrap();
+
+    assert_eq!(answer, OrderAnswer::OtherServer);
+    assert_eq!(engine.version(), 1);
+    assert!(engine.ordered().is_empty());
+    assert_eq!(client.order("e1", &order).await.unwrap(), OrderAnswer::Accepted);
+}
--- a/crates/standin/src/published/worker.rs
+++ b/crates/standin/src/published/worker.rs
@@ -381,6 +381,9 @@
 ) -> Response {
     match uri.path() {
         "/-/report" => return report(inner),
+        path if path.starts_with("/-/") && is_meant_for_another(inner, &headers) => {
+            return StatusCode::MISDIRECTED_REQUEST.into_response();
+        }
         "/-/order" => return order(inner, &body),
         "/-/kv-move" => return copy_run(inner, &body),
         path => {
@@ -461,11 +464,15 @@
     }
 }
 
+/// Whether a request or call names another server than this one.
+fn is_meant_for_another(inner: &Inner, headers: &HeaderMap) -> bool {
+    headers.get(EXPECT_SERVER).is_some_and(|expected| *expected != *inner.config.id)
+}
+
 fn misdirected(inner: &Inner, received: &Received) -> bool {
-    let expected = received.header(EXPECT_SERVER);
     let version = received.header(EXPECT_VERSION);
-    let is_other = !expected.is_empty() && expected != inner.config.id;
-    is_other || (!version.is_empty() && version != inner.lock().version.to_string())
+    let is_other_version = !version.is_empty() && version != inner.lock().version.to_string();
+    is_meant_for_another(inner, &received.headers) || is_other_version
 }
 
 async fn respond_as(received: &Received, behaviour: Behaviour) -> Response {
