Log which servers crash, and which prompt parts each crash counts against

A run whose answer had begun and had no event yet is a suspect when its server breaks off and then refuses connections. 'server crashed', 'crash counted' and 'crash cause cleared' are logged within the budget of each event; server_crashes_total counts.

--- a/crates/gateway/src/active_request/mod.rs
+++ b/crates/gateway/src/active_request/mod.rs
@@ -14,6 +14,7 @@
 use samphirespread_routing::{
     attempts::{AttemptRules, Attempts},
     choice::Estimate,
+    crash_causes::CauseKey,
     model::{Service, ServiceName},
     retry::RetryLimits,
     sources::SourceKind,
@@ -26,6 +27,7 @@
     access::Grant,
     answers::NotRun,
     body::BodyError,
+    crashes::PossibleCause,
     gateway::Core,
     metrics::{self, count},
     request_log::{RequestLog, Step},
@@ -57,6 +59,8 @@
     tried: Vec<Arc<str>>,
     attempts: Attempts,
     last_event: Option<MonoTime>,
+    /// What in the request may crash the servers that run it.
+    pub(crate) causes: Vec<PossibleCause>,
     /// The latest send to an engine, until its first event arrives.
     read_timing: Option<ReadTiming>,
 }
@@ -108,7 +112,9 @@
             max_runs: grant.route.max_attempts,
             max_sends: MAX_SENDS,
         };
+        let causes = possible_causes(&facts);
         Self {
+            causes,
             core,
             grant,
             facts,
@@ -324,3 +330,12 @@
         self.core.metrics.first_event_s.observe(metrics::seconds(took_ms));
     }
 }
+
+/// Returns the parts of the prompt that other requests may share.
+fn possible_causes(facts: &RequestFacts) -> Vec<PossibleCause> {
+    let parts = facts.generation.as_ref().map_or(&[][..], |generation| generation.shared_parts());
+    parts
+        .iter()
+        .map(|part| PossibleCause { key: CauseKey::of_part(&part.id), part: part.id.clone() })
+        .collect()
+}
--- a/crates/gateway/src/active_request/send.rs
+++ b/crates/gateway/src/active_request/send.rs
@@ -13,7 +13,9 @@
 use tokio::time;
 
 use super::{ActiveRequest, ReadTiming, ServerAnswer, in_flight::InFlightGuard};
-use crate::{metrics::count, request_log::Step, select::Selected, server_limits};
+use crate::{
+    crashes::RunningServer, metrics::count, request_log::Step, select::Selected, server_limits,
+};
 
 /// Timeout for opening a connection to a backend server.
 const CONNECT_TIMEOUT_MS: u64 = 300;
@@ -149,6 +151,8 @@
             facts,
             body,
             guard,
+            server: RunningServer::of(selected),
+            has_event: false,
             connection,
             max_connections: selected.max_connections,
         })))
--- a/crates/gateway/src/active_request/server_answer.rs
+++ b/crates/gateway/src/active_request/server_answer.rs
@@ -6,6 +6,7 @@
 use samphirespread_outbound::{Connection, IdleLimits};
 
 use super::in_flight::InFlightGuard;
+use crate::crashes::RunningServer;
 
 /// How long an idle connection is kept when the server sends no keep-alive timeout.
 const DEFAULT_IDLE_LIFETIME_MS: u64 = 4_000;
@@ -22,6 +23,9 @@
     pub(crate) facts: AnswerFacts,
     pub(crate) body: Incoming,
     pub(crate) guard: InFlightGuard,
+    pub(crate) server: RunningServer,
+    /// Whether the first event has arrived.
+    pub(crate) has_event: bool,
     pub(super) connection: Connection,
     pub(super) max_connections: usize,
 }
--- /dev/null
+++ b/crates/gateway/src/crashes.rs
@@ -0,0 +1,129 @@
+//! Observes which runs survive and which end with their backend server.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use samphirespread_core::prelude::*;
+use samphirespread_logging::event;
+use samphirespread_outbound::{Connection, OpenError};
+use samphirespread_routing::{
+    crash_causes::{CauseKey, Crash, Host},
+    server_limit::ServerRun,
+};
+use slog::{info, warn};
+use tokio::time;
+
+use crate::{active_request::ActiveRequest, fleet::Server, gateway::Core, select::Selected};
+
+/// When to look whether a server that broke off a run still accepts connections, as times after
+/// that. A server that is about to end may accept a last one.
+const CHECK_DELAYS_MS: [u64; 2] = [0, 150];
+/// Timeout of each look.
+const CHECK_TIMEOUT_MS: u64 = 300;
+
+/// The process of a backend server that runs a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RunningServer {
+    pub(crate) run: ServerRun,
+    pub(crate) address: SocketAddr,
+}
+
+impl RunningServer {
+    pub(crate) fn of(selected: &Selected) -> Self {
+        Self { run: selected.run(), address: selected.address }
+    }
+}
+
+/// Something in a request that may crash servers, with what operators need to find it.
+#[derive(Clone, Debug)]
+pub(crate) struct PossibleCause {
+    pub(crate) key: CauseKey,
+    /// The id of the part of the prompt.
+    pub(crate) part: Box<str>,
+}
+
+/// A run that its server broke off after its answer had begun and before its first event.
+#[derive(Debug)]
+struct BrokenRun {
+    server_id: Arc<str>,
+    server: RunningServer,
+    at: MonoTime,
+    request_id: String,
+    team: String,
+    route: Arc<str>,
+    causes: Vec<PossibleCause>,
+}
+
+/// Records that the run of a request has its first event or its whole answer.
+pub(crate) fn run_survived(request: &ActiveRequest) {
+    let now = request.core.now();
+    let mut state = request.core.state();
+    if state.crash_causes.is_empty() {
+        return;
+    }
+    for cause in &request.causes {
+        if state.crash_causes.record_survival(cause.key, now) {
+            info!(request.core.log, "{}", event::CRASH_CAUSE_CLEARED; "part" => &*cause.part,
+                "cause" => %cause.key, "source" => request.facts.id.as_deref().unwrap_or("-"));
+        }
+    }
+}
+
+/// Looks whether a server that broke off a run has crashed, and if so counts the crash against what
+/// was in the request.
+pub(crate) fn run_broke_off(request: &ActiveRequest, server_id: &Arc<str>, server: RunningServer) {
+    let core = request.core.clone();
+    // A server that leaves ends its runs by plan.
+    let is_leaving = core.state().fleet.get(server_id).is_some_and(Server::is_leaving);
+    if is_leaving || request.causes.is_empty() {
+        return;
+    }
+    let team = request.grant.team.as_ref().map_or("-", |team| team.name.as_str());
+    let broken = BrokenRun {
+        server_id: server_id.clone(),
+        server,
+        at: core.now(),
+        request_id: request.facts.id.clone().unwrap_or_default(),
+        team: team.to_owned(),
+        route: request.grant.route.name.clone(),
+        causes: request.causes.clone(),
+    };
+    tokio::spawn(async move {
+        if has_crashed(broken.server.address).await {
+            record_crash(&core, &broken);
+        }
+    });
+}
+
+/// Whether no process listens at the address. A link that is cut, a frozen server and one that only
+/// broke off an answer look different: connecting times out or succeeds.
+async fn has_crashed(address: SocketAddr) -> bool {
+    for delay_ms in CHECK_DELAYS_MS {
+        time::sleep(Duration::from_millis(delay_ms)).await;
+        match Connection::open(address, CHECK_TIMEOUT_MS).await {
+            Ok(_) => {}
+            Err(OpenError::Refused(_)) => return true,
+            Err(_) => return false,
+        }
+    }
+    false
+}
+
+fn record_crash(core: &Core, broken: &BrokenRun) {
+    let now = core.now();
+    let RunningServer { run, address } = broken.server;
+    let crash = Crash { run, host: Host::of(address), at: broken.at };
+    let mut state = core.state();
+    if state.crashed_runs.insert(run, now).is_none() {
+        core.metrics.server_crashes.inc();
+        warn!(core.log, "{}", event::SERVER_CRASHED; "server" => &*broken.server_id,
+            "request" => &broken.request_id);
+    }
+    for cause in &broken.causes {
+        let Some(crashes) = state.crash_causes.record_crash(cause.key, crash, now) else {
+            continue;
+        };
+        info!(core.log, "{}", event::CRASH_COUNTED; "part" => &*cause.part, "cause" => %cause.key,
+            "crashes" => crashes, "server" => &*broken.server_id, "request" => &broken.request_id,
+            "team" => &broken.team, "route" => &*broken.route, "source" => "answer", "age_ms" => 0);
+    }
+}
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -16,6 +16,7 @@
     active_request::{ActiveRequest, AttemptOutcome, ServerAnswer},
     answers::{self, NotRun},
     body::{BodyError, ResponseBody},
+    crashes,
     gateway::Core,
     metrics,
     relay::relay,
@@ -168,10 +169,18 @@
                 }
                 let is_failure = answer.status.is_server_error();
                 let server = answer.guard.server.clone();
+                let running = answer.server;
+                let is_success = answer.status.is_success();
                 match read_whole(&request, answer).await {
                     Ok(response) if is_failure && request.may_repeat() => failure = Some(response),
-                    Ok(response) => return served(request, response),
+                    Ok(response) => {
+                        if is_success {
+                            crashes::run_survived(&request);
+                        }
+                        return served(request, response);
+                    }
                     Err(error) => {
+                        crashes::run_broke_off(&request, &server, running);
                         let may_repeat = request.answer_body_failed(server, error);
                         if !may_repeat {
                             return unknown(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod cache_pull;
 mod conduct;
 mod copies;
+mod crashes;
 mod fleet;
 mod freeze_detector;
 mod gateway;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -32,6 +32,8 @@
     pub(crate) limited_sends: Causes,
     /// Servers that limit the requests of all routers.
     pub(crate) limited_servers: Gauge,
+    /// Backend servers that crashed during a request.
+    pub(crate) server_crashes: Counter,
     /// Answers whose body could not be read, by cause.
     pub(crate) lost_answers: Causes,
     /// Failed calls to the store, by kind of failure.
@@ -73,6 +75,7 @@
             moves: Causes::default(),
             limited_sends: Causes::default(),
             limited_servers: Gauge::default(),
+            server_crashes: Counter::default(),
             lost_answers: Causes::default(),
             store_failures: Causes::default(),
             connections: Counter::default(),
@@ -102,6 +105,7 @@
         registry.register("run_moves", "Moves of runs by outcome", self.moves.clone());
         registry.register("limited_sends", "Sends under a limit", self.limited_sends.clone());
         registry.register("limited_servers", "Servers with limits", self.limited_servers.clone());
+        registry.register("server_crashes", "Crashed servers", self.server_crashes.clone());
         registry.register("lost_answers", "Lost in their bodies", self.lost_answers.clone());
         registry.register("store_failures", "Failed store calls", self.store_failures.clone());
         registry.register("server_connections", "Connections opened", self.connections.clone());
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use crate::{
     active_request::{ActiveRequest, AttemptOutcome, Continued, ServerAnswer},
     body::{StreamBroken, StreamChunk},
+    crashes,
     relocate::Moves,
     request_log::{Outcome, Step},
 };
@@ -60,6 +61,9 @@
                 }
                 let may_repeat = request.may_repeat();
                 let server = answer.guard.server.clone();
+                if !answer.has_event {
+                    crashes::run_broke_off(&request, &server, answer.server);
+                }
                 request
                     .request_log
                     .step(request.core.now(), Step::Failed { server, cause, may_repeat });
@@ -137,6 +141,9 @@
                 self.last_id = Some(id);
             }
             answer.guard.prompt_read();
+            if !std::mem::replace(&mut answer.has_event, true) {
+                crashes::run_survived(request);
+            }
             request.record_event();
             if !self.send(event.bytes).await {
                 return false;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -14,6 +14,7 @@
 use samphirespread_routing::{
     cache::StoreContents,
     connections::ConnectionShares,
+    crash_causes::CrashCauses,
     demand::ReadDemand,
     freshness::Echo,
     model::ServiceName,
@@ -21,7 +22,7 @@
     read_parts::ReadParts,
     retry::{RetryBudget, RetryLimits, share_of_slack},
     rollout::NamedVersions,
-    server_limit::ServerLimits,
+    server_limit::{ServerLimits, ServerRun},
     speed::{FetchDelay, ReadingSpeed},
     table::Table,
 };
@@ -81,6 +82,10 @@
     pub(crate) has_fleet: bool,
     /// What backend servers in need take from all routers together.
     pub(crate) server_limits: ServerLimits,
+    /// What in requests may have crashed backend servers.
+    pub(crate) crash_causes: CrashCauses,
+    /// Runs of servers that crashed during a request of this router, and when it learned that.
+    pub(crate) crashed_runs: HashMap<ServerRun, MonoTime>,
     /// The teams' quotas and what they have used of them.
     pub(crate) quotas: Quotas,
     /// The budget for repeated sends, for each service.
@@ -202,6 +207,8 @@
             fleet: Fleet::default(),
             has_fleet: false,
             server_limits: ServerLimits::new(server_limits::holder(&own)),
+            crash_causes: CrashCauses::default(),
+            crashed_runs: HashMap::new(),
             quotas: Quotas::new(now, settings.bounds.quota_slack / STARTS_PER_QUOTA_WINDOW),
             retries: HashMap::new(),
             weights: HashMap::new(),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -44,6 +44,8 @@
 const LAPSED_ENTRY_GRACE_MS: u64 = 2_000;
 /// Time between two clean-ups of idle connections.
 const PRUNE_INTERVAL_MS: u64 = 1_000;
+/// A crashed run is remembered for this long, so that it is logged once. By then no run of it is left.
+const CRASHED_RUN_LIFETIME_MS: u64 = 60_000;
 
 /// Starts the background tasks. They end when `stop` is cancelled.
 pub(crate) fn spawn(core: &Arc<Core>, stop: &CancellationToken) {
@@ -73,6 +75,8 @@
         let mut state = core.state();
         state.fleet.prune(now);
         state.server_limits.expire(now);
+        state.crash_causes.expire(now);
+        state.crashed_runs.retain(|_, known| now.ms_since(*known) < CRASHED_RUN_LIFETIME_MS);
         let limited = state.server_limits.count();
         core.metrics.limited_servers.set(limited.try_into().unwrap_or(i64::MAX));
     }
--- /dev/null
+++ b/crates/routing/src/crash_causes/evidence.rs
@@ -0,0 +1,73 @@
+//! What is known of one possible cause of crashes.
+
+use std::net::SocketAddr;
+
+use samphirespread_core::prelude::*;
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::server_limit::ServerRun;
+
+/// Further crashes of one cause are not stored. By then it has long been blocked for good.
+const MAX_STORED_CRASHES: usize = 8;
+
+/// Identifies the host of a backend server by a hash of its address. A server that crashed starts
+/// again at its address, mostly with a new id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Host(u32);
+
+impl Host {
+    /// Returns the host of the server at an address.
+    pub fn of(address: SocketAddr) -> Self {
+        let [a, b, c, d, ..] = xxh3_64(address.to_string().as_bytes()).to_le_bytes();
+        Self(u32::from_le_bytes([a, b, c, d]))
+    }
+}
+
+/// The crash of one run of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// The run that ended.
+    pub run: ServerRun,
+    /// Where it ran.
+    pub host: Host,
+    /// When it ended.
+    pub at: MonoTime,
+}
+
+/// Crashes that a cause was present in, and what speaks for its innocence.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Evidence {
+    /// The crashes since a run with the cause last survived, each run of a server once.
+    crashes: Vec<Crash>,
+    /// When a run with the cause last survived.
+    pub(super) survived: Option<MonoTime>,
+}
+
+impl Evidence {
+    /// Adds a crash. Returns whether it was new and is not outweighed by a later survival.
+    pub(super) fn add_crash(&mut self, crash: Crash) -> bool {
+        let is_known = self.crashes.iter().any(|known| known.run == crash.run);
+        let is_outweighed = self.survived.is_some_and(|survived| crash.at <= survived);
+        if is_known || is_outweighed || self.crashes.len() >= MAX_STORED_CRASHES {
+            return false;
+        }
+        self.crashes.push(crash);
+        true
+    }
+
+    /// Records that a run with the cause survived. Returns whether that outweighed a crash.
+    pub(super) fn add_survival(&mut self, at: MonoTime) -> bool {
+        if self.survived.is_some_and(|known| known >= at) {
+            return false;
+        }
+        self.survived = Some(at);
+        let before = self.crashes.len();
+        self.crashes.retain(|crash| crash.at > at);
+        self.crashes.len() < before
+    }
+
+    pub(super) fn crashes(&self) -> &[Crash] {
+        &self.crashes
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod cache;
 pub mod choice;
 pub mod connections;
+pub mod crash_causes;
 pub mod demand;
 pub mod destinations;
 pub mod events;
--- a/crates/standin/src/published/worker.rs
+++ b/crates/standin/src/published/worker.rs
@@ -4,7 +4,7 @@
     collections::{HashMap, VecDeque},
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak},
     time::{Duration, Instant},
 };
 
@@ -20,6 +20,7 @@
 use tokio::time;
 use tokio_util::sync::CancellationToken;
 
+use super::crash::{self, CrashTrigger};
 use crate::server::{LostAnswer, Server};
 
 pub(super) const REQUEST_ID: &str = "x-samphirespread-attempt-id";
@@ -198,13 +199,15 @@
 /// A worker.
 #[derive(Debug)]
 pub struct Worker {
-    server: Server,
+    server: Arc<Server>,
     inner: Arc<Inner>,
 }
 
 #[derive(Debug)]
 struct Inner {
     config: WorkerConfig,
+    /// Set right after the start.
+    server: OnceLock<Weak<Server>>,
     state: Mutex<WorkerState>,
 }
 
@@ -220,6 +223,10 @@
     next_copies: VecDeque<CopyBehaviour>,
     copied: Vec<RunCopied>,
     released: Vec<String>,
+    crash_triggers: Vec<CrashTrigger>,
+    crashes: usize,
+    /// How long the worker is down after a crash.
+    down_ms: u64,
     /// The limit that all answers name.
     limit: Option<String>,
     /// Streams that go on until their run is stopped.
@@ -235,9 +242,11 @@
     pub fn start(config: WorkerConfig) -> io::Result<Self> {
         let version = config.model.as_ref().map_or(0, |(_, version)| *version);
         let state = WorkerState { version, ..WorkerState::default() };
-        let inner = Arc::new(Inner { config, state: Mutex::new(state) });
+        let inner = Arc::new(Inner { config, server: OnceLock::new(), state: Mutex::new(state) });
         let router = Router::new().fallback(serve).with_state(inner.clone());
-        Ok(Self { server: Server::start(router)?, inner })
+        let server = Arc::new(Server::start(router)?);
+        inner.server.get_or_init(|| Arc::downgrade(&server));
+        Ok(Self { server, inner })
     }
 
     /// Where it answers.
@@ -288,6 +297,18 @@
         self.inner.lock().next_copies.extend(behaviours);
     }
 
+    /// Crashes on each request with one of these, and is back after `down_ms`.
+    pub fn crash_on(&self, triggers: impl IntoIterator<Item = CrashTrigger>, down_ms: u64) {
+        let mut state = self.inner.lock();
+        state.crash_triggers = triggers.into_iter().collect();
+        state.down_ms = down_ms;
+    }
+
+    /// Returns how often it has crashed on a request.
+    pub fn crashes(&self) -> usize {
+        self.inner.lock().crashes
+    }
+
     /// Names a limit in all further answers, or none.
     pub fn set_limit(&self, limit: Option<&str>) {
         self.inner.lock().limit = limit.map(str::to_owned);
@@ -410,6 +431,12 @@
             if received.ran && inner.config.work_ms > 0 {
                 time::sleep(Duration::from_millis(inner.config.work_ms)).await;
             }
+            if let Some(down_ms) = begin_crash(inner, &received) {
+                let server = inner.server.get().cloned().unwrap_or_default();
+                let restarted = inner.clone();
+                let on_restart = move || restarted.lock().restarts += 1;
+                return crash::crash(server, &received, down_ms, on_restart);
+            }
             if behaviour == Behaviour::StreamUntilMoved {
                 return stream_until_moved(inner, &received);
             }
@@ -418,6 +445,17 @@
     }
 }
 
+/// Whether the request crashes the worker, and for how long the worker is then down.
+fn begin_crash(inner: &Inner, received: &Received) -> Option<u64> {
+    let mut state = inner.lock();
+    let crashes = received.ran && state.crash_triggers.iter().any(|it| it.is_in(received));
+    if !crashes {
+        return None;
+    }
+    state.crashes += 1;
+    Some(state.down_ms)
+}
+
 /// Streams events until the run is stopped, and then breaks the stream off.
 fn stream_until_moved(inner: &Inner, received: &Received) -> Response {
     let id = received.request_id().to_owned();
@@ -516,8 +554,12 @@
     }
 }
 
+pub(super) fn answer_headers(id: &str) -> [(&'static str, String); 2] {
+    [(SEAL, "seal".to_owned()), (REQUEST_ID, id.to_owned())]
+}
+
 fn answer(received: &Received, id: &str) -> Response {
-    let headers = [(SEAL, "seal".to_owned()), (REQUEST_ID, id.to_owned())];
+    let headers = answer_headers(id);
     if received.header("x-samphirespread-model").is_empty() {
         return (headers, format!("answered {id}")).into_response();
     }
