--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -1,12 +1,12 @@
 //! Requests that crash the backend servers that run them.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
 use samphirespread_standin::published::{
-    Behaviour, CrashTrigger, ObjectStore, Worker, WorkerConfig,
+    Behaviour, CrashTrigger, ObjectStore, Received, Worker, WorkerConfig,
 };
 use serde_json::{Value, json};
 use tokio::time;
@@ -129,3 +129,86 @@
 
     assert_eq!(has_line(&fleet.gateways[0], "crash counted", &[]), None);
 }
+
+/// How long after the fifth crash every gateway has to know of the cause, which is the `contactMs`
+/// that the users promise.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Crashes from which that time counts.
+const RULED_CRASHES: usize = 5;
+/// Requests with the cause that may reach engines after that, from all gateways together.
+const ALLOWED_SENDS: usize = 3;
+/// Engines that one cause may crash in these tests.
+const ALLOWED_CRASHES: usize = 8;
+/// Requests with the cause, and as many sound ones, that a test sends.
+const REQUESTS: usize = 100;
+/// Pause between two of them.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// What came of a test's requests.
+#[derive(Debug, Default)]
+struct Outcome {
+    sound: usize,
+    sound_served: usize,
+    /// When the engines had crashed for the fifth time.
+    fifth_crash: Option<Instant>,
+}
+
+/// Sends requests with and without the guilty part in turn, each to the next gateway.
+async fn send_mixed(fleet: &Fleet) -> Outcome {
+    let mut outcome = Outcome::default();
+    for number in 0..REQUESTS {
+        let _ = fleet.send(number, prompt(&format!("bad{number}"), GUILTY_PART)).await;
+        if outcome.fifth_crash.is_none() && fleet.crashes() >= RULED_CRASHES {
+            outcome.fifth_crash = Some(Instant::now());
+        }
+        let sound = prompt(&format!("good{number}"), &format!("c{}", number % 7));
+        outcome.sound += 1;
+        outcome.sound_served += usize::from(fleet.send(number, sound).await.is_whole);
+        time::sleep(PAUSE).await;
+    }
+    outcome
+}
+
+/// Requests whose path or prompt parts contain `text` that reached engines later than a time.
+fn arrivals_after(fleet: &Fleet, text: &str, since: Instant) -> usize {
+    let received = fleet.engines.iter().flat_map(Worker::received);
+    let is_it = |received: &Received| {
+        received.at > since && received.header("x-samphirespread-prompt-prefix").contains(text)
+    };
+    received.filter(is_it).count()
+}
+
+fn assert_contained(fleet: &Fleet, outcome: &Outcome) {
+    let crashes = fleet.crashes();
+    assert!(crashes <= ALLOWED_CRASHES, "{crashes} crashes, {outcome:?}");
+    if let Some(fifth) = outcome.fifth_crash {
+        let sends = arrivals_after(fleet, GUILTY_PART, fifth + CONTACT);
+        assert!(sends <= ALLOWED_SENDS, "{sends} sends, {outcome:?}");
+    }
+}
+
+/// Requests that share a prompt part which crashes engines were sent on to engine after engine.
+#[tokio::test]
+async fn a_part_that_crashes_engines_is_no_longer_sent() {
+    let fleet = Fleet::start(8, 1).await;
+    fleet.crash_on(&CrashTrigger::Part(GUILTY_PART.to_owned()));
+
+    let outcome = send_mixed(&fleet).await;
+
+    assert_contained(&fleet, &outcome);
+}
+
+/// Each gateway counted only the crashes of its own requests, so the sum over all was too large.
+#[tokio::test]
+async fn all_gateways_together_stop_sending_a_part_that_crashes_engines() {
+    let fleet = Fleet::start(8, 3).await;
+    fleet.crash_on(&CrashTrigger::Part(GUILTY_PART.to_owned()));
+
+    let outcome = send_mixed(&fleet).await;
+
+    assert_contained(&fleet, &outcome);
+    assert!(
+        100 * outcome.sound_served >= 95 * outcome.sound,
+        "requests with the other parts of the prompt: {outcome:?}"
+    );
+}
