Refuse requests with a prompt part that crashes engines

Cause: a crash was held against the server alone. Nothing judged what was sent, and each router's knowledge was its own.

A part is blamed for a crash if its run's answer had begun without an event; any run with the part that has its first event clears it. After three crashes in a row at different hosts, requests with the part are refused at once, 'not run', on every send that starts or resumes a run. Crashes, survivals and trials go to all routers in their records, behind the payload, so that routers of the former version still decode them.

--- a/crates/gateway/src/active_request/mod.rs
+++ b/crates/gateway/src/active_request/mod.rs
@@ -14,7 +14,7 @@
 use samphirespread_routing::{
     attempts::{AttemptRules, Attempts},
     choice::Estimate,
-    crash_causes::CauseKey,
+    crash_causes::{CauseKey, Verdict},
     model::{Service, ServiceName},
     retry::RetryLimits,
     sources::SourceKind,
@@ -27,7 +27,7 @@
     access::Grant,
     answers::NotRun,
     body::BodyError,
-    crashes::PossibleCause,
+    crashes::{self, PossibleCause},
     gateway::Core,
     metrics::{self, count},
     request_log::{RequestLog, Step},
@@ -61,6 +61,8 @@
     last_event: Option<MonoTime>,
     /// What in the request may crash the servers that run it.
     pub(crate) causes: Vec<PossibleCause>,
+    /// Whether the request is sent although what is in it has crashed servers.
+    is_on_trial: bool,
     /// The latest send to an engine, until its first event arrives.
     read_timing: Option<ReadTiming>,
 }
@@ -115,6 +117,7 @@
         let causes = possible_causes(&facts);
         Self {
             causes,
+            is_on_trial: false,
             core,
             grant,
             facts,
@@ -153,6 +156,9 @@
             if self.left_ms() <= MIN_SEND_TIME_MS {
                 return self.give_up(NotRun::NoTimeLeft, "deadline");
             }
+            if let Some(outcome) = self.refuse_crash_cause() {
+                return outcome;
+            }
             let Some((service, selected)) = self.choose() else {
                 return self.give_up_without_server();
             };
@@ -166,6 +172,7 @@
                 Sent::Answer(answer) => return AttemptOutcome::Answer(answer),
                 Sent::NotRun => {}
                 Sent::Failed(cause) => {
+                    self.is_on_trial = false;
                     if !self.may_repeat() {
                         return AttemptOutcome::Unknown { status: StatusCode::BAD_GATEWAY, cause };
                     }
@@ -193,6 +200,31 @@
         }
     }
 
+    /// Refuses the request if what is in it has crashed servers.
+    ///
+    /// A request on trial stays so until a server has had it, however many refuse it.
+    fn refuse_crash_cause(&mut self) -> Option<AttemptOutcome> {
+        if self.is_on_trial {
+            return None;
+        }
+        let servers = self
+            .service()
+            .map_or(0, |service| self.core.state().fleet.of_service(&service.name).count());
+        match crashes::verdict(self, servers) {
+            Verdict::Allowed => None,
+            Verdict::Trial => {
+                self.is_on_trial = true;
+                None
+            }
+            Verdict::Refused { .. } if self.may_have_run() => {
+                Some(self.give_up(NotRun::CrashCause, "crash cause"))
+            }
+            Verdict::Refused { retry_after_ms } => {
+                Some(AttemptOutcome::NotRun { reason: NotRun::CrashCause, retry_after_ms })
+            }
+        }
+    }
+
     fn give_up_without_server(&self) -> AttemptOutcome {
         const CAUSE: &str = "no other server";
         let service = self.service().filter(|_| !self.may_have_run());
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -21,6 +21,8 @@
     ServerLimit,
     /// The servers that would take it have accepted this router's share of their connections.
     ConnectionLimit,
+    /// A part of its prompt has crashed several servers.
+    CrashCause,
     /// The retry budget is used up.
     RetryBudget,
     /// All backend servers that were tried refused.
@@ -39,6 +41,7 @@
             Self::NoServer => "no_server",
             Self::ServerLimit => "server_limit",
             Self::ConnectionLimit => "connection_limit",
+            Self::CrashCause => "crash_cause",
             Self::RetryBudget => "retry_budget",
             Self::ServersRefused => "servers_refused",
             Self::NoTimeLeft => "no_time_left",
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -6,19 +6,25 @@
 use samphirespread_logging::event;
 use samphirespread_outbound::{Connection, OpenError};
 use samphirespread_routing::{
-    crash_causes::{CauseKey, Crash, Host},
+    crash_causes::{CauseKey, CauseNews, Crash, Host, Verdict},
     server_limit::ServerRun,
 };
 use slog::{info, warn};
 use tokio::time;
 
-use crate::{active_request::ActiveRequest, fleet::Server, gateway::Core, select::Selected};
+use crate::{
+    active_request::ActiveRequest, fleet::Server, gateway::Core, select::Selected, state::State,
+};
 
 /// When to look whether a server that broke off a run still accepts connections, as times after
 /// that. A server that is about to end may accept a last one.
 const CHECK_DELAYS_MS: [u64; 2] = [0, 150];
 /// Timeout of each look.
 const CHECK_TIMEOUT_MS: u64 = 300;
+/// A router sends nothing on trial right after its start, before it has heard the others.
+const MIN_AGE_FOR_TRIALS_MS: u64 = 3_000;
+/// A router whose list of routers was not confirmed for longer may be cut off from the others.
+const MAX_LIST_AGE_FOR_TRIALS_MS: u64 = 3_000;
 
 /// The process of a backend server that runs a request.
 #[derive(Clone, Copy, Debug)]
@@ -62,6 +68,7 @@
     }
     for cause in &request.causes {
         if state.crash_causes.record_survival(cause.key, now) {
+            request.core.wake_publisher.notify_one();
             info!(request.core.log, "{}", event::CRASH_CAUSE_CLEARED; "part" => &*cause.part,
                 "cause" => %cause.key, "source" => request.facts.id.as_deref().unwrap_or("-"));
         }
@@ -122,8 +129,65 @@
         let Some(crashes) = state.crash_causes.record_crash(cause.key, crash, now) else {
             continue;
         };
+        core.wake_publisher.notify_one();
         info!(core.log, "{}", event::CRASH_COUNTED; "part" => &*cause.part, "cause" => %cause.key,
             "crashes" => crashes, "server" => &*broken.server_id, "request" => &broken.request_id,
             "team" => &broken.team, "route" => &*broken.route, "source" => "answer", "age_ms" => 0);
     }
 }
+
+/// Decides whether a request may be sent by what is known of crashes. Logs a refusal and a trial.
+pub(crate) fn verdict(request: &ActiveRequest, servers: usize) -> Verdict {
+    let core = &request.core;
+    let now = core.now();
+    let mut state = core.state();
+    if state.crash_causes.is_empty() || request.causes.is_empty() {
+        return Verdict::Allowed;
+    }
+    let may_try = now.ms_since(state.started) >= MIN_AGE_FOR_TRIALS_MS
+        && state.reads.routers.age_ms(now) <= MAX_LIST_AGE_FOR_TRIALS_MS;
+    let keys: Vec<CauseKey> = request.causes.iter().map(|cause| cause.key).collect();
+    let verdict = state.crash_causes.verdict(&keys, servers, may_try, now);
+    if verdict == Verdict::Allowed {
+        return verdict;
+    }
+    let is_worst = |cause: &&PossibleCause| state.crash_causes.crashes(cause.key);
+    let worst = request.causes.iter().max_by_key(is_worst);
+    let (part, cause, crashes) = worst.map_or(("", None, 0), |worst| {
+        (&*worst.part, Some(worst.key), state.crash_causes.crashes(worst.key))
+    });
+    drop(state);
+    let event = match verdict {
+        Verdict::Trial => event::CRASH_CAUSE_TRIED,
+        _ => event::CRASH_CAUSE_REFUSED,
+    };
+    let cause = cause.map(|key| key.to_string());
+    info!(core.log, "{}", event; "part" => part, "cause" => cause, "crashes" => crashes,
+        "request" => request.facts.id.as_deref().unwrap_or("-"));
+    if verdict == Verdict::Trial {
+        core.wake_publisher.notify_one();
+    }
+    verdict
+}
+
+/// Applies what another router has published of a possible cause of crashes.
+pub(crate) fn note_news(
+    core: &Core,
+    state: &mut State,
+    from: &InstanceName,
+    news: &CauseNews,
+    published: MonoTime,
+    now: MonoTime,
+) {
+    let effect = state.crash_causes.apply_news(news, published, now);
+    if let Some(crashes) = effect.crashes {
+        let age_ms =
+            now.ms_since(published) + news.crashes.iter().map(|it| it.age_ms).min().unwrap_or(0);
+        info!(core.log, "{}", event::CRASH_COUNTED; "cause" => %news.key, "crashes" => crashes,
+            "source" => from.as_str(), "age_ms" => age_ms);
+    }
+    if effect.is_cleared {
+        info!(core.log, "{}", event::CRASH_CAUSE_CLEARED; "cause" => %news.key,
+            "source" => from.as_str());
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,8 @@
     pub(crate) limited_servers: Gauge,
     /// Backend servers that crashed during a request.
     pub(crate) server_crashes: Counter,
+    /// Parts of prompts that are refused, as they have crashed servers.
+    pub(crate) crash_causes: Gauge,
     /// Answers whose body could not be read, by cause.
     pub(crate) lost_answers: Causes,
     /// Failed calls to the store, by kind of failure.
@@ -76,6 +78,7 @@
             limited_sends: Causes::default(),
             limited_servers: Gauge::default(),
             server_crashes: Counter::default(),
+            crash_causes: Gauge::default(),
             lost_answers: Causes::default(),
             store_failures: Causes::default(),
             connections: Counter::default(),
@@ -106,6 +109,7 @@
         registry.register("limited_sends", "Sends under a limit", self.limited_sends.clone());
         registry.register("limited_servers", "Servers with limits", self.limited_servers.clone());
         registry.register("server_crashes", "Crashed servers", self.server_crashes.clone());
+        registry.register("crash_causes", "Refused causes", self.crash_causes.clone());
         registry.register("lost_answers", "Lost in their bodies", self.lost_answers.clone());
         registry.register("store_failures", "Failed store calls", self.store_failures.clone());
         registry.register("server_connections", "Connections opened", self.connections.clone());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,7 @@
 use samphirespread_logging::event;
 use samphirespread_peer::{
     Datagram, EngineKey, EngineReport, LinkStatus, Payload, RECEIVE_BUFFER_BYTES, RouterPacket,
-    RouterState, decode, decode_payload, encode_payload,
+    RouterState, decode, decode_record, encode_payload,
 };
 use samphirespread_routing::{
     freshness::{Echo, StoreCopy},
@@ -17,7 +17,7 @@
 use tokio::time;
 
 use crate::{
-    conduct,
+    conduct, crashes,
     fleet::{Departure, EngineUpdate},
     gateway::Core,
     metrics, reads, server_limits,
@@ -101,7 +101,7 @@
 }
 
 fn handle_record(core: &Core, state: &mut State, fresh: &NewerRecord, now: MonoTime) {
-    let published = match decode_payload(&fresh.payload) {
+    let (published, crash_causes) = match decode_record(&fresh.payload) {
         Ok(published) => published,
         Err(error) => {
             warn!(core.log, "{}", event::DATAGRAM_LEFT_OUT; "from" => "a record", "error" => %error);
@@ -109,7 +109,12 @@
         }
     };
     match (published, &fresh.router) {
-        (Payload::Router(new), Some(name)) => update_router(core, state, name, new, fresh, now),
+        (Payload::Router(new), Some(name)) => {
+            update_router(core, state, name, new, fresh, now);
+            for news in &crash_causes {
+                crashes::note_news(core, state, name, news, fresh.published, now);
+            }
+        }
         (Payload::Router(_), None) => request_routers_read(core, state),
         (Payload::Engine { engine, state: engine_state }, _) => {
             let update = EngineUpdate {
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -8,7 +8,7 @@
 use samphirespread_logging::event;
 use samphirespread_peer::{
     Datagram, DepartingServer, Directive, LinkStatus, LoadDirective, NamedLimit, NamedWeights,
-    Payload, RouterState, TeamUsage, encode, encode_payload, router_packets,
+    Payload, RouterState, TeamUsage, encode, encode_record, router_packets,
 };
 use samphirespread_routing::quota::UsageReport;
 use samphirespread_settings::Mechanism;
@@ -84,8 +84,9 @@
     let publishes = was_notified || round.is_multiple_of(ROUNDS_PER_RECORD);
     if publishes {
         conduct::grant_loads(core, state, now);
-        let payload = encode_payload(&Payload::Router(own_state(core, state, round, now)));
-        state.fabric.publish(payload, now);
+        let own_state = own_state(core, state, round, now);
+        let news = state.crash_causes.news(RECENT_CHANGE_MS, own_state.usage_is_full, now);
+        state.fabric.publish(encode_record(&Payload::Router(own_state), &news), now);
     }
     packets(core, state, publishes, now, &mut outgoing);
     directives(core, state, round, publishes, now, &mut outgoing);
--- a/crates/gateway/src/routers.rs
+++ b/crates/gateway/src/routers.rs
@@ -112,6 +112,7 @@
     let names: Vec<InstanceName> = state.routers.keys().cloned().collect();
     state.quotas.set_routers(&names, now);
     let members: Vec<Member> = state.routers.values().map(|router| router.member.clone()).collect();
+    state.crash_causes.set_routers(names.clone());
     state.server_limits.set_routers(members.iter().map(server_limits::holder).collect(), now);
     state.fabric.set_members(members, now);
     let silent =
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -207,7 +207,7 @@
             fleet: Fleet::default(),
             has_fleet: false,
             server_limits: ServerLimits::new(server_limits::holder(&own)),
-            crash_causes: CrashCauses::default(),
+            crash_causes: CrashCauses::new(own.name.clone()),
             crashed_runs: HashMap::new(),
             quotas: Quotas::new(now, settings.bounds.quota_slack / STARTS_PER_QUOTA_WINDOW),
             retries: HashMap::new(),
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -76,6 +76,8 @@
         state.fleet.prune(now);
         state.server_limits.expire(now);
         state.crash_causes.expire(now);
+        let blocked = state.crash_causes.count_blocked(now);
+        core.metrics.crash_causes.set(blocked.try_into().unwrap_or(i64::MAX));
         state.crashed_runs.retain(|_, known| now.ms_since(*known) < CRASHED_RUN_LIFETIME_MS);
         let limited = state.server_limits.count();
         core.metrics.limited_servers.set(limited.try_into().unwrap_or(i64::MAX));
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -56,6 +56,8 @@
     SERVER_CRASHED, "server crashed", "A backend server ended in the middle of an answer and accepts no connections", "server, request";
     CRASH_COUNTED, "crash counted", "A crash counts against a part of a prompt, whose answer had begun and had no event yet; crashes: those since a run with the part survived", "part, cause, crashes, server, request, team, route, source, age_ms";
     CRASH_CAUSE_CLEARED, "crash cause cleared", "A run with a part of a prompt survived, so earlier crashes no longer count against the part", "part, cause, source";
+    CRASH_CAUSE_REFUSED, "crash cause refused", "A request was not sent, as a part of its prompt has crashed servers", "part, cause, crashes, request";
+    CRASH_CAUSE_TRIED, "crash cause tried", "A request with a part of a prompt that has crashed servers is sent to one more, to see whether it still does", "part, cause, crashes, request";
     SERVER_GONE, "server gone", "A backend server is no longer on the list", "server";
     SERVER_RESTARTED, "server restarted", "A backend server has restarted under its id", "server";
     SERVER_SUPERSEDED, "server superseded", "Another server answers at the address of an entry, which is ignored", "server, answers";
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -23,7 +23,8 @@
 //! # Costs
 //!
 //! A [`LinkStatus`] takes about 60 bytes. A router's record takes about 40 bytes, plus 17 for each
-//! team that it reports and 16 for each limit of a backend server. An engine's record takes about 70 bytes.
+//! team that it reports, 16 for each limit of a backend server, and about 30 for each possible cause
+//! of crashes with 20 for each of its crashes. An engine's record takes about 70 bytes.
 //!
 //! # Limits
 //!
@@ -40,6 +41,7 @@
 use samphirespread_core::prelude::*;
 use samphirespread_fabric::{Origin, Record, RecordRequest};
 use samphirespread_routing::{
+    crash_causes::CauseNews,
     freshness::{Echo, FreshnessReport},
     model::EngineState,
     read_parts::ReadPart,
@@ -312,6 +314,36 @@
         .map_err(|error| DecodeError::Malformed(error.to_string()))
 }
 
+/// Encodes the payload of a record, followed by news of possible causes of crashes.
+///
+/// Versions that know no such news ignore what follows the payload.
+///
+/// # Panics
+///
+/// Never: all fields can be encoded.
+pub fn encode_record(payload: &Payload, crash_causes: &[CauseNews]) -> Vec<u8> {
+    let mut bytes = encode_payload(payload);
+    if !crash_causes.is_empty() {
+        bytes.extend(encode_payload(&crash_causes));
+    }
+    bytes
+}
+
+/// Decodes what [`encode_record`] returns, or the payload alone.
+///
+/// # Errors
+///
+/// Returns an error if the bytes don't hold a payload, or anything but news after it.
+pub fn decode_record(bytes: &[u8]) -> Result<(Payload, Vec<CauseNews>), DecodeError> {
+    let (payload, length) = bincode::serde::decode_from_slice(bytes, codec())
+        .map_err(|error| DecodeError::Malformed(error.to_string()))?;
+    let crash_causes = match &bytes[length..] {
+        [] => Vec::new(),
+        news => decode_payload(news)?,
+    };
+    Ok((payload, crash_causes))
+}
+
 /// Returns the datagrams that carry a link status and records to one router, or none if there is
 /// neither.
 pub fn router_packets(
--- a/crates/routing/src/crash_causes/evidence.rs
+++ b/crates/routing/src/crash_causes/evidence.rs
@@ -42,6 +42,8 @@
     crashes: Vec<Crash>,
     /// When a run with the cause last survived.
     pub(super) survived: Option<MonoTime>,
+    /// When a request was last sent on trial.
+    pub(super) tried: Option<MonoTime>,
 }
 
 impl Evidence {
@@ -70,4 +72,20 @@
     pub(super) fn crashes(&self) -> &[Crash] {
         &self.crashes
     }
+
+    pub(super) fn first_crash(&self) -> Option<MonoTime> {
+        self.crashes.iter().map(|crash| crash.at).min()
+    }
+
+    pub(super) fn last_crash(&self) -> Option<MonoTime> {
+        self.crashes.iter().map(|crash| crash.at).max()
+    }
+
+    /// The number of different hosts on which servers crashed.
+    pub(super) fn hosts(&self) -> usize {
+        let mut hosts: Vec<Host> = self.crashes.iter().map(|crash| crash.host).collect();
+        hosts.sort_unstable();
+        hosts.dedup();
+        hosts.len()
+    }
 }
--- a/crates/routing/src/crash_causes/mod.rs
+++ b/crates/routing/src/crash_causes/mod.rs
@@ -1,4 +1,4 @@
-//! Finds what in requests crashes backend servers.
+//! Finds what in requests crashes backend servers, so that it is not sent to server after server.
 //!
 //! A server crashes for many reasons, and all of its runs end with it. A part of a prompt is a
 //! possible cause if it was in a run whose answer had begun but had no event yet. The crash counts
@@ -6,33 +6,53 @@
 //! that has its first event, at any server and for any team. Thus parts that many requests share
 //! are cleared within moments, and a part that crashes every server keeps all of its crashes.
 //!
+//! After three crashes in a row, at different hosts, requests with the part are refused. From time
+//! to time one is sent on trial, by one router, so that a wrong verdict ends. Routers tell each
+//! other of crashes, of survivals and of trials. What they tell can be repeated, lost and overtaken:
+//! each router keeps the union of the crashes and the latest survival, which outweighs all crashes
+//! before it. Word of crashes that is older than the survival can't bring a verdict back.
+//!
 //! ```
 //! use samphirespread_core::prelude::*;
 //! use samphirespread_routing::{
-//!     crash_causes::{CauseKey, Crash, CrashCauses, Host},
+//!     crash_causes::{CauseKey, Crash, CrashCauses, Host, Verdict},
 //!     server_limit::ServerRun,
 //! };
 //!
-//! let mut causes = CrashCauses::default();
+//! let mut causes = CrashCauses::new(InstanceName::new("r1"));
 //! let part = CauseKey::of_part("5c1e07a2");
-//! let crash = Crash {
-//!     run: ServerRun::of("i-1", None),
-//!     host: Host::of("10.0.0.1:80".parse().unwrap()),
-//!     at: MonoTime::from_ms(1_000),
-//! };
-//! causes.record_crash(part, crash, MonoTime::from_ms(1_100));
-//! assert_eq!(causes.crashes(part), 1);
+//! for server in 1..=3_u8 {
+//!     let crash = Crash {
+//!         run: ServerRun::of(&format!("i-{server}"), None),
+//!         host: Host::of(([10, 0, 0, server], 80).into()),
+//!         at: MonoTime::from_ms(1_000 * u64::from(server)),
+//!     };
+//!     causes.record_crash(part, crash, crash.at);
+//! }
+//! let now = MonoTime::from_ms(3_500);
+//! assert!(matches!(causes.verdict(&[part], 18, true, now), Verdict::Refused { .. }));
 //!
-//! causes.record_survival(part, MonoTime::from_ms(1_200));
-//! assert_eq!(causes.crashes(part), 0);
+//! causes.record_survival(part, now);
+//! assert_eq!(causes.verdict(&[part], 18, true, now), Verdict::Allowed);
 //! ```
 //!
-//! Memory: about 400 bytes for each of up to [`MAX_CAUSES`] causes.
+//! # Costs
+//!
+//! Memory: about 500 bytes for each of up to [`MAX_CAUSES`] causes. A verdict takes one lookup for
+//! each part of the prompt. News of one cause takes about 30 bytes and 20 for each crash; it is sent
+//! once at each change, and once a second by two routers while requests are refused.
+//!
+//! # Limits
+//!
+//! A part that crashes servers only after the first event is not found. Until it is found, a part
+//! crashes as many servers as requests with it are on their way.
 
 mod evidence;
 mod key;
+mod news;
+mod verdict;
 
-use std::collections::HashMap;
+use std::{cmp::Reverse, collections::HashMap};
 
 use samphirespread_core::prelude::*;
 
@@ -40,17 +60,28 @@
 pub use self::{
     evidence::{Crash, Host},
     key::CauseKey,
+    news::{CauseNews, CrashNews},
+    verdict::Verdict,
 };
 
 /// The maximum number of possible causes of which evidence is kept. Beyond it, those with the fewest
 /// crashes are forgotten.
 pub const MAX_CAUSES: usize = 1_024;
+/// The maximum number of causes about which a router tells the others in one record.
+pub const MAX_NEWS: usize = 16;
 /// Evidence is forgotten this long after the last request or crash with the cause.
 const EVIDENCE_LIFETIME_MS: u64 = 3_600_000;
+/// Number of routers that keep telling of a cause, for routers that have just started.
+const KEEPERS: usize = 2;
+/// Crashes from which routers keep telling of a cause.
+const MIN_KEPT_CRASHES: usize = 2;
 
 /// The possible causes of crashes that are known to a router.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct CrashCauses {
+    own: InstanceName,
+    /// All other routers on the list.
+    others: Vec<InstanceName>,
     known: HashMap<CauseKey, Cause>,
 }
 
@@ -59,21 +90,142 @@
     evidence: Evidence,
     /// When a request or a crash with the cause last came.
     last_seen: MonoTime,
+    /// When this router last had something new to tell of it.
+    news_since: Option<MonoTime>,
+}
+
+/// What changed with news from another router.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NewsEffect {
+    /// The number of crashes that count against the cause, if there are more than before.
+    pub crashes: Option<usize>,
+    /// Whether crashes no longer count, as a run has survived.
+    pub is_cleared: bool,
 }
 
 impl CrashCauses {
-    /// Records that a server crashed during a run that may be the cause. Returns the number of
-    /// crashes since such a run last survived, or `None` if this one was known.
+    /// Creates the causes of a router that does not know the other routers yet.
+    pub fn new(own: InstanceName) -> Self {
+        Self { own, others: Vec::new(), known: HashMap::new() }
+    }
+
+    /// Sets the other routers.
+    pub fn set_routers(&mut self, others: Vec<InstanceName>) {
+        self.others = others;
+    }
+
+    /// Records that a server crashed during a run of this router that may be the cause. Returns the
+    /// number of crashes since such a run last survived, or `None` if this one was known.
     pub fn record_crash(&mut self, key: CauseKey, crash: Crash, now: MonoTime) -> Option<usize> {
-        self.make_room(key);
-        let cause = self.known.entry(key).or_insert_with(|| Cause::new(now));
+        let cause = self.cause(key, now);
         cause.last_seen = now;
-        cause.evidence.add_crash(crash).then(|| cause.evidence.crashes().len())
+        if !cause.evidence.add_crash(crash) {
+            return None;
+        }
+        cause.news_since = Some(now);
+        Some(cause.evidence.crashes().len())
     }
 
     /// Records that a run with the cause survived. Returns whether crashes had counted against it.
-    pub fn record_survival(&mut self, key: CauseKey, at: MonoTime) -> bool {
-        self.known.get_mut(&key).is_some_and(|cause| cause.evidence.add_survival(at))
+    pub fn record_survival(&mut self, key: CauseKey, now: MonoTime) -> bool {
+        let Some(cause) = self.known.get_mut(&key) else { return false };
+        let is_cleared = cause.evidence.add_survival(now);
+        if is_cleared {
+            cause.news_since = Some(now);
+        }
+        is_cleared
+    }
+
+    /// Decides on a request with these possible causes, for a service with that many servers. If it
+    /// is sent on trial, no other one is for a while.
+    ///
+    /// Only a router that `may_try` sends on trial: one that knows the other routers and hears them.
+    pub fn verdict(
+        &mut self,
+        keys: &[CauseKey],
+        servers: usize,
+        may_try: bool,
+        now: MonoTime,
+    ) -> Verdict {
+        let own = Some(&self.own).filter(|_| may_try);
+        let mut verdict = Verdict::Allowed;
+        for key in keys {
+            let Some(cause) = self.known.get_mut(key) else { continue };
+            cause.last_seen = now;
+            if cause.evidence.is_blocking(servers, now) {
+                verdict = verdict.and(cause.evidence.verdict(*key, own, &self.others, now));
+            }
+        }
+        if verdict == Verdict::Trial {
+            self.record_trial(keys, servers, now);
+        }
+        verdict
+    }
+
+    fn record_trial(&mut self, keys: &[CauseKey], servers: usize, now: MonoTime) {
+        for key in keys {
+            let Some(cause) = self.known.get_mut(key) else { continue };
+            if cause.evidence.is_blocking(servers, now) {
+                cause.evidence.tried = Some(now);
+                cause.news_since = Some(now);
+            }
+        }
+    }
+
+    /// Applies what another router published at a time, by this router's clock.
+    pub fn apply_news(
+        &mut self,
+        news: &CauseNews,
+        published: MonoTime,
+        now: MonoTime,
+    ) -> NewsEffect {
+        if news.seen_age_ms.saturating_add(now.ms_since(published)) >= EVIDENCE_LIFETIME_MS {
+            return NewsEffect::default();
+        }
+        let is_keeper = self.is_keeper(news.key);
+        let cause = self.cause(news.key, now);
+        cause.last_seen = cause.last_seen.max(published.minus_ms(news.seen_age_ms));
+        let before = cause.evidence.crashes().len();
+        let survived = news.survived_age_ms.map(|age_ms| published.minus_ms(age_ms));
+        let is_cleared = survived.is_some_and(|at| cause.evidence.add_survival(at));
+        let tried = news.tried_age_ms.map(|age_ms| published.minus_ms(age_ms));
+        cause.evidence.tried = cause.evidence.tried.max(tried);
+        let mut is_outdated = false;
+        for crash in &news.crashes {
+            let crash = crash.crash(published);
+            cause.evidence.add_crash(crash);
+            is_outdated |= cause.evidence.survived.is_some_and(|survived| crash.at <= survived);
+        }
+        if is_outdated && is_keeper {
+            // The sender has missed the survival.
+            cause.news_since = Some(now);
+        }
+        let crashes = cause.evidence.crashes().len();
+        NewsEffect { crashes: (crashes > before).then_some(crashes), is_cleared }
+    }
+
+    /// What to tell the other routers: what changed within the last `within_ms`, and with `is_full`
+    /// also the causes that this router keeps telling of.
+    pub fn news(&self, within_ms: u64, is_full: bool, now: MonoTime) -> Vec<CauseNews> {
+        let is_told = |key: &CauseKey, cause: &Cause| {
+            let is_new = cause.news_since.is_some_and(|since| now.ms_since(since) <= within_ms);
+            let is_kept = cause.evidence.crashes().len() >= MIN_KEPT_CRASHES;
+            is_new || (is_full && is_kept && self.is_keeper(*key))
+        };
+        let mut told: Vec<(&CauseKey, &Cause)> =
+            self.known.iter().filter(|(key, cause)| is_told(key, cause)).collect();
+        told.sort_unstable_by_key(|(key, cause)| {
+            (Reverse(cause.weight_of_news()), Reverse(cause.news_since), **key)
+        });
+        told.truncate(MAX_NEWS);
+        let news = told.into_iter();
+        news.map(|(key, cause)| CauseNews::of(*key, &cause.evidence, cause.last_seen, now))
+            .collect()
+    }
+
+    /// Clears a cause, as an operator asks. Returns whether crashes had counted against it.
+    pub fn clear(&mut self, key: CauseKey, now: MonoTime) -> bool {
+        self.record_survival(key, now)
     }
 
     /// Whether nothing is known of any cause, so that nothing has to be looked up.
@@ -86,11 +238,31 @@
         self.known.get(&key).map_or(0, |cause| cause.evidence.crashes().len())
     }
 
+    /// The number of causes for which requests to a service with many servers are refused.
+    pub fn count_blocked(&self, now: MonoTime) -> usize {
+        let is_blocking = |cause: &&Cause| cause.evidence.is_blocking(usize::MAX, now);
+        self.known.values().filter(is_blocking).count()
+    }
+
     /// Forgets the causes that have not been seen for long.
     pub fn expire(&mut self, now: MonoTime) {
         self.known.retain(|_, cause| now.ms_since(cause.last_seen) < EVIDENCE_LIFETIME_MS);
     }
 
+    /// Whether this router is one of those that keep telling of a cause.
+    fn is_keeper(&self, key: CauseKey) -> bool {
+        verdict::is_first(key.as_bytes(), &self.own, &self.others, KEEPERS)
+    }
+
+    fn cause(&mut self, key: CauseKey, now: MonoTime) -> &mut Cause {
+        self.make_room(key);
+        self.known.entry(key).or_insert_with(|| Cause {
+            evidence: Evidence::default(),
+            last_seen: now,
+            news_since: None,
+        })
+    }
+
     /// Forgets the cause with the least evidence if there is no room for another one.
     fn make_room(&mut self, key: CauseKey) {
         if self.known.len() < MAX_CAUSES || self.known.contains_key(&key) {
@@ -105,7 +277,12 @@
 }
 
 impl Cause {
-    fn new(now: MonoTime) -> Self {
-        Self { evidence: Evidence::default(), last_seen: now }
+    /// What is told first if not all can be: what many crashes speak for, and survivals before
+    /// causes of single crashes.
+    fn weight_of_news(&self) -> usize {
+        match self.evidence.crashes().len() {
+            0 => MIN_KEPT_CRASHES,
+            crashes => crashes,
+        }
     }
 }
--- a/crates/routing/tests/crash_causes.rs
+++ b/crates/routing/tests/crash_causes.rs
@@ -10,6 +10,10 @@
     MonoTime::from_ms(ms)
 }
 
+fn causes() -> CrashCauses {
+    CrashCauses::new(InstanceName::new("r0"))
+}
+
 /// The crash of the server with that number.
 fn crash(server: u8, ms: u64) -> Crash {
     Crash {
@@ -21,7 +25,7 @@
 
 #[test]
 fn one_crash_counts_once_however_many_runs_it_broke() {
-    let mut causes = CrashCauses::default();
+    let mut causes = causes();
     let part = CauseKey::of_part("a");
 
     let first = causes.record_crash(part, crash(1, 100), at(110));
@@ -32,7 +36,7 @@
 
 #[test]
 fn crashes_count_until_a_run_survives_them() {
-    let mut causes = CrashCauses::default();
+    let mut causes = causes();
     let part = CauseKey::of_part("a");
     causes.record_crash(part, crash(1, 100), at(110));
     causes.record_crash(part, crash(2, 200), at(210));
@@ -45,7 +49,7 @@
 
 #[test]
 fn a_survival_of_a_part_without_crashes_leaves_no_trace() {
-    let mut causes = CrashCauses::default();
+    let mut causes = causes();
 
     assert!(!causes.record_survival(CauseKey::of_part("a"), at(100)));
 
@@ -54,7 +58,7 @@
 
 #[test]
 fn the_cause_with_the_fewest_crashes_makes_room() {
-    let mut causes = CrashCauses::default();
+    let mut causes = causes();
     let guilty = CauseKey::of_part("guilty");
     causes.record_crash(guilty, crash(1, 0), at(0));
     causes.record_crash(guilty, crash(2, 10), at(10));
