Blame the most specific prompt part, and let operators lift a verdict

A prompt's first parts are in the same crashes as the guilty part behind them. Until a sound request with them came they were refused as well, and then no sound one could clear them: seen in the new test of the operator's call, where a request with another second part got 503. A part is now refused only if the part after it was not the same in all of its crashes.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -3,14 +3,16 @@
 use std::{collections::HashSet, sync::Arc};
 
 use axum::extract::Query;
-use http::{Response, StatusCode, Uri};
+use http::{Method, Response, StatusCode, Uri};
 use samphirespread_adapter::Object;
+use samphirespread_routing::crash_causes::CauseKey;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     answers,
     body::ResponseBody,
     cache_pull::{self, KnownPositions, VIEWS_PATH},
+    crashes,
     gateway::Core,
 };
 
@@ -29,6 +31,16 @@
     pub(crate) routers: Option<u64>,
 }
 
+/// The path at which operators clear a possible cause of crashes.
+const CLEAR_CAUSE_PATH: &str = "/clear-crash-cause";
+
+/// The query of a call that clears a cause.
+#[derive(Debug, Deserialize)]
+struct ClearedCause {
+    /// The key of the cause, as in the log.
+    cause: String,
+}
+
 /// A router's copies of what the store holds, without what the calling router has already.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct Copies {
@@ -48,9 +60,13 @@
     pub(crate) routers: Option<Arc<Vec<Object>>>,
 }
 
-/// Answers `/metrics`, `/dump`, `/copies` and `/caches`.
-pub(crate) fn answer(core: &Core, uri: &Uri) -> Response<ResponseBody> {
+/// Answers `/metrics`, `/dump`, `/copies`, `/caches` and `/clear-crash-cause`.
+pub(crate) fn answer(core: &Core, method: &Method, uri: &Uri) -> Response<ResponseBody> {
     match uri.path() {
+        CLEAR_CAUSE_PATH if method != Method::POST => {
+            answers::plain(StatusCode::METHOD_NOT_ALLOWED, "POST clears a cause")
+        }
+        CLEAR_CAUSE_PATH => clear_crash_cause(core, uri),
         "/metrics" => answers::plain(StatusCode::OK, &core.metrics.text()),
         "/dump" => answers::plain(StatusCode::OK, &format!("{:#?}", core.state())),
         COPIES_PATH => match Query::<HeldRevisions>::try_from_uri(uri) {
@@ -61,9 +77,23 @@
             Ok(Query(known)) => views(core, &known),
             Err(error) => answers::plain(StatusCode::BAD_REQUEST, &error.to_string()),
         },
-        _ => {
-            answers::plain(StatusCode::NOT_FOUND, "there are /metrics, /dump, /copies and /caches")
-        }
+        _ => answers::plain(
+            StatusCode::NOT_FOUND,
+            "there are /metrics, /dump, /copies, /caches and /clear-crash-cause",
+        ),
+    }
+}
+
+/// Lets requests through again that are refused as they have crashed servers, at all routers.
+fn clear_crash_cause(core: &Core, uri: &Uri) -> Response<ResponseBody> {
+    let query = Query::<ClearedCause>::try_from_uri(uri).ok();
+    let Some(key) = query.and_then(|Query(query)| CauseKey::from_hex(&query.cause)) else {
+        let text = "cause: not a key; 32 hexadecimal digits, as in the log";
+        return answers::plain(StatusCode::BAD_REQUEST, text);
+    };
+    match crashes::clear(core, key) {
+        true => answers::plain(StatusCode::OK, "cleared"),
+        false => answers::plain(StatusCode::NOT_FOUND, "no crash counts against this cause"),
     }
 }
 
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -118,14 +118,16 @@
 fn record_crash(core: &Core, broken: &BrokenRun) {
     let now = core.now();
     let RunningServer { run, address } = broken.server;
-    let crash = Crash { run, host: Host::of(address), at: broken.at };
+    let host = Host::of(address);
     let mut state = core.state();
     if state.crashed_runs.insert(run, now).is_none() {
         core.metrics.server_crashes.inc();
         warn!(core.log, "{}", event::SERVER_CRASHED; "server" => &*broken.server_id,
             "request" => &broken.request_id);
     }
-    for cause in &broken.causes {
+    for (index, cause) in broken.causes.iter().enumerate() {
+        let next_part = broken.causes.get(index + 1).map(|next| next.key.tag());
+        let crash = Crash { run, host, at: broken.at, next_part };
         let Some(crashes) = state.crash_causes.record_crash(cause.key, crash, now) else {
             continue;
         };
@@ -191,3 +193,13 @@
             "source" => from.as_str());
     }
 }
+
+/// Clears a cause, as an operator asks. Returns whether crashes had counted against it.
+pub(crate) fn clear(core: &Core, key: CauseKey) -> bool {
+    let is_cleared = core.state().crash_causes.record_survival(key, core.now());
+    if is_cleared {
+        core.wake_publisher.notify_one();
+        info!(core.log, "{}", event::CRASH_CAUSE_CLEARED; "cause" => %key, "source" => "operator");
+    }
+    is_cleared
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -3,7 +3,7 @@
 
 use std::{convert::Infallible, sync::Arc, time::Duration};
 
-use http::{Request, Response, StatusCode, Uri};
+use http::{Method, Request, Response, StatusCode, Uri};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use samphirespread_logging::event;
@@ -111,7 +111,7 @@
 
 /// Starts a task that answers the load balancer's readiness checks.
 pub(crate) fn spawn_readiness(core: &Arc<Core>, listener: TcpListener, stop: &CancellationToken) {
-    spawn_sync_server(core, listener, stop, |core, _| {
+    spawn_sync_server(core, listener, stop, |core, _, _| {
         let is_ready = core.state().is_ready(core.now());
         let (status, text) = if is_ready {
             (StatusCode::OK, "ready")
@@ -132,7 +132,7 @@
     core: &Arc<Core>,
     listener: TcpListener,
     stop: &CancellationToken,
-    answer: fn(&Core, &Uri) -> Response<ResponseBody>,
+    answer: fn(&Core, &Method, &Uri) -> Response<ResponseBody>,
 ) {
     let (core, stop) = (core.clone(), stop.clone());
     tokio::spawn(stop.run_until_cancelled_owned(async move {
@@ -153,10 +153,10 @@
 async fn serve_sync(
     core: Arc<Core>,
     stream: TcpStream,
-    answer: fn(&Core, &Uri) -> Response<ResponseBody>,
+    answer: fn(&Core, &Method, &Uri) -> Response<ResponseBody>,
 ) {
     let service = service_fn(move |request: Request<Incoming>| {
-        let response = answer(&core, request.uri());
+        let response = answer(&core, request.method(), request.uri());
         async move { Ok::<_, Infallible>(response) }
     });
     let connection = http1::Builder::new()
--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
+use samphirespread_routing::crash_causes::CauseKey;
 use samphirespread_standin::published::{
     Behaviour, CrashTrigger, ObjectStore, Received, Worker, WorkerConfig,
 };
@@ -212,3 +213,88 @@
         "requests with the other parts of the prompt: {outcome:?}"
     );
 }
+
+/// A gateway that was not there when engines crashed sent the part to one more after the other.
+#[tokio::test]
+async fn a_gateway_that_starts_later_learns_what_crashes_engines() {
+    let mut fleet = Fleet::start(8, 2).await;
+    fleet.crash_on(&CrashTrigger::Part(GUILTY_PART.to_owned()));
+    until_refused(&fleet).await;
+    let crashes = fleet.crashes();
+
+    fleet.add_gateway("late").await;
+    let late = fleet.gateways.last().unwrap();
+    eventually(|| has_line(late, "crash counted", &[])).await;
+    let callers = late.addresses.callers;
+    let answer = send(callers, prompt("after", GUILTY_PART)).await.expect("an answer");
+
+    assert_eq!((answer.status.as_u16(), answer.body.as_str()), (503, "crash_cause\n"));
+    assert!(answer.headers.contains_key("retry-after"));
+    assert!(fleet.crashes() <= crashes + 1, "a trial may have been made meanwhile");
+}
+
+/// Sends requests with the guilty part until one is refused.
+async fn until_refused(fleet: &Fleet) {
+    for number in 0..200 {
+        let answer = fleet.send(number, prompt(&format!("bad{number}"), GUILTY_PART)).await;
+        if answer.body == "crash_cause\n" {
+            return;
+        }
+        time::sleep(PAUSE).await;
+    }
+    panic!("no request is refused");
+}
+
+/// A part that no longer crashes engines, or never did, must not be refused for good.
+#[tokio::test]
+async fn requests_go_on_once_one_on_trial_survives() {
+    let fleet = Fleet::start(8, 2).await;
+    fleet.crash_on(&CrashTrigger::Part(GUILTY_PART.to_owned()));
+    until_refused(&fleet).await;
+
+    for engine in &fleet.engines {
+        engine.crash_on([], DOWN_MS);
+    }
+    let mut number = 0;
+    while !fleet.send(number, prompt(&format!("again{number}"), GUILTY_PART)).await.is_whole
+        || fleet.gateways.iter().any(|it| has_line(it, "crash cause cleared", &guilty()).is_none())
+    {
+        number += 1;
+        assert!(number < 400, "requests with the part are refused for good");
+        time::sleep(PAUSE).await;
+    }
+
+    for number in 0..4 {
+        let answer = fleet.send(number, prompt(&format!("end{number}"), GUILTY_PART)).await;
+        assert!(answer.is_whole && answer.status == 200, "{answer:?}");
+    }
+}
+
+fn guilty() -> [(&'static str, Value); 1] {
+    [("cause", json!(CauseKey::of_part(GUILTY_PART).to_string()))]
+}
+
+/// An operator who knows better lifts a verdict on all gateways at once.
+#[tokio::test]
+async fn an_operator_clears_a_cause_on_all_gateways() {
+    let fleet = Fleet::start(8, 2).await;
+    fleet.crash_on(&CrashTrigger::Part(GUILTY_PART.to_owned()));
+    until_refused(&fleet).await;
+    for engine in &fleet.engines {
+        engine.crash_on([], DOWN_MS);
+    }
+
+    let admin = fleet.gateways[0].addresses.admin;
+    let path = format!("/clear-crash-cause?cause={}", CauseKey::of_part(GUILTY_PART));
+    let cleared = send(admin, Request::post(path).body(Full::default()).unwrap()).await.unwrap();
+    let bad = Request::post("/clear-crash-cause?cause=12").body(Full::default()).unwrap();
+    let bad = send(admin, bad).await.unwrap();
+    eventually(|| has_line(&fleet.gateways[1], "crash cause cleared", &guilty())).await;
+
+    assert_eq!(cleared.status, 200);
+    assert!(bad.status == 400 && bad.body.contains("32 hexadecimal digits"), "{bad:?}");
+    for number in 0..4 {
+        let answer = fleet.send(number, prompt(&format!("end{number}"), GUILTY_PART)).await;
+        assert!(answer.is_whole && answer.status == 200, "{answer:?}");
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -24,7 +24,7 @@
 //!
 //! A [`LinkStatus`] takes about 60 bytes. A router's record takes about 40 bytes, plus 17 for each
 //! team that it reports, 16 for each limit of a backend server, and about 30 for each possible cause
-//! of crashes with 20 for each of its crashes. An engine's record takes about 70 bytes.
+//! of crashes with 25 for each of its crashes. An engine's record takes about 70 bytes.
 //!
 //! # Limits
 //!
--- a/crates/routing/src/crash_causes/evidence.rs
+++ b/crates/routing/src/crash_causes/evidence.rs
@@ -6,11 +6,16 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::CauseTag;
 use crate::server_limit::ServerRun;
 
 /// Further crashes of one cause are not stored. By then it has long been blocked for good.
 const MAX_STORED_CRASHES: usize = 8;
 
+/// A survival also outweighs crashes that seem to be this much later. Routers know when something
+/// happened at another one only so exactly, and an old crash must not count again.
+const TIME_ERROR_MS: u64 = 250;
+
 /// Identifies the host of a backend server by a hash of its address. A server that crashed starts
 /// again at its address, mostly with a new id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -33,6 +38,9 @@
     pub host: Host,
     /// When it ended.
     pub at: MonoTime,
+    /// The next part of that prompt, which is a more specific cause, unless this is the last one
+    /// that prompts share.
+    pub next_part: Option<CauseTag>,
 }
 
 /// Crashes that a cause was present in, and what speaks for its innocence.
@@ -50,8 +58,7 @@
     /// Adds a crash. Returns whether it was new and is not outweighed by a later survival.
     pub(super) fn add_crash(&mut self, crash: Crash) -> bool {
         let is_known = self.crashes.iter().any(|known| known.run == crash.run);
-        let is_outweighed = self.survived.is_some_and(|survived| crash.at <= survived);
-        if is_known || is_outweighed || self.crashes.len() >= MAX_STORED_CRASHES {
+        if is_known || self.outweighs(crash) || self.crashes.len() >= MAX_STORED_CRASHES {
             return false;
         }
         self.crashes.push(crash);
@@ -65,10 +72,15 @@
         }
         self.survived = Some(at);
         let before = self.crashes.len();
-        self.crashes.retain(|crash| crash.at > at);
+        self.crashes.retain(|crash| crash.at > at.plus_ms(TIME_ERROR_MS));
         self.crashes.len() < before
     }
 
+    /// Whether a run with the cause has survived after the crash.
+    pub(super) fn outweighs(&self, crash: Crash) -> bool {
+        self.survived.is_some_and(|survived| crash.at <= survived.plus_ms(TIME_ERROR_MS))
+    }
+
     pub(super) fn crashes(&self) -> &[Crash] {
         &self.crashes
     }
@@ -88,4 +100,12 @@
         hosts.dedup();
         hosts.len()
     }
+
+    /// Whether one next part was in all of the crashes. Then that part is the cause, as far as
+    /// anybody can know, and prompts with another next part are not to suffer for it.
+    pub(super) fn has_more_specific_cause(&self) -> bool {
+        let mut next_parts = self.crashes.iter().map(|crash| crash.next_part);
+        let first = next_parts.next().flatten();
+        first.is_some() && next_parts.all(|next_part| next_part == first)
+    }
 }
--- a/crates/routing/src/crash_causes/key.rs
+++ b/crates/routing/src/crash_causes/key.rs
@@ -12,6 +12,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CauseKey([u8; KEY_BYTES]);
 
+/// A short form of a key, which is told with each crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct CauseTag(u32);
+
 impl CauseKey {
     /// Returns the key of a part of a prompt, for all teams and models.
     ///
@@ -33,6 +37,12 @@
         Self(key)
     }
 
+    /// The short form of the key.
+    pub fn tag(&self) -> CauseTag {
+        let [a, b, c, d, ..] = self.0;
+        CauseTag(u32::from_le_bytes([a, b, c, d]))
+    }
+
     /// The bytes of the key.
     pub fn as_bytes(&self) -> &[u8] {
         &self.0
--- a/crates/routing/src/crash_causes/mod.rs
+++ b/crates/routing/src/crash_causes/mod.rs
@@ -6,7 +6,8 @@
 //! that has its first event, at any server and for any team. Thus parts that many requests share
 //! are cleared within moments, and a part that crashes every server keeps all of its crashes.
 //!
-//! After three crashes in a row, at different hosts, requests with the part are refused. From time
+//! After three crashes in a row, at different hosts, requests with the part are refused, unless the
+//! part after it was the same in all of them: then only requests with that part are. From time
 //! to time one is sent on trial, by one router, so that a wrong verdict ends. Routers tell each
 //! other of crashes, of survivals and of trials. What they tell can be repeated, lost and overtaken:
 //! each router keeps the union of the crashes and the latest survival, which outweighs all crashes
@@ -26,6 +27,7 @@
 //!         run: ServerRun::of(&format!("i-{server}"), None),
 //!         host: Host::of(([10, 0, 0, server], 80).into()),
 //!         at: MonoTime::from_ms(1_000 * u64::from(server)),
+//!         next_part: None,
 //!     };
 //!     causes.record_crash(part, crash, crash.at);
 //! }
@@ -39,7 +41,7 @@
 //! # Costs
 //!
 //! Memory: about 500 bytes for each of up to [`MAX_CAUSES`] causes. A verdict takes one lookup for
-//! each part of the prompt. News of one cause takes about 30 bytes and 20 for each crash; it is sent
+//! each part of the prompt. News of one cause takes about 30 bytes and 25 for each crash; it is sent
 //! once at each change, and once a second by two routers while requests are refused.
 //!
 //! # Limits
@@ -59,7 +61,7 @@
 use self::evidence::Evidence;
 pub use self::{
     evidence::{Crash, Host},
-    key::CauseKey,
+    key::{CauseKey, CauseTag},
     news::{CauseNews, CrashNews},
     verdict::Verdict,
 };
@@ -194,7 +196,7 @@
         for crash in &news.crashes {
             let crash = crash.crash(published);
             cause.evidence.add_crash(crash);
-            is_outdated |= cause.evidence.survived.is_some_and(|survived| crash.at <= survived);
+            is_outdated |= cause.evidence.outweighs(crash);
         }
         if is_outdated && is_keeper {
             // The sender has missed the survival.
@@ -223,11 +225,6 @@
             .collect()
     }
 
-    /// Clears a cause, as an operator asks. Returns whether crashes had counted against it.
-    pub fn clear(&mut self, key: CauseKey, now: MonoTime) -> bool {
-        self.record_survival(key, now)
-    }
-
     /// Whether nothing is known of any cause, so that nothing has to be looked up.
     pub fn is_empty(&self) -> bool {
         self.known.is_empty()
--- a/crates/routing/src/crash_causes/news.rs
+++ b/crates/routing/src/crash_causes/news.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    CauseKey,
+    CauseKey, CauseTag,
     evidence::{Crash, Evidence, Host},
 };
 use crate::server_limit::ServerRun;
@@ -34,6 +34,8 @@
     pub host: Host,
     /// Time since it ended.
     pub age_ms: u64,
+    /// The next part of that prompt.
+    pub next_part: Option<CauseTag>,
 }
 
 impl CauseNews {
@@ -47,6 +49,7 @@
             run: crash.run,
             host: crash.host,
             age_ms: now.ms_since(crash.at),
+            next_part: crash.next_part,
         };
         Self {
             key,
@@ -60,6 +63,7 @@
 
 impl CrashNews {
     pub(super) fn crash(&self, published: MonoTime) -> Crash {
-        Crash { run: self.run, host: self.host, at: published.minus_ms(self.age_ms) }
+        let at = published.minus_ms(self.age_ms);
+        Crash { run: self.run, host: self.host, at, next_part: self.next_part }
     }
 }
--- a/crates/routing/src/crash_causes/verdict.rs
+++ b/crates/routing/src/crash_causes/verdict.rs
@@ -7,9 +7,11 @@
 /// Crashes in a row, at as many hosts if the service has them, from which requests with the cause
 /// are refused. One faulty host is one host, however often its server crashes.
 const BLOCKING_CRASHES: usize = 3;
-/// Requests are refused no earlier than this after the first of the crashes. When many servers are
-/// killed at once, word of a run that survives elsewhere has come by then.
+/// Requests are refused no earlier than this after the first of the crashes, if those came at once.
+/// When many servers are killed, word of a run that survives elsewhere has come by then.
 const SETTLE_MS: u64 = 400;
+/// Crashes that are spread over this time were not one kill of many servers.
+const SPREAD_MS: u64 = 150;
 /// How long after the last crash or trial a request is sent on trial, by the number of crashes.
 /// Beyond these crashes none is sent any more.
 ///
@@ -55,10 +57,14 @@
 impl Evidence {
     /// Whether requests with the cause are refused at a service with that many servers.
     pub(super) fn is_blocking(&self, servers: usize, now: MonoTime) -> bool {
-        let has_settled = self.first_crash().is_some_and(|at| now.ms_since(at) >= SETTLE_MS);
+        let (Some(first), Some(last)) = (self.first_crash(), self.last_crash()) else {
+            return false;
+        };
+        let has_settled = now.ms_since(first) >= SETTLE_MS || last.ms_since(first) >= SPREAD_MS;
         has_settled
             && self.crashes().len() >= BLOCKING_CRASHES
             && self.hosts() >= BLOCKING_CRASHES.min(servers)
+            && !self.has_more_specific_cause()
     }
 
     /// The time from which a request may be sent on trial.
