--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -13,7 +13,8 @@
 use tokio::time;
 
 use crate::support::{
-    Answer, MODEL, Running, configuration, eventually, generation, send, settings_of, start_gateway,
+    Answer, MODEL, Running, call, configuration, eventually, generation, request, send,
+    settings_of, start_gateway,
 };
 
 /// How long a worker is down after a crash.
@@ -30,14 +31,22 @@
 
 impl Fleet {
     async fn start(engines: usize, gateways: usize) -> Self {
+        let engine =
+            |number: usize| WorkerConfig::new(&format!("e{number}"), "engines").model(MODEL, 1);
+        Self::start_with((0..engines).map(engine), gateways).await
+    }
+
+    /// Starts servers without an engine.
+    async fn start_plain(servers: usize, gateways: usize) -> Self {
+        let server = |number: usize| WorkerConfig::new(&format!("d{number}"), "desk");
+        Self::start_with((0..servers).map(server), gateways).await
+    }
+
+    async fn start_with(servers: impl Iterator<Item = WorkerConfig>, gateways: usize) -> Self {
         let store = ObjectStore::start().unwrap();
         store.put("config", "main", configuration());
         store.put("versions", MODEL, json!({ "model": MODEL, "version": 1 }));
-        let start = |number: usize| {
-            let config = WorkerConfig::new(&format!("e{number}"), "engines").model(MODEL, 1);
-            Worker::start(config).unwrap()
-        };
-        let engines: Vec<Worker> = (0..engines).map(start).collect();
+        let engines: Vec<Worker> = servers.map(|config| Worker::start(config).unwrap()).collect();
         let mut fleet = Self { store, engines, gateways: Vec::new() };
         fleet.list_engines();
         for number in 0..gateways {
@@ -298,3 +307,64 @@
         assert!(answer.is_whole && answer.status == 200, "{answer:?}");
     }
 }
+
+/// The body of the request that crashes servers.
+const GUILTY_BODY: &str = "a guilty body";
+
+/// The same request to a plain server again, as its caller sends it under a new id.
+fn repeated_call(id: &str) -> Request<Full<Bytes>> {
+    request("POST", "/lookup/guilty", id).body(Full::from(GUILTY_BODY)).unwrap()
+}
+
+/// The same request to an engine again. Other requests have all of its shared parts.
+fn repeated_prompt(id: &str) -> Request<Full<Bytes>> {
+    let (parts, _) = prompt(id, "c1").into_parts();
+    Request::from_parts(parts, Full::from(GUILTY_BODY))
+}
+
+/// Sends the guilty request and sound ones in turn. Returns what came of it.
+async fn send_repeats(
+    fleet: &Fleet,
+    guilty: impl Fn(&str) -> Request<Full<Bytes>>,
+    sound: impl Fn(&str, usize) -> Request<Full<Bytes>>,
+) -> Outcome {
+    let mut outcome = Outcome::default();
+    for number in 0..REQUESTS {
+        let _ = fleet.send(number, guilty(&format!("bad{number}"))).await;
+        outcome.sound += 1;
+        let answer = fleet.send(number, sound(&format!("good{number}"), number)).await;
+        outcome.sound_served += usize::from(answer.is_whole && answer.status == 200);
+        time::sleep(PAUSE).await;
+    }
+    outcome
+}
+
+fn assert_repeats_contained(fleet: &Fleet, outcome: &Outcome) {
+    let crashes = fleet.crashes();
+    assert!(crashes <= ALLOWED_CRASHES, "{crashes} crashes, {outcome:?}");
+    assert!(100 * outcome.sound_served >= 95 * outcome.sound, "{outcome:?}");
+}
+
+/// A request that crashes the engines that run it came again and again, each time at another one.
+#[tokio::test]
+async fn a_request_that_crashes_engines_is_no_longer_sent() {
+    let fleet = Fleet::start(8, 3).await;
+    fleet.crash_on(&CrashTrigger::Body(GUILTY_BODY.into()));
+
+    let sound = |id: &str, number: usize| prompt(id, &format!("c{}", number % 7));
+    let outcome = send_repeats(&fleet, repeated_prompt, sound).await;
+
+    assert_repeats_contained(&fleet, &outcome);
+}
+
+/// The same with servers that have no prompts, and that end without the head of an answer.
+#[tokio::test]
+async fn a_call_that_crashes_servers_is_no_longer_sent() {
+    let fleet = Fleet::start_plain(8, 3).await;
+    fleet.crash_on(&CrashTrigger::Body(GUILTY_BODY.into()));
+
+    let sound = |id: &str, _| call("/lookup/guilty", id);
+    let outcome = send_repeats(&fleet, repeated_call, sound).await;
+
+    assert_repeats_contained(&fleet, &outcome);
+}
--- a/crates/routing/tests/crash_causes_fleet.rs
+++ b/crates/routing/tests/crash_causes_fleet.rs
@@ -134,10 +134,10 @@
     fn publish(&mut self, now_ms: u64) {
         for sender in 0..self.routers.len() {
             // Each router has rounds of its own.
-            if (now_ms / STEP_MS + sender as u64) % 10 != 0 {
+            if !(now_ms / STEP_MS + sender as u64).is_multiple_of(10) {
                 continue;
             }
-            let is_full = (now_ms / 100 + sender as u64) % 10 == 0;
+            let is_full = (now_ms / 100 + sender as u64).is_multiple_of(10);
             let news = self.routers[sender].news(400, is_full, at(now_ms));
             if news.is_empty() {
                 continue;
@@ -158,7 +158,7 @@
             Kills::Third if now_ms == 6_000 || now_ms == 9_500 => {
                 (0..ENGINES).filter(|engine| engine % 3 == 1).collect()
             }
-            Kills::Single if now_ms % 500 == 0 && now_ms < 20_000 => {
+            Kills::Single if now_ms.is_multiple_of(500) && now_ms < 20_000 => {
                 vec![self.rng.random_range(0..ENGINES)]
             }
             _ => return,
--- a/crates/standin/src/published/crash.rs
+++ b/crates/standin/src/published/crash.rs
@@ -42,9 +42,9 @@
     shared.split(',').filter_map(|part| Some(part.trim().split_once(':')?.0))
 }
 
-/// Begins the answer, and closes all connections of the worker shortly after. The worker is back
-/// after `down_ms`.
-pub(super) fn crash(
+/// Begins the answer if the request is for an engine, and closes all connections of the worker
+/// shortly after. The worker is back after `down_ms`.
+pub(super) async fn crash(
     server: Weak<Server>,
     received: &Received,
     down_ms: u64,
@@ -59,6 +59,10 @@
         // A test whose worker can't have its port again finds it down.
         let _ = server.resume();
     });
+    if received.header("x-samphirespread-model").is_empty() {
+        // The connection ends before this does.
+        return std::future::pending().await;
+    }
     let silence = stream::pending::<io::Result<Bytes>>();
     (answer_headers(received.request_id()), Body::from_stream(silence)).into_response()
 }
--- a/crates/standin/src/published/worker.rs
+++ b/crates/standin/src/published/worker.rs
@@ -435,7 +435,7 @@
                 let server = inner.server.get().cloned().unwrap_or_default();
                 let restarted = inner.clone();
                 let on_restart = move || restarted.lock().restarts += 1;
-                return crash::crash(server, &received, down_ms, on_restart);
+                return crash::crash(server, &received, down_ms, on_restart).await;
             }
             if behaviour == Behaviour::StreamUntilMoved {
                 return stream_until_moved(inner, &received);
