Refuse requests that crash the servers that run them

Cause: nothing knew a request again. A server that is no engine answers with its head when it is done, so there a connection that breaks before the head counts. There are three trials at most, after 2 s, 10 s and 600 s.

A connection that can't be opened for another reason than a refusal no longer counts as a crash. An operator's call also clears what was only in the crashes together with the cause.

--- a/crates/gateway/src/active_request/mod.rs
+++ b/crates/gateway/src/active_request/mod.rs
@@ -14,7 +14,7 @@
 use samphirespread_routing::{
     attempts::{AttemptRules, Attempts},
     choice::Estimate,
-    crash_causes::{CauseKey, Verdict},
+    crash_causes::Verdict,
     model::{Service, ServiceName},
     retry::RetryLimits,
     sources::SourceKind,
@@ -27,7 +27,7 @@
     access::Grant,
     answers::NotRun,
     body::BodyError,
-    crashes::{self, PossibleCause},
+    crashes::{self, PossibleCause, PossibleCauses},
     gateway::Core,
     metrics::{self, count},
     request_log::{RequestLog, Step},
@@ -60,7 +60,7 @@
     attempts: Attempts,
     last_event: Option<MonoTime>,
     /// What in the request may crash the servers that run it.
-    pub(crate) causes: Vec<PossibleCause>,
+    causes: PossibleCauses,
     /// Whether the request is sent although what is in it has crashed servers.
     is_on_trial: bool,
     /// The latest send to an engine, until its first event arrives.
@@ -114,7 +114,7 @@
             max_runs: grant.route.max_attempts,
             max_sends: MAX_SENDS,
         };
-        let causes = possible_causes(&facts);
+        let causes = PossibleCauses::of_parts(&facts);
         Self {
             causes,
             is_on_trial: false,
@@ -200,6 +200,12 @@
         }
     }
 
+    /// What in the request may crash the servers that run it, each more specific than the one before.
+    pub(crate) fn possible_causes(&self) -> Vec<PossibleCause> {
+        let team = self.grant.team.as_ref().map(|team| &team.name);
+        self.causes.all(team, &self.method, &self.uri, &self.body)
+    }
+
     /// Refuses the request if what is in it has crashed servers.
     ///
     /// A request on trial stays so until a server has had it, however many refuse it.
@@ -362,12 +368,3 @@
         self.core.metrics.first_event_s.observe(metrics::seconds(took_ms));
     }
 }
-
-/// Returns the parts of the prompt that other requests may share.
-fn possible_causes(facts: &RequestFacts) -> Vec<PossibleCause> {
-    let parts = facts.generation.as_ref().map_or(&[][..], |generation| generation.shared_parts());
-    parts
-        .iter()
-        .map(|part| PossibleCause { key: CauseKey::of_part(&part.id), part: part.id.clone() })
-        .collect()
-}
--- a/crates/gateway/src/active_request/send.rs
+++ b/crates/gateway/src/active_request/send.rs
@@ -14,7 +14,11 @@
 
 use super::{ActiveRequest, ReadTiming, ServerAnswer, in_flight::InFlightGuard};
 use crate::{
-    crashes::RunningServer, metrics::count, request_log::Step, select::Selected, server_limits,
+    crashes::{self, RunningServer},
+    metrics::count,
+    request_log::Step,
+    select::Selected,
+    server_limits,
 };
 
 /// Timeout for opening a connection to a backend server.
@@ -123,7 +127,12 @@
                 self.attempts.record_not_written();
                 return Err(guard);
             }
-            Ok(Err(error)) => return Ok(self.server_failed(selected, error.to_string())),
+            Ok(Err(error)) => {
+                if !self.is_answer_begun_with_run() {
+                    crashes::run_broke_off(self, &selected.id, RunningServer::of(selected));
+                }
+                return Ok(self.server_failed(selected, error.to_string()));
+            }
             Err(_) => return Ok(Sent::TimedOut),
         };
         let (parts, body) = response.into_parts();
@@ -158,6 +167,13 @@
         })))
     }
 
+    /// Whether the head of an answer shows that its run has begun. Engines send it then; other
+    /// servers send it when they have the whole answer.
+    fn is_answer_begun_with_run(&self) -> bool {
+        let is_engine = self.service().is_some_and(|service| service.engine.is_some());
+        is_engine && self.facts.generation.is_some()
+    }
+
     /// Counts a send if its server limits the requests of all routers.
     fn count_limited_send(&self, selected: &Selected) {
         if self.core.state().server_limits.rate(selected.run()).is_none() {
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -1,4 +1,7 @@
-//! Observes which runs survive and which end with their backend server.
+//! Observes which runs survive and which end with their backend server, and refuses requests that
+//! would probably crash one more.
+
+mod possible_causes;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -12,6 +15,7 @@
 use slog::{info, warn};
 use tokio::time;
 
+pub(crate) use self::possible_causes::{PossibleCause, PossibleCauses};
 use crate::{
     active_request::ActiveRequest, fleet::Server, gateway::Core, select::Selected, state::State,
 };
@@ -39,15 +43,7 @@
     }
 }
 
-/// Something in a request that may crash servers, with what operators need to find it.
-#[derive(Clone, Debug)]
-pub(crate) struct PossibleCause {
-    pub(crate) key: CauseKey,
-    /// The id of the part of the prompt.
-    pub(crate) part: Box<str>,
-}
-
-/// A run that its server broke off after its answer had begun and before its first event.
+/// A run that its server broke off after it had begun and before its first event.
 #[derive(Debug)]
 struct BrokenRun {
     server_id: Arc<str>,
@@ -61,15 +57,16 @@
 
 /// Records that the run of a request has its first event or its whole answer.
 pub(crate) fn run_survived(request: &ActiveRequest) {
-    let now = request.core.now();
-    let mut state = request.core.state();
-    if state.crash_causes.is_empty() {
+    if request.core.state().crash_causes.is_empty() {
         return;
     }
-    for cause in &request.causes {
+    let causes = request.possible_causes();
+    let now = request.core.now();
+    let mut state = request.core.state();
+    for cause in causes {
         if state.crash_causes.record_survival(cause.key, now) {
             request.core.wake_publisher.notify_one();
-            info!(request.core.log, "{}", event::CRASH_CAUSE_CLEARED; "part" => &*cause.part,
+            info!(request.core.log, "{}", event::CRASH_CAUSE_CLEARED; "part" => cause.part.as_deref(),
                 "cause" => %cause.key, "source" => request.facts.id.as_deref().unwrap_or("-"));
         }
     }
@@ -81,7 +78,7 @@
     let core = request.core.clone();
     // A server that leaves ends its runs by plan.
     let is_leaving = core.state().fleet.get(server_id).is_some_and(Server::is_leaving);
-    if is_leaving || request.causes.is_empty() {
+    if is_leaving {
         return;
     }
     let team = request.grant.team.as_ref().map_or("-", |team| team.name.as_str());
@@ -92,7 +89,7 @@
         request_id: request.facts.id.clone().unwrap_or_default(),
         team: team.to_owned(),
         route: request.grant.route.name.clone(),
-        causes: request.causes.clone(),
+        causes: request.possible_causes(),
     };
     tokio::spawn(async move {
         if has_crashed(broken.server.address).await {
@@ -126,13 +123,13 @@
             "request" => &broken.request_id);
     }
     for (index, cause) in broken.causes.iter().enumerate() {
-        let next_part = broken.causes.get(index + 1).map(|next| next.key.tag());
-        let crash = Crash { run, host, at: broken.at, next_part };
+        let more_specific = broken.causes.get(index + 1).map(|next| next.key.tag());
+        let crash = Crash { run, host, at: broken.at, more_specific };
         let Some(crashes) = state.crash_causes.record_crash(cause.key, crash, now) else {
             continue;
         };
         core.wake_publisher.notify_one();
-        info!(core.log, "{}", event::CRASH_COUNTED; "part" => &*cause.part, "cause" => %cause.key,
+        info!(core.log, "{}", event::CRASH_COUNTED; "part" => cause.part.as_deref(), "cause" => %cause.key,
             "crashes" => crashes, "server" => &*broken.server_id, "request" => &broken.request_id,
             "team" => &broken.team, "route" => &*broken.route, "source" => "answer", "age_ms" => 0);
     }
@@ -141,31 +138,30 @@
 /// Decides whether a request may be sent by what is known of crashes. Logs a refusal and a trial.
 pub(crate) fn verdict(request: &ActiveRequest, servers: usize) -> Verdict {
     let core = &request.core;
-    let now = core.now();
-    let mut state = core.state();
-    if state.crash_causes.is_empty() || request.causes.is_empty() {
+    if core.state().crash_causes.is_empty() {
         return Verdict::Allowed;
     }
+    let causes = request.possible_causes();
+    let now = core.now();
+    let mut state = core.state();
     let may_try = now.ms_since(state.started) >= MIN_AGE_FOR_TRIALS_MS
         && state.reads.routers.age_ms(now) <= MAX_LIST_AGE_FOR_TRIALS_MS;
-    let keys: Vec<CauseKey> = request.causes.iter().map(|cause| cause.key).collect();
+    let keys: Vec<CauseKey> = causes.iter().map(|cause| cause.key).collect();
     let verdict = state.crash_causes.verdict(&keys, servers, may_try, now);
     if verdict == Verdict::Allowed {
         return verdict;
     }
-    let is_worst = |cause: &&PossibleCause| state.crash_causes.crashes(cause.key);
-    let worst = request.causes.iter().max_by_key(is_worst);
-    let (part, cause, crashes) = worst.map_or(("", None, 0), |worst| {
-        (&*worst.part, Some(worst.key), state.crash_causes.crashes(worst.key))
-    });
+    // Of equally many crashes, the most specific cause is the one that is refused.
+    let crashes = |cause: &&PossibleCause| state.crash_causes.crashes(cause.key);
+    let Some(cause) = causes.iter().max_by_key(crashes) else { return verdict };
+    let crashes = crashes(&cause);
     drop(state);
     let event = match verdict {
         Verdict::Trial => event::CRASH_CAUSE_TRIED,
         _ => event::CRASH_CAUSE_REFUSED,
     };
-    let cause = cause.map(|key| key.to_string());
-    info!(core.log, "{}", event; "part" => part, "cause" => cause, "crashes" => crashes,
-        "request" => request.facts.id.as_deref().unwrap_or("-"));
+    info!(core.log, "{}", event; "part" => cause.part.as_deref(), "cause" => %cause.key,
+        "crashes" => crashes, "request" => request.facts.id.as_deref().unwrap_or("-"));
     if verdict == Verdict::Trial {
         core.wake_publisher.notify_one();
     }
@@ -196,7 +192,7 @@
 
 /// Clears a cause, as an operator asks. Returns whether crashes had counted against it.
 pub(crate) fn clear(core: &Core, key: CauseKey) -> bool {
-    let is_cleared = core.state().crash_causes.record_survival(key, core.now());
+    let is_cleared = core.state().crash_causes.clear(key, core.now());
     if is_cleared {
         core.wake_publisher.notify_one();
         info!(core.log, "{}", event::CRASH_CAUSE_CLEARED; "cause" => %key, "source" => "operator");
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -1,6 +1,6 @@
 //! A connection to one server.
 
-use std::{error::Error, net::SocketAddr, time::Duration};
+use std::{error::Error, io::ErrorKind, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use displaydoc::Display;
@@ -28,6 +28,8 @@
     },
     /// the connection could not be opened: {0}
     Refused(String),
+    /// the connection failed while it was opened: {0}
+    Failed(String),
 }
 
 impl Error for OpenError {}
@@ -64,18 +66,21 @@
     /// `timeout_ms`.
     pub async fn open(address: SocketAddr, timeout_ms: u64) -> Result<Self, OpenError> {
         let timeout = Duration::from_millis(timeout_ms);
-        let refused = |error: &dyn Error| OpenError::Refused(error.to_string());
+        let failed = |error: &dyn Error| OpenError::Failed(error.to_string());
         let stream = time::timeout(timeout, TcpStream::connect(address))
             .await
             .map_err(|_| OpenError::TimedOut { timeout_ms })?
-            .map_err(|error| refused(&error))?;
-        stream.set_nodelay(true).map_err(|error| refused(&error))?;
-        stream.set_zero_linger().map_err(|error| refused(&error))?;
+            .map_err(|error| match error.kind() {
+                ErrorKind::ConnectionRefused => OpenError::Refused(error.to_string()),
+                _ => failed(&error),
+            })?;
+        stream.set_nodelay(true).map_err(|error| failed(&error))?;
+        stream.set_zero_linger().map_err(|error| failed(&error))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| refused(&error))?;
+            .map_err(|error| failed(&error))?;
         let io_task = tokio::spawn(async move {
             // The pending request receives and reports the error.
             let _ = connection.await;
--- a/crates/routing/src/crash_causes/evidence.rs
+++ b/crates/routing/src/crash_causes/evidence.rs
@@ -38,9 +38,9 @@
     pub host: Host,
     /// When it ended.
     pub at: MonoTime,
-    /// The next part of that prompt, which is a more specific cause, unless this is the last one
-    /// that prompts share.
-    pub next_part: Option<CauseTag>,
+    /// The next more specific cause in the same request: the next part of its prompt, or the
+    /// request as a whole.
+    pub more_specific: Option<CauseTag>,
 }
 
 /// Crashes that a cause was present in, and what speaks for its innocence.
@@ -101,11 +101,10 @@
         hosts.len()
     }
 
-    /// Whether one next part was in all of the crashes. Then that part is the cause, as far as
-    /// anybody can know, and prompts with another next part are not to suffer for it.
-    pub(super) fn has_more_specific_cause(&self) -> bool {
-        let mut next_parts = self.crashes.iter().map(|crash| crash.next_part);
-        let first = next_parts.next().flatten();
-        first.is_some() && next_parts.all(|next_part| next_part == first)
+    /// The more specific cause that was the same in all of the crashes, if there is one.
+    pub(super) fn more_specific_cause(&self) -> Option<CauseTag> {
+        let mut tags = self.crashes.iter().map(|crash| crash.more_specific);
+        let first = tags.next().flatten()?;
+        tags.all(|tag| tag == Some(first)).then_some(first)
     }
 }
--- a/crates/routing/src/crash_causes/key.rs
+++ b/crates/routing/src/crash_causes/key.rs
@@ -24,6 +24,13 @@
         Self::of(&[b"part", part_id.as_bytes()])
     }
 
+    /// Returns the key of a whole request, which is the same when it comes again under another id.
+    /// Other teams' requests have other keys.
+    pub fn of_request(team: &str, method: &str, path_and_query: &str, body: &[u8]) -> Self {
+        let text = [team, method, path_and_query].map(str::as_bytes);
+        Self::of(&[b"request", text[0], text[1], text[2], body])
+    }
+
     /// Hashes the fields, each with its length, so that no two lists of fields look the same.
     fn of(fields: &[&[u8]]) -> Self {
         let mut digest = Sha256::new();
--- a/crates/routing/src/crash_causes/mod.rs
+++ b/crates/routing/src/crash_causes/mod.rs
@@ -6,8 +6,11 @@
 //! that has its first event, at any server and for any team. Thus parts that many requests share
 //! are cleared within moments, and a part that crashes every server keeps all of its crashes.
 //!
-//! After three crashes in a row, at different hosts, requests with the part are refused, unless the
-//! part after it was the same in all of them: then only requests with that part are. From time
+//! The request as a whole is a possible cause too, when it comes again under other ids.
+//!
+//! After three crashes in a row, at different hosts, requests with the cause are refused. If a more
+//! specific cause was the same in all of these crashes, only requests with that one are: the next
+//! part of the prompt, or the whole request. From time
 //! to time one is sent on trial, by one router, so that a wrong verdict ends. Routers tell each
 //! other of crashes, of survivals and of trials. What they tell can be repeated, lost and overtaken:
 //! each router keeps the union of the crashes and the latest survival, which outweighs all crashes
@@ -27,7 +30,7 @@
 //!         run: ServerRun::of(&format!("i-{server}"), None),
 //!         host: Host::of(([10, 0, 0, server], 80).into()),
 //!         at: MonoTime::from_ms(1_000 * u64::from(server)),
-//!         next_part: None,
+//!         more_specific: None,
 //!     };
 //!     causes.record_crash(part, crash, crash.at);
 //! }
@@ -152,28 +155,59 @@
         let own = Some(&self.own).filter(|_| may_try);
         let mut verdict = Verdict::Allowed;
         for key in keys {
-            let Some(cause) = self.known.get_mut(key) else { continue };
-            cause.last_seen = now;
-            if cause.evidence.is_blocking(servers, now) {
+            let Some(cause) = self.known.get(key) else { continue };
+            if self.is_refused(cause, servers, now) {
                 verdict = verdict.and(cause.evidence.verdict(*key, own, &self.others, now));
             }
         }
-        if verdict == Verdict::Trial {
-            self.record_trial(keys, servers, now);
-        }
+        self.record_request(keys, verdict, servers, now);
         verdict
     }
 
-    fn record_trial(&mut self, keys: &[CauseKey], servers: usize, now: MonoTime) {
+    /// Whether requests with a cause are refused. They are not while a more specific cause explains
+    /// all of its crashes.
+    fn is_refused(&self, cause: &Cause, servers: usize, now: MonoTime) -> bool {
+        if !cause.evidence.is_blocking(servers, now) {
+            return false;
+        }
+        let Some(tag) = cause.evidence.more_specific_cause() else { return true };
+        let has_tag = |(key, _): &(&CauseKey, &Cause)| key.tag() == tag;
+        let explains = |(_, other): (&CauseKey, &Cause)| other.evidence.is_blocking(servers, now);
+        !self.known.iter().find(has_tag).is_some_and(explains)
+    }
+
+    fn record_request(
+        &mut self,
+        keys: &[CauseKey],
+        verdict: Verdict,
+        servers: usize,
+        now: MonoTime,
+    ) {
         for key in keys {
             let Some(cause) = self.known.get_mut(key) else { continue };
-            if cause.evidence.is_blocking(servers, now) {
+            cause.last_seen = now;
+            if verdict == Verdict::Trial && cause.evidence.is_blocking(servers, now) {
                 cause.evidence.tried = Some(now);
                 cause.news_since = Some(now);
             }
         }
     }
 
+    /// Clears a cause as an operator asks, and what was only in the crashes together with it. Returns
+    /// whether crashes had counted against the cause.
+    pub fn clear(&mut self, key: CauseKey, now: MonoTime) -> bool {
+        let less_specific = |(_, cause): &(&CauseKey, &Cause)| {
+            cause.evidence.more_specific_cause() == Some(key.tag())
+        };
+        let others: Vec<CauseKey> =
+            self.known.iter().filter(less_specific).map(|(other, _)| *other).collect();
+        let is_cleared = self.record_survival(key, now);
+        for other in others {
+            self.clear(other, now);
+        }
+        is_cleared
+    }
+
     /// Applies what another router published at a time, by this router's clock.
     pub fn apply_news(
         &mut self,
--- a/crates/routing/src/crash_causes/news.rs
+++ b/crates/routing/src/crash_causes/news.rs
@@ -34,8 +34,8 @@
     pub host: Host,
     /// Time since it ended.
     pub age_ms: u64,
-    /// The next part of that prompt.
-    pub next_part: Option<CauseTag>,
+    /// The next more specific cause in the same request.
+    pub more_specific: Option<CauseTag>,
 }
 
 impl CauseNews {
@@ -49,7 +49,7 @@
             run: crash.run,
             host: crash.host,
             age_ms: now.ms_since(crash.at),
-            next_part: crash.next_part,
+            more_specific: crash.more_specific,
         };
         Self {
             key,
@@ -64,6 +64,6 @@
 impl CrashNews {
     pub(super) fn crash(&self, published: MonoTime) -> Crash {
         let at = published.minus_ms(self.age_ms);
-        Crash { run: self.run, host: self.host, at, next_part: self.next_part }
+        Crash { run: self.run, host: self.host, at, more_specific: self.more_specific }
     }
 }
--- a/crates/routing/src/crash_causes/verdict.rs
+++ b/crates/routing/src/crash_causes/verdict.rs
@@ -15,9 +15,9 @@
 /// How long after the last crash or trial a request is sent on trial, by the number of crashes.
 /// Beyond these crashes none is sent any more.
 ///
-/// The first trials come early, as a wrong verdict turns sound requests away. After the fifth
-/// crash, no more than two are left for as long as such requests come.
-const TRIAL_DELAYS_MS: [u64; 4] = [2_000, 10_000, 60_000, 600_000];
+/// The first trials come early, as a wrong verdict turns sound requests away. There are no more than
+/// three for as long as such requests come.
+const TRIAL_DELAYS_MS: [u64; 3] = [2_000, 10_000, 600_000];
 /// For this long, one router may send a request on trial; then it is another router's turn.
 const TURN_MS: u64 = 1_000;
 /// At the beginning and the end of a turn no request is sent on trial, as routers know the time of
@@ -64,7 +64,6 @@
         has_settled
             && self.crashes().len() >= BLOCKING_CRASHES
             && self.hosts() >= BLOCKING_CRASHES.min(servers)
-            && !self.has_more_specific_cause()
     }
 
     /// The time from which a request may be sent on trial.
