Don't believe a refusal without an id on a kept connection

Callers were told 'not run' for calls that ran, or the call ran at a second server.

Cause: a refusal was believed without the request's id, also where an earlier request had used the connection. There it now counts as a failed exchange. On a new connection nothing can be left over.

a_refusal_without_an_id_on_a_kept_connection_is_not_believed failed before (two runs of a call that may run once) and passes; a refusal with another id was recognised already, which a test now shows.

--- a/crates/gateway/src/active_request/send.rs
+++ b/crates/gateway/src/active_request/send.rs
@@ -58,12 +58,12 @@
             // queued up. The pause lets that connection notice its end, which drops this request.
             time::sleep(Duration::from_millis(POST_FREEZE_PAUSE_MS)).await;
         }
-        match self.exchange(connection, selected, guard, last_event_id).await {
+        match self.exchange(connection, is_reused, selected, guard, last_event_id).await {
             Ok(sent) => sent,
             Err(guard) if is_reused => {
                 // The server closed the idle connection before the request was written.
                 let Some(connection) = self.open(selected).await else { return Sent::NotRun };
-                self.exchange(connection, selected, guard, last_event_id)
+                self.exchange(connection, false, selected, guard, last_event_id)
                     .await
                     .unwrap_or(Sent::NotRun)
             }
@@ -100,6 +100,7 @@
     async fn exchange(
         &mut self,
         mut connection: Connection,
+        is_reused: bool,
         selected: &Selected,
         guard: InFlightGuard,
         last_event_id: Option<u64>,
@@ -140,6 +141,10 @@
         if facts.request_id.is_some() && facts.request_id != self.facts.id {
             return Ok(self.server_failed(selected, "the answer is to another request".to_owned()));
         }
+        if facts.not_run && is_reused && facts.request_id.is_none() {
+            // It may be left over from an earlier request on this connection.
+            return Ok(self.server_failed(selected, "a refusal without an id".to_owned()));
+        }
         server_limits::note_answer(&self.core, selected, &facts, sent);
         if facts.not_run {
             self.attempts.record_not_run();
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod moves;
 mod orders;
+mod raw_answers;
 mod serving;
 mod store;
 mod support;
--- /dev/null
+++ b/crates/gateway/tests/gateway/raw_answers.rs
@@ -0,0 +1,221 @@
+//! Answers that end early, come twice, or have no length, byte by byte as a server writes them.
+
+use std::{
+    collections::VecDeque,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use samphirespread_standin::published::ObjectStore;
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    time,
+};
+
+use crate::support::{Answer, MODEL, Running, call, configuration, send, settings, start_gateway};
+
+/// Time between two pieces of an answer, so that they arrive apart.
+const PIECE_PAUSE: Duration = Duration::from_millis(30);
+const HEAD: &str = "HTTP/1.1 200 OK\r\nx-samphirespread-response-seal: seal\r\n";
+
+/// What a server does after it has written an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    Keep,
+}
+
+/// One answer: its pieces, in which `{id}` stands for the request's id.
+#[derive(Clone, Debug)]
+struct Script {
+    pieces: Vec<String>,
+    end: End,
+}
+
+fn script(pieces: &[&str], end: End) -> Script {
+    Script { pieces: pieces.iter().map(ToString::to_string).collect(), end }
+}
+
+/// A server that answers by scripts, and whole answers when none is left.
+struct RawServer {
+    id: String,
+    address: SocketAddr,
+    state: Arc<Mutex<RawState>>,
+}
+
+#[derive(Debug, Default)]
+struct RawState {
+    scripts: VecDeque<Script>,
+    /// The ids of the received requests.
+    received: Vec<String>,
+}
+
+impl RawServer {
+    async fn start(id: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Arc::new(Mutex::new(RawState::default()));
+        let shared = state.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve(stream, shared.clone()));
+            }
+        });
+        Self { id: id.to_owned(), address, state }
+    }
+
+    fn list(&self, store: &ObjectStore, service: &str) {
+        let models = match service {
+            "engines" => vec![json!({ "name": MODEL, "version": 1, "adapters": [] })],
+            _ => Vec::new(),
+        };
+        let entry = json!({ "service": service, "address": self.address.to_string(),
+            "zone": "khomas-1", "version": "v1", "slots": 6, "state": "ready", "models": models,
+            "seq": 1, "born": 1 });
+        store.put("servers", &self.id, entry);
+    }
+
+    fn expect(&self, scripts: impl IntoIterator<Item = Script>) {
+        self.state.lock().unwrap().scripts.extend(scripts);
+    }
+
+    fn received(&self) -> Vec<String> {
+        self.state.lock().unwrap().received.clone()
+    }
+}
+
+async fn serve(mut stream: TcpStream, state: Arc<Mutex<RawState>>) {
+    while let Some((path, id)) = read_request(&mut stream).await {
+        if path.starts_with("/-/") {
+            let _ = stream.write_all(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n").await;
+            continue;
+        }
+        let script = {
+            let mut state = state.lock().unwrap();
+            state.received.push(id.clone());
+            state.scripts.pop_front().unwrap_or_else(whole)
+        };
+        for piece in &script.pieces {
+            if stream.write_all(piece.replace("{id}", &id).as_bytes()).await.is_err() {
+                return;
+            }
+            time::sleep(PIECE_PAUSE).await;
+        }
+        match script.end {
+            End::Keep => {}
+        }
+    }
+}
+
+fn whole() -> Script {
+    let head = format!("{HEAD}x-samphirespread-attempt-id: {{id}}\r\ncontent-length: 5\r\n\r\n");
+    script(&[&head, "whole"], End::Keep)
+}
+
+/// Reads a request. Returns its path and id, or `None` at the end of the connection.
+async fn read_request(stream: &mut TcpStream) -> Option<(String, String)> {
+    let mut bytes = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&bytes).to_lowercase();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let field = |name: &str| {
+                text.lines().find_map(|line| line.strip_prefix(name)).unwrap_or_default().trim()
+            };
+            let length: usize = field("content-length:").parse().unwrap_or(0);
+            if bytes.len() >= end + 4 + length {
+                let path = text.split(' ').nth(1).unwrap_or_default().to_owned();
+                return Some((path, field("x-samphirespread-attempt-id:").to_owned()));
+            }
+        }
+        let mut piece = [0; 4_096];
+        match stream.read(&mut piece).await {
+            Ok(0) | Err(_) => return None,
+            Ok(length) => bytes.extend_from_slice(&piece[..length]),
+        }
+    }
+}
+
+/// Two raw servers of one service behind a gateway.
+struct RawSite {
+    _store: ObjectStore,
+    servers: Vec<RawServer>,
+    gateway: Running,
+}
+
+impl RawSite {
+    async fn start(service: &str) -> Self {
+        let store = ObjectStore::start().unwrap();
+        store.put("config", "main", configuration());
+        store.put("versions", MODEL, json!({ "model": MODEL, "version": 1 }));
+        let servers = vec![RawServer::start("s1").await, RawServer::start("s2").await];
+        for server in &servers {
+            server.list(&store, service);
+        }
+        let gateway = start_gateway(settings(store.address())).await;
+        Self { _store: store, servers, gateway }
+    }
+
+    /// Both servers follow these scripts.
+    fn expect(&self, scripts: &[Script]) {
+        for server in &self.servers {
+            server.expect(scripts.to_vec());
+        }
+    }
+
+    async fn send(&self, request: http::Request<http_body_util::Full<bytes::Bytes>>) -> Answer {
+        send(self.gateway.addresses.callers, request).await.expect("an answer")
+    }
+
+    fn runs_of(&self, id: &str) -> usize {
+        self.servers.iter().flat_map(RawServer::received).filter(|received| received == id).count()
+    }
+}
+
+/// A faulty server wrote an earlier refusal once more on a connection that was in use again. The
+/// caller was told that its call had not run, or it ran at a second server.
+#[tokio::test]
+async fn a_refusal_without_an_id_on_a_kept_connection_is_not_believed() {
+    let site = RawSite::start("desk").await;
+    let refusal = "HTTP/1.1 503 Service Unavailable\r\nx-samphirespread-not-executed: 1\r\n\
+                   content-length: 0\r\n\r\n";
+    for number in 0..6 {
+        // Connections to both servers are kept.
+        let (a, b) = (format!("a{number}"), format!("b{number}"));
+        tokio::join!(site.send(call("/lookup/a", &a)), site.send(call("/lookup/a", &b)));
+    }
+    site.expect(&[script(&[refusal], End::Keep)]);
+
+    let answer = site.send(call("/issue/a", "q1")).await;
+
+    assert_eq!(site.runs_of("q1"), 1, "it may have run");
+    assert_eq!(answer.status, 502, "{answer:?}");
+}
+
+/// The same with the id of the request before.
+#[tokio::test]
+async fn a_refusal_of_another_request_is_not_believed() {
+    let site = RawSite::start("desk").await;
+    let refusal = "HTTP/1.1 503 Service Unavailable\r\nx-samphirespread-not-executed: 1\r\n\
+                   x-samphirespread-attempt-id: another\r\ncontent-length: 0\r\n\r\n";
+    site.expect(&[script(&[refusal], End::Keep)]);
+
+    let answer = site.send(call("/issue/a", "q1")).await;
+
+    assert_eq!(site.runs_of("q1"), 1, "it may have run");
+    assert_eq!(answer.status, 502, "{answer:?}");
+}
+
+/// On a new connection nothing can be left over, so a refusal is believed there.
+#[tokio::test]
+async fn a_refusal_without_an_id_on_a_new_connection_is_believed() {
+    let site = RawSite::start("desk").await;
+    let refusal = "HTTP/1.1 503 Service Unavailable\r\nx-samphirespread-not-executed: 1\r\n\
+                   content-length: 0\r\n\r\n";
+    site.expect(&[script(&[refusal], End::Keep)]);
+
+    let answer = site.send(call("/issue/a", "q1")).await;
+
+    assert_eq!((site.runs_of("q1"), answer.status.as_u16()), (2, 503), "{answer:?}");
+}
