Continue a stream only with an answer of its content type

An error status or an answer without a signature already ended the stream as broken, which a test now shows. A success of another type, such as an HTML page, was spliced in as events, and the stream looked complete.

an_answer_of_another_type_does_not_continue_a_stream failed before and passes.

--- a/crates/gateway/src/active_request/server_answer.rs
+++ b/crates/gateway/src/active_request/server_answer.rs
@@ -1,6 +1,6 @@
 //! The answer of a backend server whose head has been read.
 
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, HeaderValue, StatusCode, header};
 use hyper::body::Incoming;
 use samphirespread_adapter::headers::AnswerFacts;
 use samphirespread_outbound::{Connection, IdleLimits};
@@ -31,6 +31,12 @@
 }
 
 impl ServerAnswer {
+    /// Whether this answer can continue a stream that began with that content type. An answer of
+    /// another type is no stream, whatever its status.
+    pub(crate) fn continues(&self, content_type: Option<&HeaderValue>) -> bool {
+        self.status.is_success() && self.headers.get(header::CONTENT_TYPE) == content_type
+    }
+
     /// Keeps the connection for another request. Call this only after the body was read to its end.
     pub(crate) fn keep_connection(self) {
         let Self { facts, connection, guard, max_connections, .. } = self;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::{HeaderValue, header};
 use http_body_util::BodyExt;
 use samphirespread_routing::events::EventSplitter;
 use tokio::{sync::mpsc, time};
@@ -43,6 +44,7 @@
         chunks,
         splitter: EventSplitter::default(),
         last_id: request.facts.last_event_id,
+        content_type: answer.headers.get(header::CONTENT_TYPE).cloned(),
         moves: Moves::default(),
     };
     let mut answer = answer;
@@ -92,6 +94,8 @@
     /// Id of the last event sent to the caller, if events have ids.
     last_id: Option<u64>,
     moves: Moves,
+    /// The content type of the stream, which the answers that continue it have as well.
+    content_type: Option<HeaderValue>,
 }
 
 impl Relay {
@@ -174,12 +178,12 @@
                 continued = request.continue_run(&server, last_id) => continued,
             };
             match continued {
-                Continued::Answer(answer) => {
+                Continued::Answer(answer) if self.can_continue_with(&answer) => {
                     self.moves.reset();
                     return Some(answer);
                 }
                 Continued::Refused => self.moves.refused(),
-                Continued::Failed => self.moves.abandon(),
+                Continued::Answer(_) | Continued::Failed => self.moves.abandon(),
             }
         }
         // The move is over, so a stream that is resumed now is no longer one whose run has stopped.
@@ -187,6 +191,10 @@
         None
     }
 
+    fn can_continue_with(&self, answer: &ServerAnswer) -> bool {
+        answer.continues(self.content_type.as_ref())
+    }
+
     async fn resume(&mut self, request: &mut ActiveRequest) -> Option<Box<ServerAnswer>> {
         self.splitter.clear();
         request
@@ -198,7 +206,7 @@
             attempt = request.attempt(self.last_id) => attempt,
         };
         match attempt {
-            AttemptOutcome::Answer(answer) if answer.status.is_success() => Some(answer),
+            AttemptOutcome::Answer(answer) if self.can_continue_with(&answer) => Some(answer),
             _ => None,
         }
     }
--- a/crates/gateway/tests/gateway/raw_answers.rs
+++ b/crates/gateway/tests/gateway/raw_answers.rs
@@ -15,7 +15,9 @@
     time,
 };
 
-use crate::support::{Answer, MODEL, Running, call, configuration, send, settings, start_gateway};
+use crate::support::{
+    Answer, MODEL, Running, call, configuration, generation, send, settings, start_gateway,
+};
 
 /// Time between two pieces of an answer, so that they arrive apart.
 const PIECE_PAUSE: Duration = Duration::from_millis(30);
@@ -25,6 +27,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
     Keep,
+    Close,
+    Reset,
 }
 
 /// One answer: its pieces, in which `{id}` stands for the request's id.
@@ -48,6 +52,8 @@
 #[derive(Debug, Default)]
 struct RawState {
     scripts: VecDeque<Script>,
+    /// Scripts that servers share, which come after the own ones.
+    shared_scripts: Arc<Mutex<VecDeque<Script>>>,
     /// The ids of the received requests.
     received: Vec<String>,
 }
@@ -95,7 +101,8 @@
         let script = {
             let mut state = state.lock().unwrap();
             state.received.push(id.clone());
-            state.scripts.pop_front().unwrap_or_else(whole)
+            let own = state.scripts.pop_front();
+            own.or_else(|| state.shared_scripts.lock().unwrap().pop_front()).unwrap_or_else(whole)
         };
         for piece in &script.pieces {
             if stream.write_all(piece.replace("{id}", &id).as_bytes()).await.is_err() {
@@ -105,6 +112,11 @@
         }
         match script.end {
             End::Keep => {}
+            End::Close => return,
+            End::Reset => {
+                let _ = stream.set_zero_linger();
+                return;
+            }
         }
     }
 }
@@ -164,6 +176,14 @@
         }
     }
 
+    /// The servers together follow these scripts, whichever of them gets the next request.
+    fn expect_in_turn(&self, scripts: &[Script]) {
+        let scripts = Arc::new(Mutex::new(VecDeque::from(scripts.to_vec())));
+        for server in &self.servers {
+            server.state.lock().unwrap().shared_scripts = scripts.clone();
+        }
+    }
+
     async fn send(&self, request: http::Request<http_body_util::Full<bytes::Bytes>>) -> Answer {
         send(self.gateway.addresses.callers, request).await.expect("an answer")
     }
@@ -219,3 +239,52 @@
 
     assert_eq!((site.runs_of("q1"), answer.status.as_u16()), (2, 503), "{answer:?}");
 }
+
+/// The head of a stream without a length and without chunks.
+fn stream_head() -> String {
+    format!("{HEAD}x-samphirespread-attempt-id: {{id}}\r\ncontent-type: text/event-stream\r\n\r\n")
+}
+
+const EVENTS: &str = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+/// A stream had begun and broke off, and the next server answered with an error. Callers found the
+/// error in the middle of their stream, or the stream ended as if it were complete.
+#[tokio::test]
+async fn an_error_does_not_continue_a_stream() {
+    for next in [
+        "HTTP/1.1 500 Internal Server Error\r\nx-samphirespread-response-seal: seal\r\n\
+         x-samphirespread-attempt-id: {id}\r\ncontent-length: 9\r\n\r\nan error\n",
+        "HTTP/1.1 500 Internal Server Error\r\nx-samphirespread-attempt-id: {id}\r\n\r\nan error\n",
+        "HTTP/1.1 200 OK\r\nx-samphirespread-attempt-id: {id}\r\ncontent-length: 9\r\n\r\nunsealed\n",
+    ] {
+        let site = RawSite::start("engines").await;
+        site.expect_in_turn(&[
+            script(&[&stream_head(), EVENTS, "id: 3\nda"], End::Reset),
+            script(&[next], End::Close),
+        ]);
+
+        let answer = site.send(generation("/resumable/a", "q1")).await;
+
+        assert_eq!(site.runs_of("q1"), 2);
+        assert!(!answer.is_whole && answer.body == EVENTS, "{answer:?}");
+    }
+}
+
+/// The same with a success that is no stream.
+#[tokio::test]
+async fn an_answer_of_another_type_does_not_continue_a_stream() {
+    let site = RawSite::start("engines").await;
+    let page = format!(
+        "{HEAD}x-samphirespread-attempt-id: {{id}}\r\ncontent-type: text/html\r\n\
+         content-length: 15\r\n\r\n<p>a page</p>\n\n"
+    );
+    site.expect_in_turn(&[
+        script(&[&stream_head(), EVENTS, "id: 3\nda"], End::Reset),
+        script(&[&page], End::Close),
+    ]);
+
+    let answer = site.send(generation("/resumable/a", "q1")).await;
+
+    assert_eq!(site.runs_of("q1"), 2);
+    assert!(!answer.is_whole && answer.body == EVENTS, "{answer:?}");
+}
