Test that an answer whose head ends early is none

Report of another operator: a server stopped in the middle of its answer's head and callers got a success with an empty body. Five places in the head, closed and reset: each gives 502 and the call runs once. It can't happen here; the test passed from the beginning.

--- a/crates/gateway/tests/gateway/raw_answers.rs
+++ b/crates/gateway/tests/gateway/raw_answers.rs
@@ -288,3 +288,26 @@
     assert_eq!(site.runs_of("q1"), 2);
     assert!(!answer.is_whole && answer.body == EVENTS, "{answer:?}");
 }
+
+/// A server stopped in the middle of its answer's head and closed. Callers got a success with an
+/// empty or short body, framed as whole.
+#[tokio::test]
+async fn a_head_that_ends_early_is_no_answer() {
+    for head in [
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nx-samphirespread-response-seal: seal\r\n",
+        "HTTP/1.1 200 OK\r\nx-samphirespread-response-seal: seal\r\nx-samphirespread-attempt-id: {id}\r\ncontent-le",
+        "HTTP/1.1 200 OK\r\nx-samphirespread-response-seal: seal\r\nx-samphirespread-attempt-id: {id}\r\n",
+        "HTTP/1.1 200 OK\r\nx-samphirespread-response-seal: seal\r\nx-samphirespread-attempt-id: {id}\r\n\r",
+    ] {
+        for end in [End::Close, End::Reset] {
+            let site = RawSite::start("desk").await;
+            site.expect(&[script(&[head], end)]);
+
+            let answer = site.send(call("/issue/a", "q1")).await;
+
+            assert_eq!(site.runs_of("q1"), 1);
+            assert_eq!(answer.status, 502, "{head:?} {end:?} {answer:?}");
+        }
+    }
+}
