Don't pass a stream on as complete that ended with its connection unbegun

An answer may have neither a length nor chunks and end with its connection. A server that stops there looks the same at any event boundary. Before the first event such a stream is now broken off, not complete; one that ends inside an event already was. Whole answers and streams that end so are passed on, and answers that are reset are not, as tests show.

a_stream_that_ends_with_its_connection_too_early_is_not_complete failed before (an empty stream, framed as whole) and passes.

--- a/crates/gateway/src/active_request/server_answer.rs
+++ b/crates/gateway/src/active_request/server_answer.rs
@@ -31,6 +31,12 @@
 }
 
 impl ServerAnswer {
+    /// Whether only the end of the connection ends the body.
+    pub(crate) fn ends_with_connection(&self) -> bool {
+        let has = |name| self.headers.contains_key(name);
+        !has(header::CONTENT_LENGTH) && !has(header::TRANSFER_ENCODING)
+    }
+
     /// Whether this answer can continue a stream that began with that content type. An answer of
     /// another type is no stream, whatever its status.
     pub(crate) fn continues(&self, content_type: Option<&HeaderValue>) -> bool {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -130,11 +130,19 @@
                 None if self.splitter.has_partial_event() => {
                     return CopyEnd::Broken("the last event is not whole".to_owned());
                 }
+                None if self.has_ended_unbegun(answer) => {
+                    return CopyEnd::Broken("the connection ended before an event".to_owned());
+                }
                 None => return CopyEnd::Complete,
             }
         }
     }
 
+    /// Whether a stream without an event ended with its connection, as it does when the server stops.
+    fn has_ended_unbegun(&self, answer: &ServerAnswer) -> bool {
+        self.last_id.is_none() && !answer.has_event && answer.ends_with_connection()
+    }
+
     /// Sends all complete events to the caller. Returns false if the caller has left.
     async fn forward(&mut self, request: &mut ActiveRequest, answer: &mut ServerAnswer) -> bool {
         while let Some(event) = self.splitter.next_event() {
--- a/crates/gateway/tests/gateway/raw_answers.rs
+++ b/crates/gateway/tests/gateway/raw_answers.rs
@@ -311,3 +311,49 @@
         }
     }
 }
+
+/// An answer may have neither a length nor chunks. It is whole where the server closes the
+/// connection, and not where it resets it.
+#[tokio::test]
+async fn an_answer_may_end_with_its_connection() {
+    let head = format!("{HEAD}x-samphirespread-attempt-id: {{id}}\r\n\r\n");
+    let site = RawSite::start("desk").await;
+    site.expect(&[script(&[&head, "an ", "answer"], End::Close)]);
+    let whole = site.send(call("/issue/a", "q1")).await;
+    let cut_site = RawSite::start("desk").await;
+    cut_site.expect(&[script(&[&head, "an ", "answer"], End::Reset)]);
+    let cut = cut_site.send(call("/issue/a", "q2")).await;
+
+    assert_eq!((whole.status.as_u16(), whole.body.as_str()), (200, "an answer"));
+    assert!(whole.is_whole);
+    assert_eq!((cut.status.as_u16(), cut_site.runs_of("q2")), (502, 1), "{cut:?}");
+}
+
+#[tokio::test]
+async fn a_stream_may_end_with_its_connection() {
+    let site = RawSite::start("engines").await;
+    site.expect(&[script(&[&stream_head(), EVENTS], End::Close)]);
+
+    let answer = site.send(generation("/stream/a", "q1")).await;
+
+    assert!(answer.is_whole && answer.body == EVENTS, "{answer:?}");
+    assert_eq!(site.runs_of("q1"), 1);
+}
+
+/// A stream that ended with its connection before its first event or inside an event was passed on
+/// as complete.
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_too_early_is_not_complete() {
+    for pieces in [&[][..], &["id: 1\ndata: a\n\n", "id: 2\nda"], &["id: 1\nda"]] {
+        for end in [End::Close, End::Reset] {
+            let site = RawSite::start("engines").await;
+            let head = stream_head();
+            let pieces: Vec<&str> = [head.as_str()].iter().chain(pieces).copied().collect();
+            site.expect(&[script(&pieces, end)]);
+
+            let answer = site.send(generation("/stream/a", "q1")).await;
+
+            assert!(!answer.is_whole, "{pieces:?} {end:?} {answer:?}");
+        }
+    }
+}
