--- a/crates/gateway/tests/gateway/crashes.rs
+++ b/crates/gateway/tests/gateway/crashes.rs
@@ -10,7 +10,7 @@
     Behaviour, CrashTrigger, ObjectStore, Received, Worker, WorkerConfig,
 };
 use serde_json::{Value, json};
-use tokio::time;
+use tokio::{task::JoinSet, time};
 
 use crate::support::{
     Answer, MODEL, Running, call, configuration, eventually, generation, request, send,
@@ -225,6 +225,54 @@
     );
 }
 
+/// With many gateways, each of them sees such a request only now and then.
+#[tokio::test]
+async fn many_gateways_together_stop_sending_a_part_that_crashes_engines() {
+    let fleet = Fleet::start(18, 23).await;
+    fleet.crash_on(&CrashTrigger::Part(GUILTY_PART.to_owned()));
+
+    let outcome = send_mixed(&fleet).await;
+
+    assert_contained(&fleet, &outcome);
+}
+
+/// Engines that are killed with no guilty request at all had prompt parts refused.
+#[tokio::test]
+async fn engines_that_are_killed_have_nothing_refused() {
+    let fleet = Fleet::start(9, 3).await;
+    let (mut sent, mut refused) = (0, 0);
+    for round in 0..3_usize {
+        let killed: Vec<&Worker> = fleet.engines.iter().skip(round).step_by(3).collect();
+        for engine in &killed {
+            engine.crash_on([CrashTrigger::Any], DOWN_MS);
+        }
+        let burst = (0..9).map(|number| {
+            let id = format!("k{round}-{number}");
+            let gateway = &fleet.gateways[number % 3];
+            // Nine in ten have a part in common.
+            let part = if number == 0 { id.clone() } else { "hot".to_owned() };
+            send(gateway.addresses.callers, prompt(&id, &part))
+        });
+        let burst: Vec<_> = burst.collect::<JoinSet<_>>().join_all().await;
+        for engine in &killed {
+            engine.crash_on([], DOWN_MS);
+        }
+        sent += burst.len();
+        refused += burst.iter().flatten().filter(|it| it.body == "crash_cause\n").count();
+        time::sleep(Duration::from_millis(2 * DOWN_MS)).await;
+        fleet.list_engines();
+    }
+    for number in 0..30 {
+        let part = if number % 10 == 0 { format!("k{number}") } else { "hot".to_owned() };
+        let answer = fleet.send(number, prompt(&format!("s{number}"), &part)).await;
+        sent += 1;
+        refused += usize::from(answer.body == "crash_cause\n");
+    }
+
+    assert!(fleet.crashes() > 0, "no engine was killed");
+    assert_eq!(refused, 0, "of {sent}");
+}
+
 /// A gateway that was not there when engines crashed sent the part to one more after the other.
 #[tokio::test]
 async fn a_gateway_that_starts_later_learns_what_crashes_engines() {
