--- a/crates/gateway/tests/gateway/raw_answers.rs
+++ b/crates/gateway/tests/gateway/raw_answers.rs
@@ -23,6 +23,9 @@
 const PIECE_PAUSE: Duration = Duration::from_millis(30);
 const HEAD: &str = "HTTP/1.1 200 OK\r\nx-samphirespread-response-seal: seal\r\n";
 
+const REFUSAL_WITHOUT_ID: &str = "HTTP/1.1 503 Service Unavailable\r\n\
+     x-samphirespread-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+
 /// What a server does after it has written an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum End {
@@ -198,14 +201,12 @@
 #[tokio::test]
 async fn a_refusal_without_an_id_on_a_kept_connection_is_not_believed() {
     let site = RawSite::start("desk").await;
-    let refusal = "HTTP/1.1 503 Service Unavailable\r\nx-samphirespread-not-executed: 1\r\n\
-                   content-length: 0\r\n\r\n";
     for number in 0..6 {
         // Connections to both servers are kept.
         let (a, b) = (format!("a{number}"), format!("b{number}"));
         tokio::join!(site.send(call("/lookup/a", &a)), site.send(call("/lookup/a", &b)));
     }
-    site.expect(&[script(&[refusal], End::Keep)]);
+    site.expect(&[script(&[REFUSAL_WITHOUT_ID], End::Keep)]);
 
     let answer = site.send(call("/issue/a", "q1")).await;
 
@@ -231,9 +232,7 @@
 #[tokio::test]
 async fn a_refusal_without_an_id_on_a_new_connection_is_believed() {
     let site = RawSite::start("desk").await;
-    let refusal = "HTTP/1.1 503 Service Unavailable\r\nx-samphirespread-not-executed: 1\r\n\
-                   content-length: 0\r\n\r\n";
-    site.expect(&[script(&[refusal], End::Keep)]);
+    site.expect(&[script(&[REFUSAL_WITHOUT_ID], End::Keep)]);
 
     let answer = site.send(call("/issue/a", "q1")).await;
 
--- a/crates/routing/tests/crash_causes.rs
+++ b/crates/routing/tests/crash_causes.rs
@@ -82,6 +82,18 @@
     assert_eq!(CauseKey::from_hex(&"é".repeat(16)), None);
 }
 
+/// Three crashes in which a cause and a more specific one were together.
+fn crashed_with(cause: CauseKey, more_specific: CauseKey) -> CrashCauses {
+    let mut causes = causes();
+    for server in 1..=3 {
+        let ended = crash(server, 500 * u64::from(server));
+        let more_specific_tag = Some(more_specific.tag());
+        causes.record_crash(cause, Crash { more_specific: more_specific_tag, ..ended }, ended.at);
+        causes.record_crash(more_specific, ended, ended.at);
+    }
+    causes
+}
+
 fn is_refused(causes: &mut CrashCauses, part: CauseKey, now: MonoTime) -> bool {
     matches!(causes.verdict(&[part], 18, false, now), Verdict::Refused { .. })
 }
@@ -91,12 +103,7 @@
 fn a_part_is_not_refused_while_a_more_specific_cause_explains_its_crashes() {
     let (first, second) = (CauseKey::of_part("first"), CauseKey::of_part("second"));
     let other = CauseKey::of_part("other");
-    let mut causes = causes();
-    for server in 1..=3 {
-        let ended = crash(server, 500 * u64::from(server));
-        causes.record_crash(first, Crash { more_specific: Some(second.tag()), ..ended }, ended.at);
-        causes.record_crash(second, ended, ended.at);
-    }
+    let mut causes = crashed_with(first, second);
 
     assert!(is_refused(&mut causes, second, at(2_000)));
     assert!(!is_refused(&mut causes, first, at(2_000)));
@@ -205,12 +212,7 @@
 #[test]
 fn a_part_is_refused_once_the_more_specific_cause_has_survived() {
     let (part, request) = (CauseKey::of_part("p"), CauseKey::of_request("t", "POST", "/", b"b"));
-    let mut causes = causes();
-    for server in 1..=3 {
-        let ended = crash(server, 500 * u64::from(server));
-        causes.record_crash(part, Crash { more_specific: Some(request.tag()), ..ended }, ended.at);
-        causes.record_crash(request, ended, ended.at);
-    }
+    let mut causes = crashed_with(part, request);
     assert!(!is_refused(&mut causes, part, at(2_000)));
 
     causes.record_survival(request, at(2_000));
@@ -222,12 +224,7 @@
 #[test]
 fn an_operator_clears_what_was_only_in_the_crashes_together_with_a_cause() {
     let (part, request) = (CauseKey::of_part("p"), CauseKey::of_request("t", "POST", "/", b"b"));
-    let mut causes = causes();
-    for server in 1..=3 {
-        let ended = crash(server, 500 * u64::from(server));
-        causes.record_crash(part, Crash { more_specific: Some(request.tag()), ..ended }, ended.at);
-        causes.record_crash(request, ended, ended.at);
-    }
+    let mut causes = crashed_with(part, request);
 
     assert!(causes.clear(request, at(2_000)));
 
