--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -92,6 +92,9 @@
              as they accept"
                 .to_owned()
         }
+        "crash_cause" => {
+            "it, or a part of its prompt, has crashed several backend servers in a row".to_owned()
+        }
         "no_time_left" => "its time was over before a server could be asked".to_owned(),
         other => other.to_owned(),
     };
--- a/crates/explain/tests/explain.rs
+++ b/crates/explain/tests/explain.rs
@@ -42,6 +42,10 @@
             r#""outcome":"not_run","cause":"connection_limit","retry_after_ms":400"#,
             "as many connections from the router as they accept; told to come back in 400 ms",
         ),
+        (
+            r#""outcome":"not_run","cause":"crash_cause","retry_after_ms":2000"#,
+            "has crashed several backend servers in a row; told to come back in 2000 ms",
+        ),
         (
             r#""outcome":"denied","cause":"key","status":401"#,
             "its key belongs to no team of the configuration in force",
