Log and count readiness answers, late timers and how long a router is behind a configuration

The record could not tell a router without time to answer its readiness check from one that answers 503 itself, nor why a configuration came late.

* readiness changed (cause), readiness_checks_total{cause}
* configuration behind (once for each announced generation), behind_ms of configuration adopted
* bytes and took_ms of copies had / not had
* timer_lag_seconds

--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -31,14 +31,18 @@
 impl std::error::Error for CopiesError {}
 
 /// Fetches from the router with this admin address the copies that differ from those in `held`.
-pub(crate) async fn fetch(address: SocketAddr, held: HeldRevisions) -> Result<Copies, CopiesError> {
+/// Returns them with the size of the answer in bytes.
+pub(crate) async fn fetch(
+    address: SocketAddr,
+    held: HeldRevisions,
+) -> Result<(Copies, usize), CopiesError> {
     time::timeout(Duration::from_millis(TIMEOUT_MS), exchange(address, held))
         .await
         .map_err(|_| CopiesError::Silent { timeout_ms: TIMEOUT_MS })?
         .map_err(CopiesError::Failed)
 }
 
-async fn exchange(address: SocketAddr, held: HeldRevisions) -> Result<Copies, String> {
+async fn exchange(address: SocketAddr, held: HeldRevisions) -> Result<(Copies, usize), String> {
     let mut connection =
         Connection::open(address, TIMEOUT_MS).await.map_err(|error| error.to_string())?;
     let request = Request::get(path(held))
@@ -50,7 +54,8 @@
     if status != StatusCode::OK {
         return Err(format!("status {}", status.as_u16()));
     }
-    serde_json::from_slice(&body).map_err(|error| error.to_string())
+    let copies = serde_json::from_slice(&body).map_err(|error| error.to_string())?;
+    Ok((copies, body.len()))
 }
 
 fn path(held: HeldRevisions) -> String {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,6 +46,8 @@
     pub(crate) closed_callers: Causes,
     /// Failed calls to the store, by kind of failure.
     pub(crate) store_failures: Causes,
+    /// Answers to readiness checks.
+    pub(crate) readiness_checks: Causes,
     /// Connections opened to backend servers.
     pub(crate) connections: Counter,
     /// Bytes of datagrams from other processes of the system.
@@ -66,6 +68,8 @@
     pub(crate) store_call_s: Histogram,
     /// Seconds between two events of a stream.
     pub(crate) event_gap_s: Histogram,
+    /// Seconds by which the timer of this router's records was late.
+    pub(crate) timer_lag_s: Histogram,
     /// Seconds since the store last confirmed the configuration, observed at each request.
     pub(crate) contact_age_s: Histogram,
     /// Seconds since the store last confirmed the list of servers, observed at each choice of a
@@ -95,6 +99,7 @@
             lost_answers: Causes::default(),
             closed_callers: Causes::default(),
             store_failures: Causes::default(),
+            readiness_checks: Causes::default(),
             connections: Counter::default(),
             received_bytes: Counter::default(),
             sent_bytes: Counter::default(),
@@ -105,6 +110,7 @@
             first_event_s: duration_histogram(BUCKETS),
             store_call_s: duration_histogram(BUCKETS),
             event_gap_s: duration_histogram(BUCKETS),
+            timer_lag_s: duration_histogram(BUCKETS),
             contact_age_s: duration_histogram(BUCKETS),
             list_age_s: duration_histogram(BUCKETS),
             report_age_s: duration_histogram(BUCKETS),
@@ -132,6 +138,8 @@
         let closed = "Connections of callers closed here";
         registry.register("caller_connections_closed", closed, self.closed_callers.clone());
         registry.register("store_failures", "Failed store calls", self.store_failures.clone());
+        let answers = "Answers to readiness checks";
+        registry.register("readiness_checks", answers, self.readiness_checks.clone());
         registry.register("server_connections", "Connections opened", self.connections.clone());
         registry.register("datagrams_in_bytes", "From processes", self.received_bytes.clone());
         registry.register("datagrams_out_bytes", "To processes", self.sent_bytes.clone());
@@ -142,6 +150,7 @@
         registry.register("first_event_seconds", "To first event", self.first_event_s.clone());
         registry.register("store_call_seconds", "Calls to the store", self.store_call_s.clone());
         registry.register("event_gap_seconds", "Between two events", self.event_gap_s.clone());
+        registry.register("timer_lag_seconds", "Lateness of timers", self.timer_lag_s.clone());
         registry.register("contact_age_seconds", "Age of contact", self.contact_age_s.clone());
         registry.register("list_age_seconds", "Age of the server list", self.list_age_s.clone());
         registry.register("report_age_seconds", "Age of reports", self.report_age_s.clone());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -95,7 +95,7 @@
         router.echo = Some(echo);
     }
     let admin = router.admin;
-    if reads::compare_copies(core, state, status, admin) {
+    if reads::compare_copies(core, state, status, from, admin) {
         core.wake_store_reader.notify_one();
     }
 }
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -18,6 +18,7 @@
 use crate::{
     conduct,
     gateway::Core,
+    metrics,
     state::{OtherRouter, State},
 };
 
@@ -54,6 +55,9 @@
             () = core.wake_publisher.notified() => true,
         };
         let now = core.now();
+        if !was_notified {
+            core.metrics.timer_lag_s.observe(metrics::seconds(now.ms_since(due)));
+        }
         core.freeze_detector.record_beat(now);
         let (outgoing, rounds) = {
             let mut state = core.state();
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -10,8 +10,10 @@
 
 use samphirespread_core::prelude::*;
 use samphirespread_fabric::precedes;
+use samphirespread_logging::event;
 use samphirespread_peer::LinkStatus;
 use samphirespread_routing::freshness::StoreCopy;
+use slog::info;
 
 use crate::{
     gateway::Core,
@@ -28,10 +30,20 @@
     pub(crate) routers: StoreCopy,
     /// The copies that are known to be out of date.
     pub(crate) news: Parts,
+    /// The newest generation that another router has announced, and when this one first heard it.
+    pub(crate) announced: Option<Announced>,
     /// The admin address of the router that announced a difference, to fetch its copies from.
     pub(crate) wanted_from: Option<SocketAddr>,
 }
 
+/// A generation of the configuration that another router has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Announced {
+    pub(crate) generation: u64,
+    /// When this router first heard of a generation newer than its own.
+    pub(crate) since: MonoTime,
+}
+
 /// A set of the things that a router keeps copies of.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Parts {
@@ -60,12 +72,21 @@
             servers: StoreCopy::default(),
             routers: StoreCopy::default(),
             news: Parts::default(),
+            announced: None,
             wanted_from: None,
         }
     }
 }
 
 impl Reads {
+    /// Time since this router first heard of a newer configuration than its own, if it has one of a
+    /// generation below the announced one.
+    pub(crate) fn behind_ms(&self, now: MonoTime) -> Option<u64> {
+        let announced = self.announced?;
+        let is_behind = announced.generation > self.configuration.mark();
+        is_behind.then(|| now.ms_since(announced.since))
+    }
+
     /// Time since the oldest copy was confirmed. The age of the list of routers is divided by
     /// `rounds_per_routers_read`, since that list is read only once in so many rounds.
     pub(crate) fn oldest_age_ms(&self, rounds_per_routers_read: u64, now: MonoTime) -> u64 {
@@ -99,10 +120,12 @@
     core: &Core,
     state: &mut State,
     status: &LinkStatus,
+    from: &InstanceName,
     admin: Option<SocketAddr>,
 ) -> bool {
     // A link status that echoes an earlier run of this process gives the time of another clock.
     let Some(echo) = status.echo.and_then(|echo| echo.of(core.incarnation)) else { return false };
+    note_announced(core, state, status.configuration.mark, from);
     let reads = &mut state.reads;
     // An older generation is never adopted, so only a higher one has to be read.
     let is_behind = status.configuration.mark < reads.configuration.mark();
@@ -120,3 +143,21 @@
     }
     outdated.any()
 }
+
+/// Records and logs that another router has a newer configuration than this one.
+fn note_announced(core: &Core, state: &mut State, generation: u64, from: &InstanceName) {
+    let own = state.reads.configuration.mark();
+    if generation <= own {
+        return;
+    }
+    let known = state.reads.announced;
+    if known.is_some_and(|known| known.generation >= generation) {
+        return;
+    }
+    let now = core.now();
+    let since = known.filter(|known| known.generation > own).map_or(now, |known| known.since);
+    state.reads.announced = Some(Announced { generation, since });
+    info!(core.log, "{}", event::CONFIGURATION_BEHIND; "generation" => own,
+        "announced" => generation, "router" => from.as_str(),
+        "contact_age_ms" => state.contact.age_ms(now));
+}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -16,7 +16,10 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{admin, answers, body::ResponseBody, caller_connection::serve_caller, gateway::Core};
+use crate::{
+    admin, answers, body::ResponseBody, caller_connection::serve_caller, gateway::Core,
+    metrics::count, state::Readiness,
+};
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE_MS: u64 = 20;
@@ -109,16 +112,30 @@
 /// Starts a task that answers the load balancer's readiness checks.
 pub(crate) fn spawn_readiness(core: &Arc<Core>, listener: TcpListener, stop: &CancellationToken) {
     spawn_sync_server(core, listener, stop, |core, _, _| {
-        let is_ready = core.state().is_ready(core.now());
-        let (status, text) = if is_ready {
-            (StatusCode::OK, "ready")
-        } else {
-            (StatusCode::SERVICE_UNAVAILABLE, "not ready")
+        let (status, text) = match readiness(core) {
+            Readiness::Ready => (StatusCode::OK, "ready"),
+            _ => (StatusCode::SERVICE_UNAVAILABLE, "not ready"),
         };
         answers::plain(status, text)
     });
 }
 
+/// Works out the answer to a readiness check, counts it, and logs if it differs from the last one.
+fn readiness(core: &Core) -> Readiness {
+    let now = core.now();
+    let mut state = core.state();
+    let readiness = state.readiness(now);
+    let before = state.last_readiness.replace(readiness);
+    let contact_age_ms = state.contact.age_ms(now);
+    drop(state);
+    count(&core.metrics.readiness_checks, readiness.name());
+    if before != Some(readiness) {
+        info!(core.log, "{}", event::READINESS_CHANGED; "ready" => readiness == Readiness::Ready,
+            "cause" => readiness.name(), "contact_age_ms" => contact_age_ms);
+    }
+    readiness
+}
+
 /// Starts a task that answers operators and other routers.
 pub(crate) fn spawn_admin(core: &Arc<Core>, listener: TcpListener, stop: &CancellationToken) {
     spawn_sync_server(core, listener, stop, admin::answer);
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -63,6 +63,8 @@
     pub(crate) table: Option<Arc<Table>>,
     /// Whether keys were trusted at the last check, to log changes.
     pub(crate) was_in_touch: bool,
+    /// The last answer to a readiness check, to log changes.
+    pub(crate) last_readiness: Option<Readiness>,
     /// Whether this router read the store for others at the last check, to log changes.
     pub(crate) was_leading: bool,
     /// When the store was last read, by this router or another one whose copy is the same.
@@ -127,6 +129,32 @@
     pub(crate) unreadable: HashSet<String>,
 }
 
+/// Whether a router is ready to take requests, or why not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Readiness {
+    Ready,
+    /// It has not read the configuration and the list of servers yet.
+    Starting,
+    /// It waits for the first reports of engines.
+    AwaitsReports,
+    /// Its configuration was not confirmed for too long.
+    OutOfTouch,
+    Draining,
+}
+
+impl Readiness {
+    /// The name in logs and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Ready => "ready",
+            Self::Starting => "starting",
+            Self::AwaitsReports => "awaits_reports",
+            Self::OutOfTouch => "out_of_touch",
+            Self::Draining => "draining",
+        }
+    }
+}
+
 /// Times measured on requests to the engines of a service.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct EngineTimes {
@@ -200,6 +228,7 @@
             wall_clock: settings.clock,
             table: None,
             was_in_touch: false,
+            last_readiness: None,
             was_leading: false,
             contact: contact(&settings.bounds),
             reads: Reads::default(),
@@ -233,13 +262,18 @@
         }
     }
 
-    /// Whether this router is ready to take requests.
-    pub(crate) fn is_ready(&self, now: MonoTime) -> bool {
-        let knows_enough = self.table.is_some() && self.has_fleet;
-        if knows_enough && !self.has_engine_reports(now) {
-            return false;
+    /// Whether this router is ready to take requests, or why not.
+    pub(crate) fn readiness(&self, now: MonoTime) -> Readiness {
+        if self.is_draining {
+            return Readiness::Draining;
+        }
+        if self.table.is_none() || !self.has_fleet {
+            return Readiness::Starting;
+        }
+        if !self.has_engine_reports(now) {
+            return Readiness::AwaitsReports;
         }
-        knows_enough && !self.is_draining && !self.contact.is_stale(now)
+        if self.contact.is_stale(now) { Readiness::OutOfTouch } else { Readiness::Ready }
     }
 
     /// Whether at least half of the engines have recent reports, or the wait for them is over.
--- a/crates/gateway/src/sync.rs
+++ b/crates/gateway/src/sync.rs
@@ -256,16 +256,20 @@
     /// newer list of routers on which this router is missing.
     async fn read_from_router(&mut self, address: SocketAddr) -> bool {
         let began = self.core.now();
-        let copies = match copies::fetch(address, self.held()).await {
-            Ok(copies) => copies,
+        let fetched = copies::fetch(address, self.held()).await;
+        let took_ms = self.core.now().ms_since(began);
+        let (copies, bytes) = match fetched {
+            Ok(fetched) => fetched,
             Err(error) => {
-                info!(self.core.log, "{}", event::COPIES_NOT_HAD; "router" => %address, "error" => %error);
+                info!(self.core.log, "{}", event::COPIES_NOT_HAD; "router" => %address,
+                    "error" => %error, "took_ms" => took_ms);
                 return false;
             }
         };
         info!(self.core.log, "{}", event::COPIES_HAD; "router" => %address,
             "configuration_age_ms" => copies.configuration_age_ms,
-            "servers_age_ms" => copies.servers_age_ms, "servers_changed" => copies.servers.len());
+            "servers_age_ms" => copies.servers_age_ms, "servers_changed" => copies.servers.len(),
+            "bytes" => bytes, "took_ms" => took_ms);
         if let Some(object) = copies.configuration {
             let read_began = began.minus_ms(copies.configuration_age_ms);
             self.apply_configuration_object(Object::clone(&object), read_began);
@@ -470,6 +474,7 @@
     if known.is_some_and(|known| known > generation) {
         return;
     }
+    let behind_ms = state.reads.behind_ms(now).unwrap_or(0);
     state.reads.configuration.read(generation, began);
     state.contact.platform_answered(began);
     if known == Some(generation) {
@@ -478,7 +483,7 @@
     info!(core.log, "{}", event::CONFIGURATION_ADOPTED; "generation" => generation,
         "before" => known, "routes" => configuration.routes.len(),
         "services" => configuration.services.len(), "teams" => configuration.teams.len(),
-        "read_age_ms" => now.ms_since(began));
+        "read_age_ms" => now.ms_since(began), "behind_ms" => behind_ms);
     let quotas = configuration.teams.iter().map(|team| (&team.name, team.quota));
     state.quotas.set_teams(quotas, now);
     let limits = configuration.caller_limits;
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -46,7 +46,9 @@
     STOPPED_RUN_LEFT, "stopped run not continued", "No engine continued a run that this router had stopped to move it; resumes: whether the stream may be resumed by a new run, and if not, cause says why", "request, server, to, refused, resumes, cause";
     RUN_NOT_COPIED, "run not copied", "A call to copy a run's memory failed or got no answer", "request, server, to, stops, error";
     COPY_NOT_FREED, "copy not freed", "An unused copy of a run's memory could not be released; it expires", "request, server, error";
-    CONFIGURATION_ADOPTED, "configuration adopted", "A configuration has taken effect", "generation, before, read_age_ms, routes, services, teams";
+    CONFIGURATION_ADOPTED, "configuration adopted", "A configuration has taken effect; behind_ms: since this router first heard that it is not the newest one", "generation, before, read_age_ms, behind_ms, routes, services, teams";
+    CONFIGURATION_BEHIND, "configuration behind", "Another router has a newer configuration", "generation, announced, router, contact_age_ms";
+    READINESS_CHANGED, "readiness changed", "The answer to the load balancer's readiness check has changed", "ready, cause, contact_age_ms";
     IN_TOUCH, "in touch", "The configuration was confirmed, so keys are accepted again", "contact_age_ms";
     OUT_OF_TOUCH, "out of touch", "The configuration was not confirmed for too long, so keys are not accepted", "contact_age_ms";
     SERVER_APPEARED, "server appeared", "A backend server is new on the list", "server";
@@ -75,8 +77,8 @@
     ROUTER_REMOVED, "silent router removed", "A silent router was removed from the list", "router, answer";
     READS_FOR_OTHERS, "reads for others", "This router reads the store for the others", "";
     LEAVES_READING, "leaves reading to another", "Another router reads the store", "";
-    COPIES_HAD, "copies had from a router", "Configuration and list were copied from another router", "router, configuration_age_ms, servers_age_ms, servers_changed";
-    COPIES_NOT_HAD, "copies not had", "Copies could not be fetched from another router", "router, error";
+    COPIES_HAD, "copies had from a router", "Configuration and list were copied from another router", "router, configuration_age_ms, servers_age_ms, servers_changed, bytes, took_ms";
+    COPIES_NOT_HAD, "copies not had", "Copies could not be fetched from another router", "router, error, took_ms";
     ENTRY_LEFT_OUT, "entry left out", "An entry of the store can't be decoded and is ignored", "entry, error";
     WEIGHTS_NAMED, "weights named", "A new version of weights was named", "model, version, source, age_ms";
     WEIGHTS_NOT_FOLLOWED, "weights not followed", "A watch of the named versions of weights failed; it is retried", "error";
