Failing test: a large configuration and leaving servers at routers on slow links

Real gateways with a link of 250 KB/s to the store and to the router that reads it (a new rate of the stand-in link); 1,400 routes more, a route that moves and a server that leaves. Judged by the users' lines CONFIG and DRAIN, bound 3 s.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod random_changes;
 mod raw_answers;
 mod serving;
+mod slow_links;
 mod stopped_runs;
 mod store;
 mod support;
--- a/crates/standin/src/link/mod.rs
+++ b/crates/standin/src/link/mod.rs
@@ -1,4 +1,4 @@
-//! A TCP relay that can be cut, go silent and delay.
+//! A TCP relay that can be cut, go silent, delay, and carry a limited number of bytes per second.
 
 use std::{
     io,
@@ -24,6 +24,8 @@
 
 const CHUNK_BYTES: usize = 64 * 1024;
 const CHUNKS_IN_FLIGHT: usize = 64;
+/// The size of a chunk on a link with a rate, small enough that several connections share it.
+const PACED_CHUNK_BYTES: usize = 1_400;
 
 /// A running relay. It ends when dropped.
 ///
@@ -53,6 +55,10 @@
     target: Mutex<SocketAddr>,
     down: AtomicBool,
     delay_ms: AtomicU64,
+    /// Bytes per second from the target, over all connections; 0 stands for any number.
+    rate_bytes_per_s: AtomicU64,
+    /// When the bytes from the target that were accepted so far have left the link.
+    link_free: Mutex<Instant>,
     connections: Mutex<Vec<Connection>>,
     stop: CancellationToken,
 }
@@ -110,6 +116,8 @@
             target: Mutex::new(target),
             down: AtomicBool::new(false),
             delay_ms: AtomicU64::new(0),
+            rate_bytes_per_s: AtomicU64::new(0),
+            link_free: Mutex::new(Instant::now()),
             connections: Mutex::new(Vec::new()),
             stop: CancellationToken::new(),
         });
@@ -172,6 +180,12 @@
         self.shared.down.store(down, Ordering::SeqCst);
     }
 
+    /// Limits the bytes per second that all connections together carry from the target. 0 stands for
+    /// any number.
+    pub fn set_rate_bytes_per_s(&self, rate_bytes_per_s: u64) {
+        self.shared.rate_bytes_per_s.store(rate_bytes_per_s, Ordering::SeqCst);
+    }
+
     /// Delays every byte in both directions by this much.
     pub fn set_delay_ms(&self, delay_ms: u64) {
         self.shared.delay_ms.store(delay_ms, Ordering::SeqCst);
@@ -189,6 +203,21 @@
     fn lock(&self) -> MutexGuard<'_, Vec<Connection>> {
         self.connections.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// Waits until the link has carried these bytes from the target, if it has a rate.
+    async fn carry(&self, bytes: usize) {
+        let rate_bytes_per_s = self.rate_bytes_per_s.load(Ordering::SeqCst);
+        if rate_bytes_per_s == 0 {
+            return;
+        }
+        let took = Duration::from_micros(bytes as u64 * 1_000_000 / rate_bytes_per_s);
+        let carried = {
+            let mut link_free = self.link_free.lock().unwrap_or_else(PoisonError::into_inner);
+            *link_free = Instant::now().max(*link_free) + took;
+            *link_free
+        };
+        tokio::time::sleep_until(carried).await;
+    }
 }
 
 async fn accept(listener: TcpListener, shared: Arc<Shared>) {
@@ -232,8 +261,8 @@
         tokio::select! {
             () = connection.cut.cancelled() => Ok(()),
             relayed = async { tokio::try_join!(
-                relay_one(near_read, far_write, shared, &connection.silent_near),
-                relay_one(far_read, near_write, shared, &connection.silent_far),
+                relay_one(near_read, far_write, shared, &connection.silent_near, Direction::ToTarget),
+                relay_one(far_read, near_write, shared, &connection.silent_far, Direction::FromTarget),
             ) } => relayed.map(drop),
         }
     };
@@ -249,11 +278,13 @@
     write: WriteHalf<'_>,
     shared: &Shared,
     silent: &CancellationToken,
+    direction: Direction,
 ) -> io::Result<()> {
     let (sender, receiver) = mpsc::channel(CHUNKS_IN_FLIGHT);
+    let paced = (direction == Direction::FromTarget).then_some(shared);
     tokio::try_join!(
         read_chunks(read, sender, shared, silent),
-        write_chunks(write, receiver, silent),
+        write_chunks(write, receiver, paced, silent),
     )?;
     Ok(())
 }
@@ -284,14 +315,20 @@
 async fn write_chunks(
     mut write: WriteHalf<'_>,
     mut receiver: mpsc::Receiver<(Instant, Bytes)>,
+    paced: Option<&Shared>,
     silent: &CancellationToken,
 ) -> io::Result<()> {
     while let Some((due, chunk)) = receiver.recv().await {
         tokio::time::sleep_until(due).await;
-        if silent.is_cancelled() {
-            std::future::pending::<()>().await;
+        for piece in chunk.chunks(PACED_CHUNK_BYTES) {
+            if let Some(link) = paced {
+                link.carry(piece.len()).await;
+            }
+            if silent.is_cancelled() {
+                std::future::pending::<()>().await;
+            }
+            write.write_all(piece).await?;
         }
-        write.write_all(&chunk).await?;
     }
     write.shutdown().await
 }
