Read servers and configuration by tasks of their own

Callers' requests reached a server that had said it leaves. Cause: one join! read the configuration, the servers and the routers, one call brought all copies of another router, and after a failure the configuration was the probe without which the servers were not read. A configuration that a slow link could not carry in one call's time kept the news of servers away.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -16,15 +16,31 @@
     gateway::Core,
 };
 
-/// The path of a router's copies of what the store holds.
-pub(crate) const COPIES_PATH: &str = "/copies";
+/// The path of a router's lists of servers and routers.
+pub(crate) const LISTS_PATH: &str = "/lists";
+/// The path of a router's configuration.
+pub(crate) const CONFIGURATION_PATH: &str = "/configuration";
 
-/// What the calling router has already; sent in the query of its call.
+/// The configuration that the calling router has already; sent in the query of its call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub(crate) struct HeldConfiguration {
+    /// The store's revision of it.
+    pub(crate) revision: Option<u64>,
+}
+
+/// A router's configuration, unless the calling router has it already.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct ConfigurationCopy {
+    /// Time since the read that confirmed it began.
+    pub(crate) age_ms: u64,
+    pub(crate) object: Option<Arc<Object>>,
+}
+
+/// The lists that the calling router has already; sent in the query of its call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub(crate) struct HeldRevisions {
-    /// The store's revision of the caller's configuration.
-    pub(crate) configuration: Option<u64>,
     /// The store's revision up to which the caller's list of servers has all changes.
     pub(crate) servers: Option<u64>,
     /// The mark that identifies the state of the caller's list of routers.
@@ -41,12 +57,9 @@
     cause: String,
 }
 
-/// A router's copies of what the store holds, without what the calling router has already.
+/// A router's lists, without what the calling router has already.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Copies {
-    /// Time since the read that confirmed the configuration began.
-    pub(crate) configuration_age_ms: u64,
-    pub(crate) configuration: Option<Arc<Object>>,
+pub(crate) struct Lists {
     /// Time since the read that confirmed the list of servers began.
     pub(crate) servers_age_ms: u64,
     /// The names of all servers on the list.
@@ -60,7 +73,7 @@
     pub(crate) routers: Option<Arc<Vec<Object>>>,
 }
 
-/// Answers `/metrics`, `/dump`, `/copies`, `/caches` and `/clear-crash-cause`.
+/// Answers `/metrics`, `/dump`, `/lists`, `/configuration`, `/caches` and `/clear-crash-cause`.
 pub(crate) fn answer(core: &Core, method: &Method, uri: &Uri) -> Response<ResponseBody> {
     match uri.path() {
         CLEAR_CAUSE_PATH if method != Method::POST => {
@@ -72,8 +85,12 @@
             answers::plain(StatusCode::OK, &core.metrics.text(drain_age_ms))
         }
         "/dump" => answers::plain(StatusCode::OK, &format!("{:#?}", core.state())),
-        COPIES_PATH => match Query::<HeldRevisions>::try_from_uri(uri) {
-            Ok(Query(held)) => answers::plain(StatusCode::OK, &copies(core, held)),
+        LISTS_PATH => match Query::<HeldRevisions>::try_from_uri(uri) {
+            Ok(Query(held)) => as_json(&lists(core, held)),
+            Err(error) => answers::plain(StatusCode::BAD_REQUEST, &error.to_string()),
+        },
+        CONFIGURATION_PATH => match Query::<HeldConfiguration>::try_from_uri(uri) {
+            Ok(Query(held)) => as_json(&configuration(core, held)),
             Err(error) => answers::plain(StatusCode::BAD_REQUEST, &error.to_string()),
         },
         VIEWS_PATH => match Query::<KnownPositions>::try_from_uri(uri) {
@@ -82,7 +99,7 @@
         },
         _ => answers::plain(
             StatusCode::NOT_FOUND,
-            "there are /metrics, /dump, /copies, /caches and /clear-crash-cause",
+            "there are /metrics, /dump, /lists, /configuration, /caches and /clear-crash-cause",
         ),
     }
 }
@@ -105,32 +122,40 @@
     let Some(views) = cache_pull::views(core, known) else {
         return answers::plain(StatusCode::NOT_FOUND, "this router follows no store itself");
     };
-    match serde_json::to_string(&views) {
-        Ok(text) => answers::plain(StatusCode::OK, &text),
-        Err(error) => answers::plain(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    as_json(&views)
+}
+
+/// This router's configuration, for a router that has not read it from the store itself.
+fn configuration(core: &Core, held: HeldConfiguration) -> ConfigurationCopy {
+    let state = core.state();
+    let object = state.configuration_object.clone();
+    ConfigurationCopy {
+        age_ms: state.reads.configuration.age_ms(core.now()),
+        object: object.filter(|object| held.revision != Some(object.revision)),
     }
 }
 
-/// This router's copies of what the store holds, as JSON for a router that has not read the store
-/// itself.
-fn copies(core: &Core, held: HeldRevisions) -> String {
+/// This router's lists, for a router that has not read them from the store itself.
+fn lists(core: &Core, held: HeldRevisions) -> Lists {
     let now = core.now();
     let state = core.state();
-    let configuration = state.configuration_object.clone();
     let servers = state.server_objects.iter();
     let has_changed =
         |server: &&Arc<Object>| held.servers.is_none_or(|held| server.revision > held);
     let has_routers = held.routers == Some(state.reads.routers.mark());
-    let copies = Copies {
-        configuration_age_ms: state.reads.configuration.age_ms(now),
-        configuration: configuration.filter(|object| held.configuration != Some(object.revision)),
+    Lists {
         servers_age_ms: state.reads.servers.age_ms(now),
         server_names: servers.clone().map(|server| server.name.clone()).collect(),
         servers: servers.filter(has_changed).cloned().collect(),
         servers_revision: state.server_revision,
         routers_age_ms: state.reads.routers.age_ms(now),
         routers: (!has_routers).then(|| state.router_objects.clone()),
-    };
-    drop(state);
-    serde_json::to_string(&copies).unwrap_or_else(|error| format!("{{\"error\":\"{error}\"}}"))
+    }
+}
+
+fn as_json(value: &impl Serialize) -> Response<ResponseBody> {
+    match serde_json::to_string(value) {
+        Ok(text) => answers::plain(StatusCode::OK, &text),
+        Err(error) => answers::plain(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -104,8 +104,10 @@
     pub(crate) wake_publisher: Notify,
     /// Detects when the process was kept from running.
     pub(crate) freeze_detector: FreezeDetector,
-    /// Wakes the task that reads the store.
-    pub(crate) wake_store_reader: Notify,
+    /// Wakes the task that keeps the lists current.
+    pub(crate) wake_list_reader: Notify,
+    /// Wakes the task that keeps the configuration current.
+    pub(crate) wake_configuration_reader: Notify,
     /// The drain at the end of this process.
     pub(crate) drain: Drain,
     /// The time limits on callers' connections, which each connection follows.
@@ -164,7 +166,8 @@
             metrics: Metrics::default(),
             answer_memory: AnswerMemory::default(),
             wake_publisher: Notify::new(),
-            wake_store_reader: Notify::new(),
+            wake_list_reader: Notify::new(),
+            wake_configuration_reader: Notify::new(),
             freeze_detector: FreezeDetector::default(),
             drain: Drain::default(),
             caller_timeouts: watch::Sender::new(CallerTimeouts::new(&CallerLimits::default())),
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -217,7 +217,7 @@
 }
 
 fn goal(core: &Core, state: &State, holds: bool, now: MonoTime) -> LeaseGoal {
-    let is_able = state.reads.is_up && state.table.is_some() && !state.is_draining;
+    let is_able = state.reads.is_up() && state.table.is_some() && !state.is_draining;
     let is_needed = conduct::engines(state).any(|server| lacks_sidecar(server, now));
     let reads_for_all = reads::reads_for_all(core, state, now);
     if is_able && is_needed && (holds || reads_for_all) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -75,7 +75,7 @@
 fn request_routers_read(core: &Core, state: &mut State) {
     state.reads.routers = StoreCopy::default();
     state.reads.news.routers = true;
-    core.wake_store_reader.notify_one();
+    core.wake_list_reader.notify_one();
 }
 
 fn handle_link_status(
@@ -95,9 +95,7 @@
         router.echo = Some(echo);
     }
     let admin = router.admin;
-    if reads::compare_copies(core, state, status, from, admin) {
-        core.wake_store_reader.notify_one();
-    }
+    reads::compare_copies(core, state, status, from, admin);
 }
 
 fn handle_record(core: &Core, state: &mut State, fresh: &NewerRecord, now: MonoTime) {
@@ -198,7 +196,7 @@
     let Some(effect) = state.fleet.apply_update(update, now) else { return };
     if effect.shows_unlisted_run && reads::reads_for_all(core, state, now) {
         state.reads.news.servers = true;
-        core.wake_store_reader.notify_one();
+        core.wake_list_reader.notify_one();
     }
     // Grants that become due without such an update are made in `publish`, with each of this
     // router's records.
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -150,7 +150,7 @@
         false => (state.quotas.usage_since(now.minus_ms(RECENT_CHANGE_MS)), RECENT_CHANGE_MS),
     };
     RouterState {
-        reads_store: state.reads.is_up && state.table.is_some(),
+        reads_store: state.reads.is_up() && state.table.is_some(),
         can_conduct: conduct::can_conduct(state, now),
         holds_order_lease: state.holds_orders,
         order_lease_epoch: state.orders_epoch,
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -23,17 +23,23 @@
 /// How current this router's copies of the store's objects are, and what has to be read.
 #[derive(Debug)]
 pub(crate) struct Reads {
-    /// Whether this router's last own read of the store succeeded.
-    pub(crate) is_up: bool,
+    /// Whether this router's last own read of the servers succeeded.
+    pub(crate) servers_up: bool,
+    /// Whether its last own read of the configuration succeeded.
+    pub(crate) configuration_up: bool,
     pub(crate) configuration: StoreCopy,
     pub(crate) servers: StoreCopy,
     pub(crate) routers: StoreCopy,
-    /// The copies that are known to be out of date.
-    pub(crate) news: Parts,
+    /// The lists that are known to be out of date.
+    pub(crate) news: ListParts,
+    /// Whether the configuration is known to be out of date.
+    pub(crate) configuration_news: bool,
     /// The newest generation that another router has announced, and when this one first heard it.
     pub(crate) announced: Option<Announced>,
-    /// The admin address of the router that announced a difference, to fetch its copies from.
-    pub(crate) wanted_from: Option<SocketAddr>,
+    /// The admin address of the router that announced a list that differs, to fetch it from.
+    pub(crate) lists_from: Option<SocketAddr>,
+    /// The admin address of the router that announced a newer configuration, to fetch it from.
+    pub(crate) configuration_from: Option<SocketAddr>,
 }
 
 /// A generation of the configuration that another router has.
@@ -44,21 +50,19 @@
     pub(crate) since: MonoTime,
 }
 
-/// A set of the things that a router keeps copies of.
+/// A set of the lists that a router keeps copies of.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Parts {
-    pub(crate) configuration: bool,
+pub(crate) struct ListParts {
     pub(crate) servers: bool,
     pub(crate) routers: bool,
 }
 
-impl Parts {
+impl ListParts {
     pub(crate) fn any(self) -> bool {
-        self.configuration || self.servers || self.routers
+        self.servers || self.routers
     }
 
     fn add(&mut self, other: Self) {
-        self.configuration |= other.configuration;
         self.servers |= other.servers;
         self.routers |= other.routers;
     }
@@ -67,13 +71,16 @@
 impl Default for Reads {
     fn default() -> Self {
         Self {
-            is_up: true,
+            servers_up: true,
+            configuration_up: true,
             configuration: StoreCopy::default(),
             servers: StoreCopy::default(),
             routers: StoreCopy::default(),
-            news: Parts::default(),
+            news: ListParts::default(),
+            configuration_news: false,
             announced: None,
-            wanted_from: None,
+            lists_from: None,
+            configuration_from: None,
         }
     }
 }
@@ -87,11 +94,16 @@
         is_behind.then(|| now.ms_since(announced.since))
     }
 
-    /// Time since the oldest copy was confirmed. The age of the list of routers is divided by
+    /// Whether this router's last own reads of the store succeeded.
+    pub(crate) fn is_up(&self) -> bool {
+        self.servers_up && self.configuration_up
+    }
+
+    /// Time since the older list was confirmed. The age of the list of routers is divided by
     /// `rounds_per_routers_read`, since that list is read only once in so many rounds.
-    pub(crate) fn oldest_age_ms(&self, rounds_per_routers_read: u64, now: MonoTime) -> u64 {
+    pub(crate) fn oldest_list_age_ms(&self, rounds_per_routers_read: u64, now: MonoTime) -> u64 {
         let routers_ms = self.routers.age_ms(now) / rounds_per_routers_read;
-        self.configuration.age_ms(now).max(self.servers.age_ms(now)).max(routers_ms)
+        self.servers.age_ms(now).max(routers_ms)
     }
 }
 
@@ -100,7 +112,7 @@
 pub(crate) fn reads_for_all(core: &Core, state: &State, now: MonoTime) -> bool {
     let reads_for_us = |router: &OtherRouter| {
         let reads_store = router.recent_state(now).is_some_and(|published| published.reads_store);
-        reads_store && (!state.reads.is_up || precedes(&router.member, &core.member))
+        reads_store && (!state.reads.is_up() || precedes(&router.member, &core.member))
     };
     !state.routers.values().any(reads_for_us)
 }
@@ -114,34 +126,38 @@
     !state.routers.values().any(comes_first)
 }
 
-/// Compares this router's copies with those of the router that sent a link status. Returns whether
-/// there is something to read.
+/// Compares this router's copies with those of the router that sent a link status, and wakes the
+/// tasks that have something to read.
 pub(crate) fn compare_copies(
     core: &Core,
     state: &mut State,
     status: &LinkStatus,
     from: &InstanceName,
     admin: Option<SocketAddr>,
-) -> bool {
+) {
     // A link status that echoes an earlier run of this process gives the time of another clock.
-    let Some(echo) = status.echo.and_then(|echo| echo.of(core.incarnation)) else { return false };
+    let Some(echo) = status.echo.and_then(|echo| echo.of(core.incarnation)) else { return };
     note_announced(core, state, status.configuration.mark, from);
     let reads = &mut state.reads;
     // An older generation is never adopted, so only a higher one has to be read.
     let is_behind = status.configuration.mark < reads.configuration.mark();
-    let outdated = Parts {
-        configuration: !is_behind && reads.configuration.apply_report(status.configuration, echo),
+    if !is_behind && reads.configuration.apply_report(status.configuration, echo) {
+        reads.configuration_news = true;
+        reads.configuration_from = admin;
+        core.wake_configuration_reader.notify_one();
+    }
+    let outdated = ListParts {
         servers: reads.servers.apply_report(status.servers, echo),
         routers: reads.routers.apply_report(status.routers, echo),
     };
-    reads.news.add(outdated);
-    if let Some(confirmed) = reads.configuration.confirmed() {
-        state.contact.platform_answered(confirmed);
-    }
     if outdated.any() {
-        state.reads.wanted_from = admin;
+        reads.news.add(outdated);
+        reads.lists_from = admin;
+        core.wake_list_reader.notify_one();
+    }
+    if let Some(confirmed) = state.reads.configuration.confirmed() {
+        state.contact.platform_answered(confirmed);
     }
-    outdated.any()
 }
 
 /// Records and logs that another router has a newer configuration than this one.
--- a/crates/gateway/src/routers.rs
+++ b/crates/gateway/src/routers.rs
@@ -40,7 +40,7 @@
 async fn request_reread(core: Arc<Core>) {
     time::sleep(Duration::from_millis(JOINT_START_MS)).await;
     core.state().reads.news.routers = true;
-    core.wake_store_reader.notify_one();
+    core.wake_list_reader.notify_one();
 }
 
 /// Returns this router's entry on the list.
--- /dev/null
+++ b/crates/gateway/src/sync/lists.rs
@@ -0,0 +1,283 @@
+//! Keeps the lists of servers and routers current.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use samphirespread_adapter::{Changes, DecodeError, Kind, Listing, StoreError};
+use samphirespread_core::prelude::*;
+use samphirespread_logging::event;
+use samphirespread_routing::freshness::StoreCopy;
+use slog::{info, warn};
+
+use super::{
+    log_role_changes, log_store_failure, log_unreadable,
+    schedule::{Cause, Schedule, UNCONFIRMED_GRACE_MS},
+};
+use crate::{
+    admin::HeldRevisions,
+    copies,
+    fleet::FleetChange,
+    gateway::Core,
+    metrics::count,
+    reads::ListParts,
+    routers,
+    server_list::{ServerList, Unreadable},
+};
+
+/// Rounds of reads between two reads of the list of routers.
+const ROUNDS_PER_ROUTERS_READ: u64 = 3;
+/// Entries that lapsed during an outage of the store are back on the list this long after it.
+const LAPSED_ENTRY_GRACE_MS: u64 = 2_000;
+
+/// The result of a read of the servers.
+enum ServersRead {
+    Listed(Listing),
+    Changed(Changes),
+}
+
+/// Keeps the lists current for as long as the process runs.
+///
+/// Reads at regular intervals if this router reads for all. Otherwise reads when another router
+/// announces a list that differs, and when nobody confirms this router's lists.
+pub(super) async fn follow(core: Arc<Core>) {
+    let mut reader = ListReader {
+        core: core.clone(),
+        servers: ServerList::default(),
+        keep_missing_until: MonoTime::ZERO,
+    };
+    let mut schedule = Schedule::new(
+        |reads| reads.servers_up,
+        |reads, now| reads.oldest_list_age_ms(ROUNDS_PER_ROUTERS_READ, now),
+    );
+    let mut round: u64 = 0;
+    loop {
+        let cause = schedule.next(&core, &core.wake_list_reader).await;
+        log_role_changes(&core);
+        let Some(cause) = cause else { continue };
+        let outdated = std::mem::take(&mut core.state().reads.news);
+        match cause {
+            Cause::ReadIsDue => {
+                let routers = outdated.routers || round.is_multiple_of(ROUNDS_PER_ROUTERS_READ);
+                reader.read(ListParts { servers: true, routers }).await;
+                round += 1;
+            }
+            Cause::Announced if outdated.any() => reader.read_outdated(outdated).await,
+            Cause::Announced => {}
+        }
+    }
+}
+
+struct ListReader {
+    core: Arc<Core>,
+    servers: ServerList,
+    /// Servers that are missing on the list are kept until then.
+    keep_missing_until: MonoTime,
+}
+
+impl ListReader {
+    /// Reads the requested lists from the store.
+    ///
+    /// The servers come first, as requests must not go on to one that leaves. If the store was down,
+    /// that call also shows whether it is back.
+    async fn read(&mut self, parts: ListParts) {
+        let core = self.core.clone();
+        let began = core.now();
+        let was_up = core.state().reads.servers_up;
+        let mut is_up = was_up;
+        if parts.servers || !was_up {
+            let servers = self.read_servers().await;
+            is_up = servers.is_ok();
+            self.apply_servers_read(servers, began);
+            self.record_availability(is_up);
+        }
+        if parts.routers && is_up {
+            let began = core.now();
+            match core.store.list(Kind::Routers).await {
+                Ok(listing) => routers::apply_listing(&core, &listing, began).await,
+                Err(error) => self.record_failure("routers", &error),
+            }
+        }
+        let wanted_from = core.state().reads.lists_from.take();
+        if let Some(address) = wanted_from.filter(|_| !is_up) {
+            self.read_from_router(address).await;
+        }
+    }
+
+    /// Updates the lists that differ from those of another router: from that router if it is known
+    /// and answers, else from the store.
+    async fn read_outdated(&mut self, outdated: ListParts) {
+        let announced_by = self.core.state().reads.lists_from.take();
+        let was_fetched = match announced_by {
+            Some(address) => self.read_from_router(address).await,
+            None => false,
+        };
+        if !was_fetched {
+            self.read(outdated).await;
+        }
+    }
+
+    /// Fetches the lists of another router. Returns false if that fails, or if they include a newer
+    /// list of routers on which this router is missing.
+    async fn read_from_router(&mut self, address: SocketAddr) -> bool {
+        let began = self.core.now();
+        let fetched = copies::fetch_lists(address, self.held()).await;
+        let took_ms = self.core.now().ms_since(began);
+        let (lists, bytes) = match fetched {
+            Ok(fetched) => fetched,
+            Err(error) => {
+                info!(self.core.log, "{}", event::COPIES_NOT_HAD; "router" => %address,
+                    "of" => "lists", "error" => %error, "took_ms" => took_ms);
+                return false;
+            }
+        };
+        info!(self.core.log, "{}", event::COPIES_HAD; "router" => %address, "of" => "lists",
+            "age_ms" => lists.servers_age_ms, "servers_changed" => lists.servers.len(),
+            "bytes" => bytes, "took_ms" => took_ms);
+        let read_began = began.minus_ms(lists.servers_age_ms);
+        if self.core.state().reads.servers.confirmed() < Some(read_began) {
+            let revision = lists.servers_revision;
+            let unreadable = self.servers.apply_copy(lists.servers, &lists.server_names, revision);
+            self.apply_server_list(&unreadable, read_began);
+        }
+        let read_began = began.minus_ms(lists.routers_age_ms);
+        let Some(routers) = lists.routers else { return true };
+        let is_older = self.core.state().reads.routers.confirmed() >= Some(read_began);
+        is_older || routers::apply_copy(&self.core, &routers, read_began)
+    }
+
+    /// The revision and the mark of this router's own lists, which the other router need not send
+    /// again.
+    fn held(&self) -> HeldRevisions {
+        let state = self.core.state();
+        HeldRevisions {
+            servers: self.servers.revision(),
+            routers: state.reads.routers.confirmed().map(|_| state.reads.routers.mark()),
+        }
+    }
+
+    /// Records whether the store has answered, and wakes the task that waits for its return.
+    fn record_availability(&self, is_up: bool) {
+        let now = self.core.now();
+        let mut state = self.core.state();
+        if std::mem::replace(&mut state.reads.servers_up, is_up) == is_up {
+            return;
+        }
+        let age_ms = state.contact.age_ms(now);
+        drop(state);
+        if is_up {
+            info!(self.core.log, "{}", event::STORE_REGAINED);
+            self.core.wake_configuration_reader.notify_one();
+        } else {
+            warn!(self.core.log, "{}", event::STORE_LOST; "contact_age_ms" => age_ms);
+        }
+    }
+
+    fn record_failure(&self, call: &'static str, error: &StoreError) {
+        if self.core.state().reads.servers_up {
+            log_store_failure(&self.core, call, error);
+        } else {
+            count(&self.core.metrics.store_failures, call);
+        }
+    }
+
+    /// Reads the changes of the servers since the last read, or all servers if the changes are not
+    /// available.
+    async fn read_servers(&self) -> Result<ServersRead, StoreError> {
+        let store = &self.core.store;
+        if let Some(revision) = self.servers.revision() {
+            match store.watch(Kind::BackendServers, revision, 0).await {
+                // A store that was restored to an earlier state can't say what has changed.
+                Ok(changes) if changes.revision < revision => {}
+                Err(StoreError::HistoryGone) => {}
+                read => return read.map(ServersRead::Changed),
+            }
+        }
+        store.list(Kind::BackendServers).await.map(ServersRead::Listed)
+    }
+
+    fn apply_servers_read(&mut self, read: Result<ServersRead, StoreError>, began: MonoTime) {
+        let read = match read {
+            Ok(read) => read,
+            Err(error) => return self.record_failure("servers", &error),
+        };
+        let outage_ms = 2 * self.core.settings.store.poll_ms + UNCONFIRMED_GRACE_MS;
+        let confirmed = self.core.state().reads.servers.confirmed();
+        if confirmed.is_some_and(|confirmed| began.ms_since(confirmed) > outage_ms) {
+            self.keep_missing_until = began.plus_ms(LAPSED_ENTRY_GRACE_MS);
+        }
+        let unreadable = match read {
+            ServersRead::Changed(changes) if changes.changes.is_empty() && confirmed.is_some() => {
+                self.servers.apply(Vec::new(), changes.revision);
+                self.handle_unnamed_changes(&changes.unreadable);
+                let mut state = self.core.state();
+                state.server_revision = self.servers.revision();
+                let mark = state.reads.servers.mark();
+                state.reads.servers.read(mark, began);
+                return;
+            }
+            ServersRead::Changed(changes) => {
+                let unreadable = self.servers.apply(changes.changes, changes.revision);
+                self.handle_unnamed_changes(&changes.unreadable);
+                unreadable
+            }
+            ServersRead::Listed(listing) => {
+                for error in &listing.unreadable {
+                    log_unreadable(&self.core, "server", error);
+                }
+                let objects = listing.objects.into_iter().map(Arc::new);
+                let (servers, unreadable) = ServerList::new(objects, Some(listing.revision));
+                self.servers = servers;
+                unreadable
+            }
+        };
+        self.apply_server_list(&unreadable, began);
+    }
+
+    /// Logs changes without a readable name. It is not known which servers they change, so the next
+    /// read lists all.
+    fn handle_unnamed_changes(&mut self, unreadable: &[DecodeError]) {
+        for error in unreadable {
+            log_unreadable(&self.core, "server", error);
+        }
+        if !unreadable.is_empty() {
+            self.servers.forget_revision();
+        }
+    }
+
+    /// Applies the list to the fleet, and logs what has changed.
+    fn apply_server_list(&self, unreadable: &[Unreadable], began: MonoTime) {
+        for entry in unreadable {
+            log_unreadable(&self.core, &entry.name, &entry.error);
+        }
+        let keeps_missing = began < self.keep_missing_until;
+        let now = self.core.now();
+        let mut state = self.core.state();
+        let changes = state.fleet.replace(self.servers.servers(), keeps_missing, now);
+        state.has_fleet = true;
+        if keeps_missing {
+            // The missing servers have to be checked again, so no other router may confirm this
+            // list.
+            state.reads.servers = StoreCopy::default();
+        } else {
+            state.reads.servers.read(self.servers.mark(), began);
+        }
+        state.server_objects = self.servers.objects();
+        state.server_revision = self.servers.revision();
+        drop(state);
+        for change in changes {
+            match change {
+                FleetChange::Appeared(id) => {
+                    info!(self.core.log, "{}", event::SERVER_APPEARED; "server" => &*id);
+                }
+                FleetChange::Draining(id) => {
+                    info!(self.core.log, "{}", event::SERVER_DRAINS; "server" => &*id, "source" => "list");
+                }
+                FleetChange::Gone(id) => {
+                    info!(self.core.log, "{}", event::SERVER_GONE; "server" => &*id);
+                }
+                FleetChange::Restarted(id) => {
+                    info!(self.core.log, "{}", event::SERVER_RESTARTED; "server" => &*id);
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -53,7 +53,7 @@
     let mut current_as_of = None;
     loop {
         let began = core.now();
-        let is_down = current_as_of.is_some() && !core.state().reads.is_up;
+        let is_down = current_as_of.is_some() && !core.state().reads.is_up();
         if is_down || !follows_store(&core, revision, &mut current_as_of) {
             revision = None;
             time::sleep(Duration::from_millis(CHECK_INTERVAL_MS)).await;
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -77,8 +77,8 @@
     ROUTER_REMOVED, "silent router removed", "A silent router was removed from the list", "router, answer";
     READS_FOR_OTHERS, "reads for others", "This router reads the store for the others", "";
     LEAVES_READING, "leaves reading to another", "Another router reads the store", "";
-    COPIES_HAD, "copies had from a router", "Configuration and list were copied from another router", "router, configuration_age_ms, servers_age_ms, servers_changed, bytes, took_ms";
-    COPIES_NOT_HAD, "copies not had", "Copies could not be fetched from another router", "router, error, took_ms";
+    COPIES_HAD, "copies had from a router", "The configuration or the lists were copied from another router", "router, of, age_ms, servers_changed, bytes, took_ms";
+    COPIES_NOT_HAD, "copies not had", "Copies could not be fetched from another router", "router, of, error, took_ms";
     ENTRY_LEFT_OUT, "entry left out", "An entry of the store can't be decoded and is ignored", "entry, error";
     WEIGHTS_NAMED, "weights named", "A new version of weights was named", "model, version, source, age_ms";
     WEIGHTS_NOT_FOLLOWED, "weights not followed", "A watch of the named versions of weights failed; it is retried", "error";
