Transfer a large configuration once, compressed, and limit silence instead of the whole

Callers' requests were handled by a configuration older than the bound, or got 404 for a route that had been added. Cause: each answer had to be whole within a fixed time (500 ms between routers, 800 ms from the store). What a slow link had carried by then was thrown away and asked for again; the store then counted as down.

* What ends a transfer is silence; the whole has a limit of seconds.
So a link that carries something gets there.
* Between routers the configuration is compressed once and passed on as it is.
* The store is asked for changes since the last answer, so nothing is read or decoded while nothing changes.
* Entries are decoded straight from the text, once, in steps between which requests are handled; the table is built before the state is locked.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashSet, sync::Arc};
 
 use axum::extract::Query;
+use bytes::Bytes;
 use http::{Method, Response, StatusCode, Uri};
 use samphirespread_adapter::Object;
 use samphirespread_routing::crash_causes::CauseKey;
@@ -29,13 +30,12 @@
     pub(crate) revision: Option<u64>,
 }
 
-/// A router's configuration, unless the calling router has it already.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct ConfigurationCopy {
-    /// Time since the read that confirmed it began.
-    pub(crate) age_ms: u64,
-    pub(crate) object: Option<Arc<Object>>,
-}
+/// The header with the milliseconds since the read that confirmed the configuration began.
+pub(crate) const AGE_MS: &str = "configuration-age-ms";
+/// The header with the store's revision at which the configuration was written.
+pub(crate) const REVISION: &str = "configuration-revision";
+/// The header with the store's revision up to which the configuration is the newest.
+pub(crate) const AS_OF: &str = "configuration-as-of";
 
 /// The lists that the calling router has already; sent in the query of its call.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -90,7 +90,7 @@
             Err(error) => answers::plain(StatusCode::BAD_REQUEST, &error.to_string()),
         },
         CONFIGURATION_PATH => match Query::<HeldConfiguration>::try_from_uri(uri) {
-            Ok(Query(held)) => as_json(&configuration(core, held)),
+            Ok(Query(held)) => configuration(core, held),
             Err(error) => answers::plain(StatusCode::BAD_REQUEST, &error.to_string()),
         },
         VIEWS_PATH => match Query::<KnownPositions>::try_from_uri(uri) {
@@ -125,14 +125,25 @@
     as_json(&views)
 }
 
-/// This router's configuration, for a router that has not read it from the store itself.
-fn configuration(core: &Core, held: HeldConfiguration) -> ConfigurationCopy {
-    let state = core.state();
-    let object = state.configuration_object.clone();
-    ConfigurationCopy {
-        age_ms: state.reads.configuration.age_ms(core.now()),
-        object: object.filter(|object| held.revision != Some(object.revision)),
+/// This router's configuration, compressed, for a router that has not read it from the store itself.
+/// The body is empty if the other router has it already.
+fn configuration(core: &Core, held: HeldConfiguration) -> Response<ResponseBody> {
+    let (known, age_ms) = {
+        let state = core.state();
+        let age_ms = state.reads.configuration.age_ms(core.now());
+        (state.packed_configuration.clone(), age_ms)
+    };
+    let Some(known) = known else {
+        return answers::plain(StatusCode::NOT_FOUND, "this router has no configuration yet");
+    };
+    let is_held = held.revision == Some(known.revision);
+    let body = if is_held { Bytes::new() } else { known.bytes };
+    let mut response = Response::new(ResponseBody::whole(body));
+    let headers = response.headers_mut();
+    for (name, value) in [(AGE_MS, age_ms), (REVISION, known.revision), (AS_OF, known.as_of)] {
+        headers.insert(name, value.into());
     }
+    response
 }
 
 /// This router's lists, for a router that has not read them from the store itself.
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -1,81 +1,112 @@
 //! Fetches another router's copies of the store's objects.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
 use bytes::Bytes;
 use displaydoc::Display;
-use http::{Request, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
-use samphirespread_outbound::Connection;
-use serde::de::DeserializeOwned;
-use tokio::time;
+use samphirespread_outbound::{Connection, ExchangeLimits, OpenError, SendError};
 
-use crate::admin::{CONFIGURATION_PATH, ConfigurationCopy, HeldRevisions, LISTS_PATH, Lists};
+use crate::{
+    admin::{AGE_MS, AS_OF, CONFIGURATION_PATH, HeldRevisions, LISTS_PATH, Lists, REVISION},
+    packing::unpack,
+};
 
-/// Time limit of the whole exchange.
-const TIMEOUT_MS: u64 = 500;
+/// Time limit for opening a connection, for the head of an answer, and between two pieces of its
+/// body. A large answer takes longer as a whole on a slow link.
+const SILENCE_MS: u64 = 500;
+/// Time limit of the whole exchange. A configuration that takes longer does not come into force in
+/// time anyhow.
+const WHOLE_MS: u64 = 6_000;
 /// The largest accepted answer.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
 /// The reason why copies could not be fetched.
 #[derive(Debug, Display)]
 pub(crate) enum CopiesError {
-    /// no answer within {timeout_ms} ms
-    Silent {
-        /// The time limit.
-        timeout_ms: u64,
-    },
     /// {0}
-    Failed(String),
+    NoConnection(OpenError),
+    /// {0}
+    NoAnswer(SendError),
+    /// status {0}
+    Status(StatusCode),
+    /// unreadable: {0}
+    Malformed(String),
 }
 
 impl std::error::Error for CopiesError {}
 
+/// Another router's configuration.
+#[derive(Debug)]
+pub(crate) struct ConfigurationCopy {
+    /// Time since the read that confirmed it began.
+    pub(crate) age_ms: u64,
+    /// The store's revision at which it was written.
+    pub(crate) revision: u64,
+    /// The store's revision up to which it is the newest.
+    pub(crate) as_of: u64,
+    /// Its content, compressed; empty if the caller has it already.
+    pub(crate) packed: Bytes,
+    /// Its content; empty if the caller has it already.
+    pub(crate) spec: Bytes,
+}
+
 /// Fetches from the router with this admin address the lists that differ from those in `held`.
 /// Returns them with the size of the answer in bytes.
 pub(crate) async fn fetch_lists(
     address: SocketAddr,
     held: HeldRevisions,
 ) -> Result<(Lists, usize), CopiesError> {
-    fetch(address, &path(LISTS_PATH, &[("servers", held.servers), ("routers", held.routers)])).await
+    let held = [("servers", held.servers), ("routers", held.routers)];
+    let body = fetch(address, &path(LISTS_PATH, &held)).await?.into_body();
+    let lists = serde_json::from_slice(&body);
+    let lists = lists.map_err(|error| CopiesError::Malformed(error.to_string()))?;
+    Ok((lists, body.len()))
 }
 
 /// Fetches the configuration of the router with this admin address, unless it is at the revision
-/// `held`. Returns it with the size of the answer in bytes.
+/// `held`.
 pub(crate) async fn fetch_configuration(
     address: SocketAddr,
     held: Option<u64>,
-) -> Result<(ConfigurationCopy, usize), CopiesError> {
-    fetch(address, &path(CONFIGURATION_PATH, &[("revision", held)])).await
+) -> Result<ConfigurationCopy, CopiesError> {
+    let response = fetch(address, &path(CONFIGURATION_PATH, &[("revision", held)])).await?;
+    let number = |name: &'static str| number_in(response.headers(), name);
+    let (age_ms, revision, as_of) = (number(AGE_MS)?, number(REVISION)?, number(AS_OF)?);
+    let packed = response.into_body();
+    let spec = match packed.is_empty() {
+        true => Bytes::new(),
+        false => {
+            let unpacked = unpack(&packed).await;
+            unpacked.map_err(|error| CopiesError::Malformed(error.to_string()))?
+        }
+    };
+    Ok(ConfigurationCopy { age_ms, revision, as_of, packed, spec })
 }
 
-async fn fetch<T: DeserializeOwned>(
-    address: SocketAddr,
-    path: &str,
-) -> Result<(T, usize), CopiesError> {
-    time::timeout(Duration::from_millis(TIMEOUT_MS), exchange(address, path))
-        .await
-        .map_err(|_| CopiesError::Silent { timeout_ms: TIMEOUT_MS })?
-        .map_err(CopiesError::Failed)
+fn number_in(headers: &HeaderMap, name: &'static str) -> Result<u64, CopiesError> {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    let number = value.and_then(|value| value.parse().ok());
+    number.ok_or_else(|| CopiesError::Malformed(format!("{name} is not a whole number")))
 }
 
-async fn exchange<T: DeserializeOwned>(
-    address: SocketAddr,
-    path: &str,
-) -> Result<(T, usize), String> {
-    let mut connection =
-        Connection::open(address, TIMEOUT_MS).await.map_err(|error| error.to_string())?;
-    let request = Request::get(path)
-        .header(header::HOST, address.to_string())
-        .body(Full::new(Bytes::new()))
-        .map_err(|error| error.to_string())?;
-    let (status, body) =
-        connection.exchange(request, MAX_ANSWER_BYTES).await.map_err(|error| error.to_string())?;
-    if status != StatusCode::OK {
-        return Err(format!("status {}", status.as_u16()));
+async fn fetch(address: SocketAddr, path: &str) -> Result<Response<Bytes>, CopiesError> {
+    let limits = ExchangeLimits { head_ms: SILENCE_MS, silence_ms: SILENCE_MS, whole_ms: WHOLE_MS };
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() =
+        path.parse().map_err(|_| CopiesError::Malformed(format!("path {path}")))?;
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        request.headers_mut().insert(header::HOST, host);
+    }
+    let connection = Connection::open(address, SILENCE_MS).await;
+    let mut connection = connection.map_err(CopiesError::NoConnection)?;
+    let response = connection.exchange_within(request, MAX_ANSWER_BYTES, limits).await;
+    let response = response.map_err(CopiesError::NoAnswer)?;
+    match response.status() {
+        StatusCode::OK => Ok(response),
+        other => Err(CopiesError::Status(other)),
     }
-    let copy = serde_json::from_slice(&body).map_err(|error| error.to_string())?;
-    Ok((copy, body.len()))
 }
 
 fn path(path: &str, held: &[(&str, Option<u64>)]) -> String {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod handle;
 mod metrics;
 mod orders;
+mod packing;
 mod peers;
 mod publish;
 mod reads;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,10 +2,12 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    fmt,
     net::SocketAddr,
     sync::Arc,
 };
 
+use bytes::Bytes;
 use samphirespread_adapter::Object;
 use samphirespread_core::prelude::*;
 use samphirespread_fabric::{Fabric, Member};
@@ -71,8 +73,8 @@
     pub(crate) contact: Contact,
     /// How current this router's copies of the store's objects are.
     pub(crate) reads: Reads,
-    /// The store's object of the configuration in force.
-    pub(crate) configuration_object: Option<Arc<Object>>,
+    /// The configuration in force, as other routers fetch it.
+    pub(crate) packed_configuration: Option<PackedConfiguration>,
     /// The store's objects of the list of backend servers.
     pub(crate) server_objects: Arc<Vec<Arc<Object>>>,
     /// The store's revision up to which that list includes all changes.
@@ -129,6 +131,27 @@
     pub(crate) unreadable: HashSet<String>,
 }
 
+/// The configuration in force, as other routers fetch it.
+#[derive(Clone)]
+pub(crate) struct PackedConfiguration {
+    /// The content of the store's object, compressed.
+    pub(crate) bytes: Bytes,
+    /// The store's revision at which it was written.
+    pub(crate) revision: u64,
+    /// The store's revision up to which it is the newest.
+    pub(crate) as_of: u64,
+}
+
+impl fmt::Debug for PackedConfiguration {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PackedConfiguration")
+            .field("bytes", &self.bytes.len())
+            .field("revision", &self.revision)
+            .field("as_of", &self.as_of)
+            .finish()
+    }
+}
+
 /// Whether a router is ready to take requests, or why not.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Readiness {
@@ -232,7 +255,7 @@
             was_leading: false,
             contact: contact(&settings.bounds),
             reads: Reads::default(),
-            configuration_object: None,
+            packed_configuration: None,
             server_objects: Arc::default(),
             server_revision: None,
             router_objects: Arc::default(),
--- a/crates/gateway/src/sync/configuration.rs
+++ b/crates/gateway/src/sync/configuration.rs
@@ -2,19 +2,32 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
+use bytes::Bytes;
 use samphirespread_adapter::{
-    Kind, Object, StoreError, configuration, objects::CONFIGURATION_NAME,
+    DecodeError, DocumentRead, DocumentState, Kind, StoreError,
+    configuration::{Decoded, Decoder},
+    objects::CONFIGURATION_NAME,
 };
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
 use samphirespread_routing::table::Table;
 use slog::info;
+use tokio::task::yield_now;
 
 use super::{
     log_store_failure, log_unreadable,
     schedule::{Cause, Schedule},
 };
-use crate::{copies, gateway::Core, metrics};
+use crate::{
+    copies::{self, ConfigurationCopy},
+    gateway::Core,
+    metrics,
+    packing::pack,
+    state::PackedConfiguration,
+};
+
+/// Routes that are decoded in one step. Requests are handled between two steps.
+const ROUTES_PER_STEP: usize = 100;
 
 /// Keeps the configuration current for as long as the process runs.
 ///
@@ -42,17 +55,32 @@
     core: Arc<Core>,
 }
 
+/// A configuration that was read, and what is known of it.
+struct NewConfiguration {
+    spec: Bytes,
+    /// The same, as it is passed on. `None` if it has yet to be compressed.
+    packed: Option<Bytes>,
+    /// The store's revision at which it was written.
+    revision: u64,
+    /// The store's revision up to which it is the newest.
+    as_of: u64,
+    read_began: MonoTime,
+}
+
 impl ConfigurationReader {
     /// Reads the configuration from the store. While the store is down, the task that reads the lists
     /// finds out when it is back.
     async fn read(&self) {
         let core = &self.core;
-        let is_reachable = core.state().reads.servers_up;
+        let (is_reachable, since) = {
+            let state = core.state();
+            (state.reads.servers_up, state.packed_configuration.as_ref().map(|known| known.as_of))
+        };
         if is_reachable {
             let began = core.now();
-            let read = core.store.get(Kind::Configuration, CONFIGURATION_NAME).await;
+            let read = core.store.document(Kind::Configuration, CONFIGURATION_NAME, since).await;
             core.state().reads.configuration_up = read.is_ok();
-            self.apply_read(read, began);
+            self.apply_read(read, began).await;
         }
         let announced_by = {
             let mut state = core.state();
@@ -81,75 +109,115 @@
     async fn read_from_router(&self, address: SocketAddr) -> bool {
         let core = &self.core;
         let began = core.now();
-        let held = core.state().configuration_object.as_ref().map(|object| object.revision);
+        let held = core.state().packed_configuration.as_ref().map(|known| known.revision);
         let fetched = copies::fetch_configuration(address, held).await;
         let took_ms = core.now().ms_since(began);
-        let (copy, bytes) = match fetched {
-            Ok(fetched) => fetched,
+        let copy = match fetched {
+            Ok(copy) => copy,
             Err(error) => {
                 info!(core.log, "{}", event::COPIES_NOT_HAD; "router" => %address,
                     "of" => "configuration", "error" => %error, "took_ms" => took_ms);
                 return false;
             }
         };
+        let ConfigurationCopy { age_ms, revision, as_of, packed, spec } = copy;
         info!(core.log, "{}", event::COPIES_HAD; "router" => %address, "of" => "configuration",
-            "age_ms" => copy.age_ms, "bytes" => bytes, "took_ms" => took_ms);
-        if let Some(object) = copy.object {
-            self.apply_object(Object::clone(&object), began.minus_ms(copy.age_ms));
+            "age_ms" => age_ms, "bytes" => packed.len(), "took_ms" => took_ms);
+        let read_began = began.minus_ms(age_ms);
+        if spec.is_empty() {
+            return true;
         }
+        self.apply(NewConfiguration { spec, packed: Some(packed), revision, as_of, read_began })
+            .await;
         true
     }
 
-    fn apply_read(&self, read: Result<Option<Object>, StoreError>, began: MonoTime) {
-        let object = match read {
-            Ok(object) => object,
+    async fn apply_read(&self, read: Result<DocumentRead, StoreError>, began: MonoTime) {
+        let DocumentRead { state: document, as_of } = match read {
+            Ok(read) => read,
             Err(error) => return log_store_failure(&self.core, "configuration", &error),
         };
         let took_ms = self.core.now().ms_since(began);
         self.core.metrics.store_call_s.observe(metrics::seconds(took_ms));
-        match object {
-            Some(object) => self.apply_object(object, began),
+        match document {
+            DocumentState::Present(document) => {
+                let (spec, revision) = (document.spec, document.revision);
+                let new =
+                    NewConfiguration { spec, packed: None, revision, as_of, read_began: began };
+                self.apply(new).await;
+            }
+            DocumentState::Unchanged => self.confirm(as_of, began),
             // Without a configuration in the store there is none that could be out of date.
-            None => self.core.state().contact.platform_answered(began),
+            DocumentState::Absent => self.core.state().contact.platform_answered(began),
         }
     }
 
-    fn apply_object(&self, object: Object, began: MonoTime) {
-        match configuration::decode(&object.spec) {
-            Ok(decoded) => adopt(&self.core, decoded, object, began),
+    /// Records that the configuration in force is still the newest one.
+    fn confirm(&self, as_of: u64, began: MonoTime) {
+        let mut state = self.core.state();
+        let generation = state.reads.configuration.mark();
+        state.reads.configuration.read(generation, began);
+        state.contact.platform_answered(began);
+        if let Some(known) = &mut state.packed_configuration {
+            known.as_of = as_of;
+        }
+    }
+
+    async fn apply(&self, new: NewConfiguration) {
+        if let Err(error) = self.try_apply(new).await {
             // A configuration that can't be decoded doesn't confirm the one in force.
-            Err(error) => log_unreadable(&self.core, "configuration", &error),
+            log_unreadable(&self.core, "configuration", &error);
         }
     }
+
+    /// Puts a configuration in force, unless that or a newer one is.
+    async fn try_apply(&self, new: NewConfiguration) -> Result<(), DecodeError> {
+        let NewConfiguration { spec, packed, revision, as_of, read_began } = new;
+        let mut decoder = Decoder::new(&spec)?;
+        let known = self.core.state().table.as_ref().map(|table| table.configuration().generation);
+        if known > Some(decoder.generation()) {
+            return Ok(());
+        }
+        if known == Some(decoder.generation()) {
+            self.confirm(as_of, read_began);
+            return Ok(());
+        }
+        while decoder.decode_routes(ROUTES_PER_STEP) {
+            yield_now().await;
+        }
+        let decoded = decoder.finish();
+        // Other routers ask for it as soon as it is in force here.
+        let bytes = match packed {
+            Some(packed) => packed,
+            None => pack(&spec).await,
+        };
+        adopt(&self.core, decoded, PackedConfiguration { bytes, revision, as_of }, read_began);
+        Ok(())
+    }
 }
 
-/// Puts a configuration in force, unless a newer one is, and records when it was read.
-fn adopt(core: &Core, decoded: configuration::Decoded, object: Object, began: MonoTime) {
-    let configuration::Decoded { configuration, unreadable } = decoded;
+/// Puts a configuration in force, and records when it was read.
+fn adopt(core: &Core, decoded: Decoded, packed: PackedConfiguration, read_began: MonoTime) {
+    let Decoded { configuration, unreadable } = decoded;
     for error in &unreadable {
         log_unreadable(core, "configuration", error);
     }
+    let table = Table::new(configuration);
+    let configuration = table.configuration();
     let now = core.now();
-    let generation = configuration.generation;
     let mut state = core.state();
-    let known = state.table.as_ref().map(|table| table.configuration().generation);
-    if known.is_some_and(|known| known > generation) {
-        return;
-    }
     let behind_ms = state.reads.behind_ms(now).unwrap_or(0);
-    state.reads.configuration.read(generation, began);
-    state.contact.platform_answered(began);
-    if known == Some(generation) {
-        return;
-    }
-    info!(core.log, "{}", event::CONFIGURATION_ADOPTED; "generation" => generation,
+    let known = state.table.as_ref().map(|table| table.configuration().generation);
+    state.reads.configuration.read(configuration.generation, read_began);
+    state.contact.platform_answered(read_began);
+    info!(core.log, "{}", event::CONFIGURATION_ADOPTED; "generation" => configuration.generation,
         "before" => known, "routes" => configuration.routes.len(),
         "services" => configuration.services.len(), "teams" => configuration.teams.len(),
-        "read_age_ms" => now.ms_since(began), "behind_ms" => behind_ms);
+        "read_age_ms" => now.ms_since(read_began), "behind_ms" => behind_ms);
     let quotas = configuration.teams.iter().map(|team| (&team.name, team.quota));
     state.quotas.set_teams(quotas, now);
-    let limits = configuration.caller_limits;
-    core.caller_timeouts.send_if_modified(|timeouts| timeouts.set(&limits, now));
-    state.table = Some(Arc::new(Table::new(configuration)));
-    state.configuration_object = Some(Arc::new(object));
+    core.caller_timeouts
+        .send_if_modified(|timeouts| timeouts.set(&configuration.caller_limits, now));
+    state.table = Some(Arc::new(table));
+    state.packed_configuration = Some(packed);
 }
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -2,7 +2,7 @@
 
 use std::{error::Error, io::ErrorKind, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -42,10 +42,33 @@
     NotSent,
     /// the connection broke after the request was sent: {0}
     Broken(String),
+    /// nothing arrived for {limit_ms} ms
+    Silent {
+        /// The time limit, in milliseconds.
+        limit_ms: u64,
+    },
+    /// the answer was not whole after {limit_ms} ms
+    TooSlow {
+        /// The time limit, in milliseconds.
+        limit_ms: u64,
+    },
 }
 
 impl Error for SendError {}
 
+/// Time limits of an exchange whose answer may be large.
+///
+/// A large answer takes long on a slow link, so what ends the exchange early is silence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExchangeLimits {
+    /// Time until the head of the answer, in milliseconds.
+    pub head_ms: u64,
+    /// Time between two pieces of its body, in milliseconds.
+    pub silence_ms: u64,
+    /// Time for the whole exchange, in milliseconds.
+    pub whole_ms: u64,
+}
+
 /// A connection that carries one request at a time.
 ///
 /// Dropping it resets the connection, even while a response body is being read. The reset discards
@@ -126,12 +149,51 @@
         Ok((status, body.to_bytes()))
     }
 
+    /// Sends a request and reads the whole response, which may take long as long as it keeps coming.
+    ///
+    /// # Errors
+    ///
+    /// Like [`Connection::exchange`], and when a time limit is exceeded.
+    pub async fn exchange_within(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+        limits: ExchangeLimits,
+    ) -> Result<Response<Bytes>, SendError> {
+        let limit_ms = limits.whole_ms;
+        let exchange = self.exchange_until_silent(request, max_bytes, limits);
+        let result = time::timeout(Duration::from_millis(limit_ms), exchange).await;
+        result.unwrap_or(Err(SendError::TooSlow { limit_ms }))
+    }
+
+    async fn exchange_until_silent(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        max_bytes: usize,
+        limits: ExchangeLimits,
+    ) -> Result<Response<Bytes>, SendError> {
+        let response = within(limits.head_ms, self.send(request)).await??;
+        let (parts, body) = response.into_parts();
+        let mut body = Limited::new(body, max_bytes);
+        let mut whole = BytesMut::new();
+        while let Some(frame) = within(limits.silence_ms, body.frame()).await? {
+            let frame = frame.map_err(|error| SendError::Broken(error.to_string()))?;
+            whole.extend_from_slice(&frame.into_data().unwrap_or_default());
+        }
+        Ok(Response::from_parts(parts, whole.freeze()))
+    }
+
     /// Whether the previous exchange is complete and the connection is still open.
     pub fn is_reusable(&self) -> bool {
         self.sender.is_ready() && !self.io_task.is_finished()
     }
 }
 
+async fn within<T>(limit_ms: u64, event: impl Future<Output = T>) -> Result<T, SendError> {
+    let result = time::timeout(Duration::from_millis(limit_ms), event).await;
+    result.map_err(|_| SendError::Silent { limit_ms })
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.io_task.abort();
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -19,13 +19,13 @@
 //!
 //! # Limits
 //!
-//! Only [`Connection::open`] has a timeout. The caller has to limit the other calls, since only it
+//! Only [`Connection::open`] and [`Connection::exchange_within`] have timeouts. The caller has to limit the other calls, since only it
 //! knows how long its own caller waits.
 
 mod connection;
 mod pool;
 
 pub use crate::{
-    connection::{Connection, OpenError, SendError},
+    connection::{Connection, ExchangeLimits, OpenError, SendError},
     pool::{IdleLimits, IdlePool},
 };
