Refuse requests that a newer configuration decides, if it can't be had in time

A router that knew of a newer configuration and could not have it handed requests on by the old one: only keys depended on the age of the copy. The newer one was confirmed after the last read that showed the own one as the newest, so up to the bound after that read the own one may be used, and not beyond (Reads::is_outdated). Then all requests get 503 outdated_configuration, not run, and the readiness check fails, so callers go to other routers. While a newer one is known, an unknown route or key gets 503 in place of 404 or 401, as it may have been added. Nothing changes while the store is down: then nobody knows of a newer one.

New bound configuration_ms (the platform's configApplyMs).

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -78,6 +78,9 @@
         "out_of_touch" => {
             "the router had no word from the store for too long to trust keys".to_owned()
         }
+        "outdated_configuration" => {
+            "the router knew of a newer configuration and did not have it in time".to_owned()
+        }
         "over_quota" => format!("team {} was over its quota", end.text("team")),
         "no_server" | "servers_refused" | "retry_budget" => {
             format!("no backend server took it ({})", failed_attempts(lines))
--- a/crates/gateway/src/access.rs
+++ b/crates/gateway/src/access.rs
@@ -42,6 +42,35 @@
     }
 }
 
+/// How far the configuration in force may be trusted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Trust {
+    /// It may be used as it is.
+    Full,
+    /// There is a newer one, which may add routes and keys. What this one allows may still be used.
+    Behind,
+    /// It was not confirmed for too long to trust keys.
+    OutOfTouch,
+    /// A newer one is in force everywhere by now, so this one decides nothing any more.
+    Outdated,
+}
+
+impl Trust {
+    /// Why a request has to be sent again later that this configuration doesn't allow, if a newer one
+    /// may allow it.
+    fn doubt(self) -> Option<NotRun> {
+        match self {
+            Self::Full => None,
+            Self::OutOfTouch => Some(NotRun::OutOfTouch),
+            Self::Behind | Self::Outdated => Some(NotRun::Outdated),
+        }
+    }
+
+    fn refusal(self, status: StatusCode) -> Denied {
+        self.doubt().map_or(Denied::Invalid(status), Denied::RetryLater)
+    }
+}
+
 /// Why a request was not permitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Denied {
@@ -54,30 +83,25 @@
 /// Looks up the route and checks the key.
 pub(crate) fn check(
     table: Option<&Arc<Table>>,
-    is_out_of_touch: bool,
+    trust: Trust,
     host: &str,
     path: &str,
     key: Option<&str>,
     tokens: Option<u64>,
 ) -> Result<Grant, Denied> {
     let table = table.ok_or(Denied::RetryLater(NotRun::Starting))?;
-    let Some(route) = table.route(host, path) else {
-        // The route may have been added since the configuration was last read.
-        let denied = if is_out_of_touch {
-            Denied::RetryLater(NotRun::OutOfTouch)
-        } else {
-            Denied::Invalid(StatusCode::NOT_FOUND)
-        };
-        return Err(denied);
-    };
+    if trust == Trust::Outdated {
+        return Err(Denied::RetryLater(NotRun::Outdated));
+    }
+    let route = table.route(host, path).ok_or_else(|| trust.refusal(StatusCode::NOT_FOUND))?;
     if route.anonymous || !table.has_teams() {
         return Ok(Grant { table: table.clone(), route: route.clone(), team: None });
     }
-    if is_out_of_touch {
+    if trust == Trust::OutOfTouch {
         return Err(Denied::RetryLater(NotRun::OutOfTouch));
     }
     let team = key.and_then(|key| table.team(key));
-    let team = team.ok_or(Denied::Invalid(StatusCode::UNAUTHORIZED))?;
+    let team = team.ok_or_else(|| trust.refusal(StatusCode::UNAUTHORIZED))?;
     let granted = GrantedTeam {
         name: team.name.clone(),
         priority: team.priority,
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -13,6 +13,8 @@
     Starting,
     /// The store has not confirmed the configuration for too long, so keys are not trusted.
     OutOfTouch,
+    /// A newer configuration is in force, which this router does not have yet.
+    Outdated,
     /// The team has used up its quota.
     OverQuota,
     /// No backend server can take it.
@@ -39,6 +41,7 @@
         match self {
             Self::Starting => "starting",
             Self::OutOfTouch => "out_of_touch",
+            Self::Outdated => "outdated_configuration",
             Self::OverQuota => "over_quota",
             Self::NoServer => "no_server",
             Self::ServerLimit => "server_limit",
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -135,16 +135,16 @@
     let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
     let now = core.now();
-    let (table, is_stale, age_ms) = {
+    let (table, trust, age_ms) = {
         let state = core.state();
-        (state.table.clone(), state.contact.is_stale(now), state.contact.age_ms(now))
+        (state.table.clone(), state.trust(now), state.contact.age_ms(now))
     };
     core.metrics.contact_age_s.observe(metrics::seconds(age_ms));
     let path = parts.uri.path();
     let key = facts.key.as_deref();
     let generation = table.as_ref().map_or(0, |table| table.configuration().generation);
     request_log.set_configuration(generation, age_ms);
-    let grant = access::check(table.as_ref(), is_stale, host, path, key, facts.tokens)?;
+    let grant = access::check(table.as_ref(), trust, host, path, key, facts.tokens)?;
     request_log.granted(&grant.route.name, grant.team.as_ref().map(|team| &team.name));
     Ok(grant)
 }
--- a/crates/gateway/src/reads.rs
+++ b/crates/gateway/src/reads.rs
@@ -94,6 +94,15 @@
         is_behind.then(|| now.ms_since(announced.since))
     }
 
+    /// Whether another router has a newer configuration, which is in force everywhere by now.
+    ///
+    /// A configuration takes effect everywhere within `bound_ms` of the store's confirmation. The
+    /// newer one was confirmed after the last read that showed this router's own as the newest, so
+    /// until `bound_ms` after that read the own one may still be used.
+    pub(crate) fn is_outdated(&self, bound_ms: u64, now: MonoTime) -> bool {
+        self.behind_ms(now).is_some() && self.configuration.age_ms(now) > bound_ms
+    }
+
     /// Whether this router's last own reads of the store succeeded.
     pub(crate) fn is_up(&self) -> bool {
         self.servers_up && self.configuration_up
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -32,6 +32,7 @@
 use samphirespread_settings::{BoundsSettings, ClockSettings, GatewaySettings};
 
 use crate::{
+    access::Trust,
     conduct,
     fleet::{Fleet, Server},
     orders::Permit,
@@ -162,6 +163,8 @@
     AwaitsReports,
     /// Its configuration was not confirmed for too long.
     OutOfTouch,
+    /// A newer configuration is in force everywhere by now.
+    Outdated,
     Draining,
 }
 
@@ -173,6 +176,7 @@
             Self::Starting => "starting",
             Self::AwaitsReports => "awaits_reports",
             Self::OutOfTouch => "out_of_touch",
+            Self::Outdated => "outdated_configuration",
             Self::Draining => "draining",
         }
     }
@@ -296,7 +300,22 @@
         if !self.has_engine_reports(now) {
             return Readiness::AwaitsReports;
         }
-        if self.contact.is_stale(now) { Readiness::OutOfTouch } else { Readiness::Ready }
+        match self.trust(now) {
+            Trust::Outdated => Readiness::Outdated,
+            Trust::OutOfTouch => Readiness::OutOfTouch,
+            Trust::Full | Trust::Behind => Readiness::Ready,
+        }
+    }
+
+    /// How far the configuration in force may be trusted.
+    pub(crate) fn trust(&self, now: MonoTime) -> Trust {
+        if self.reads.is_outdated(self.bounds.configuration_ms, now) {
+            return Trust::Outdated;
+        }
+        if self.contact.is_stale(now) {
+            return Trust::OutOfTouch;
+        }
+        if self.reads.behind_ms(now).is_some() { Trust::Behind } else { Trust::Full }
     }
 
     /// Whether at least half of the engines have recent reports, or the wait for them is over.
--- a/crates/gateway/tests/gateway/slow_links.rs
+++ b/crates/gateway/tests/gateway/slow_links.rs
@@ -20,6 +20,8 @@
 const BOUND_MS: u64 = 3_000;
 /// What requests leave of the link of a small router, which carries 10 Mbit/s in all.
 const SLOW_BYTES_PER_S: u64 = 250_000;
+/// A link that carries the lists in time, but not the configuration.
+const VERY_SLOW_BYTES_PER_S: u64 = 20_000;
 /// Routers on slow links.
 const SMALL_ROUTERS: usize = 3;
 /// Routes that the change adds.
@@ -96,13 +98,15 @@
     settings.store.timeout_ms = 800;
     settings.store.poll_ms = 900;
     settings.bounds.key_withdrawal_ms = 5_000;
+    settings.bounds.configuration_ms = BOUND_MS;
     settings.bounds.server_drain_ms = BOUND_MS;
     settings.capacity.processor_share = processor_share;
     start_gateway(settings).await
 }
 
-/// Starts a router with a fast link, which reads the store for all, and small ones.
-async fn start() -> SlowSite {
+/// Starts a router with a fast link, which reads the store for all, and small ones whose links carry
+/// that many bytes per second.
+async fn start(bytes_per_s: u64) -> SlowSite {
     let store = ObjectStore::start().unwrap();
     store.put("config", "main", plain_configuration());
     let workers = vec![
@@ -115,14 +119,14 @@
     }
     let reader = start_router("r1", 1.0, store.address()).await;
     let reader_link = Link::start(reader.addresses.admin).await.unwrap();
-    reader_link.set_rate_bytes_per_s(SLOW_BYTES_PER_S);
+    reader_link.set_rate_bytes_per_s(bytes_per_s);
     let mut entry = eventually(|| store.spec("samphirespread-routers", "r1")).await;
     entry["admin"] = json!(reader_link.address().to_string());
     store.put("samphirespread-routers", "r1", entry);
     let mut small = Vec::new();
     for number in 0..SMALL_ROUTERS {
         let store_link = Link::start(store.address()).await.unwrap();
-        store_link.set_rate_bytes_per_s(SLOW_BYTES_PER_S);
+        store_link.set_rate_bytes_per_s(bytes_per_s);
         let name = format!("s{number}");
         let gateway = start_router(&name, 0.09, store_link.address()).await;
         small.push(SmallRouter { gateway, _store_link: store_link });
@@ -186,7 +190,7 @@
 /// go on with the old one, and learn only with it that a server leaves.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_large_configuration_and_leaving_servers_reach_routers_on_slow_links_in_time() {
-    let site = start().await;
+    let site = start(SLOW_BYTES_PER_S).await;
 
     site.store.put("config", "main", large_configuration());
     let sent = send_rounds(&site, Instant::now()).await;
@@ -198,3 +202,19 @@
     assert!(broken.is_empty(), "{} of {}: {broken:#?}", broken.len(), late.len());
     assert_eq!(served, late.len(), "served under the new configuration after the bound");
 }
+
+/// Guards against a router that knows of a newer configuration, can't have it in time, and hands on
+/// requests by the old one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_router_that_can_not_have_a_newer_configuration_in_time_refuses_what_it_would_change() {
+    let site = start(VERY_SLOW_BYTES_PER_S).await;
+
+    site.store.put("config", "main", large_configuration());
+    let sent = send_rounds(&site, Instant::now()).await;
+
+    let runs = runs(&site);
+    let broken: Vec<String> = sent.iter().filter_map(|sent| broken(sent, &runs)).collect();
+    let unanswered = sent.iter().filter(|sent| sent.status.is_none()).count();
+    assert!(broken.is_empty(), "{} of {}: {broken:#?}", broken.len(), sent.len());
+    assert_eq!(unanswered, 0, "a refusal is an answer");
+}
--- a/crates/settings/src/gateway/mod.rs
+++ b/crates/settings/src/gateway/mod.rs
@@ -80,6 +80,8 @@
 pub struct BoundsSettings {
     /// A withdrawn key is refused after this time at the latest.
     pub key_withdrawal_ms: u64,
+    /// A new configuration is in force after this time.
+    pub configuration_ms: u64,
     /// A backend server that is shutting down gets no new requests after this time.
     pub server_drain_ms: u64,
     /// A process is terminated this long after it was asked to shut down.
@@ -136,6 +138,7 @@
 fn bounds(values: &Values) -> BoundsSettings {
     BoundsSettings {
         key_withdrawal_ms: floor_ms(values.get("bounds", "key_withdrawal_ms")),
+        configuration_ms: floor_ms(values.get("bounds", "configuration_ms")),
         server_drain_ms: floor_ms(values.get("bounds", "server_drain_ms")),
         grace_ms: seconds_to_ms(values.get("bounds", "grace_s")),
         rollout_ms: floor_ms(values.get("bounds", "rollout_ms")),
@@ -254,6 +257,12 @@
             "5000",
             "A withdrawn key stops working within this time.",
         ),
+        bound_ms_key(
+            "configuration_ms",
+            "2000",
+            "A new configuration is in force within this time. A router that can't have it by then \
+             refuses requests.",
+        ),
         bound_ms_key(
             "server_drain_ms",
             "2000",
--- a/crates/settings/tests/parse.rs
+++ b/crates/settings/tests/parse.rs
@@ -374,8 +374,9 @@
 }
 
 /// The limits of a large deployment, with the keys of the platform's template.
-const BOUNDS: [(&str, f64); 9] = [
+const BOUNDS: [(&str, f64); 10] = [
     ("key_withdrawal_ms", 5_000.0),
+    ("configuration_ms", 4_000.0),
     ("server_drain_ms", 4_000.0),
     ("grace_s", 8.0),
     ("rollout_ms", 15_000.0),
