Tell other routers of leaving servers in records

A router without a way to the store and to the router that reads it (or with a link too slow for a list) did not learn that a server leaves, although it heard the others. Only who learned it first-hand repeats it; until now each router passed on what others had told it.

Entries that are removed without having drained still come with the list alone.

--- a/crates/gateway/src/active_request/send.rs
+++ b/crates/gateway/src/active_request/send.rs
@@ -15,6 +15,7 @@
 use super::{ActiveRequest, ReadTiming, ServerAnswer, in_flight::InFlightGuard};
 use crate::{
     crashes::{self, RunningServer},
+    fleet::DepartureSource,
     metrics::count,
     request_log::Step,
     select::Selected,
@@ -263,7 +264,8 @@
             info!(self.core.log, "{}", event::SERVER_RESTS; "server" => &*selected.id,
                 "for_ms" => rest_ms);
         }
-        if facts.is_leaving && state.fleet.record_departure(selected.incarnation(), now) {
+        let (run, source) = (selected.incarnation(), DepartureSource::FirstHand);
+        if facts.is_leaving && state.fleet.record_departure(run, source, now) {
             info!(self.core.log, "{}", event::SERVER_DRAINS; "server" => &*selected.id,
                 "source" => "answer");
         }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -146,7 +146,7 @@
         (in_flight > 0).then_some((self.run_tag, UnlistedLoad { in_flight, unread_tokens }))
     }
 
-    fn run(&self) -> Departure {
+    pub(crate) fn run(&self) -> Departure {
         Departure { id: self.entry.id.clone(), started_unix_ms: self.entry.started_unix_ms }
     }
 
@@ -244,13 +244,28 @@
     by_address: HashMap<SocketAddr, Arc<str>>,
     by_tag: HashMap<EngineTag, Arc<str>>,
     by_run: HashMap<ServerRun, Arc<str>>,
-    /// Runs that said that they drain, and when this router learned it. They are kept apart from
-    /// the servers, since an entry may lapse and come back.
-    departures: HashMap<Departure, MonoTime>,
+    /// Runs that said that they drain. They are kept apart from the servers, since an entry may lapse
+    /// and come back.
+    departures: HashMap<Departure, KnownDeparture>,
     /// What this router has sent to runs that are not listed, or no longer, and has not ended.
     unlisted: HashMap<ServerRun, UnlistedLoad>,
 }
 
+/// How this router knows that a run of a server drains.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DepartureSource {
+    /// The server or the store has told this router, which tells the others.
+    FirstHand,
+    /// Another router has told it.
+    OtherRouter,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct KnownDeparture {
+    since: MonoTime,
+    source: DepartureSource,
+}
+
 /// This router's load on a run of a server that is not listed. The entry may come back.
 #[derive(Clone, Copy, Debug, Default)]
 struct UnlistedLoad {
@@ -374,27 +389,35 @@
     }
 
     /// Records that a run of a server drains. Returns whether that was not known yet.
-    pub(crate) fn record_departure(&mut self, departure: Departure, now: MonoTime) -> bool {
+    pub(crate) fn record_departure(
+        &mut self,
+        departure: Departure,
+        source: DepartureSource,
+        now: MonoTime,
+    ) -> bool {
         if let Some(server) = self.servers.get_mut(&departure.id) {
             server.said_leaving |= server.run() == departure;
         }
         match self.departures.entry(departure) {
             Entry::Occupied(_) => false,
             Entry::Vacant(vacant) => {
-                vacant.insert(now);
+                vacant.insert(KnownDeparture { since: now, source });
                 true
             }
         }
     }
 
-    /// Returns the runs that drain and of which this router learned within the last `within_ms`.
+    /// Returns the runs that drain and of which this router learned first-hand within the last
+    /// `within_ms`.
     pub(crate) fn departures(
         &self,
         within_ms: u64,
         now: MonoTime,
     ) -> impl Iterator<Item = &Departure> {
-        let known = self.departures.iter();
-        known.filter(move |(_, since)| now.ms_since(**since) <= within_ms).map(|(run, _)| run)
+        let is_news = move |known: &KnownDeparture| {
+            known.source == DepartureSource::FirstHand && now.ms_since(known.since) <= within_ms
+        };
+        self.departures.iter().filter(move |(_, known)| is_news(known)).map(|(run, _)| run)
     }
 
     fn rebuild_indexes(&mut self) {
@@ -485,6 +508,6 @@
         for server in self.servers.values_mut() {
             server.idle.prune(now.as_ms());
         }
-        self.departures.retain(|_, known| now.ms_since(*known) < DEPARTURE_LIFETIME_MS);
+        self.departures.retain(|_, known| now.ms_since(known.since) < DEPARTURE_LIFETIME_MS);
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     conduct, crashes,
-    fleet::{Departure, EngineUpdate},
+    fleet::{Departure, DepartureSource, EngineUpdate},
     gateway::Core,
     metrics, reads, server_limits,
     state::State,
@@ -146,7 +146,8 @@
     state.orders_epoch = state.orders_epoch.max(published_state.order_lease_epoch);
     for server in &published_state.departures {
         let (id, started_unix_ms) = (server.server_id.as_str().into(), server.started_unix_ms);
-        if state.fleet.record_departure(Departure { id, started_unix_ms }, now) {
+        let run = Departure { id, started_unix_ms };
+        if state.fleet.record_departure(run, DepartureSource::OtherRouter, now) {
             info!(core.log, "{}", event::SERVER_DRAINS; "server" => &server.server_id,
                 "source" => name.as_str());
         }
--- a/crates/gateway/src/sync/lists.rs
+++ b/crates/gateway/src/sync/lists.rs
@@ -15,12 +15,13 @@
 use crate::{
     admin::HeldRevisions,
     copies,
-    fleet::FleetChange,
+    fleet::{DepartureSource, FleetChange, Server},
     gateway::Core,
     metrics::count,
     reads::ListParts,
     routers,
     server_list::{ServerList, Unreadable},
+    state::State,
 };
 
 /// Rounds of reads between two reads of the list of routers.
@@ -28,6 +29,13 @@
 /// Entries that lapsed during an outage of the store are back on the list this long after it.
 const LAPSED_ENTRY_GRACE_MS: u64 = 2_000;
 
+/// Where a list comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ListSource {
+    Store,
+    OtherRouter,
+}
+
 /// The result of a read of the servers.
 enum ServersRead {
     Listed(Listing),
@@ -136,7 +144,7 @@
         if self.core.state().reads.servers.confirmed() < Some(read_began) {
             let revision = lists.servers_revision;
             let unreadable = self.servers.apply_copy(lists.servers, &lists.server_names, revision);
-            self.apply_server_list(&unreadable, read_began);
+            self.apply_server_list(&unreadable, ListSource::OtherRouter, read_began);
         }
         let read_began = began.minus_ms(lists.routers_age_ms);
         let Some(routers) = lists.routers else { return true };
@@ -229,7 +237,7 @@
                 unreadable
             }
         };
-        self.apply_server_list(&unreadable, began);
+        self.apply_server_list(&unreadable, ListSource::Store, began);
     }
 
     /// Logs changes without a readable name. It is not known which servers they change, so the next
@@ -244,7 +252,7 @@
     }
 
     /// Applies the list to the fleet, and logs what has changed.
-    fn apply_server_list(&self, unreadable: &[Unreadable], began: MonoTime) {
+    fn apply_server_list(&self, unreadable: &[Unreadable], source: ListSource, began: MonoTime) {
         for entry in unreadable {
             log_unreadable(&self.core, &entry.name, &entry.error);
         }
@@ -262,6 +270,9 @@
         }
         state.server_objects = self.servers.objects();
         state.server_revision = self.servers.revision();
+        if source == ListSource::Store {
+            self.announce_departures(&mut state, &changes, now);
+        }
         drop(state);
         for change in changes {
             match change {
@@ -280,4 +291,16 @@
             }
         }
     }
+
+    /// Tells the other routers which servers drain. That takes a few bytes of a record each, while
+    /// the list may take long to reach a router with a slow link.
+    fn announce_departures(&self, state: &mut State, changes: &[FleetChange], now: MonoTime) {
+        for change in changes {
+            let FleetChange::Draining(id) = change else { continue };
+            let Some(run) = state.fleet.get(id).map(Server::run) else { continue };
+            if state.fleet.record_departure(run, DepartureSource::FirstHand, now) {
+                self.core.wake_publisher.notify_one();
+            }
+        }
+    }
 }
--- a/crates/gateway/tests/gateway/slow_links.rs
+++ b/crates/gateway/tests/gateway/slow_links.rs
@@ -36,7 +36,7 @@
 /// A router with a slow link to the store and to the router that reads it.
 struct SmallRouter {
     gateway: Running,
-    _store_link: Link,
+    store_link: Link,
 }
 
 struct SlowSite {
@@ -44,7 +44,7 @@
     /// Two servers of the service `desk`, then one of the service `other`.
     workers: Vec<Worker>,
     _reader: Running,
-    _reader_link: Link,
+    reader_link: Link,
     small: Vec<SmallRouter>,
 }
 
@@ -129,7 +129,7 @@
         store_link.set_rate_bytes_per_s(bytes_per_s);
         let name = format!("s{number}");
         let gateway = start_router(&name, 0.09, store_link.address()).await;
-        small.push(SmallRouter { gateway, _store_link: store_link });
+        small.push(SmallRouter { gateway, store_link });
     }
     for router in &small {
         eventually(|| {
@@ -138,7 +138,7 @@
         })
         .await;
     }
-    SlowSite { store, workers, _reader: reader, _reader_link: reader_link, small }
+    SlowSite { store, workers, _reader: reader, reader_link, small }
 }
 
 /// Sends requests through all small routers, in rounds, until some time after `change`.
@@ -218,3 +218,23 @@
     assert!(broken.is_empty(), "{} of {}: {broken:#?}", broken.len(), sent.len());
     assert_eq!(unanswered, 0, "a refusal is an answer");
 }
+
+/// Guards against news of a leaving server that reach a router only with a list, which a router
+/// without a way to the store and to the reader can't fetch.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_server_is_known_to_a_router_that_can_fetch_nothing() {
+    let site = start(SLOW_BYTES_PER_S).await;
+    for link in site.small.iter().map(|router| &router.store_link).chain([&site.reader_link]) {
+        link.set_down(true);
+        link.cut();
+    }
+
+    site.store.put("servers", "d1", site.workers[0].entry("draining"));
+    time::sleep(Duration::from_millis(BOUND_MS)).await;
+
+    for router in &site.small {
+        let lines = router.gateway.log.lines();
+        let is_it = |line: &&Value| line["msg"] == "server drains" && line["server"] == "d1";
+        assert!(lines.iter().any(|line| is_it(&line)), "not known after {BOUND_MS} ms");
+    }
+}
