--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -229,7 +229,7 @@
 /// A change of a server on the list, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum FleetChange {
-    Appeared(Arc<str>),
+    Appeared { id: Arc<str>, software: Arc<str> },
     Draining(Arc<str>),
     Gone(Arc<str>),
     Restarted(Arc<str>),
@@ -306,7 +306,8 @@
     fn set(&mut self, entry: BackendServer, now: MonoTime, changes: &mut Vec<FleetChange>) {
         let id = entry.id.clone();
         let Some(server) = self.servers.get_mut(&id) else {
-            changes.push(FleetChange::Appeared(id.clone()));
+            let software = entry.software.clone();
+            changes.push(FleetChange::Appeared { id: id.clone(), software });
             if entry.availability == Availability::Draining {
                 changes.push(FleetChange::Draining(id.clone()));
             }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -20,7 +20,7 @@
     gateway::Core,
     metrics,
     relay::relay,
-    request_log::{Outcome, RequestLog},
+    request_log::{Outcome, RequestLog, Step},
 };
 
 /// Retry-After while the router has no configuration yet.
@@ -146,6 +146,9 @@
     request_log.set_configuration(generation, age_ms);
     let grant = access::check(table.as_ref(), trust, host, path, key, facts.tokens)?;
     request_log.granted(&grant.route.name, grant.team.as_ref().map(|team| &team.name));
+    if let Some(after) = facts.last_event_id {
+        request_log.step(now, Step::TakenUp { resumes: facts.resumes.clone(), after });
+    }
     Ok(grant)
 }
 
--- a/crates/gateway/src/request_log.rs
+++ b/crates/gateway/src/request_log.rs
@@ -26,6 +26,9 @@
     Failed { server: Arc<str>, cause: String, may_repeat: bool },
     /// The retry budget did not allow another send.
     BudgetSpent { slack: u64 },
+    /// The caller takes up the stream that began with the request `resumes`, after the event with this
+    /// id.
+    TakenUp { resumes: Option<String>, after: u64 },
     /// The stream is resumed at another server after the event with this id.
     StreamResumed { after: u64 },
     /// A move of the request's run to another engine has begun.
@@ -112,6 +115,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Choice {
     pub(crate) server: Arc<str>,
+    /// The version of its software.
+    pub(crate) software: Arc<str>,
     pub(crate) candidates: usize,
     pub(crate) near: bool,
     pub(crate) newest: bool,
@@ -330,7 +335,8 @@
             match step {
                 Step::Chose(choice) => {
                     info!(self.core.log, "{}", event::SERVER_CHOSEN; "request" => &self.id, "at_ms" => at_ms,
-                        "server" => &*choice.server, "candidates" => choice.candidates,
+                        "server" => &*choice.server, "software" => &*choice.software,
+                        "candidates" => choice.candidates,
                         "near" => choice.near, "newest" => choice.newest,
                         "version" => choice.version, "expected_ms" => choice.expected_ms(),
                         "cost_ms" => choice.estimate.map(|estimate| whole_ms(estimate.cost_ms)),
@@ -371,6 +377,10 @@
                         "refused" => &run.refused, "resumes" => run.obstacle.is_none(),
                         "cause" => run.obstacle.map(RunObstacle::name));
                 }
+                Step::TakenUp { resumes, after } => {
+                    info!(self.core.log, "{}", event::STREAM_TAKEN_UP; "request" => &self.id,
+                        "at_ms" => at_ms, "resumes" => resumes.as_deref(), "after_event" => after);
+                }
                 Step::StreamResumed { after } => {
                     info!(self.core.log, "{}", event::STREAM_RESUMES; "request" => &self.id, "at_ms" => at_ms,
                         "after_event" => after);
--- a/crates/gateway/src/select/engines.rs
+++ b/crates/gateway/src/select/engines.rs
@@ -96,6 +96,7 @@
         stopped_run: None,
         step: Step::Chose(Choice {
             server: server.entry.id.clone(),
+            software: server.entry.software.clone(),
             candidates: views.iter().flatten().count(),
             near: view.is_near,
             newest: view.is_newest,
--- a/crates/gateway/src/select/mod.rs
+++ b/crates/gateway/src/select/mod.rs
@@ -232,6 +232,7 @@
         stopped_run: None,
         step: Step::Chose(Choice {
             server: server.entry.id.clone(),
+            software: server.entry.software.clone(),
             candidates: servers.len(),
             near: is_near,
             newest: true,
--- a/crates/gateway/src/sync/lists.rs
+++ b/crates/gateway/src/sync/lists.rs
@@ -276,8 +276,9 @@
         drop(state);
         for change in changes {
             match change {
-                FleetChange::Appeared(id) => {
-                    info!(self.core.log, "{}", event::SERVER_APPEARED; "server" => &*id);
+                FleetChange::Appeared { id, software } => {
+                    info!(self.core.log, "{}", event::SERVER_APPEARED; "server" => &*id,
+                        "software" => &*software);
                 }
                 FleetChange::Draining(id) => {
                     info!(self.core.log, "{}", event::SERVER_DRAINS; "server" => &*id, "source" => "list");
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -33,11 +33,12 @@
     DRAINING, "draining", "A process was told to stop and drains", "cause, grace_ms, open_requests";
     PORT_CLOSED, "port closed", "A process that drains accepts no connections any more", "open_requests, connections, at_ms";
     REQUEST_ENDED, "request ended", "A request has ended", "request, outcome, cause, status, retry_after_ms, route, team, server, version, expected_ms, reading_tokens, fetches, generation, contact_age_ms, first_event_ms, took_ms, late, quota_level, quota_cost, steps";
-    SERVER_CHOSEN, "server chosen", "A backend server was chosen for a send", "request, server, candidates, near, newest, version, expected_ms, cost_ms, report_age_ms, list_age_ms";
+    SERVER_CHOSEN, "server chosen", "A backend server was chosen for a send", "request, server, software, candidates, near, newest, version, expected_ms, cost_ms, report_age_ms, list_age_ms";
     NO_CONNECTION, "no connection", "No connection to a backend server could be opened; the request has not run there", "request, server, error, avoid_ms";
     SERVER_REFUSED, "server refused", "A backend server refused a request without running it", "request, server, status";
     SERVER_FAILED, "server failed", "A backend server closed the connection early, or its answer was invalid", "request, server, cause, may_repeat";
     BUDGET_SPENT, "no repeat: budget spent", "A retry was skipped because the retry budget is used up", "request, slack";
+    STREAM_TAKEN_UP, "stream taken up", "A caller takes up a stream that has broken off; resumes: the request that brought its first event", "request, resumes, after_event";
     STREAM_RESUMES, "stream resumes", "A stream resumes at another engine", "request, after_event";
     RUN_MOVES, "run moves", "The move of a run to another engine begins", "request, server, to";
     RUN_STAYS, "run stays", "A run should move to another engine, but can't now", "request, server, cause";
@@ -51,7 +52,7 @@
     READINESS_CHANGED, "readiness changed", "The answer to the load balancer's readiness check has changed", "ready, cause, contact_age_ms";
     IN_TOUCH, "in touch", "The configuration was confirmed, so keys are accepted again", "contact_age_ms";
     OUT_OF_TOUCH, "out of touch", "The configuration was not confirmed for too long, so keys are not accepted", "contact_age_ms";
-    SERVER_APPEARED, "server appeared", "A backend server is new on the list", "server";
+    SERVER_APPEARED, "server appeared", "A backend server is new on the list; software: its version", "server, software";
     SERVER_DRAINS, "server drains", "A backend server drains; it gets no new requests", "server, source";
     SERVER_RESTS, "server rests", "A backend server asked this router for a pause", "server, for_ms";
     SERVER_LIMITED, "server limited", "A backend server limits the requests per second of all routers together", "server, limit_per_s, source";
--- a/crates/routing/src/model.rs
+++ b/crates/routing/src/model.rs
@@ -258,6 +258,8 @@
     pub failure_domain: Arc<str>,
     /// The number of requests that it runs at once.
     pub slots: u32,
+    /// The version of its software; empty if its entry names none.
+    pub software: Arc<str>,
     /// Whether it accepts new requests.
     pub availability: Availability,
     /// The weights that it has loaded.
