Failing tests: streams over two software versions

Two engines of each of two versions, whose events end with their version (new in the stand-in); a caller that takes streams up at the same router, at another one that has just started, without naming the stream, after all routers were killed, and after its version has gone; the router's own repeat, and a move.

--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod raw_answers;
 mod serving;
 mod slow_links;
+mod software_versions;
 mod stopped_runs;
 mod store;
 mod support;
--- a/crates/standin/src/published/worker/answers.rs
+++ b/crates/standin/src/published/worker/answers.rs
@@ -16,13 +16,21 @@
 /// Pause before an event.
 const EVENT_MS: u64 = 2;
 
-pub(super) async fn respond_as(received: &Received, behaviour: Behaviour) -> Response {
+/// What a worker answers with.
+pub(super) struct Answering<'a> {
+    pub(super) received: &'a Received,
+    /// The version of the worker's software, if its events end with it.
+    pub(super) software: Option<&'a str>,
+}
+
+pub(super) async fn respond_as(answering: &Answering<'_>, behaviour: Behaviour) -> Response {
+    let received = answering.received;
     let id = received.request_id().to_owned();
     match behaviour {
-        Behaviour::Answer => answer(received, &id),
+        Behaviour::Answer => answer(answering, &id),
         Behaviour::AnswerAfterMs(delay_ms) => {
             time::sleep(Duration::from_millis(delay_ms)).await;
-            answer(received, &id)
+            answer(answering, &id)
         }
         Behaviour::Refuse => refuse(id),
         Behaviour::RefuseAfterMs(delay_ms) => {
@@ -35,7 +43,7 @@
             (StatusCode::SERVICE_UNAVAILABLE, headers).into_response()
         }
         Behaviour::AnswerLeaving => {
-            let mut response = answer(received, &id);
+            let mut response = answer(answering, &id);
             response.headers_mut().insert("server-leaving", HeaderValue::from_static("1"));
             response
         }
@@ -44,17 +52,17 @@
             (StatusCode::INTERNAL_SERVER_ERROR, headers, "failed").into_response()
         }
         Behaviour::BreakOff => (Extension(LostAnswer), ()).into_response(),
-        Behaviour::AnswerAnother => answer(received, "another"),
+        Behaviour::AnswerAnother => answer(answering, "another"),
         Behaviour::AnswerUnsigned => ([(REQUEST_ID, id)], "unsigned").into_response(),
         Behaviour::StreamUntilMoved | Behaviour::StreamUntilMovedOrWhole(_) => {
             unreachable!("such a stream is answered before")
         }
         Behaviour::AnswerSlowly(pause_ms) => {
-            let body = Body::from_stream(events_of(received, None, pause_ms));
+            let body = Body::from_stream(events_of(answering, None, pause_ms));
             ([(SEAL, "seal".to_owned()), (REQUEST_ID, id)], body).into_response()
         }
-        Behaviour::CutStreamAfter(events) => cut_stream(received, events, EVENT_MS),
-        Behaviour::CutSlowStreamAfter(events, pause_ms) => cut_stream(received, events, pause_ms),
+        Behaviour::CutStreamAfter(events) => cut_stream(answering, events, EVENT_MS),
+        Behaviour::CutSlowStreamAfter(events, pause_ms) => cut_stream(answering, events, pause_ms),
     }
 }
 
@@ -62,9 +70,9 @@
     (StatusCode::SERVICE_UNAVAILABLE, [(NOT_RUN, "1".to_owned()), (REQUEST_ID, id)]).into_response()
 }
 
-fn cut_stream(received: &Received, events: u64, pause_ms: u64) -> Response {
-    let headers = answer_headers(received.request_id());
-    let body = Body::from_stream(events_of(received, Some(events), pause_ms));
+fn cut_stream(answering: &Answering<'_>, events: u64, pause_ms: u64) -> Response {
+    let headers = answer_headers(answering.received.request_id());
+    let body = Body::from_stream(events_of(answering, Some(events), pause_ms));
     (headers, body).into_response()
 }
 
@@ -72,21 +80,23 @@
     [(SEAL, "seal".to_owned()), (REQUEST_ID, id.to_owned())]
 }
 
-fn answer(received: &Received, id: &str) -> Response {
+fn answer(answering: &Answering<'_>, id: &str) -> Response {
     let headers = answer_headers(id);
-    if received.header("x-samphirespread-model").is_empty() {
+    if answering.received.header("x-samphirespread-model").is_empty() {
         return (headers, format!("answered {id}")).into_response();
     }
-    (headers, Body::from_stream(events_of(received, None, EVENT_MS))).into_response()
+    (headers, Body::from_stream(events_of(answering, None, EVENT_MS))).into_response()
 }
 
 /// Returns the events of a stream after the one that the request names, cut after some.
 fn events_of(
-    received: &Received,
+    answering: &Answering<'_>,
     cut_after: Option<u64>,
     pause_ms: u64,
 ) -> impl stream::Stream<Item = io::Result<String>> + use<> {
+    let received = answering.received;
     let id = received.request_id().to_owned();
+    let mark = answering.software.map(|version| format!(" {version}")).unwrap_or_default();
     let last: u64 = received.header("last-event-id").parse().unwrap_or(0);
     let goes_on = !received.header("kv-from").is_empty() || last >= STREAM_EVENTS;
     let end = if goes_on { last + MOVED_EVENTS } else { STREAM_EVENTS };
@@ -97,7 +107,7 @@
             pieces.push(Err(io::Error::other("cut")));
             break;
         }
-        pieces.push(Ok(format!("id: {number}\ndata: {id} {number}\n\n")));
+        pieces.push(Ok(format!("id: {number}\ndata: {id} {number}{mark}\n\n")));
     }
     // The pause lets what came before a cut reach the router.
     stream::unfold(pieces.into_iter(), move |mut pieces| async move {
--- a/crates/standin/src/published/worker/config.rs
+++ b/crates/standin/src/published/worker/config.rs
@@ -11,6 +11,7 @@
     pub(super) model: Option<(String, u64)>,
     pub(super) work_ms: u64,
     pub(super) pace: Option<Pace>,
+    pub(super) software: Option<String>,
 }
 
 impl WorkerConfig {
@@ -23,6 +24,7 @@
             model: None,
             work_ms: 0,
             pace: None,
+            software: None,
         }
     }
 
@@ -47,6 +49,14 @@
         self
     }
 
+    /// Sets the version of its software, which its entry names and each event of its streams ends with.
+    /// Without it, the entry names `v1` and events don't tell.
+    #[must_use]
+    pub fn software(mut self, version: &str) -> Self {
+        self.software = Some(version.to_owned());
+        self
+    }
+
     /// Makes streams, loads and copies take time.
     #[must_use]
     pub fn pace(mut self, pace: Pace) -> Self {
--- a/crates/standin/src/published/worker/mod.rs
+++ b/crates/standin/src/published/worker/mod.rs
@@ -127,7 +127,7 @@
             .map(|(name, _)| json!({ "name": name, "version": self.version(), "adapters": [] }))
             .collect();
         json!({ "service": config.service, "address": address.to_string(),
-                "zone": config.failure_domain, "version": "v1", "slots": 6, "state": state,
+                "zone": config.failure_domain, "version": config.software.as_deref().unwrap_or("v1"), "slots": 6, "state": state,
                 "models": models, "seq": 1, "born": self.inner.lock().restarts + 1 })
     }
 
--- a/crates/standin/src/published/worker/serve.rs
+++ b/crates/standin/src/published/worker/serve.rs
@@ -19,7 +19,9 @@
 
 use super::{
     Behaviour, CopyBehaviour, EXPECT_SERVER, EXPECT_VERSION, Inner, NOT_RUN, Ordered, REQUEST_ID,
-    Received, RunCopied, RunEnd, SEAL, SERVER_ID, answers::respond_as, generation,
+    Received, RunCopied, RunEnd, SEAL, SERVER_ID,
+    answers::{Answering, respond_as},
+    generation,
 };
 use crate::{published::crash, server::LostAnswer};
 
@@ -111,7 +113,9 @@
             {
                 return generation::generate(inner, &received, pace, plan, end).await;
             }
-            let response = respond_as(&received, behaviour).await;
+            let software = inner.config.software.as_deref();
+            let answering = Answering { received: &received, software };
+            let response = respond_as(&answering, behaviour).await;
             if let Some(end) = &mut end {
                 end.set(if behaviour.breaks_off() { RunEnd::BrokeOff } else { RunEnd::Whole });
             }
