A stream goes on only at the software version that began it

Callers got text that was joined from two versions of a service's software. Cause: nothing in the code knew the version, so each way on which a stream changes its engine could cross it: moves of runs off leaving engines, the router's own repeat, and the choice for a stream that its caller takes up.

* The list's entries, its mark and restarts know the version.
From the first event on a stream is bound to it: repeats, moves and new runs after a move go to that version, or the stream ends.
* A caller that takes a stream up names the request that brought its first event (Resumes).
Its version is known from memory, from two routers that were told (only while there may be several versions), or as the service had one version for as long as streams last.
Nobody knows: 503 stream_version_unknown, not run.
So lost memory costs a stream, never the rule.
* A stream that is taken up stays with the service of its first request.

--- a/crates/explain/src/cause.rs
+++ b/crates/explain/src/cause.rs
@@ -95,6 +95,11 @@
              as they accept"
                 .to_owned()
         }
+        "stream_version_unknown" => {
+            "it takes up a stream, and no router knew which version of the servers' software began \
+             that"
+                .to_owned()
+        }
         "crash_cause" => {
             "it, or a part of its prompt, has crashed several backend servers in a row".to_owned()
         }
--- a/crates/gateway/src/active_request/mod.rs
+++ b/crates/gateway/src/active_request/mod.rs
@@ -17,8 +17,9 @@
     choice::Estimate,
     crash_causes::Verdict,
     durations::Caution,
-    model::{Service, ServiceName},
+    model::{RouteKind, Service, ServiceName},
     retry::RetryLimits,
+    software::{KnownStream, SoftwareTag, StreamKey},
     sources::SourceKind,
 };
 use samphirespread_settings::Mechanism;
@@ -34,7 +35,10 @@
     gateway::Core,
     metrics::{self, count},
     request_log::{Outcome, RequestLog, RunObstacle, Step},
-    select::{self, Obstacle, RouterContext, Selected, SelectionQuery, next_return_ms, select},
+    select::{
+        self, Obstacle, RouterContext, Selected, SelectionQuery, StreamRole, next_return_ms, select,
+    },
+    stream_versions,
 };
 
 /// Maximum number of sends of one request, including those that a server refused.
@@ -73,6 +77,8 @@
     causes: PossibleCauses,
     /// Whether the request is sent although what is in it has crashed servers.
     is_on_trial: bool,
+    /// The version of the servers' software at which the stream goes on, once it has begun.
+    software: Option<SoftwareTag>,
     /// Whether this router has stopped the request's run, so that it owes the rest of the stream.
     is_owed: bool,
     /// Whether the request may be sent whatever is known of crashes.
@@ -135,6 +141,7 @@
         Self {
             causes,
             is_on_trial: false,
+            software: None,
             is_owed: false,
             is_prompt_safe: false,
             repeat: None,
@@ -377,10 +384,56 @@
         returns.unwrap_or(DEFAULT_RETRY_AFTER_MS)
     }
 
-    /// The service that the route selects for this request.
+    /// Finds out at which version of the servers' software the stream goes on that the caller takes
+    /// up, if it takes one up. Returns false if that can't be known, so that it must not go on.
+    pub(crate) async fn find_stream_version(&mut self) -> bool {
+        if self.facts.last_event_id.is_none() || self.grant.route.kind != RouteKind::Stream {
+            return true;
+        }
+        let Some(service) = self.service().map(|service| service.name.clone()) else { return true };
+        let resumed = self.facts.resumes.as_deref();
+        let stream = resumed.map(|first| StreamKey::new(&service, first));
+        self.software = stream_versions::find(&self.core, &service, stream).await;
+        let outcome = if self.software.is_some() { "goes_on" } else { "refused" };
+        count(&self.core.metrics.streams_taken_up, outcome);
+        self.software.is_some()
+    }
+
+    /// Records that the caller gets an event that a server of this version wrote, and for how long the
+    /// stream may be taken up.
+    pub(crate) fn stream_has_event(&mut self, software: SoftwareTag) {
+        if self.software.replace(software).is_some() && self.facts.last_event_id.is_none() {
+            return;
+        }
+        let Some(service) = self.service().filter(|_| self.grant.route.resumable) else { return };
+        let first = match self.facts.last_event_id {
+            None => self.facts.id.as_deref(),
+            Some(_) => self.facts.resumes.as_deref(),
+        };
+        let Some(first) = first else { return };
+        let known = KnownStream { stream: StreamKey::new(&service.name, first), version: software };
+        let now = self.core.now();
+        let mut state = self.core.state();
+        let list_age_ms = state.reads.servers.age_ms(now);
+        let is_sole = state.software.sole_version(&service.name, list_age_ms, now).is_some();
+        let until = now.plus_ms(state.stream_memory_ms());
+        state.streams.begin(known, until, !is_sole);
+    }
+
+    fn stream_role(&self) -> StreamRole {
+        match self.software {
+            Some(version) => StreamRole::Continues(version),
+            None if self.grant.route.resumable => StreamRole::Begins,
+            None => StreamRole::None,
+        }
+    }
+
+    /// The service that the route selects for this request. A stream that is taken up stays with the
+    /// service that began it.
     pub(crate) fn service(&self) -> Option<&Service> {
         let table = &self.grant.table;
-        let id = self.facts.id.as_deref().unwrap_or_default();
+        let first = self.facts.resumes.as_ref().filter(|_| self.facts.last_event_id.is_some());
+        let id = first.or(self.facts.id.as_ref()).map(String::as_str).unwrap_or_default();
         table.service(table.upstream(&self.grant.route, id)?)
     }
 
@@ -395,6 +448,7 @@
             dedicated_team: self.grant.dedicated_team(),
             tried: &self.tried,
             request_id: id,
+            stream: self.stream_role(),
         };
         let router = RouterContext {
             failure_domain: &self.core.settings.instance.failure_domain,
--- a/crates/gateway/src/active_request/send.rs
+++ b/crates/gateway/src/active_request/send.rs
@@ -167,6 +167,7 @@
             body,
             guard,
             server: RunningServer::of(selected),
+            software: selected.software,
             has_event: false,
             connection,
             max_connections: selected.max_connections,
--- a/crates/gateway/src/active_request/server_answer.rs
+++ b/crates/gateway/src/active_request/server_answer.rs
@@ -4,6 +4,7 @@
 use hyper::body::Incoming;
 use samphirespread_adapter::headers::AnswerFacts;
 use samphirespread_outbound::{Connection, IdleLimits};
+use samphirespread_routing::software::SoftwareTag;
 
 use super::in_flight::InFlightGuard;
 use crate::crashes::RunningServer;
@@ -24,6 +25,8 @@
     pub(crate) body: Incoming,
     pub(crate) guard: InFlightGuard,
     pub(crate) server: RunningServer,
+    /// The version of the server's software.
+    pub(crate) software: SoftwareTag,
     /// Whether the first event has arrived.
     pub(crate) has_event: bool,
     pub(super) connection: Connection,
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -25,6 +25,8 @@
     ConnectionLimit,
     /// A part of its prompt has crashed several servers.
     CrashCause,
+    /// It takes up a stream, and nobody knows which version of the servers' software began that.
+    StreamVersion,
     /// The retry budget is used up.
     RetryBudget,
     /// All backend servers that were tried refused.
@@ -47,6 +49,7 @@
             Self::ServerLimit => "server_limit",
             Self::ConnectionLimit => "connection_limit",
             Self::CrashCause => "crash_cause",
+            Self::StreamVersion => "stream_version_unknown",
             Self::RetryBudget => "retry_budget",
             Self::ServersRefused => "servers_refused",
             Self::NoTimeLeft => "no_time_left",
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -14,6 +14,7 @@
     model::{Availability, BackendServer, EngineState, LoadedModel, ServiceName},
     read_parts::EngineTag,
     server_limit::ServerRun,
+    software::SoftwareTag,
 };
 
 /// A report of an engine's state is ignored when it is older than this.
@@ -31,6 +32,8 @@
 pub(crate) struct Server {
     pub(crate) entry: BackendServer,
     run_tag: ServerRun,
+    /// The version of its software.
+    pub(crate) software: SoftwareTag,
     pub(crate) idle: IdlePool,
     pub(crate) suspicion: FailureBackoff,
     /// Requests that this router has sent to it and that have not ended.
@@ -107,6 +110,7 @@
     fn new(entry: BackendServer, now: MonoTime) -> Self {
         Self {
             run_tag: ServerRun::of(&entry.id, entry.started_unix_ms),
+            software: SoftwareTag::of(&entry.software),
             entry,
             idle: IdlePool::default(),
             suspicion: FailureBackoff::default(),
@@ -315,7 +319,8 @@
             return;
         };
         let was_restarted = server.entry.started_unix_ms != entry.started_unix_ms
-            || server.entry.address != entry.address;
+            || server.entry.address != entry.address
+            || server.entry.software != entry.software;
         if was_restarted {
             changes.push(FleetChange::Restarted(id));
             self.insert(entry, now);
@@ -504,6 +509,11 @@
         ids.iter().filter_map(|id| self.servers.get(id))
     }
 
+    /// Returns the version of each server's software, with its service.
+    pub(crate) fn software(&self) -> impl Iterator<Item = (ServiceName, SoftwareTag)> {
+        self.servers.values().map(|server| (server.entry.service.clone(), server.software))
+    }
+
     /// Closes idle connections and drops departures that have expired.
     pub(crate) fn prune(&mut self, now: MonoTime) {
         for server in self.servers.values_mut() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,7 +26,8 @@
 
 use crate::{
     body::AnswerMemory, caller_stream::CallerTimeouts, drain::Drain,
-    freeze_detector::FreezeDetector, metrics::Metrics, serve, state::State, sync,
+    freeze_detector::FreezeDetector, metrics::Metrics, serve, state::State,
+    stream_versions::Questions, sync,
 };
 
 /// The clock starts at this value, so that instants before the start, which other processes report,
@@ -108,6 +109,8 @@
     pub(crate) wake_list_reader: Notify,
     /// Wakes the task that keeps the configuration current.
     pub(crate) wake_configuration_reader: Notify,
+    /// Questions to other routers at which version of its servers' software a stream may go on.
+    pub(crate) stream_questions: Questions,
     /// The drain at the end of this process.
     pub(crate) drain: Drain,
     /// The time limits on callers' connections, which each connection follows.
@@ -169,6 +172,7 @@
             wake_list_reader: Notify::new(),
             wake_configuration_reader: Notify::new(),
             freeze_detector: FreezeDetector::default(),
+            stream_questions: Questions::default(),
             drain: Drain::default(),
             caller_timeouts: watch::Sender::new(CallerTimeouts::new(&CallerLimits::default())),
             state: Mutex::new(State::new(&settings, member.clone(), incarnation, clock.now())),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -27,6 +27,9 @@
 const STARTING_RETRY_AFTER_MS: u64 = 300;
 /// Retry-After while the router is out of touch with the store; another router may be in touch.
 const OUT_OF_TOUCH_RETRY_AFTER_MS: u64 = 200;
+/// Retry-After where nobody knows the version of a stream that is taken up. A router that knows it
+/// may have been cut off from this one.
+const UNKNOWN_STREAM_RETRY_AFTER_MS: u64 = 400;
 /// Number of stream chunks queued for a slow caller before reading from the server pauses.
 const MAX_QUEUED_CHUNKS: usize = 16;
 
@@ -199,6 +202,9 @@
 }
 
 async fn serve(mut request: ActiveRequest) -> Response<ResponseBody> {
+    if !request.find_stream_version().await {
+        return not_run(request, NotRun::StreamVersion, UNKNOWN_STREAM_RETRY_AFTER_MS);
+    }
     let mut failure = None;
     loop {
         match request.attempt(None).await {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod server_limits;
 mod server_list;
 mod state;
+mod stream_versions;
 mod sync;
 mod weights;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -28,6 +28,8 @@
     pub(crate) not_run: Causes,
     /// Sends of a request after its first, by cause.
     pub(crate) repeats: Causes,
+    /// Streams that callers take up, by whether they may go on.
+    pub(crate) streams_taken_up: Causes,
     /// Moves of runs between engines, by outcome.
     pub(crate) moves: Causes,
     /// Streams that were cut after this router had stopped their run, by cause.
@@ -90,6 +92,7 @@
             ended: Causes::default(),
             not_run: Causes::default(),
             repeats: Causes::default(),
+            streams_taken_up: Causes::default(),
             moves: Causes::default(),
             stopped_runs_lost: Causes::default(),
             limited_sends: Causes::default(),
@@ -128,6 +131,8 @@
         registry.register("requests", "Requests by how they ended", self.ended.clone());
         registry.register("not_run", "Refusals by reason", self.not_run.clone());
         registry.register("repeats", "Sends beyond the first", self.repeats.clone());
+        let taken_up = "Streams that callers take up";
+        registry.register("streams_taken_up", taken_up, self.streams_taken_up.clone());
         registry.register("run_moves", "Moves of runs by outcome", self.moves.clone());
         registry.register("stopped_runs_lost", "Cut by moves", self.stopped_runs_lost.clone());
         registry.register("limited_sends", "Sends under a limit", self.limited_sends.clone());
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,6 +22,7 @@
     gateway::Core,
     metrics, reads, server_limits,
     state::State,
+    stream_versions,
 };
 
 /// Pause after a failure to receive a datagram.
@@ -46,6 +47,11 @@
         match decode(&buffer[..length]) {
             Ok(Datagram::Router(packet)) => handle_packet(&core, &packet),
             Ok(Datagram::Engine(report)) => handle_engine_report(&core, from, report),
+            Ok(Datagram::StreamsBegun(begun)) => {
+                stream_versions::learn(&mut core.state(), &begun, core.now());
+            }
+            Ok(Datagram::StreamQuery(query)) => stream_versions::answer(&core, from, &query),
+            Ok(Datagram::StreamAnswer(answer)) => core.stream_questions.answer(&answer),
             Ok(Datagram::Directive(_)) => {
                 warn!(core.log, "{}", event::DATAGRAM_MISPLACED; "from" => %from);
             }
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -20,6 +20,7 @@
     gateway::Core,
     metrics,
     state::{OtherRouter, State},
+    stream_versions,
 };
 
 /// Time between two rounds of a router that relays records.
@@ -92,6 +93,7 @@
         let news = state.crash_causes.news(RECENT_CHANGE_MS, own_state.usage_is_full, now);
         state.fabric.publish(encode_record(&Payload::Router(own_state), &news), now);
     }
+    outgoing.extend(stream_versions::news(state, now));
     packets(core, state, publishes, now, &mut outgoing);
     directives(core, state, round, publishes, now, &mut outgoing);
     outgoing
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -210,6 +210,7 @@
             answer.guard.prompt_read();
             if !std::mem::replace(&mut answer.has_event, true) {
                 crashes::run_survived(request);
+                request.stream_has_event(answer.software);
             }
             request.record_event();
             if !self.send(event.bytes).await {
--- a/crates/gateway/src/relocate.rs
+++ b/crates/gateway/src/relocate.rs
@@ -14,6 +14,7 @@
     model::{Generation, Service, ServiceName, cache_salt},
     relocation::{Answer, Place, Relocation, Step as MoveStep},
     rollout::NamedVersions,
+    software::SoftwareTag,
     stopping::{Stay, StopFacts, may_stop},
 };
 use samphirespread_settings::Mechanism;
@@ -340,6 +341,7 @@
     let servers: Vec<&Server> = state.fleet.of_service(&service.name).collect();
     let host = |server: &&Server| {
         let takes_requests = server.entry.id != source.entry.id
+            && server.software == source.software
             && takes_moved_runs(state, server, now)
             && !server.suspicion.is_avoided(now);
         if !takes_requests {
@@ -385,6 +387,8 @@
     version: u64,
     source: Arc<str>,
     destination: Arc<str>,
+    /// The version of the software that began the stream.
+    software: SoftwareTag,
     /// Whether the request allows a new run.
     may_resume: bool,
     has_repeat: bool,
@@ -408,6 +412,7 @@
             version: source.engine.as_ref()?.version,
             source: source.id.clone(),
             destination: destination.id.clone(),
+            software: source.software,
             may_resume: request.may_resume(),
             has_repeat,
             deadline: request.deadline,
@@ -443,6 +448,7 @@
         let both = [self.source.clone(), self.destination.clone()];
         state.fleet.of_service(&self.service).any(|server| {
             takes_moved_runs(state, server, now)
+                && server.software == self.software
                 && !both.contains(&server.entry.id)
                 && !server.suspicion.is_avoided(now)
                 && server.version(&self.model).is_some_and(|version| version >= oldest_allowed)
@@ -466,6 +472,7 @@
             fetch_from: None,
             save_to: None,
         }),
+        software: server.software,
         max_connections: select::max_connections(state, service, server),
         part_keys: Vec::new(),
         read_tokens: 0,
--- a/crates/gateway/src/select/engines.rs
+++ b/crates/gateway/src/select/engines.rs
@@ -92,6 +92,7 @@
         read_tokens: estimate.read_tokens,
         expected: Some(estimate),
         last_report: report_summary(server, now),
+        software: server.software,
         started_unix_ms: server.entry.started_unix_ms,
         stopped_run: None,
         step: Step::Chose(Choice {
--- a/crates/gateway/src/select/mod.rs
+++ b/crates/gateway/src/select/mod.rs
@@ -13,6 +13,7 @@
     model::{Generation, Service},
     relocation::Handle,
     server_limit::ServerRun,
+    software::SoftwareTag,
 };
 use samphirespread_settings::DecisionSettings;
 
@@ -46,6 +47,8 @@
     pub(crate) expected: Option<Estimate>,
     /// A summary of the last report of the engine's sidecar.
     pub(crate) last_report: Option<ReportSummary>,
+    /// The version of the server's software.
+    pub(crate) software: SoftwareTag,
     /// When the server's process started, by its entry.
     pub(crate) started_unix_ms: Option<u64>,
     /// The stopped run that the engine is to continue; `None` for a new run.
@@ -93,6 +96,19 @@
     pub(crate) tried: &'a [Arc<str>],
     /// The caller's id of the request.
     pub(crate) request_id: &'a str,
+    /// What the request is to the stream that it may begin or continue.
+    pub(crate) stream: StreamRole,
+}
+
+/// What a request is to a stream that its caller may take up elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StreamRole {
+    /// There is no such stream.
+    None,
+    /// It may begin one.
+    Begins,
+    /// It continues one that began at this version of the servers' software.
+    Continues(SoftwareTag),
 }
 
 /// What the choice depends on besides the request and the servers.
@@ -118,6 +134,7 @@
         .of_service(&query.service.name)
         .filter(|server| can_be_sent_to(state, connections, server, query.tried, now))
         .collect();
+    let servers = of_usable_software(state, query, servers, now);
     match (query.service.engine.as_ref(), query.generation) {
         (Some(engine), Some(generation)) => {
             select_engine(state, query, (engine, generation), router, &servers, now)
@@ -126,6 +143,30 @@
     }
 }
 
+/// Returns the servers whose software the stream of a request may go on at, or begin at.
+///
+/// A version that is new on the list begins no streams yet: other routers may not know of it, and would
+/// take such a stream for one of the other version.
+fn of_usable_software<'a>(
+    state: &State,
+    query: &SelectionQuery<'_>,
+    servers: Vec<&'a Server>,
+    now: MonoTime,
+) -> Vec<&'a Server> {
+    match query.stream {
+        StreamRole::None => servers,
+        StreamRole::Continues(version) => {
+            servers.into_iter().filter(|server| server.software == version).collect()
+        }
+        StreamRole::Begins => {
+            let service = &query.service.name;
+            let may_begin =
+                |server: &&Server| state.software.may_begin(service, server.software, now);
+            servers.into_iter().filter(may_begin).collect()
+        }
+    }
+}
+
 /// Time until the first of the servers that pause will take requests again.
 pub(crate) fn next_return_ms(state: &State, service: &Service, now: MonoTime) -> Option<u64> {
     let resting = state.fleet.of_service(&service.name).filter(|server| now < server.rests_until);
@@ -228,6 +269,7 @@
         read_tokens: 0,
         expected: None,
         last_report: None,
+        software: server.software,
         started_unix_ms: server.entry.started_unix_ms,
         stopped_run: None,
         step: Step::Chose(Choice {
--- a/crates/gateway/src/server_list.rs
+++ b/crates/gateway/src/server_list.rs
@@ -102,6 +102,7 @@
         for server in self.entries.values().filter_map(|entry| entry.server.as_ref()) {
             (&*server.id, &*server.service, server.address, &*server.failure_domain)
                 .hash(&mut hasher);
+            server.software.hash(&mut hasher);
             (server.slots, server.availability == Availability::Ready, server.started_unix_ms)
                 .hash(&mut hasher);
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -26,6 +26,7 @@
     retry::{RetryBudget, RetryLimits, share_of_slack},
     rollout::NamedVersions,
     server_limit::{ServerLimits, ServerRun},
+    software::{SoftwareHistory, StreamVersions},
     speed::{FetchDelay, ReadingSpeed},
     table::Table,
 };
@@ -37,7 +38,7 @@
     fleet::{Fleet, Server},
     orders::Permit,
     reads::Reads,
-    server_limits,
+    server_limits, stream_versions,
 };
 
 /// Subtracted from the bound on the use of withdrawn keys, for the time that a request takes to
@@ -86,6 +87,10 @@
     pub(crate) fleet: Fleet,
     /// Whether the list of backend servers has ever been read.
     pub(crate) has_fleet: bool,
+    /// The versions of servers' software that streams may have begun at.
+    pub(crate) software: SoftwareHistory,
+    /// The versions at which streams began.
+    pub(crate) streams: StreamVersions,
     /// What backend servers in need take from all routers together.
     pub(crate) server_limits: ServerLimits,
     /// What in requests may have crashed backend servers.
@@ -161,6 +166,8 @@
     Starting,
     /// It waits for the first reports of engines.
     AwaitsReports,
+    /// It can't tell yet which versions of the servers' software are new.
+    AwaitsVersions,
     /// Its configuration was not confirmed for too long.
     OutOfTouch,
     /// A newer configuration is in force everywhere by now.
@@ -175,6 +182,7 @@
             Self::Ready => "ready",
             Self::Starting => "starting",
             Self::AwaitsReports => "awaits_reports",
+            Self::AwaitsVersions => "awaits_versions",
             Self::OutOfTouch => "out_of_touch",
             Self::Outdated => "outdated_configuration",
             Self::Draining => "draining",
@@ -265,6 +273,8 @@
             router_objects: Arc::default(),
             fleet: Fleet::default(),
             has_fleet: false,
+            software: SoftwareHistory::default(),
+            streams: StreamVersions::default(),
             server_limits: ServerLimits::new(server_limits::holder(&own)),
             crash_causes: CrashCauses::new(own.name.clone()),
             crashed_runs: HashMap::new(),
@@ -300,6 +310,9 @@
         if !self.has_engine_reports(now) {
             return Readiness::AwaitsReports;
         }
+        if self.software.is_settling(now) {
+            return Readiness::AwaitsVersions;
+        }
         match self.trust(now) {
             Trust::Outdated => Readiness::Outdated,
             Trust::OutOfTouch => Readiness::OutOfTouch,
@@ -326,6 +339,19 @@
         }
     }
 
+    /// How long a stream may last and be taken up.
+    pub(crate) fn stream_memory_ms(&self) -> u64 {
+        let table = self.table.as_ref();
+        let drain_ms = self.bounds.server_drain_ms;
+        table.map_or(0, |table| stream_versions::memory_ms(table.configuration(), drain_ms))
+    }
+
+    /// Records the versions of the software of all servers that are listed now.
+    pub(crate) fn observe_software(&mut self, now: MonoTime) {
+        let memory_ms = self.stream_memory_ms();
+        self.software.observe(self.fleet.software(), memory_ms, now);
+    }
+
     /// Whether another run or another server answers at the address of this entry.
     ///
     /// A report overrules the list only while the list is current: during an outage of the store
--- /dev/null
+++ b/crates/gateway/src/stream_versions.rs
@@ -0,0 +1,176 @@
+//! Finds out at which version of its servers' software a stream may go on, and tells other routers of
+//! the streams that began here.
+//!
+//! Each stream is told to two routers, which follow from its key. A router that doesn't know a stream
+//! asks them, and one more, as one of the two may have ended.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use samphirespread_core::{prelude::*, rendezvous};
+use samphirespread_peer::{Datagram, StreamAnswer, StreamQuery, StreamsBegun, encode};
+use samphirespread_routing::{
+    model::{Configuration, RouteKind},
+    software::{KnownStream, SETTLING_MS, SoftwareTag, StreamKey},
+};
+use tokio::{sync::mpsc, time};
+
+use crate::{gateway::Core, state::State};
+
+/// The number of routers that are told of a stream.
+const HOLDERS: usize = 2;
+/// The number of routers that are asked for a stream.
+const ASKED: usize = HOLDERS + 1;
+/// Time to wait for answers. The caller waits meanwhile.
+const ANSWER_TIMEOUT_MS: u64 = 150;
+/// Streams in one datagram, so that it fits into one packet.
+const STREAMS_PER_DATAGRAM: usize = 64;
+/// The number of questions that wait for answers at the same time.
+const MAX_QUESTIONS: usize = 1_000;
+
+/// The questions of this router that wait for answers.
+#[derive(Debug, Default)]
+pub(crate) struct Questions {
+    waiting: Mutex<HashMap<u64, mpsc::Sender<Option<SoftwareTag>>>>,
+}
+
+impl Questions {
+    /// Registers a question. Returns `None` if too many wait.
+    fn register(&self, stream: StreamKey) -> Option<(u64, mpsc::Receiver<Option<SoftwareTag>>)> {
+        let mut waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        waiting.retain(|_, sender| !sender.is_closed());
+        if waiting.len() >= MAX_QUESTIONS {
+            return None;
+        }
+        let (sender, receiver) = mpsc::channel(ASKED);
+        let mut number = u64::from_le_bytes(stream.to_bytes());
+        while waiting.contains_key(&number) {
+            number = number.wrapping_add(1);
+        }
+        waiting.insert(number, sender);
+        Some((number, receiver))
+    }
+
+    /// Passes an answer on to the request that waits for it, if it still does.
+    pub(crate) fn answer(&self, answer: &StreamAnswer) {
+        let waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(sender) = waiting.get(&answer.question) {
+            // More answers than routers that were asked are not expected.
+            let _ = sender.try_send(answer.version);
+        }
+    }
+}
+
+/// How long a version counts after it has left the list: the longest time limit of a route that
+/// streams, and the time for which a router with an older list may still begin streams at it.
+pub(crate) fn memory_ms(configuration: &Configuration, server_drain_ms: u64) -> u64 {
+    let streams = configuration.routes.iter().filter(|route| route.kind == RouteKind::Stream);
+    let longest_ms = streams.map(|route| route.timeout_ms).max().unwrap_or(0);
+    longest_ms + server_drain_ms + SETTLING_MS
+}
+
+/// Returns the version at which a stream may go on: what this router knows, or else another one.
+/// `None` if nobody knows, so that it must not go on.
+pub(crate) async fn find(
+    core: &Core,
+    service: &str,
+    stream: Option<StreamKey>,
+) -> Option<SoftwareTag> {
+    let (known, holders) = {
+        let now = core.now();
+        let state = core.state();
+        let known = known_version(&state, service, stream, now);
+        (known, stream.map(|stream| holders(&state, stream, ASKED)).unwrap_or_default())
+    };
+    if known.is_some() {
+        return known;
+    }
+    ask(core, service, stream?, &holders).await
+}
+
+/// What this router knows of the version of a stream. Without a key, only the versions that the
+/// service has had can tell.
+pub(crate) fn known_version(
+    state: &State,
+    service: &str,
+    stream: Option<StreamKey>,
+    now: MonoTime,
+) -> Option<SoftwareTag> {
+    let remembered = stream.and_then(|stream| state.streams.version(stream, now));
+    remembered.or_else(|| {
+        let list_age_ms = state.reads.servers.age_ms(now);
+        state.software.sole_version(service, list_age_ms, now)
+    })
+}
+
+async fn ask(
+    core: &Core,
+    service: &str,
+    stream: StreamKey,
+    holders: &[SocketAddr],
+) -> Option<SoftwareTag> {
+    let (question, mut answers) = core.stream_questions.register(stream)?;
+    let query = StreamQuery { question, service: service.to_owned(), stream };
+    let bytes = encode(&Datagram::StreamQuery(query));
+    for holder in holders {
+        // A question that is not sent is not answered.
+        let _ = core.socket.send_to(&bytes, holder).await;
+    }
+    let first_version = async {
+        for _ in holders {
+            if let Some(version) = answers.recv().await? {
+                return Some(version);
+            }
+        }
+        None
+    };
+    let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
+    time::timeout(timeout, first_version).await.ok().flatten()
+}
+
+/// Answers another router's question.
+pub(crate) fn answer(core: &Core, from: SocketAddr, query: &StreamQuery) {
+    let version = known_version(&core.state(), &query.service, Some(query.stream), core.now());
+    let answer = StreamAnswer { question: query.question, version };
+    // Without an answer, the other router refuses the request.
+    let _ = core.socket.try_send_to(&encode(&Datagram::StreamAnswer(answer)), from);
+}
+
+/// Records the streams of which another router tells.
+pub(crate) fn learn(state: &mut State, begun: &StreamsBegun, now: MonoTime) {
+    let until = now.plus_ms(state.stream_memory_ms());
+    for known in &begun.streams {
+        state.streams.learn(*known, until);
+    }
+}
+
+/// The routers that are told of a stream, or asked for it, best first.
+fn holders(state: &State, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+    let routers: Vec<(&InstanceName, SocketAddr)> =
+        state.routers.iter().map(|(name, router)| (name, router.address)).collect();
+    let ranked = rendezvous::rank(&stream.to_bytes(), &routers, |(name, _)| name.as_str());
+    ranked.into_iter().take(count).map(|index| routers[index].1).collect()
+}
+
+/// Returns the datagrams that tell other routers of streams that began here.
+pub(crate) fn news(state: &mut State, now: MonoTime) -> Vec<(SocketAddr, Vec<u8>)> {
+    let news = state.streams.take_news(state.software.has_several(now), now);
+    let mut by_holder: HashMap<SocketAddr, Vec<KnownStream>> = HashMap::new();
+    for known in news {
+        for holder in holders(state, known.stream, HOLDERS) {
+            by_holder.entry(holder).or_default().push(known);
+        }
+    }
+    let datagrams = by_holder.into_iter().flat_map(|(holder, streams)| {
+        let batches: Vec<Vec<KnownStream>> =
+            streams.chunks(STREAMS_PER_DATAGRAM).map(<[_]>::to_vec).collect();
+        batches
+            .into_iter()
+            .map(move |streams| (holder, encode(&Datagram::StreamsBegun(StreamsBegun { streams }))))
+    });
+    datagrams.collect()
+}
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -52,6 +52,7 @@
         let now = core.now();
         let mut state = core.state();
         state.fleet.prune(now);
+        state.streams.expire(now);
         state.server_limits.expire(now);
         state.crash_causes.expire(now);
         let blocked = state.crash_causes.count_blocked(now);
--- a/crates/gateway/tests/gateway/software_versions.rs
+++ b/crates/gateway/tests/gateway/software_versions.rs
@@ -137,7 +137,7 @@
     let mut text = String::new();
     while Text::new(&text).events.len() < usize::try_from(EVENTS_BEFORE).unwrap() {
         let frame = body.frame().await.unwrap().unwrap();
-        text.push_str(&String::from_utf8(frame.into_data().unwrap().to_vec()).unwrap());
+        text.push_str(std::str::from_utf8(&frame.into_data().unwrap()).unwrap());
     }
     for engine in &versions.engines {
         engine.expect_nothing();
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -46,6 +46,7 @@
     model::EngineState,
     read_parts::ReadPart,
     server_limit::{RequestRate, ServerRun},
+    software::{KnownStream, SoftwareTag, StreamKey},
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
@@ -72,6 +73,39 @@
     Directive(Directive),
     /// From a sidecar to a router.
     Engine(EngineReport),
+    /// From a router to another router.
+    StreamsBegun(StreamsBegun),
+    /// From a router to another router.
+    StreamQuery(StreamQuery),
+    /// From a router to another router, in answer to a query.
+    StreamAnswer(StreamAnswer),
+}
+
+/// Streams that have begun at the sending router, to be remembered by the receiving one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamsBegun {
+    /// The streams.
+    pub streams: Vec<KnownStream>,
+}
+
+/// Asks at which version of its servers' software a stream may go on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamQuery {
+    /// Identifies the question at the sender.
+    pub question: u64,
+    /// The service of the stream.
+    pub service: String,
+    /// The stream.
+    pub stream: StreamKey,
+}
+
+/// The answer to a [`StreamQuery`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamAnswer {
+    /// Identifies the question at the router that asked.
+    pub question: u64,
+    /// The version; `None` if the sender does not know it.
+    pub version: Option<SoftwareTag>,
 }
 
 /// A message from one router to another one.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod server_limit;
+pub mod software;
 pub mod sources;
 pub mod speed;
 pub mod stopping;
