Record software versions in the store for routers that have just started

The router that reads the store for all now keeps the versions at which streams may have begun in one object, which changes only when a version appears or is forgotten; a router that has just started concludes from it and its own list.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod serve;
 mod server_limits;
 mod server_list;
+mod software_record;
 mod state;
 mod stream_versions;
 mod sync;
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -16,7 +16,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
-    cache_follow, cache_pull, gateway::Core, metrics::count, orders, peers, publish, reads, weights,
+    cache_follow, cache_pull, gateway::Core, metrics::count, orders, peers, publish, reads,
+    software_record, weights,
 };
 
 /// Time between two clean-ups of idle connections.
@@ -34,6 +35,7 @@
         tasks.spawn(configuration::follow(core.clone()));
         tasks.spawn(weights::follow_versions(core.clone()));
         tasks.spawn(weights::record_versions(core.clone()));
+        tasks.spawn(software_record::keep(core.clone()));
         tasks.spawn(cache_follow::follow_stores(core.clone()));
         tasks.spawn(cache_pull::pull_views(core.clone()));
         tasks.spawn(peers::receive(core.clone()));
--- a/crates/gateway/tests/gateway/software_versions.rs
+++ b/crates/gateway/tests/gateway/software_versions.rs
@@ -288,6 +288,33 @@
     assert_eq!((taken_up.whole, taken_up.refused), (STREAMS, 0));
 }
 
+/// Guards against refusals after all routers were killed, where the service has one version all the
+/// time, which the store's record tells.
+#[tokio::test]
+async fn a_stream_of_one_version_is_taken_up_after_all_routers_were_killed() {
+    let mut versions = start().await;
+    for engine in &versions.engines[2..] {
+        versions.store.remove("servers", engine.id());
+    }
+    let record_of_one = || {
+        let record = versions.store.spec("samphirespread-software", "versions")?;
+        (record["services"]["engines"].as_array()?.len() == 1).then_some(())
+    };
+    eventually(record_of_one).await;
+
+    let mut taken_up = TakenUp::default();
+    for number in 0..3 {
+        let id = format!("q{number}");
+        let begun = begin(&versions, &id).await;
+        versions.gateway = gateway("r1", &versions.store).await;
+        let second = format!("t{number}");
+        let answer = send(versions.callers(), take_up(&second, Some(&id))).await.unwrap();
+        count(&mut taken_up, &begun, answer.status, &answer.body);
+    }
+
+    assert_eq!((taken_up.whole, taken_up.refused), (3, 0));
+}
+
 /// Guards against moves of runs to an engine of another version, which is all that is left.
 #[tokio::test]
 async fn a_run_is_not_moved_to_another_version() {
--- a/crates/routing/src/software/history.rs
+++ b/crates/routing/src/software/history.rs
@@ -1,8 +1,9 @@
 //! The versions that each service has had lately.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use samphirespread_core::prelude::*;
+use serde::{Deserialize, Serialize};
 
 use super::SoftwareTag;
 use crate::model::ServiceName;
@@ -17,8 +18,16 @@
     services: HashMap<ServiceName, HashMap<SoftwareTag, SeenVersion>>,
     /// When the first list was observed.
     since: Option<MonoTime>,
-    /// How long a stream may last, and be taken up.
+    /// How long a version counts after it has left the list.
     memory_ms: u64,
+    /// The versions that routers before this one knew, once that has been read.
+    record: Option<SoftwareRecord>,
+}
+
+/// The versions of each service's software at which streams may have begun, for routers to come.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SoftwareRecord {
+    services: BTreeMap<String, BTreeSet<SoftwareTag>>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -72,13 +81,43 @@
         list_age_ms: u64,
         now: MonoTime,
     ) -> Option<SoftwareTag> {
-        let watched_ms = now.ms_since(self.since?);
-        if watched_ms <= self.memory_ms || list_age_ms >= SETTLING_MS {
+        if list_age_ms >= SETTLING_MS {
             return None;
         }
-        let mut versions = self.remembered(service, now);
-        let version = versions.next()?;
-        versions.next().is_none().then_some(version)
+        let mut versions: BTreeSet<SoftwareTag> = self.remembered(service, now).collect();
+        if !self.has_watched(now) {
+            versions.extend(self.record.as_ref()?.services.get(service)?);
+        }
+        if versions.len() == 1 { versions.pop_first() } else { None }
+    }
+
+    /// Whether this router has followed the list for as long as a version counts.
+    fn has_watched(&self, now: MonoTime) -> bool {
+        self.since.is_some_and(|since| now.ms_since(since) > self.memory_ms)
+    }
+
+    /// Whether the record of routers before this one has been read.
+    pub fn has_record(&self) -> bool {
+        self.record.is_some()
+    }
+
+    /// Sets what routers before this one knew.
+    pub fn set_record(&mut self, record: SoftwareRecord) {
+        self.record = Some(record);
+    }
+
+    /// Returns the record for routers to come: what this router knows, and what those before it knew
+    /// until it has followed the list for long enough.
+    pub fn record(&self, now: MonoTime) -> SoftwareRecord {
+        let mut record = match &self.record {
+            Some(record) if !self.has_watched(now) => record.clone(),
+            _ => SoftwareRecord::default(),
+        };
+        for service in self.services.keys() {
+            let versions = record.services.entry(service.to_string()).or_default();
+            versions.extend(self.remembered(service, now));
+        }
+        record
     }
 
     /// Whether streams of any service may have begun at more than one version.
--- a/crates/routing/src/software/mod.rs
+++ b/crates/routing/src/software/mod.rs
@@ -8,7 +8,8 @@
 //! * [`StreamVersions`] remembers the versions of streams that began here, or of which another router
 //!   has told.
 //! * [`SoftwareHistory`] knows which versions a service has had for as long as a stream may last. If it
-//!   was one all the time, all streams began at that one.
+//!   was one all the time, all streams began at that one. A router that has just started relies on the
+//!   [`SoftwareRecord`] of those before it.
 //!
 //! Where neither tells the version, the stream must not go on: lost memory costs a stream, but never
 //! joins the text of two versions.
@@ -43,7 +44,7 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 pub use self::{
-    history::{SETTLING_MS, SoftwareHistory},
+    history::{SETTLING_MS, SoftwareHistory, SoftwareRecord},
     streams::{KnownStream, StreamVersions},
 };
 
--- a/crates/routing/tests/software.rs
+++ b/crates/routing/tests/software.rs
@@ -6,7 +6,8 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use samphirespread_core::prelude::*;
 use samphirespread_routing::software::{
-    KnownStream, SETTLING_MS, SoftwareHistory, SoftwareTag, StreamKey, StreamVersions,
+    KnownStream, SETTLING_MS, SoftwareHistory, SoftwareRecord, SoftwareTag, StreamKey,
+    StreamVersions,
 };
 
 const SERVICE: &str = "desk";
@@ -41,6 +42,28 @@
     assert_eq!(sole(&history, 1_001 + MEMORY_MS), Some(tag("v1")));
 }
 
+/// Guards against a conclusion from a record that names another version, or none.
+#[test]
+fn a_router_that_has_just_started_relies_on_the_record_of_those_before_it() {
+    let mut before = SoftwareHistory::default();
+    observe(&mut before, &["v1"], 0);
+    let of_one = before.record(MonoTime::ZERO);
+    observe(&mut before, &["v1", "v2"], 9_000);
+    let of_two = before.record(MonoTime::from_ms(9_000));
+    let after = |record: SoftwareRecord| {
+        let mut history = SoftwareHistory::default();
+        observe(&mut history, &["v1"], 10_000);
+        history.set_record(record);
+        history
+    };
+
+    assert_eq!(sole(&after(of_one), 10_000), Some(tag("v1")));
+    assert_eq!(sole(&after(of_two.clone()), 10_000), None);
+    assert_eq!(sole(&after(SoftwareRecord::default()), 10_000), None);
+    // It keeps what it does not know better.
+    assert_eq!(after(of_two.clone()).record(MonoTime::from_ms(10_000)), of_two);
+}
+
 /// Guards against forgetting a version whose servers have gone, while its streams may be taken up.
 #[test]
 fn a_version_that_is_gone_counts_for_as_long_as_its_streams_may_last() {
@@ -151,6 +174,7 @@
     let mut routers: Vec<Router> = (0..4).map(|_| Router::default()).collect();
     let (mut listed, mut newest) = (vec![VERSIONS[0]], 0);
     let mut begun: Vec<Begun> = Vec::new();
+    let mut record = SoftwareRecord::default();
     let (mut own, mut refused, mut other) = (0, 0, 0);
     for step in 0..2_000_u64 {
         let now_ms = step * 50;
@@ -163,8 +187,15 @@
             listed.remove(0);
         }
         let index = random.random_range(0..routers.len());
-        if random.random_bool(0.004) {
-            routers[index] = Router::default();
+        let restarts = match random.random_range(0..1_000) {
+            0..4 => index..index + 1,
+            // All are killed at once.
+            4..7 => 0..routers.len(),
+            _ => 0..0,
+        };
+        for router in &mut routers[restarts] {
+            *router = Router::default();
+            router.history.set_record(record.clone());
         }
         for router in &mut routers {
             let age_ms = now_ms - router.read_ms;
@@ -174,6 +205,8 @@
                 router.read(&listed, now_ms);
             }
         }
+        // The router that reads for all keeps the record.
+        record = routers[0].history.record(MonoTime::from_ms(now_ms));
         if let Some(version) = routers[index].begins_at(&mut random, now_ms) {
             let stream = StreamKey::new(SERVICE, &format!("{seed}-{step}"));
             let known = KnownStream { stream, version: tag(version) };
