News of a drain last as long as the drain

An entry may say again that it is ready.

The router that reads the store now repeats in its record which servers are listed as draining; another router heeds that for 2.5 s after the last record, or until its own list shows a change. What a server says itself in an answer holds for its run as before.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -23,6 +23,9 @@
 const MAX_REMEMBERED_PARTS: usize = 4_096;
 /// A departure is remembered for this long. Entries that lapse are back on the list much earlier.
 const DEPARTURE_LIFETIME_MS: u64 = 600_000;
+/// A departure that another router has on its list counts for this long after its last record, which
+/// comes once a second.
+const LISTED_DEPARTURE_LIFETIME_MS: u64 = 2_500;
 /// A part may be forgotten after this long, which is longer than an engine is ever assumed to hold
 /// it.
 const PART_RETENTION_MS: u64 = 10_000;
@@ -60,6 +63,10 @@
     pub(crate) said_leaving: bool,
     /// It has asked this router for no requests until then.
     pub(crate) rests_until: MonoTime,
+    /// Another router has it on its list as draining, until then. By then this router has the list.
+    drains_elsewhere_until: MonoTime,
+    /// When the list was first seen with the availability that it has now, if it had another before.
+    availability_since: Option<MonoTime>,
     /// Parts of prompts that the engine has read, by key, and when it last did.
     parts: HashMap<u64, MonoTime>,
 }
@@ -125,13 +132,15 @@
             is_superseded: false,
             said_leaving: false,
             rests_until: MonoTime::ZERO,
+            drains_elsewhere_until: MonoTime::ZERO,
+            availability_since: None,
             parts: HashMap::new(),
         }
     }
 
     /// Whether this router must send it no new requests now.
     pub(crate) fn declines(&self, now: MonoTime) -> bool {
-        self.is_leaving() || now < self.rests_until
+        self.is_leaving() || now < self.rests_until.max(self.drains_elsewhere_until)
     }
 
     /// Whether it drains, according to the list or to its answers.
@@ -150,7 +159,7 @@
         (in_flight > 0).then_some((self.run_tag, UnlistedLoad { in_flight, unread_tokens }))
     }
 
-    pub(crate) fn run(&self) -> Departure {
+    fn run(&self) -> Departure {
         Departure { id: self.entry.id.clone(), started_unix_ms: self.entry.started_unix_ms }
     }
 
@@ -331,6 +340,10 @@
         {
             changes.push(FleetChange::Draining(id));
         }
+        if server.entry.availability != entry.availability {
+            server.availability_since = Some(now);
+            server.drains_elsewhere_until = MonoTime::ZERO;
+        }
         server.entry = entry;
     }
 
@@ -394,6 +407,31 @@
         self.servers.get_mut(id).filter(|server| server.run_tag == run)
     }
 
+    /// Records that another router has a run of a server on its list as draining. Returns whether that
+    /// was not known yet.
+    pub(crate) fn record_listed_departure(&mut self, run: &Departure, now: MonoTime) -> bool {
+        let Some(server) = self.servers.get_mut(&run.id).filter(|server| server.run() == *run)
+        else {
+            return false;
+        };
+        let is_news = !server.declines(now);
+        server.drains_elsewhere_until = now.plus_ms(LISTED_DEPARTURE_LIFETIME_MS);
+        is_news
+    }
+
+    /// Returns the runs that are listed as draining, and are so for no longer than `within_ms`.
+    pub(crate) fn listed_departures(
+        &self,
+        within_ms: u64,
+        now: MonoTime,
+    ) -> impl Iterator<Item = Departure> {
+        let is_news = move |server: &&Server| {
+            let since = server.availability_since.unwrap_or(server.known_since);
+            server.entry.availability == Availability::Draining && now.ms_since(since) <= within_ms
+        };
+        self.servers.values().filter(is_news).map(Server::run)
+    }
+
     /// Records that a run of a server drains. Returns whether that was not known yet.
     pub(crate) fn record_departure(
         &mut self,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -158,6 +158,13 @@
                 "source" => name.as_str());
         }
     }
+    for server in &published_state.listed_departures {
+        let (id, started_unix_ms) = (server.server_id.as_str().into(), server.started_unix_ms);
+        if state.fleet.record_listed_departure(&Departure { id, started_unix_ms }, now) {
+            info!(core.log, "{}", event::SERVER_DRAINS; "server" => &server.server_id,
+                "source" => name.as_str());
+        }
+    }
     for limit in &published_state.server_limits {
         server_limits::note_news(core, state, name, limit, fresh.published, now);
     }
--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -17,8 +17,9 @@
 
 use crate::{
     conduct,
+    fleet::Departure,
     gateway::Core,
-    metrics,
+    metrics, reads,
     state::{OtherRouter, State},
     stream_versions,
 };
@@ -160,6 +161,7 @@
         usage: team_usage(&usage),
         usage_is_full: is_full,
         departures: departures(state, within_ms.min(DEPARTURE_PUBLISHED_MS), now),
+        listed_departures: listed_departures(core, state, within_ms, now),
         read_parts: match core.settings.decisions.uses(Mechanism::ReadParts) {
             true => state.read_parts.recent(RECENT_CHANGE_MS, now).collect(),
             false => Vec::new(),
@@ -187,11 +189,26 @@
 }
 
 fn departures(state: &State, within_ms: u64, now: MonoTime) -> Vec<DepartingServer> {
-    let departures = state.fleet.departures(within_ms, now).map(|run| DepartingServer {
-        server_id: run.id.to_string(),
-        started_unix_ms: run.started_unix_ms,
-    });
-    departures.collect()
+    state.fleet.departures(within_ms, now).map(departing_server).collect()
+}
+
+/// The servers that drain by the list, if this router reads it for all. A router with a slow link
+/// gets this record long before the list.
+fn listed_departures(
+    core: &Core,
+    state: &State,
+    within_ms: u64,
+    now: MonoTime,
+) -> Vec<DepartingServer> {
+    if !reads::reads_for_all(core, state, now) {
+        return Vec::new();
+    }
+    let departures = state.fleet.listed_departures(within_ms, now);
+    departures.map(|run| departing_server(&run)).collect()
+}
+
+fn departing_server(run: &Departure) -> DepartingServer {
+    DepartingServer { server_id: run.id.to_string(), started_unix_ms: run.started_unix_ms }
 }
 
 fn server_limits(state: &State, within_ms: u64, now: MonoTime) -> Vec<NamedLimit> {
--- a/crates/gateway/src/sync/lists.rs
+++ b/crates/gateway/src/sync/lists.rs
@@ -15,13 +15,12 @@
 use crate::{
     admin::HeldRevisions,
     copies,
-    fleet::{DepartureSource, FleetChange, Server},
+    fleet::FleetChange,
     gateway::Core,
     metrics::count,
     reads::ListParts,
     routers,
     server_list::{ServerList, Unreadable},
-    state::State,
 };
 
 /// Rounds of reads between two reads of the list of routers.
@@ -271,10 +270,12 @@
         }
         state.server_objects = self.servers.objects();
         state.server_revision = self.servers.revision();
-        if source == ListSource::Store {
-            self.announce_departures(&mut state, &changes, now);
-        }
         drop(state);
+        let is_drain = |change: &FleetChange| matches!(change, FleetChange::Draining(_));
+        if source == ListSource::Store && changes.iter().any(is_drain) {
+            // The others get the news in a record, before they have the list.
+            self.core.wake_publisher.notify_one();
+        }
         for change in changes {
             match change {
                 FleetChange::Appeared { id, software } => {
@@ -293,16 +294,4 @@
             }
         }
     }
-
-    /// Tells the other routers which servers drain. That takes a few bytes of a record each, while
-    /// the list may take long to reach a router with a slow link.
-    fn announce_departures(&self, state: &mut State, changes: &[FleetChange], now: MonoTime) {
-        for change in changes {
-            let FleetChange::Draining(id) = change else { continue };
-            let Some(run) = state.fleet.get(id).map(Server::run) else { continue };
-            if state.fleet.record_departure(run, DepartureSource::FirstHand, now) {
-                self.core.wake_publisher.notify_one();
-            }
-        }
-    }
 }
--- a/crates/gateway/tests/gateway/departures.rs
+++ b/crates/gateway/tests/gateway/departures.rs
@@ -305,3 +305,34 @@
     let end = site.gateway.log.line("request ended", "q1").await;
     assert_eq!((end["outcome"].as_str(), end["cause"].as_str()), (Some("cut"), Some("timeout")));
 }
+
+/// Guards against news of a drain that outlast it: a server whose entry says again that it is ready
+/// takes requests, at the router that reads the store and at another one.
+#[tokio::test]
+async fn a_server_whose_drain_is_called_off_is_used_again() {
+    let site = start_site(configuration()).await;
+    let other = start_gateway(settings_of("r2", site.store.address())).await;
+    site.store.put("servers", "d1", site.workers[0].entry("draining"));
+    logged(&site, "server drains", "server", "d1").await;
+    let heard = |line: &serde_json::Value| line["msg"] == "server drains" && line["server"] == "d1";
+    eventually(|| other.log.lines().iter().any(heard).then_some(())).await;
+    let before = site.workers[0].ran();
+
+    site.store.put("servers", "d1", site.workers[0].entry("ready"));
+
+    for callers in [site.gateway.addresses.callers, other.addresses.callers] {
+        let ran = site.workers[0].ran();
+        let mut number = 0;
+        while site.workers[0].ran() == ran {
+            number += 1;
+            assert!(number < 2_000, "no request reaches the server; {before} before it drained");
+            let id = format!("{}-{number}", callers.port());
+            // Two calls at the same time reach both servers.
+            let other_id = format!("{id}b");
+            let _ = tokio::join!(
+                send(callers, call("/lookup/a", &id)),
+                send(callers, call("/lookup/a", &other_id))
+            );
+        }
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -62,7 +62,7 @@
 
 /// Version of the format, which is the first byte of each datagram. Datagrams of other versions are
 /// rejected.
-const FORMAT_VERSION: u8 = 6;
+const FORMAT_VERSION: u8 = 7;
 
 /// A message in one datagram.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -195,6 +195,8 @@
     pub usage_is_full: bool,
     /// Backend servers that reported to the router that they drain.
     pub departures: Vec<DepartingServer>,
+    /// Backend servers that the router, which reads the store for all, has on its list as draining.
+    pub listed_departures: Vec<DepartingServer>,
     /// Parts of prompts that engines have recently read for this router.
     pub read_parts: Vec<ReadPart>,
     /// Limits that backend servers named, or ceased to name, in answers to the router.
