--- a/crates/soak/src/caller/mod.rs
+++ b/crates/soak/src/caller/mod.rs
@@ -21,7 +21,7 @@
 use self::connection::{Connection, PacedBody};
 use crate::{
     checker::Bounds,
-    history::{Caller, Outcome, Request, Route, RunMs},
+    history::{Caller, Outcome, Request, Route, RunMs, TakenUp},
     site::{HOST, MODEL},
 };
 
@@ -94,9 +94,23 @@
     /// Pauses in the middle of the body.
     body_pause_ms: u64,
     reads_slowly: bool,
+    takes_up: Option<TakenUp>,
 }
 
 impl Asked {
+    /// Takes a stream up that broke off after some events, as its route allows.
+    fn take_up(self, request: &Request) -> Option<Self> {
+        let Outcome::Cut { body } = &request.outcome else { return None };
+        let after = u64::try_from(body.matches("\n\n").count()).ok()?;
+        let before = self.takes_up.as_ref().map_or(0, |taken_up| taken_up.after);
+        if self.route != Route::Resumable || before + after == 0 {
+            return None;
+        }
+        let first = request.first_id().to_owned();
+        let takes_up = Some(TakenUp { first, after: before + after });
+        Some(Self { body_pause_ms: 0, reads_slowly: false, takes_up, ..self })
+    }
+
     fn draw(random: &mut SmallRng) -> Self {
         let route = Route::ALL[random.random_range(0..Route::ALL.len())];
         let events = match random.random_range(0..LENGTHS_IN) {
@@ -110,7 +124,7 @@
         let is_slow = random.random_ratio(1, SLOW_BODY_ONE_IN);
         let body_pause_ms = if is_slow { random.random_range(BODY_PAUSE_MS) } else { 0 };
         let subject = random.random_range(0..SUBJECTS);
-        Self { route, events, subject, body_pause_ms, reads_slowly }
+        Self { route, events, subject, body_pause_ms, reads_slowly, takes_up: None }
     }
 
     fn padding_bytes(&self) -> usize {
@@ -123,8 +137,9 @@
     let mut random = SmallRng::seed_from_u64(seed ^ number.wrapping_mul(0x9E37_79B9_7F4A_7C15));
     let mut open: Option<Open> = None;
     let mut count = 0_u64;
+    let mut broken_off: Option<Asked> = None;
     while !load.stop.is_cancelled() {
-        if random.random_ratio(1, MOVES_ONE_IN) {
+        if broken_off.is_some() || random.random_ratio(1, MOVES_ONE_IN) {
             open = None;
         }
         let kept = open.take().filter(|open| open.connection.is_reusable());
@@ -135,7 +150,7 @@
             time::sleep(Duration::from_millis(PAUSE_AFTER_FAILURE_MS)).await;
             continue;
         };
-        let asked = Asked::draw(&mut random);
+        let asked = broken_off.take().unwrap_or_else(|| Asked::draw(&mut random));
         let id = format!("c{number}-{count}");
         count += 1;
         if used.is_kept && random.random_ratio(1, RESTS_ONE_IN) {
@@ -155,6 +170,7 @@
             request
         };
         let is_failure = matches!(request.outcome, Outcome::NoAnswer | Outcome::Silent);
+        broken_off = asked.take_up(&request);
         load.note(request);
         let pause_ms =
             if is_failure { PAUSE_AFTER_FAILURE_MS } else { random.random_range(PAUSE_MS) };
@@ -197,6 +213,7 @@
         sent_ms,
         whole_sent_ms,
         ended_ms: load.now_ms(),
+        takes_up: asked.takes_up.clone(),
         outcome,
     };
     (request, is_open.then_some(Open { is_kept: true, ..used }))
@@ -224,6 +241,11 @@
     let mut request = ask.request().map(drop);
     request.headers_mut().insert(EVENTS, HeaderValue::from(asked.events));
     request.headers_mut().insert(PADDING, HeaderValue::from(asked.padding_bytes()));
+    if let Some(TakenUp { first, after }) = &asked.takes_up {
+        let first = HeaderValue::from_str(first).expect("ids are letters and digits");
+        request.headers_mut().insert("resumes", first);
+        request.headers_mut().insert("last-event-id", HeaderValue::from(*after));
+    }
     request
 }
 
--- a/crates/soak/src/checker/answers.rs
+++ b/crates/soak/src/checker/answers.rs
@@ -58,6 +58,43 @@
         }
     }
     recovery(seen, broken);
+    taken_up(seen, broken);
+}
+
+/// So many streams have to be taken up before their share is judged.
+const JUDGED_STREAMS: usize = 12;
+
+/// At gateways that are in touch, the share of streams that go on when they are taken up is at least
+/// half of the share of new ones that begin.
+fn taken_up(seen: &Seen<'_>, broken: &mut Vec<Broken>) {
+    let is_served = |request: &&&Request| {
+        matches!(request.outcome, Outcome::Whole { .. } | Outcome::Cut { .. })
+    };
+    let judged = seen.history.requests.iter().filter(|request| is_judged(seen, request));
+    let (taken_up, new): (Vec<&Request>, Vec<&Request>) =
+        judged.partition(|request| request.takes_up.is_some());
+    let goes_on = taken_up.iter().filter(is_served).count();
+    let begins = new.iter().filter(is_served).count();
+    if taken_up.len() >= JUDGED_STREAMS && 2 * goes_on * new.len() < begins * taken_up.len() {
+        let what = format!(
+            "{goes_on} of {} streams went on, {begins} of {} began",
+            taken_up.len(),
+            new.len()
+        );
+        broken.push(Broken::new(Promise::TakenUp, taken_up[0].sent_ms, what));
+    }
+}
+
+/// Whether a stream may be taken up, and its gateway, the store and all engines that ran it were left
+/// alone for long enough.
+fn is_judged(seen: &Seen<'_>, request: &Request) -> bool {
+    let from_ms = request.sent_ms.saturating_sub(seen.bounds.contact_ms);
+    let gateway = request.gateway;
+    let victims = [Victim::Store, Victim::Gateway(gateway), Victim::Leaving(gateway)];
+    let is_calm = |victim: &Victim| !seen.history.disturbed(victim, from_ms, request.ended_ms);
+    request.route == Route::Resumable
+        && request.caller == Caller::Steady
+        && victims.iter().all(is_calm)
 }
 
 /// The body of a whole answer.
@@ -68,7 +105,8 @@
     }
     let padding = padding(request.padding_bytes);
     let event = |number| format!("id: {number}\ndata: {id} {number}{padding}\n\n");
-    (1..=request.events).map(event).collect()
+    let before = request.takes_up.as_ref().map_or(0, |taken_up| taken_up.after);
+    (before + 1..=request.events).map(event).collect()
 }
 
 fn gateway_disturbed(seen: &Seen<'_>, request: &Request) -> bool {
--- a/crates/soak/src/checker/mod.rs
+++ b/crates/soak/src/checker/mod.rs
@@ -24,6 +24,10 @@
     OwnAnswer,
     /// a stream is whole and in order
     Order,
+    /// a stream goes on at the version that began it
+    Version,
+    /// streams that callers take up go on where new ones begin
+    TakenUp,
     /// a request runs at a server of its route
     Route,
     /// a request runs for its team, as the caller sent it
--- a/crates/soak/src/checker/runs.rs
+++ b/crates/soak/src/checker/runs.rs
@@ -43,6 +43,7 @@
         }
     }
     foreign_runs(seen, broken);
+    versions(seen, broken);
     cache(&seen.history.runs, broken);
     orders(&seen.history.orders, broken);
     quota(seen, broken);
@@ -57,6 +58,28 @@
     }
 }
 
+/// A stream goes on only at the version of the servers' software that began it, over all requests
+/// that take it up.
+fn versions(seen: &Seen<'_>, broken: &mut Vec<Broken>) {
+    let mut streams: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+    for request in seen.history.requests.iter().filter(|request| request.route.is_stream()) {
+        streams.entry(request.first_id()).or_default().extend(seen.runs_of(request));
+    }
+    for (id, mut runs) in streams {
+        runs.sort_by_key(|run| run.at_ms);
+        // Before its first event a stream may begin anew anywhere.
+        let Some(first_on) = runs.iter().position(|run| run.after_event > 0) else { continue };
+        let Some(began) = runs[..first_on].last() else { continue };
+        for run in runs[first_on..].iter().filter(|run| run.software != began.software) {
+            let what = format!(
+                "{id} began at {} ({}) and goes on at {} ({})",
+                began.server, began.software, run.server, run.software
+            );
+            broken.push(Broken::new(Promise::Version, run.at_ms, what));
+        }
+    }
+}
+
 fn cache(runs: &[Run], broken: &mut Vec<Broken>) {
     let mut walls: BTreeMap<&str, Wall> = BTreeMap::new();
     for run in runs.iter().filter(|run| run.by_engine) {
--- a/crates/soak/src/history/mod.rs
+++ b/crates/soak/src/history/mod.rs
@@ -134,10 +134,28 @@
     pub whole_sent_ms: Option<RunMs>,
     /// When its answer ended.
     pub ended_ms: RunMs,
+    /// The stream that it takes up, if it does.
+    pub takes_up: Option<TakenUp>,
     /// What came of it.
     pub outcome: Outcome,
 }
 
+impl Request {
+    /// The id of the request that began its stream.
+    pub fn first_id(&self) -> &str {
+        self.takes_up.as_ref().map_or(&self.id, |taken_up| &taken_up.first)
+    }
+}
+
+/// A stream that broke off and that its caller takes up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TakenUp {
+    /// The request that brought its first event.
+    pub first: String,
+    /// The last event that its caller has.
+    pub after: u64,
+}
+
 /// What a caller got.
 #[derive(Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -214,6 +232,10 @@
     pub ended: Option<(RunMs, RunEnd)>,
     /// Whether it goes on from the memory of a run that was stopped, and so is the same run.
     pub continues: bool,
+    /// The last event before it, 0 for a run from the beginning.
+    pub after_event: u64,
+    /// The version of the server's software.
+    pub software: String,
     /// The team that the server was told.
     pub team: String,
     /// What separates its cache entries from others.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -241,7 +241,9 @@
 }
 
 /// All promises, for those who list them.
-pub const PROMISES: [Promise; 18] = [
+pub const PROMISES: [Promise; 20] = [
+    Promise::Version,
+    Promise::TakenUp,
     Promise::AtMostOnce,
     Promise::TrulyNotRun,
     Promise::RetryAfter,
--- a/crates/soak/src/plan/mod.rs
+++ b/crates/soak/src/plan/mod.rs
@@ -32,6 +32,16 @@
 const ZERO_LIMIT_ONE_IN: u32 = 8;
 /// Sets the draw of limits apart from that of the other faults, so that these stay as they were.
 const LIMITS_SEED: u64 = 0x11;
+/// Routes of a large configuration.
+const MANY_ROUTES: Range<u64> = 400..2_000;
+/// What a narrow path to the store carries, in bytes a second.
+const NARROW_BYTES_PER_S: Range<u64> = 50_000..400_000;
+/// How long it stays narrow.
+const NARROW_LENGTH_MS: Range<u64> = 2_000..8_000;
+/// One run in this many has large configurations on narrow paths.
+const LARGE_ONE_IN: u32 = 2;
+/// Sets the draw of large configurations apart.
+const LARGE_SEED: u64 = 0x55;
 /// Clocks are set wrong by up to this much.
 const WRONG_CLOCK_MS: i64 = 120_000;
 
@@ -71,6 +81,8 @@
     SecondServiceWeight(u64),
     /// Streams end after this many milliseconds.
     StreamTimeout(u64),
+    /// That many routes come that no request asks for, in place of those before.
+    ManyRoutes(u64),
     /// A team that sends nothing comes or goes.
     ExtraTeam(bool),
     /// The limited team's share of its usual rate, of 100.
@@ -107,6 +119,8 @@
     Down,
     /// Every byte comes later by this many milliseconds.
     Slow(u64),
+    /// The path carries that many bytes a second from the server.
+    Narrow(u64),
 }
 
 /// A process that signals are sent to.
@@ -241,6 +255,7 @@
             at_ms += random.random_range(GAP_MS);
         }
         faults.extend(draw_limits(seed, last_ms, size));
+        faults.extend(draw_large_configurations(seed, last_ms, size));
         faults.extend(work::draw(seed, CALM_AT_START_MS..last_ms, work::Pace::Rare, size));
         Self::new(seed, length_ms, size, faults)
     }
@@ -281,6 +296,27 @@
     limits
 }
 
+/// Draws two large configurations while the paths of some gateways to the store are narrow.
+fn draw_large_configurations(seed: u64, last_ms: u64, size: Size) -> Vec<Planned> {
+    let mut random = SmallRng::seed_from_u64(seed ^ LARGE_SEED);
+    if !random.random_ratio(1, LARGE_ONE_IN) || last_ms <= CALM_AT_START_MS {
+        return Vec::new();
+    }
+    let mut faults = Vec::new();
+    let mut at_ms = random.random_range(CALM_AT_START_MS..last_ms);
+    for gateway in 0..size.gateways.div_ceil(2) {
+        let narrow = PathFault::Narrow(random.random_range(NARROW_BYTES_PER_S));
+        let for_ms = random.random_range(NARROW_LENGTH_MS).min(last_ms - at_ms);
+        faults.push(Planned { at_ms, for_ms, fault: Fault::Path(Path::Store(gateway), narrow) });
+    }
+    for _ in 0..2 {
+        let routes = Setting::ManyRoutes(random.random_range(MANY_ROUTES));
+        faults.push(Planned { at_ms, for_ms: 0, fault: Fault::Configured(routes) });
+        at_ms = (at_ms + random.random_range(SERIES_GAP_MS)).min(last_ms);
+    }
+    faults
+}
+
 fn draw_fault(random: &mut SmallRng, size: Size) -> Fault {
     let gateway = random.random_range(0..size.gateways);
     let engine = random.random_range(0..size.engines);
--- a/crates/soak/src/site/documents.rs
+++ b/crates/soak/src/site/documents.rs
@@ -30,6 +30,8 @@
     pub(crate) with_key: bool,
     pub(crate) with_extra_route: bool,
     pub(crate) with_extra_team: bool,
+    /// Routes that no request asks for.
+    pub(crate) many_routes: u64,
     pub(crate) second_service_weight: u64,
     pub(crate) stream_timeout_ms: u64,
     pub(crate) rate_percent: u64,
@@ -43,6 +45,7 @@
             with_key: true,
             with_extra_route: false,
             with_extra_team: false,
+            many_routes: 0,
             second_service_weight: 0,
             stream_timeout_ms: bounds.stream_deadline_ms,
             rate_percent: 100,
@@ -56,6 +59,7 @@
             Setting::ExtraRoute(with) => self.with_extra_route = with,
             Setting::SecondServiceWeight(weight) => self.second_service_weight = weight,
             Setting::StreamTimeout(timeout_ms) => self.stream_timeout_ms = timeout_ms,
+            Setting::ManyRoutes(count) => self.many_routes = count,
             Setting::ExtraTeam(with) => self.with_extra_team = with,
             Setting::RatePercent(percent) => self.rate_percent = percent,
             Setting::IdleTimeout(timeout_ms) => self.idle_timeout_ms = timeout_ms,
@@ -75,6 +79,11 @@
     if facts.with_extra_route {
         routes.push(documents::Route { name: "extra", ..routes[0] });
     }
+    let names: Vec<String> =
+        (0..facts.many_routes).map(|number| format!("many-{number}")).collect();
+    routes.extend(
+        names.iter().map(|name| documents::Route { name, ..routes[1] }).collect::<Vec<_>>(),
+    );
     let service = |name, has_engines| Service { name, max_connections: 200, has_engines };
     let services = [service(DESK, false), service(ENGINES, true), service(SECOND_DESK, false)];
     let steady = team(Caller::Steady, bounds);
@@ -150,12 +159,14 @@
          [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {peers}\nadmin = {admin}\n\
          [store]\naddress = {store}\ntimeout_ms = 400\npoll_ms = 300\n\
          [bounds]\nkey_withdrawal_ms = {withdrawal}\nserver_drain_ms = {drain}\ngrace_s = {grace}\n\
+         configuration_ms = {apply}\n\
          retry_slack = {slack}\nquota_slack = {quota}\n\
          [clock]\nahead_ms = {ahead}\n",
         zone = index % 3,
         withdrawal = bounds.key_withdrawal_ms,
         drain = bounds.server_drain_ms,
         grace = facts.grace_s,
+        apply = bounds.config_apply_ms,
         slack = facts.retry_slack,
         quota = bounds.quota_slack,
         ahead = facts.clock_ahead_ms,
--- a/crates/soak/src/site/faults.rs
+++ b/crates/soak/src/site/faults.rs
@@ -110,6 +110,7 @@
                 let link = self.link(*path);
                 link.set_down(false);
                 link.set_delay_ms(0);
+                link.set_rate_bytes_per_s(0);
             }
             Fault::KeyWithdrawn => self.set_key(true),
             Fault::StoreDown | Fault::StoreOverRate | Fault::StoreLosesAnswers => {
@@ -206,6 +207,7 @@
             PathFault::SilentFromServer => link.silence_one_way(Direction::FromTarget),
             PathFault::Down => link.set_down(true),
             PathFault::Slow(delay_ms) => link.set_delay_ms(delay_ms),
+            PathFault::Narrow(bytes_per_s) => link.set_rate_bytes_per_s(bytes_per_s),
         }
         let victim = match path {
             Path::Callers(gateway) => Victim::Gateway(gateway),
--- a/crates/soak/src/site/mod.rs
+++ b/crates/soak/src/site/mod.rs
@@ -366,7 +366,9 @@
         let is_engine = index < plan.engines;
         let is_second = plan.desks > 1 && index + 1 == plan.servers();
         let config = if is_engine {
-            WorkerConfig::new(&format!("e{index}"), ENGINES).model(MODEL, 1)
+            WorkerConfig::new(&format!("e{index}"), ENGINES)
+                .model(MODEL, 1)
+                .software(software_of(plan, index))
         } else {
             WorkerConfig::new(&format!("d{index}"), if is_second { SECOND_DESK } else { DESK })
         };
@@ -380,6 +382,11 @@
     Ok(servers)
 }
 
+/// The version of an engine's software. In larger runs there are two, with two engines each at least.
+fn software_of(plan: &Plan, engine: usize) -> &'static str {
+    if plan.engines >= 4 && engine % 2 == 1 { "v2" } else { "v1" }
+}
+
 async fn gateway(
     index: usize,
     ip: Ipv4Addr,
@@ -431,6 +438,8 @@
         at_ms: run_ms(received.at),
         ended: received.ended.map(|(at, end)| (run_ms(at), end)),
         continues: received.continues(),
+        after_event: received.header("last-event-id").parse().unwrap_or(0),
+        software: server.worker.software().to_owned(),
         team: received.team().to_owned(),
         salt: received.cache_salt().to_owned(),
         version: received.expected_version().unwrap_or(0),
--- a/crates/soak/tests/checker.rs
+++ b/crates/soak/tests/checker.rs
@@ -7,7 +7,7 @@
     checker::{Promise, check},
     history::{
         Caller, Change, Changed, Disturbance, History, Order, Outcome, Request, Route, Run, RunEnd,
-        RunMs, Victim, Work,
+        RunMs, TakenUp, Victim, Work,
     },
 };
 
@@ -38,6 +38,7 @@
         sent_ms,
         whole_sent_ms,
         ended_ms,
+        takes_up: None,
         outcome,
     }
 }
@@ -52,6 +53,8 @@
         at_ms,
         ended: Some((at_ms + 10, RunEnd::Whole)),
         continues: false,
+        after_event: 0,
+        software: "v1".to_owned(),
         team: request.caller.team().to_owned(),
         salt: if is_dedicated { "v1-changing".to_owned() } else { "v1".to_owned() },
         version: u64::from(by_engine),
@@ -715,3 +718,52 @@
     assert_eq!(as_same, BTreeSet::new());
     assert_eq!(broken(&history), only(Promise::AtMostOnce));
 }
+
+/// Adds a request that takes up the stream of `first` after an event, and its run at a server of a
+/// version.
+fn take_up(history: &mut History, first: &str, number: usize, software: &str, outcome: Outcome) {
+    let begun = history.requests.iter().find(|request| request.id == first).unwrap().clone();
+    let (id, sent_ms) = (format!("{first}-t{number}"), begun.sent_ms + 200);
+    let takes_up = Some(TakenUp { first: first.to_owned(), after: 2 });
+    let request = Request { id, sent_ms, ended_ms: sent_ms + 20, takes_up, outcome, ..begun };
+    let run = run_of(&request, "e9", sent_ms + 5);
+    let is_run = !matches!(request.outcome, Outcome::NotRun { .. });
+    let run = Run { after_event: 2, software: software.to_owned(), ..run };
+    history.runs.extend(is_run.then_some(run));
+    history.requests.push(request);
+}
+
+fn rest(id: &str) -> Outcome {
+    let events = (3..=5).map(|number| format!("id: {number}\ndata: {id} {number}\n\n"));
+    Outcome::Whole { body: events.collect() }
+}
+
+#[test]
+fn a_stream_that_goes_on_at_another_version_is_found() {
+    for (software, expected) in [("v1", BTreeSet::new()), ("v2", only(Promise::Version))] {
+        let mut history = clean();
+        let first = find(&mut history, Route::Resumable).id.clone();
+
+        take_up(&mut history, &first, 0, software, rest(&format!("{first}-t0")));
+
+        assert_eq!(broken(&history), expected, "{software}");
+    }
+}
+
+#[test]
+fn streams_that_are_refused_when_they_are_taken_up_are_found() {
+    for (refused, expected) in [(6, BTreeSet::new()), (7, only(Promise::TakenUp))] {
+        let mut history = clean();
+        let first = find(&mut history, Route::Resumable).id.clone();
+
+        for number in 0..12 {
+            let outcome = match number < refused {
+                true => Outcome::NotRun { status: 503, has_retry_after: true },
+                false => rest(&format!("{first}-t{number}")),
+            };
+            take_up(&mut history, &first, number, "v1", outcome);
+        }
+
+        assert_eq!(broken(&history), expected, "{refused} of 12 refused");
+    }
+}
--- a/crates/standin/src/published/worker/mod.rs
+++ b/crates/standin/src/published/worker/mod.rs
@@ -113,6 +113,11 @@
         &self.inner.config.id
     }
 
+    /// The version of its software, as its entry names it.
+    pub fn software(&self) -> &str {
+        self.inner.config.software.as_deref().unwrap_or("v1")
+    }
+
     /// Its entry in the store, ready or draining.
     pub fn entry(&self, state: &str) -> Value {
         self.entry_at(self.address(), state)
@@ -127,7 +132,7 @@
             .map(|(name, _)| json!({ "name": name, "version": self.version(), "adapters": [] }))
             .collect();
         json!({ "service": config.service, "address": address.to_string(),
-                "zone": config.failure_domain, "version": config.software.as_deref().unwrap_or("v1"), "slots": 6, "state": state,
+                "zone": config.failure_domain, "version": self.software(), "slots": 6, "state": state,
                 "models": models, "seq": 1, "born": self.inner.lock().restarts + 1 })
     }
 
