--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -59,3 +59,11 @@
 
     soak(&plan).await;
 }
+
+/// A drain that had ended was remembered, so that its engine was neither used nor loaded. Two
+/// software versions, streams that callers take up, and large configurations on narrow paths.
+#[tokio::test]
+async fn two_software_versions_and_drains_that_end_leave_no_engine_behind() {
+    let size = Size { gateways: 3, engines: 4, desks: 3 };
+    soak(&Plan::draw(9_000, WORK_LENGTH_MS, size)).await;
+}
