--- a/crates/gateway/src/active_request/mod.rs
+++ b/crates/gateway/src/active_request/mod.rs
@@ -5,6 +5,7 @@
 mod send;
 mod server_answer;
 mod set_aside;
+mod stream_version;
 
 use std::sync::Arc;
 
@@ -17,9 +18,9 @@
     choice::Estimate,
     crash_causes::Verdict,
     durations::Caution,
-    model::{RouteKind, Service, ServiceName},
+    model::{Service, ServiceName},
     retry::RetryLimits,
-    software::{KnownStream, SoftwareTag, StreamKey},
+    software::SoftwareTag,
     sources::SourceKind,
 };
 use samphirespread_settings::Mechanism;
@@ -35,10 +36,7 @@
     gateway::Core,
     metrics::{self, count},
     request_log::{Outcome, RequestLog, RunObstacle, Step},
-    select::{
-        self, Obstacle, RouterContext, Selected, SelectionQuery, StreamRole, next_return_ms, select,
-    },
-    stream_versions,
+    select::{self, Obstacle, RouterContext, Selected, SelectionQuery, next_return_ms, select},
 };
 
 /// Maximum number of sends of one request, including those that a server refused.
@@ -384,50 +382,6 @@
         returns.unwrap_or(DEFAULT_RETRY_AFTER_MS)
     }
 
-    /// Finds out at which version of the servers' software the stream goes on that the caller takes
-    /// up, if it takes one up. Returns false if that can't be known, so that it must not go on.
-    pub(crate) async fn find_stream_version(&mut self) -> bool {
-        if self.facts.last_event_id.is_none() || self.grant.route.kind != RouteKind::Stream {
-            return true;
-        }
-        let Some(service) = self.service().map(|service| service.name.clone()) else { return true };
-        let resumed = self.facts.resumes.as_deref();
-        let stream = resumed.map(|first| StreamKey::new(&service, first));
-        self.software = stream_versions::find(&self.core, &service, stream).await;
-        let outcome = if self.software.is_some() { "goes_on" } else { "refused" };
-        count(&self.core.metrics.streams_taken_up, outcome);
-        self.software.is_some()
-    }
-
-    /// Records that the caller gets an event that a server of this version wrote, and for how long the
-    /// stream may be taken up.
-    pub(crate) fn stream_has_event(&mut self, software: SoftwareTag) {
-        if self.software.replace(software).is_some() && self.facts.last_event_id.is_none() {
-            return;
-        }
-        let Some(service) = self.service().filter(|_| self.grant.route.resumable) else { return };
-        let first = match self.facts.last_event_id {
-            None => self.facts.id.as_deref(),
-            Some(_) => self.facts.resumes.as_deref(),
-        };
-        let Some(first) = first else { return };
-        let known = KnownStream { stream: StreamKey::new(&service.name, first), version: software };
-        let now = self.core.now();
-        let mut state = self.core.state();
-        let list_age_ms = state.reads.servers.age_ms(now);
-        let is_sole = state.software.sole_version(&service.name, list_age_ms, now).is_some();
-        let until = now.plus_ms(state.stream_memory_ms());
-        state.streams.begin(known, until, !is_sole);
-    }
-
-    fn stream_role(&self) -> StreamRole {
-        match self.software {
-            Some(version) => StreamRole::Continues(version),
-            None if self.grant.route.resumable => StreamRole::Begins,
-            None => StreamRole::None,
-        }
-    }
-
     /// The service that the route selects for this request. A stream that is taken up stays with the
     /// service that began it.
     pub(crate) fn service(&self) -> Option<&Service> {
