--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -267,7 +267,7 @@
 /// How this router knows that a run of a server drains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum DepartureSource {
-    /// The server or the store has told this router, which tells the others.
+    /// The server has told this router, which tells the others.
     FirstHand,
     /// Another router has told it.
     OtherRouter,
--- a/crates/gateway/tests/gateway/software_versions.rs
+++ b/crates/gateway/tests/gateway/software_versions.rs
@@ -172,6 +172,19 @@
     taken_up
 }
 
+/// Begins streams, and takes each up at a gateway that was started anew, so that nobody remembers it.
+async fn begin_and_take_up_after_kills(versions: &mut Versions, streams: usize) -> TakenUp {
+    let mut taken_up = TakenUp::default();
+    for number in 0..streams {
+        let (id, second) = (format!("q{number}"), format!("t{number}"));
+        let begun = begin(versions, &id).await;
+        versions.gateway = gateway("r1", &versions.store).await;
+        let answer = send(versions.callers(), take_up(&second, Some(&id))).await.unwrap();
+        count(&mut taken_up, &begun, answer.status, &answer.body);
+    }
+    taken_up
+}
+
 fn count(taken_up: &mut TakenUp, begun: &Text, status: StatusCode, body: &str) {
     if status == StatusCode::SERVICE_UNAVAILABLE {
         taken_up.refused += 1;
@@ -239,17 +252,8 @@
 #[tokio::test]
 async fn no_stream_is_joined_after_all_routers_were_killed() {
     let mut versions = start().await;
-    let mut taken_up = TakenUp::default();
 
-    for number in 0..3 {
-        let id = format!("q{number}");
-        let begun = begin(&versions, &id).await;
-        // What this process knew is gone with it.
-        versions.gateway = gateway("r1", &versions.store).await;
-        let second = format!("t{number}");
-        let answer = send(versions.callers(), take_up(&second, Some(&id))).await.unwrap();
-        count(&mut taken_up, &begun, answer.status, &answer.body);
-    }
+    let taken_up = begin_and_take_up_after_kills(&mut versions, 3).await;
 
     assert_eq!(taken_up.whole + taken_up.refused, 3);
 }
@@ -302,15 +306,7 @@
     };
     eventually(record_of_one).await;
 
-    let mut taken_up = TakenUp::default();
-    for number in 0..3 {
-        let id = format!("q{number}");
-        let begun = begin(&versions, &id).await;
-        versions.gateway = gateway("r1", &versions.store).await;
-        let second = format!("t{number}");
-        let answer = send(versions.callers(), take_up(&second, Some(&id))).await.unwrap();
-        count(&mut taken_up, &begun, answer.status, &answer.body);
-    }
+    let taken_up = begin_and_take_up_after_kills(&mut versions, 3).await;
 
     assert_eq!((taken_up.whole, taken_up.refused), (3, 0));
 }
