Sidecars remember the versions of streams besides routers

Each stream is now also told to the sidecars of two engines, and a router that doesn't know it asks three; they outlive such a kill.

On the code before it the new test itself was not run.

--- a/crates/gateway/src/publish.rs
+++ b/crates/gateway/src/publish.rs
@@ -94,7 +94,7 @@
         let news = state.crash_causes.news(RECENT_CHANGE_MS, own_state.usage_is_full, now);
         state.fabric.publish(encode_record(&Payload::Router(own_state), &news), now);
     }
-    outgoing.extend(stream_versions::news(state, now));
+    outgoing.extend(stream_versions::news(core, state, now));
     packets(core, state, publishes, now, &mut outgoing);
     directives(core, state, round, publishes, now, &mut outgoing);
     outgoing
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -1,8 +1,9 @@
 //! Finds out at which version of its servers' software a stream may go on, and tells other routers of
 //! the streams that began here.
 //!
-//! Each stream is told to two routers, which follow from its key. A router that doesn't know a stream
-//! asks them, and one more, as one of the two may have ended.
+//! Each stream is told to two routers and to the sidecars of two engines, which follow from its key. A
+//! router that doesn't know a stream asks them, and one more of each, as one of the two may have
+//! ended. The sidecars remember it when all routers are killed at once.
 
 use std::{
     collections::HashMap,
@@ -19,11 +20,11 @@
 };
 use tokio::{sync::mpsc, time};
 
-use crate::{gateway::Core, state::State};
+use crate::{conduct, gateway::Core, state::State};
 
-/// The number of routers that are told of a stream.
+/// The number of routers, and of sidecars, that are told of a stream.
 const HOLDERS: usize = 2;
-/// The number of routers that are asked for a stream.
+/// The number of routers, and of sidecars, that are asked for a stream.
 const ASKED: usize = HOLDERS + 1;
 /// Time to wait for answers. The caller waits meanwhile.
 const ANSWER_TIMEOUT_MS: u64 = 150;
@@ -46,7 +47,7 @@
         if waiting.len() >= MAX_QUESTIONS {
             return None;
         }
-        let (sender, receiver) = mpsc::channel(ASKED);
+        let (sender, receiver) = mpsc::channel(2 * ASKED);
         let mut number = u64::from_le_bytes(stream.to_bytes());
         while waiting.contains_key(&number) {
             number = number.wrapping_add(1);
@@ -59,7 +60,7 @@
     pub(crate) fn answer(&self, answer: &StreamAnswer) {
         let waiting = self.waiting.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(sender) = waiting.get(&answer.question) {
-            // More answers than routers that were asked are not expected.
+            // More answers than processes that were asked are not expected.
             let _ = sender.try_send(answer.version);
         }
     }
@@ -84,7 +85,7 @@
         let now = core.now();
         let state = core.state();
         let known = known_version(&state, service, stream, now);
-        (known, stream.map(|stream| holders(&state, stream, ASKED)).unwrap_or_default())
+        (known, stream.map(|stream| holders(core, &state, stream, ASKED)).unwrap_or_default())
     };
     if known.is_some() {
         return known;
@@ -142,35 +143,45 @@
 
 /// Records the streams of which another router tells.
 pub(crate) fn learn(state: &mut State, begun: &StreamsBegun, now: MonoTime) {
-    let until = now.plus_ms(state.stream_memory_ms());
+    let until = now.plus_ms(begun.lifetime_ms);
     for known in &begun.streams {
         state.streams.learn(*known, until);
     }
 }
 
-/// The routers that are told of a stream, or asked for it, best first.
-fn holders(state: &State, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
-    let routers: Vec<(&InstanceName, SocketAddr)> =
-        state.routers.iter().map(|(name, router)| (name, router.address)).collect();
-    let ranked = rendezvous::rank(&stream.to_bytes(), &routers, |(name, _)| name.as_str());
-    ranked.into_iter().take(count).map(|index| routers[index].1).collect()
+/// The routers and the sidecars that are told of a stream, or asked for it: `count` of each, best first.
+fn holders(core: &Core, state: &State, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+    let routers = state.routers.iter().map(|(name, router)| (name.as_str(), router.address));
+    // Sidecars listen on the same port as routers. What is sent where none is, is lost.
+    let port = core.addresses.peers.port();
+    let sidecars = conduct::engines(state)
+        .map(|server| (&*server.entry.id, SocketAddr::new(server.entry.address.ip(), port)));
+    let mut holders = best(stream, &routers.collect::<Vec<_>>(), count);
+    holders.extend(best(stream, &sidecars.collect::<Vec<_>>(), count));
+    holders
 }
 
-/// Returns the datagrams that tell other routers of streams that began here.
-pub(crate) fn news(state: &mut State, now: MonoTime) -> Vec<(SocketAddr, Vec<u8>)> {
+fn best(stream: StreamKey, candidates: &[(&str, SocketAddr)], count: usize) -> Vec<SocketAddr> {
+    let ranked = rendezvous::rank(&stream.to_bytes(), candidates, |(name, _)| name);
+    ranked.into_iter().take(count).map(|index| candidates[index].1).collect()
+}
+
+/// Returns the datagrams that tell other processes of streams that began here.
+pub(crate) fn news(core: &Core, state: &mut State, now: MonoTime) -> Vec<(SocketAddr, Vec<u8>)> {
     let news = state.streams.take_news(state.software.has_several(now), now);
+    let lifetime_ms = state.stream_memory_ms();
     let mut by_holder: HashMap<SocketAddr, Vec<KnownStream>> = HashMap::new();
     for known in news {
-        for holder in holders(state, known.stream, HOLDERS) {
+        for holder in holders(core, state, known.stream, HOLDERS) {
             by_holder.entry(holder).or_default().push(known);
         }
     }
-    let datagrams = by_holder.into_iter().flat_map(|(holder, streams)| {
-        let batches: Vec<Vec<KnownStream>> =
-            streams.chunks(STREAMS_PER_DATAGRAM).map(<[_]>::to_vec).collect();
-        batches
-            .into_iter()
-            .map(move |streams| (holder, encode(&Datagram::StreamsBegun(StreamsBegun { streams }))))
-    });
-    datagrams.collect()
+    let mut datagrams = Vec::new();
+    for (holder, streams) in by_holder {
+        for batch in streams.chunks(STREAMS_PER_DATAGRAM) {
+            let begun = StreamsBegun { lifetime_ms, streams: batch.to_vec() };
+            datagrams.push((holder, encode(&Datagram::StreamsBegun(begun))));
+        }
+    }
+    datagrams
 }
--- a/crates/gateway/tests/gateway/software_versions.rs
+++ b/crates/gateway/tests/gateway/software_versions.rs
@@ -1,17 +1,24 @@
 //! Streams of a service whose servers run two versions of their software. What two versions write
 //! doesn't fit together.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use samphirespread_outbound::Connection;
-use samphirespread_standin::published::{
-    Behaviour, ObjectStore, STREAM_EVENTS, Worker, WorkerConfig,
+use samphirespread_settings::{LogFormat, LogLevel, LogSettings, SidecarSettings};
+use samphirespread_sidecar::Sidecar;
+use samphirespread_standin::{
+    link::Link,
+    published::{Behaviour, ObjectStore, STREAM_EVENTS, Worker, WorkerConfig},
 };
 use serde_json::{Value, json};
 use tokio::time;
+use tokio_util::sync::{CancellationToken, DropGuard};
 
 use crate::support::{
     MODEL, Running, configuration, eventually, generation, request, send, settings_of,
@@ -258,6 +265,60 @@
     assert_eq!(taken_up.whole + taken_up.refused, 3);
 }
 
+/// Starts a sidecar for each engine, on addresses of their own with one port, and enters the engines
+/// at those addresses. Returns the port and what keeps the sidecars running.
+async fn start_sidecars(versions: &Versions) -> (u16, Vec<Link>, DropGuard) {
+    let stop = CancellationToken::new();
+    let (mut port, mut links) = (0, Vec::new());
+    for (number, engine) in (11..).zip(&versions.engines) {
+        let ip = Ipv4Addr::new(127, 0, 0, number);
+        let link = Link::start_at(ip, engine.address()).await.unwrap();
+        let text = format!(
+            "[instance]\nname = s{number}\nregion = khomas\nfailure_domain = khomas-1\n\
+             [listen]\npeers = {ip}:{port}\nadmin = 127.0.0.1:0\n\
+             [engine]\naddress = {}\n",
+            engine.address()
+        );
+        let log_settings = LogSettings { format: LogFormat::Json, level: LogLevel::Error };
+        let log = samphirespread_logging::root_with_writer(&log_settings, std::io::sink());
+        let sidecar = Sidecar::bind(SidecarSettings::parse(&text).unwrap(), log).await.unwrap();
+        port = sidecar.peers_address().port();
+        tokio::spawn(sidecar.run(stop.clone()));
+        versions.store.put("servers", engine.id(), engine.entry_at(link.address(), "ready"));
+        links.push(link);
+    }
+    (port, links, stop.drop_guard())
+}
+
+/// Starts a gateway that reaches sidecars on this port. Several of them have an address of their own.
+async fn gateway_beside_sidecars(number: u8, port: u16, store: &ObjectStore) -> Running {
+    let mut settings = settings_of("r1", store.address());
+    settings.bounds.retry_slack = 1_000.0;
+    settings.listen.peers = SocketAddr::from((Ipv4Addr::new(127, 0, 1, number), port));
+    start_gateway(settings).await
+}
+
+/// Guards against a kill of all routers at once, after which nobody would know the versions, though
+/// servers of both serve: at least half as many streams go on as new ones begin. Sidecars remember.
+#[tokio::test]
+async fn sidecars_remember_the_versions_of_streams_when_all_routers_are_killed() {
+    let mut versions = start().await;
+    let (port, _links, _stop) = start_sidecars(&versions).await;
+    versions.gateway = gateway_beside_sidecars(1, port, &versions.store).await;
+    let mut taken_up = TakenUp::default();
+
+    for number in 0..u8::try_from(STREAMS).unwrap() {
+        let (id, second) = (format!("q{number}"), format!("t{number}"));
+        let begun = begin(&versions, &id).await;
+        time::sleep(Duration::from_millis(TOLD_MS)).await;
+        versions.gateway = gateway_beside_sidecars(number + 2, port, &versions.store).await;
+        let answer = send(versions.callers(), take_up(&second, Some(&id))).await.unwrap();
+        count(&mut taken_up, &begun, answer.status, &answer.body);
+    }
+
+    assert!(2 * taken_up.whole >= STREAMS, "{taken_up:?}");
+}
+
 /// Guards against refusals of most streams after all routers were killed at once, though servers of
 /// both versions serve: at least half as many have to go on as new ones begin.
 #[tokio::test]
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -73,17 +73,19 @@
     Directive(Directive),
     /// From a sidecar to a router.
     Engine(EngineReport),
-    /// From a router to another router.
+    /// From a router to another router or to a sidecar.
     StreamsBegun(StreamsBegun),
-    /// From a router to another router.
+    /// From a router to another router or to a sidecar.
     StreamQuery(StreamQuery),
-    /// From a router to another router, in answer to a query.
+    /// From a router or a sidecar, in answer to a query.
     StreamAnswer(StreamAnswer),
 }
 
-/// Streams that have begun at the sending router, to be remembered by the receiving one.
+/// Streams that have begun at the sending router, to be remembered by the receiving process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamsBegun {
+    /// How long they are to be remembered, in milliseconds.
+    pub lifetime_ms: u64,
     /// The streams.
     pub streams: Vec<KnownStream>,
 }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -18,11 +18,13 @@
 use samphirespread_daemon::BindError;
 use samphirespread_logging::event;
 use samphirespread_peer::{
-    Datagram, EngineReport, LoadDirective, MAX_DATAGRAM_BYTES, decode, encode,
+    Datagram, EngineReport, LoadDirective, MAX_DATAGRAM_BYTES, StreamAnswer, StreamQuery,
+    StreamsBegun, decode, encode,
 };
 use samphirespread_routing::{
     lease::{Orderer, fencing_token},
     model::EngineState,
+    software::StreamVersions,
 };
 use samphirespread_settings::SidecarSettings;
 use slog::{Logger, info, warn};
@@ -128,6 +130,8 @@
 #[derive(Debug, Default)]
 struct Shared {
     routers: Routers,
+    /// The versions of streams of which routers have told, in case all of them are killed.
+    streams: StreamVersions,
     state: Option<EngineState>,
     /// Sequence number of the latest report to routers.
     sequence: u64,
@@ -185,6 +189,8 @@
                         self.load_requested.notify_one();
                     }
                 }
+                Ok(Datagram::StreamsBegun(begun)) => self.remember(&begun),
+                Ok(Datagram::StreamQuery(query)) => self.answer_query(from, &query).await,
                 Ok(_) => warn!(self.log, "{}", event::DATAGRAM_MISPLACED; "from" => %from),
                 Err(error) => {
                     warn!(self.log, "{}", event::DATAGRAM_LEFT_OUT; "from" => %from, "error" => %error);
@@ -193,6 +199,24 @@
         }
     }
 
+    /// Remembers at which version streams began.
+    fn remember(&self, begun: &StreamsBegun) {
+        let now = self.clock.now();
+        let mut shared = self.lock();
+        shared.streams.expire(now);
+        for known in &begun.streams {
+            shared.streams.learn(*known, now.plus_ms(begun.lifetime_ms));
+        }
+    }
+
+    /// Tells a router at which version a stream began, if this sidecar was told.
+    async fn answer_query(&self, from: SocketAddr, query: &StreamQuery) {
+        let version = self.lock().streams.version(query.stream, self.clock.now());
+        let answer = StreamAnswer { question: query.question, version };
+        // Without an answer the router asks others, or refuses the request.
+        let _ = self.socket.send_to(&encode(&Datagram::StreamAnswer(answer)), from).await;
+    }
+
     /// Reads the engine's reports, passes its state on to routers, and gives it orders.
     async fn follow_engine(&self) {
         let mut engine =
