--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -2,7 +2,7 @@
 //! byte and each connection.
 
 use std::{
-    io::{self, BufRead, BufReader, Read, Write},
+    io::{self, BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::Arc,
     thread,
@@ -47,6 +47,44 @@
     }
 }
 
+/// A connection that a client keeps for many requests.
+pub struct KeptChannel {
+    writer: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl KeptChannel {
+    pub fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
+        let writer = TcpStream::connect_timeout(&address, timeout)?;
+        writer.set_nodelay(true)?;
+        writer.set_read_timeout(Some(timeout))?;
+        writer.set_write_timeout(Some(timeout))?;
+        Ok(Self { reader: BufReader::new(writer.try_clone()?), writer })
+    }
+
+    /// Sends a request and reads its answer.
+    pub fn call(
+        &mut self,
+        method: &str,
+        target: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<Response> {
+        let mut text = format!("{method} {target} HTTP/1.1\r\n");
+        for (name, value) in headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        text.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
+        self.writer.write_all(text.as_bytes())?;
+        self.writer.write_all(body)?;
+        let head = read_head(&mut self.reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let status = head.0.split(' ').nth(1).and_then(|word| word.parse().ok());
+        let status = status.ok_or(io::ErrorKind::InvalidData)?;
+        let body = read_body(&mut self.reader, &head.1, false)?;
+        Ok(Response { status, headers: head.1, body })
+    }
+}
+
 fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
     headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
 }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,6 +2,7 @@
 //! 0 if it held, and 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
 
 mod http;
+mod large_bodies;
 mod plain_worker;
 mod record;
 mod store;
@@ -39,6 +40,7 @@
     record.line(&format!("case {name}, with the disruption: {has_trouble}"));
     let case = Case { record: record.clone(), folder: temporary.clone(), has_trouble };
     let verdict = match name.as_str() {
+        "large-bodies" => large_bodies::run(&case),
         "upgrade-in-place" => upgrade_in_place::run(&case),
         "withdrawn-key" => withdrawn_key::run(&case),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/standins/src/plain_worker.rs
+++ b/review/standins/src/plain_worker.rs
@@ -15,14 +15,13 @@
     record::Record,
 };
 
-const WORK: Duration = Duration::from_millis(15);
+/// The usual time of work on a request.
+pub const WORK: Duration = Duration::from_millis(15);
 
 /// A request that a worker has run.
 #[derive(Clone, Debug)]
 pub struct Run {
     pub request: String,
-    pub tenant: String,
-    pub worker: String,
 }
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
@@ -41,6 +40,7 @@
         service: &str,
         zone: &str,
         address: SocketAddr,
+        work: Duration,
         runs: &Runs,
         record: &Record,
     ) -> io::Result<Self> {
@@ -55,11 +55,10 @@
                 let headers = [("X-Samphirespread-Not-Executed", "1")];
                 return http::answer(stream, 400, &headers, b"");
             };
-            let tenant = request.header("X-Samphirespread-Tenant").unwrap_or("-").to_owned();
+            let tenant = request.header("X-Samphirespread-Tenant").unwrap_or("-");
             record.line(&format!("run       {id} at {own} for {tenant}"));
-            let run = Run { request: id.clone(), tenant, worker: own.clone() };
-            runs.lock().unwrap().push(run);
-            thread::sleep(WORK);
+            runs.lock().unwrap().push(Run { request: id.clone() });
+            thread::sleep(work);
             let headers = [
                 ("X-Samphirespread-Attempt-Id", id.as_str()),
                 ("X-Samphirespread-Response-Seal", "3e1b.07.5a2.600.0.c9f2a4d1"),
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -126,13 +126,6 @@
         self.with(|state| state.contents.revision)
     }
 
-    pub fn objects(&self, kind: &str) -> Vec<String> {
-        self.with(|state| {
-            let names = state.contents.objects.keys().filter(|(of, _)| of == kind);
-            names.map(|(_, name)| name.clone()).collect()
-        })
-    }
-
     /// Waits for the next read of the configuration.
     pub fn wait_for_configuration_read(&self) {
         let began = Instant::now();
--- a/review/standins/src/system.rs
+++ b/review/standins/src/system.rs
@@ -151,13 +151,14 @@
         Ok(())
     }
 
-    /// Memory in use, in kilobytes. `None` once the process has ended.
+    /// Memory of the process's own, without that of its program file, in kilobytes. `None` once it has
+    /// ended.
     pub fn memory_kb(&mut self) -> Option<u64> {
         if self.has_ended() {
             return None;
         }
         let status = fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
         line.trim().split(' ').next()?.parse().ok()
     }
 
--- a/review/standins/src/withdrawn_key.rs
+++ b/review/standins/src/withdrawn_key.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     Case, Verdict, http,
-    plain_worker::{PlainWorker, Runs},
+    plain_worker::{PlainWorker, Runs, WORK},
     record::Record,
     store::Store,
     system::{Network, Program},
@@ -79,7 +79,7 @@
     let runs: Runs = Arc::default();
     let worker = |name: &str, zone: &str, machine: u8| {
         let address = (network.ip(machine), 8_602).into();
-        PlainWorker::start(name, "desk", zone, address, &runs, record)
+        PlainWorker::start(name, "desk", zone, address, WORK, &runs, record)
     };
     let first = [worker("i-1", "a", 21)?, worker("i-2", "b", 22)?];
     let joined = [worker("i-3", "a", 23)?, worker("i-4", "b", 24)?];
