--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -29,7 +29,9 @@
 
     pub fn query(&self, name: &str) -> Option<&str> {
         let query = self.target.split_once('?')?.1;
-        query.split('&').find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))
+        query
+            .split('&')
+            .find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))
             .map(|(_, value)| value)
     }
 }
@@ -37,54 +39,9 @@
 /// A response that a client has read whole.
 pub struct Response {
     pub status: u16,
-    pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
 }
 
-impl Response {
-    pub fn header(&self, name: &str) -> Option<&str> {
-        find(&self.headers, name)
-    }
-}
-
-/// A connection that a client keeps for many requests.
-pub struct KeptChannel {
-    writer: TcpStream,
-    reader: BufReader<TcpStream>,
-}
-
-impl KeptChannel {
-    pub fn open(address: SocketAddr, timeout: Duration) -> io::Result<Self> {
-        let writer = TcpStream::connect_timeout(&address, timeout)?;
-        writer.set_nodelay(true)?;
-        writer.set_read_timeout(Some(timeout))?;
-        writer.set_write_timeout(Some(timeout))?;
-        Ok(Self { reader: BufReader::new(writer.try_clone()?), writer })
-    }
-
-    /// Sends a request and reads its answer.
-    pub fn call(
-        &mut self,
-        method: &str,
-        target: &str,
-        headers: &[(&str, &str)],
-        body: &[u8],
-    ) -> io::Result<Response> {
-        let mut text = format!("{method} {target} HTTP/1.1\r\n");
-        for (name, value) in headers {
-            text.push_str(&format!("{name}: {value}\r\n"));
-        }
-        text.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
-        self.writer.write_all(text.as_bytes())?;
-        self.writer.write_all(body)?;
-        let head = read_head(&mut self.reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
-        let status = head.0.split(' ').nth(1).and_then(|word| word.parse().ok());
-        let status = status.ok_or(io::ErrorKind::InvalidData)?;
-        let body = read_body(&mut self.reader, &head.1, false)?;
-        Ok(Response { status, headers: head.1, body })
-    }
-}
-
 fn find<'a>(headers: &'a [(String, String)], name: &str) -> Option<&'a str> {
     headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
 }
@@ -270,5 +227,5 @@
     let status = status.ok_or(io::ErrorKind::InvalidData)?;
     let mut body = Vec::new();
     let is_complete = read_body_into(&mut body, &mut reader, &headers, false).is_ok();
-    Ok(Partly { response: Response { status, headers, body }, is_complete })
+    Ok(Partly { response: Response { status, body }, is_complete })
 }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,10 +1,13 @@
 //! Runs one case of the review: `review-standins CASE FOLDER`. Exits with 1 if the rule was broken,
 //! 0 if it held, and 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
 
+mod dedicated_tenant;
+mod endless_body;
+mod engine_worker;
 mod http;
-mod large_bodies;
 mod plain_worker;
 mod record;
+mod repeated_event;
 mod store;
 mod stream_worker;
 mod system;
@@ -40,7 +43,9 @@
     record.line(&format!("case {name}, with the disruption: {has_trouble}"));
     let case = Case { record: record.clone(), folder: temporary.clone(), has_trouble };
     let verdict = match name.as_str() {
-        "large-bodies" => large_bodies::run(&case),
+        "dedicated-tenant" => dedicated_tenant::run(&case),
+        "endless-body" => endless_body::run(&case),
+        "repeated-event" => repeated_event::run(&case),
         "upgrade-in-place" => upgrade_in_place::run(&case),
         "withdrawn-key" => withdrawn_key::run(&case),
         _ => Err(std::io::Error::other("no such case")),
--- a/review/standins/src/plain_worker.rs
+++ b/review/standins/src/plain_worker.rs
@@ -15,8 +15,7 @@
     record::Record,
 };
 
-/// The usual time of work on a request.
-pub const WORK: Duration = Duration::from_millis(15);
+const WORK: Duration = Duration::from_millis(15);
 
 /// A request that a worker has run.
 #[derive(Clone, Debug)]
@@ -40,7 +39,6 @@
         service: &str,
         zone: &str,
         address: SocketAddr,
-        work: Duration,
         runs: &Runs,
         record: &Record,
     ) -> io::Result<Self> {
@@ -58,7 +56,7 @@
             let tenant = request.header("X-Samphirespread-Tenant").unwrap_or("-");
             record.line(&format!("run       {id} at {own} for {tenant}"));
             runs.lock().unwrap().push(Run { request: id.clone() });
-            thread::sleep(work);
+            thread::sleep(WORK);
             let headers = [
                 ("X-Samphirespread-Attempt-Id", id.as_str()),
                 ("X-Samphirespread-Response-Seal", "3e1b.07.5a2.600.0.c9f2a4d1"),
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -84,7 +84,8 @@
         let state = State { contents, era: 1, is_away: false, configuration_asked: None };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let served = shared.clone();
-        let address = http::serve(address, move |request, stream| handle(&served, &request, stream))?;
+        let address =
+            http::serve(address, move |request, stream| handle(&served, &request, stream))?;
         Ok(Self { address, shared })
     }
 
--- a/review/standins/src/stream_worker.rs
+++ b/review/standins/src/stream_worker.rs
@@ -117,8 +117,7 @@
         return http::answer(stream, 421, &[("X-Samphirespread-Instance-Id", own)], b"");
     }
     let id = request.header("X-Samphirespread-Attempt-Id").unwrap_or_default();
-    let last: u64 =
-        request.header("Last-Event-Id").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let last: u64 = request.header("Last-Event-Id").and_then(|text| text.parse().ok()).unwrap_or(0);
     record.line(&format!("run       {id} at {own} with software {software} after event {last}"));
     let head = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
--- a/review/standins/src/system.rs
+++ b/review/standins/src/system.rs
@@ -6,7 +6,7 @@
     fs::{self, File},
     io,
     net::{Ipv4Addr, SocketAddr},
-    path::{Path, PathBuf},
+    path::Path,
     process::{Child, Command, Stdio},
     thread,
     time::{Duration, Instant},
@@ -55,9 +55,6 @@
 /// A running program. It is killed when dropped.
 pub struct Program {
     child: Child,
-    settings: PathBuf,
-    run: Vec<String>,
-    log: PathBuf,
     pub ip: Ipv4Addr,
 }
 
@@ -123,20 +120,23 @@
         fs::write(&settings, fill_in(&template, &values))?;
         let (run, log) = (command_of(role)?, folder.join(format!("{name}.log")));
         let child = spawn(&run, &settings, &log)?;
-        Ok(Self { child, settings, run, log, ip })
+        Ok(Self { child, ip })
     }
 
     pub fn callers(&self) -> SocketAddr {
         SocketAddr::from((self.ip, CALLER_PORT))
     }
 
-    pub fn id(&self) -> u32 {
-        self.child.id()
-    }
-
     pub fn is_ready(&self) -> bool {
         let address = SocketAddr::from((self.ip, READINESS_PORT));
-        let answer = http::call(address, "GET", "/-/ready", &[("Host", "ready")], b"", Duration::from_millis(500));
+        let answer = http::call(
+            address,
+            "GET",
+            "/-/ready",
+            &[("Host", "ready")],
+            b"",
+            Duration::from_millis(500),
+        );
         answer.is_ok_and(|answer| answer.status == 200)
     }
 
@@ -151,38 +151,11 @@
         Ok(())
     }
 
-    /// Memory of the process's own, without that of its program file, in kilobytes. `None` once it has
-    /// ended.
-    pub fn memory_kb(&mut self) -> Option<u64> {
-        if self.has_ended() {
-            return None;
-        }
-        let status = fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
-        line.trim().split(' ').next()?.parse().ok()
-    }
-
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
-
     pub fn kill(&mut self) {
         // It may have ended by itself.
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-
-    pub fn restart(&mut self) -> io::Result<()> {
-        self.kill();
-        self.child = spawn(&self.run, &self.settings, &self.log)?;
-        Ok(())
-    }
-
-    /// Sends a signal, by the name that the `kill` command has for it.
-    pub fn signal(&self, name: &str) -> io::Result<()> {
-        let id = self.id().to_string();
-        Command::new("kill").arg(format!("-{name}")).arg(id).status().map(|_| ())
-    }
 }
 
 impl Drop for Program {
--- a/review/standins/src/upgrade_in_place.rs
+++ b/review/standins/src/upgrade_in_place.rs
@@ -69,7 +69,8 @@
         }
     };
     let text = String::from_utf8_lossy(&body).into_owned();
-    let events: Vec<String> = text.split("\n\n").filter(|event| !event.is_empty()).map(str::to_owned).collect();
+    let events: Vec<String> =
+        text.split("\n\n").filter(|event| !event.is_empty()).map(str::to_owned).collect();
     record.line(&format!(
         "answered  {id}: status {status}, {} events, complete: {is_complete}, software {:?}",
         events.len(),
@@ -138,7 +139,8 @@
                 thread::sleep(DOWN);
                 *worker = worker.start_again(software)?;
                 let revision = store.put("servers", &worker.id, &worker.entry());
-                record.line(&format!("worker    {} has its entry at revision {revision}", worker.id));
+                record
+                    .line(&format!("worker    {} has its entry at revision {revision}", worker.id));
                 thread::sleep(NEXT);
             }
         }
--- a/review/standins/src/withdrawn_key.rs
+++ b/review/standins/src/withdrawn_key.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     Case, Verdict, http,
-    plain_worker::{PlainWorker, Runs, WORK},
+    plain_worker::{PlainWorker, Runs},
     record::Record,
     store::Store,
     system::{Network, Program},
@@ -29,6 +29,8 @@
 /// Time from a read of the configuration to the operator's write, and from there to the outage.
 /// The router reads every 900 ms.
 const PAUSE: Duration = Duration::from_millis(250);
+/// How soon the operator writes again what the store has lost.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(500);
 /// How long requests are sent after the last confirmation.
 const WATCHED: Duration = Duration::from_secs(15);
 const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
@@ -79,7 +81,7 @@
     let runs: Runs = Arc::default();
     let worker = |name: &str, zone: &str, machine: u8| {
         let address = (network.ip(machine), 8_602).into();
-        PlainWorker::start(name, "desk", zone, address, WORK, &runs, record)
+        PlainWorker::start(name, "desk", zone, address, &runs, record)
     };
     let first = [worker("i-1", "a", 21)?, worker("i-2", "b", 22)?];
     let joined = [worker("i-3", "a", 23)?, worker("i-4", "b", 24)?];
@@ -142,14 +144,17 @@
         store.go_away();
         record.line("the store is away");
         thread::sleep(AWAY);
-        let mut again = vec![("config", "main", withdrawn)];
-        again.extend(joined.iter().map(|worker| ("servers", worker.id.as_str(), worker.entry())));
+        let again: Vec<(&str, &str, Value)> =
+            joined.iter().map(|worker| ("servers", worker.id.as_str(), worker.entry())).collect();
         let revision = store.come_back(copy, &again);
-        confirmed_ms = record.now_ms();
         record.line(&format!(
-            "the store is back from the copy; operator and workers have written again what was \
-             lost, version 11 first: revision {revision}"
+            "the store is back from the copy, and the workers have written their entries again: \
+             revision {revision}"
         ));
+        thread::sleep(WRITTEN_AGAIN);
+        let revision = store.put("config", "main", &withdrawn);
+        confirmed_ms = record.now_ms();
+        record.line(&format!("operator: version 11 again, confirmed at revision {revision}"));
     }
     thread::sleep(WATCHED);
     stop.store(true, Ordering::Relaxed);
@@ -174,7 +179,8 @@
         let after_ms = sent.sent_ms - confirmed_ms;
         record.line(&format!("broken: {} sent {after_ms} ms after the confirmation ran", sent.id));
     }
-    let served = |key: &str| late.iter().filter(|sent| sent.key == key && sent.status == Some(200)).count();
+    let served =
+        |key: &str| late.iter().filter(|sent| sent.key == key && sent.status == Some(200)).count();
     let reason = format!(
         "of {} requests that were sent with the withdrawn key over {REVOKE_MS} ms after the \
          confirmation, {} ran; of {} with the other key, {} were served",
