--- a/review/standins/src/dedicated_tenant.rs
+++ b/review/standins/src/dedicated_tenant.rs
@@ -75,23 +75,21 @@
 }
 
 pub fn run(case: &Case) -> io::Result<Verdict> {
-    let (record, network) = (&case.record, Network::new());
-    let store = Store::start((network.ip(1), 8_601).into())?;
+    let (record, network) = (&case.record, Network::new()?);
+    let store = Store::start(network.store())?;
     let findings: Findings = Arc::default();
     let (mut sidecars, mut routers) = (Vec::new(), Vec::new());
     for (id, zone, machine) in [("i-1", "a", 21), ("i-2", "b", 22)] {
-        let ip = network.ip(machine);
-        let worker = EngineWorker::start(id, zone, (ip, 8_602).into(), &findings, record)?;
+        let worker = EngineWorker::start(id, zone, network.worker(machine), &findings, record)?;
         store.put("servers", &worker.id, &worker.entry());
-        let app = [("app", worker.address.to_string())];
         let (name, folder) = (format!("side-{zone}-1"), &case.folder);
-        sidecars.push(Program::start("sidecar", &name, zone, ip, store.address, &app, folder)?);
+        sidecars.push(Program::start("sidecar", &name, zone, machine, &network, folder)?);
     }
     store.put("versions", MODEL, &json!({ "model": MODEL, "version": 1 }));
     store.put("config", "main", &configuration(5, false));
     for (name, zone, machine) in [("front-a-1", "a", 11), ("front-b-1", "b", 12)] {
-        let (ip, folder) = (network.ip(machine), &case.folder);
-        routers.push(Program::start("gateway", name, zone, ip, store.address, &[], folder)?);
+        let folder = &case.folder;
+        routers.push(Program::start("gateway", name, zone, machine, &network, folder)?);
     }
     for router in &routers {
         router.wait_until_ready()?;
--- a/review/standins/src/endless_body.rs
+++ b/review/standins/src/endless_body.rs
@@ -145,11 +145,11 @@
 }
 
 pub fn run(case: &Case) -> io::Result<Verdict> {
-    let (record, network) = (&case.record, Network::new());
-    let store = Store::start((network.ip(1), 8_601).into())?;
+    let (record, network) = (&case.record, Network::new()?);
+    let store = Store::start(network.store())?;
     for (id, zone, machine) in [("i-1", "a", 21), ("i-2", "b", 22), ("i-3", "a", 23)] {
         let is_in_trouble = case.has_trouble && id == "i-1";
-        let address: SocketAddr = (network.ip(machine), 8_602).into();
+        let address = network.worker(machine);
         let notes = record.clone();
         http::serve(address, move |request, stream| {
             let attempt = request.header("X-Samphirespread-Attempt-Id").unwrap_or_default();
@@ -167,8 +167,8 @@
     store.put("config", "main", &configuration());
     let mut routers = Vec::new();
     for (name, zone, machine) in [("front-a-1", "a", 11), ("front-b-1", "b", 12)] {
-        let (ip, folder) = (network.ip(machine), &case.folder);
-        routers.push(Program::start("gateway", name, zone, ip, store.address, &[], folder)?);
+        let folder = &case.folder;
+        routers.push(Program::start("gateway", name, zone, machine, &network, folder)?);
     }
     for router in &routers {
         router.wait_until_ready()?;
--- a/review/standins/src/repeated_event.rs
+++ b/review/standins/src/repeated_event.rs
@@ -74,11 +74,13 @@
          X-Samphirespread-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\r\n"
     )?;
     let junk = JUNK.repeat(JUNK_BYTES / JUNK.len());
-    while is_in_trouble {
-        write!(stream, "{:x}\r\n", junk.len())?;
-        stream.write_all(&junk)?;
-        stream.write_all(b"\r\n")?;
-        thread::sleep(JUNK_INTERVAL);
+    if is_in_trouble {
+        loop {
+            write!(stream, "{:x}\r\n", junk.len())?;
+            stream.write_all(&junk)?;
+            stream.write_all(b"\r\n")?;
+            thread::sleep(JUNK_INTERVAL);
+        }
     }
     for number in 1..=EVENTS {
         thread::sleep(EVENT_INTERVAL);
@@ -97,11 +99,11 @@
 }
 
 pub fn run(case: &Case) -> io::Result<Verdict> {
-    let (record, network) = (&case.record, Network::new());
-    let store = Store::start((network.ip(1), 8_601).into())?;
+    let (record, network) = (&case.record, Network::new()?);
+    let store = Store::start(network.store())?;
     for (id, zone, machine) in [("s-1", "a", 31), ("s-2", "b", 32), ("s-3", "a", 33)] {
         let is_in_trouble = case.has_trouble && id == "s-1";
-        let address: SocketAddr = (network.ip(machine), 8_602).into();
+        let address = network.worker(machine);
         let notes = record.clone();
         http::serve(address, move |request, stream| {
             let attempt = request.header("X-Samphirespread-Attempt-Id").unwrap_or_default();
@@ -118,15 +120,15 @@
     }
     let runs: Runs = Arc::default();
     for (id, zone, machine) in [("i-1", "a", 21), ("i-2", "b", 22)] {
-        let address = (network.ip(machine), 8_602).into();
+        let address = network.worker(machine);
         let worker = PlainWorker::start(id, "desk", zone, address, &runs, record)?;
         store.put("servers", id, &worker.entry());
     }
     store.put("config", "main", &configuration());
     let mut routers = Vec::new();
     for (name, zone, machine) in [("front-a-1", "a", 11), ("front-b-1", "b", 12)] {
-        let (ip, folder) = (network.ip(machine), &case.folder);
-        routers.push(Program::start("gateway", name, zone, ip, store.address, &[], folder)?);
+        let folder = &case.folder;
+        routers.push(Program::start("gateway", name, zone, machine, &network, folder)?);
     }
     for router in &routers {
         router.wait_until_ready()?;
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -39,7 +39,6 @@
 
 #[derive(Clone)]
 pub struct Store {
-    pub address: SocketAddr,
     shared: Arc<(Mutex<State>, Condvar)>,
 }
 
@@ -84,9 +83,8 @@
         let state = State { contents, era: 1, is_away: false, configuration_asked: None };
         let shared = Arc::new((Mutex::new(state), Condvar::new()));
         let served = shared.clone();
-        let address =
-            http::serve(address, move |request, stream| handle(&served, &request, stream))?;
-        Ok(Self { address, shared })
+        http::serve(address, move |request, stream| handle(&served, &request, stream))?;
+        Ok(Self { shared })
     }
 
     fn with<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
--- a/review/standins/src/system.rs
+++ b/review/standins/src/system.rs
@@ -5,7 +5,7 @@
     collections::BTreeMap,
     fs::{self, File},
     io,
-    net::{Ipv4Addr, SocketAddr},
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::Path,
     process::{Child, Command, Stdio},
     thread,
@@ -14,11 +14,6 @@
 
 use crate::http;
 
-pub const CALLER_PORT: u16 = 18_606;
-const READINESS_PORT: u16 = 18_605;
-const PEER_PORT: u16 = 17_600;
-const ADMIN_PORT: u16 = 17_615;
-
 /// The bounds of the users' first site.
 const BOUNDS: [(&str, &str); 11] = [
     ("bounds.revokeMs", "5000"),
@@ -34,28 +29,64 @@
     ("limits.cpuShare", "0.19"),
 ];
 
-/// The loopback addresses of one run: each machine has its own.
+/// The machines of one run. Each has its own loopback address; ports are the same on all of them.
 pub struct Network {
     prefix: [u8; 2],
+    ports: Ports,
+}
+
+/// The numbers of ports that were free on one of the addresses.
+#[derive(Clone, Copy)]
+struct Ports {
+    callers: u16,
+    readiness: u16,
+    peers: u16,
+    admin: u16,
+    worker: u16,
+    store: u16,
 }
 
 impl Network {
-    pub fn new() -> Self {
+    pub fn new() -> io::Result<Self> {
         let process = std::process::id();
         let second = 64 + u8::try_from(process % 128).unwrap_or(0);
         let third = u8::try_from(process / 128 % 250).unwrap_or(0);
-        Self { prefix: [second, third] }
+        let ip = Ipv4Addr::new(127, second, third, 250);
+        let listeners: Vec<TcpListener> =
+            (0..5).map(|_| TcpListener::bind((ip, 0))).collect::<io::Result<_>>()?;
+        let port = |index: usize| listeners[index].local_addr().map(|address| address.port());
+        let peers = UdpSocket::bind((ip, 0))?.local_addr()?.port();
+        let ports = Ports {
+            callers: port(0)?,
+            readiness: port(1)?,
+            peers,
+            admin: port(2)?,
+            worker: port(3)?,
+            store: port(4)?,
+        };
+        Ok(Self { prefix: [second, third], ports })
     }
 
-    pub fn ip(&self, machine: u8) -> Ipv4Addr {
+    fn ip(&self, machine: u8) -> Ipv4Addr {
         Ipv4Addr::new(127, self.prefix[0], self.prefix[1], machine)
     }
+
+    /// The address of the worker on a machine.
+    pub fn worker(&self, machine: u8) -> SocketAddr {
+        (self.ip(machine), self.ports.worker).into()
+    }
+
+    /// The address of the platform's store.
+    pub fn store(&self) -> SocketAddr {
+        (self.ip(1), self.ports.store).into()
+    }
 }
 
 /// A running program. It is killed when dropped.
 pub struct Program {
     child: Child,
-    pub ip: Ipv4Addr,
+    callers: SocketAddr,
+    readiness: SocketAddr,
 }
 
 /// The words of a role's command in the deploy file.
@@ -87,16 +118,16 @@
 }
 
 impl Program {
-    /// Starts a role on a machine. `more` holds further fields of the settings.
+    /// Starts a role on a machine.
     pub fn start(
         role: &str,
         name: &str,
         zone: &str,
-        ip: Ipv4Addr,
-        store: SocketAddr,
-        more: &[(&str, String)],
+        machine: u8,
+        network: &Network,
         folder: &Path,
     ) -> io::Result<Self> {
+        let (ip, ports) = (network.ip(machine), network.ports);
         let mut values: BTreeMap<String, String> =
             BOUNDS.iter().map(|(key, value)| ((*key).to_owned(), (*value).to_owned())).collect();
         for (key, value) in [
@@ -104,31 +135,33 @@
             ("region", "khomas".to_owned()),
             ("zone", zone.to_owned()),
             ("ip", ip.to_string()),
-            ("listen.front", format!("{ip}:{CALLER_PORT}")),
-            ("listen.readyAddr", format!("{ip}:{READINESS_PORT}")),
-            ("internalPorts.0", PEER_PORT.to_string()),
-            ("internalPorts.1", ADMIN_PORT.to_string()),
-            ("platform.address", store.to_string()),
+            ("listen.front", format!("{ip}:{}", ports.callers)),
+            ("listen.readyAddr", format!("{ip}:{}", ports.readiness)),
+            ("internalPorts.0", ports.peers.to_string()),
+            ("internalPorts.1", ports.admin.to_string()),
+            ("platform.address", network.store().to_string()),
+            ("app", network.worker(machine).to_string()),
         ] {
             values.insert(key.to_owned(), value);
         }
-        for (key, value) in more {
-            values.insert((*key).to_owned(), value.clone());
-        }
         let template = fs::read_to_string(format!("deploy/{role}.ini"))?;
         let settings = folder.join(format!("{name}.ini"));
         fs::write(&settings, fill_in(&template, &values))?;
         let (run, log) = (command_of(role)?, folder.join(format!("{name}.log")));
         let child = spawn(&run, &settings, &log)?;
-        Ok(Self { child, ip })
+        Ok(Self {
+            child,
+            callers: (ip, ports.callers).into(),
+            readiness: (ip, ports.readiness).into(),
+        })
     }
 
     pub fn callers(&self) -> SocketAddr {
-        SocketAddr::from((self.ip, CALLER_PORT))
+        self.callers
     }
 
     pub fn is_ready(&self) -> bool {
-        let address = SocketAddr::from((self.ip, READINESS_PORT));
+        let address = self.readiness;
         let answer = http::call(
             address,
             "GET",
--- a/review/standins/src/upgrade_in_place.rs
+++ b/review/standins/src/upgrade_in_place.rs
@@ -85,11 +85,11 @@
 }
 
 pub fn run(case: &Case) -> io::Result<Verdict> {
-    let (record, network) = (&case.record, Network::new());
-    let store = Store::start((network.ip(1), 8_601).into())?;
+    let (record, network) = (&case.record, Network::new()?);
+    let store = Store::start(network.store())?;
     let mut workers = Vec::new();
     for (id, zone, machine) in [("i-1", "a", 21), ("i-2", "b", 22)] {
-        let address = (network.ip(machine), 8_602).into();
+        let address = network.worker(machine);
         let worker = StreamWorker::start(id, zone, address, 1, record)?;
         store.put("servers", id, &worker.entry());
         workers.push(worker);
@@ -97,9 +97,8 @@
     store.put("config", "main", &configuration());
     let mut routers = Vec::new();
     for (name, zone, machine) in [("front-a-1", "a", 11), ("front-b-1", "b", 12)] {
-        let ip = network.ip(machine);
         let folder = &case.folder;
-        routers.push(Program::start("gateway", name, zone, ip, store.address, &[], folder)?);
+        routers.push(Program::start("gateway", name, zone, machine, &network, folder)?);
     }
     for router in &routers {
         router.wait_until_ready()?;
--- a/review/standins/src/withdrawn_key.rs
+++ b/review/standins/src/withdrawn_key.rs
@@ -76,11 +76,11 @@
 }
 
 pub fn run(case: &Case) -> io::Result<Verdict> {
-    let (record, network) = (&case.record, Network::new());
-    let store = Store::start((network.ip(1), 8_601).into())?;
+    let (record, network) = (&case.record, Network::new()?);
+    let store = Store::start(network.store())?;
     let runs: Runs = Arc::default();
     let worker = |name: &str, zone: &str, machine: u8| {
-        let address = (network.ip(machine), 8_602).into();
+        let address = network.worker(machine);
         PlainWorker::start(name, "desk", zone, address, &runs, record)
     };
     let first = [worker("i-1", "a", 21)?, worker("i-2", "b", 22)?];
@@ -92,9 +92,8 @@
     }
     let mut routers = Vec::new();
     for (name, zone, machine) in [("front-a-1", "a", 11), ("front-b-1", "b", 12)] {
-        let ip = network.ip(machine);
         let folder = &case.folder;
-        routers.push(Program::start("gateway", name, zone, ip, store.address, &[], folder)?);
+        routers.push(Program::start("gateway", name, zone, machine, &network, folder)?);
     }
     for router in &routers {
         router.wait_until_ready()?;
