--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,9 +2,9 @@
 //! 0 if it held, and 2 if the case couldn't run. With `TROUBLE=0` the disruption is left out.
 
 mod dedicated_tenant;
-mod endless_body;
 mod engine_worker;
 mod http;
+mod kill_of_all;
 mod plain_worker;
 mod record;
 mod repeated_event;
@@ -44,7 +44,7 @@
     let case = Case { record: record.clone(), folder: temporary.clone(), has_trouble };
     let verdict = match name.as_str() {
         "dedicated-tenant" => dedicated_tenant::run(&case),
-        "endless-body" => endless_body::run(&case),
+        "kill-of-all" => kill_of_all::run(&case),
         "repeated-event" => repeated_event::run(&case),
         "upgrade-in-place" => upgrade_in_place::run(&case),
         "withdrawn-key" => withdrawn_key::run(&case),
--- a/review/standins/src/stream_worker.rs
+++ b/review/standins/src/stream_worker.rs
@@ -19,8 +19,8 @@
     record::Record,
 };
 
-/// The number of events of a stream.
-pub const EVENTS: u64 = 30;
+/// The model that each of these workers holds.
+pub const MODEL: &str = "model-a";
 /// Time between two events.
 const EVENT_INTERVAL: Duration = Duration::from_millis(100);
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
@@ -31,6 +31,8 @@
     address: SocketAddr,
     zone: String,
     software: u64,
+    /// The number of events of a stream.
+    events: u64,
     born: u64,
     boot: Arc<Boot>,
     record: Record,
@@ -48,8 +50,10 @@
         zone: &str,
         address: SocketAddr,
         software: u64,
+        events: u64,
         record: &Record,
     ) -> io::Result<Self> {
+        let born = unix_ms();
         let listener = TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
         let boot = Arc::new(Boot::default());
@@ -69,7 +73,11 @@
                 }
                 thread::spawn(move || {
                     let handler = |request: Request, stream: &mut TcpStream| {
-                        answer(&own, software, &boot, &request, stream, &record)
+                        if request.path() == "/-/report" {
+                            return http::answer(stream, 200, &[], report(born).as_bytes());
+                        }
+                        let numbers = (software, events);
+                        answer(&own, numbers, &boot, &request, stream, &record)
                     };
                     // A connection that breaks off ends its thread.
                     let _ = http::serve_connection(stream, &handler);
@@ -78,14 +86,15 @@
         });
         let (id, zone, record) = (id.to_owned(), zone.to_owned(), record.clone());
         record.line(&format!("worker    {id} starts with software {software}"));
-        Ok(Self { id, address, zone, software, born: unix_ms(), boot, record })
+        Ok(Self { id, address, zone, software, events, born, boot, record })
     }
 
     /// Its entry in the store.
     pub fn entry(&self) -> Value {
         json!({ "service": "drafting", "address": self.address.to_string(), "zone": self.zone,
             "version": self.software.to_string(), "slots": 64, "state": "ready",
-            "coldRemainingMs": 0, "seq": 1, "born": self.born })
+            "coldRemainingMs": 0, "seq": 1,
+            "models": [{ "name": MODEL, "version": 1, "adapters": [] }], "born": self.born })
     }
 
     /// Ends at once, as a killed process does: its port and its connections close.
@@ -101,13 +110,21 @@
 
     /// Starts again under the same id and address.
     pub fn start_again(&self, software: u64) -> io::Result<Self> {
-        Self::start(&self.id, &self.zone, self.address, software, &self.record)
+        Self::start(&self.id, &self.zone, self.address, software, self.events, &self.record)
     }
 }
 
+/// What a worker says of itself.
+fn report(born: u64) -> String {
+    let report = json!({ "stage": "unified", "busy": false, "seq": 0, "numWaiting": 0,
+        "models": [{ "name": MODEL, "version": 1, "adapters": [] }], "numRunning": 0,
+        "kvUsed": 0, "kvTotal": 164_393, "handles": 0, "born": born });
+    report.to_string()
+}
+
 fn answer(
     own: &str,
-    software: u64,
+    (software, events): (u64, u64),
     boot: &Boot,
     request: &Request,
     stream: &mut TcpStream,
@@ -125,13 +142,13 @@
          X-Samphirespread-Response-Seal: 3e1b.07.5a2.600.0.c9f2a4d1\r\n\r\n"
     );
     stream.write_all(head.as_bytes())?;
-    for number in last + 1..=EVENTS {
+    for number in last + 1..=events {
         if boot.has_ended.load(Ordering::Relaxed) {
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
         let event = format!("id: {number}\ndata: text {number} of software {software}\n\n");
         write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
-        if number < EVENTS {
+        if number < events {
             thread::sleep(EVENT_INTERVAL);
         }
     }
--- a/review/standins/src/system.rs
+++ b/review/standins/src/system.rs
@@ -6,7 +6,7 @@
     fs::{self, File},
     io,
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-    path::Path,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
     time::{Duration, Instant},
@@ -85,6 +85,9 @@
 /// A running program. It is killed when dropped.
 pub struct Program {
     child: Child,
+    run: Vec<String>,
+    settings: PathBuf,
+    log: PathBuf,
     callers: SocketAddr,
     readiness: SocketAddr,
 }
@@ -151,6 +154,9 @@
         let child = spawn(&run, &settings, &log)?;
         Ok(Self {
             child,
+            run,
+            settings,
+            log,
             callers: (ip, ports.callers).into(),
             readiness: (ip, ports.readiness).into(),
         })
@@ -184,6 +190,13 @@
         Ok(())
     }
 
+    /// Starts it again with the same settings.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.kill();
+        self.child = spawn(&self.run, &self.settings, &self.log)?;
+        Ok(())
+    }
+
     pub fn kill(&mut self) {
         // It may have ended by itself.
         let _ = self.child.kill();
--- a/review/standins/src/upgrade_in_place.rs
+++ b/review/standins/src/upgrade_in_place.rs
@@ -19,10 +19,12 @@
     Case, Verdict, http,
     record::Record,
     store::Store,
-    stream_worker::{EVENTS, StreamWorker},
+    stream_worker::StreamWorker,
     system::{Network, Program},
 };
 
+/// The number of events of a stream.
+const EVENTS: u64 = 30;
 /// How long a worker is down.
 const DOWN: Duration = Duration::from_millis(500);
 /// Time from the entry of a restarted worker to the restart of the next one.
@@ -90,7 +92,7 @@
     let mut workers = Vec::new();
     for (id, zone, machine) in [("i-1", "a", 21), ("i-2", "b", 22)] {
         let address = network.worker(machine);
-        let worker = StreamWorker::start(id, zone, address, 1, record)?;
+        let worker = StreamWorker::start(id, zone, address, 1, EVENTS, record)?;
         store.put("servers", id, &worker.entry());
         workers.push(worker);
     }
