--- a/review/standins/src/dedicated_tenant.rs
+++ b/review/standins/src/dedicated_tenant.rs
@@ -118,6 +118,9 @@
     }
     let (sent, served) = (callers.sent, callers.served);
     drop(routers);
+    if served < sent / 2 {
+        return Err(io::Error::other("most requests were not served"));
+    }
     let findings = findings.lock().unwrap();
     Ok(judge(&findings, asked_from_ms, case.has_trouble, (sent, served), record))
 }
--- a/review/standins/src/kill_of_all.rs
+++ b/review/standins/src/kill_of_all.rs
@@ -207,29 +207,39 @@
                 thread::sleep(REQUEST_INTERVAL);
             }
         });
-        thread::sleep(Duration::from_secs(6));
-        if case.has_trouble {
-            record.line("all processes are killed");
-            programs.iter_mut().for_each(Program::kill);
-            thread::sleep(DOWN);
-            for program in &mut programs {
-                program.restart()?;
+        // The callers' threads end in any case, also where a program can't be started again.
+        let mut play = || {
+            thread::sleep(Duration::from_secs(6));
+            if case.has_trouble {
+                record.line("all processes are killed");
+                programs.iter_mut().for_each(Program::kill);
+                thread::sleep(DOWN);
+                for program in &mut programs {
+                    program.restart()?;
+                }
             }
-        }
-        // Without the kill, callers leave their channels at the same time.
-        callers.has_broken.store(true, Ordering::Relaxed);
-        for router in &programs[routers.clone()] {
-            router.wait_until_ready()?;
-        }
-        let in_touch_from_ms = record.now_ms() + CONTACT_MS;
-        record.line(&format!("all routers are ready, and in touch from {in_touch_from_ms} ms"));
-        thread::sleep(Duration::from_secs(9));
+            // Without the kill, callers leave their channels at the same time.
+            callers.has_broken.store(true, Ordering::Relaxed);
+            for router in &programs[routers.clone()] {
+                router.wait_until_ready()?;
+            }
+            let in_touch_from_ms = record.now_ms() + CONTACT_MS;
+            record.line(&format!("all routers are ready, and in touch from {in_touch_from_ms} ms"));
+            thread::sleep(Duration::from_secs(9));
+            Ok::<u64, io::Error>(in_touch_from_ms)
+        };
+        let played = play();
         callers.is_over.store(true, Ordering::Relaxed);
-        Ok::<u64, io::Error>(in_touch_from_ms)
+        played
     })?;
     drop(programs);
     let from_ms = if case.has_trouble { in_touch_from_ms } else { 0 };
-    Ok(judge(&callers.tries.lock().unwrap(), from_ms))
+    let tries = callers.tries.lock().unwrap();
+    let taken_up = tries.iter().filter(|one| one.takes_up && one.sent_ms >= from_ms).count();
+    if taken_up < MIN_TAKEN_UP {
+        return Err(io::Error::other("too few streams were taken up"));
+    }
+    Ok(judge(&tries, from_ms))
 }
 
 /// LOST: of twelve or more streams that are taken up at machines in touch, at least half as many go on
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -63,7 +63,10 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    match run(&arguments) {
+    // What stops a case by surprise says nothing of the rule.
+    let result = std::panic::catch_unwind(|| run(&arguments))
+        .unwrap_or_else(|_| Err(std::io::Error::other("a stand-in stopped")));
+    match result {
         Ok(verdict) => {
             println!("{}: {}", if verdict.is_broken { "BROKEN" } else { "held" }, verdict.reason);
             ExitCode::from(u8::from(verdict.is_broken))
--- a/review/standins/src/repeated_event.rs
+++ b/review/standins/src/repeated_event.rs
@@ -163,6 +163,9 @@
     });
     drop(routers);
     let looks = looks.lock().unwrap();
+    if looks.is_empty() {
+        return Err(io::Error::other("no request was sent"));
+    }
     Ok(judge(&looks))
 }
 
--- a/review/standins/src/upgrade_in_place.rs
+++ b/review/standins/src/upgrade_in_place.rs
@@ -150,7 +150,11 @@
     stop.store(true, Ordering::Relaxed);
     caller.join().map_err(|_| io::Error::other("the caller's thread ended"))?;
     drop(routers);
-    Ok(judge(&all.lock().unwrap(), record))
+    let all = all.lock().unwrap();
+    if !all.values().any(|received| received.is_complete) {
+        return Err(io::Error::other("no stream was complete"));
+    }
+    Ok(judge(&all, record))
 }
 
 /// ORDER: at most two streams hold events from workers of two software versions of one service.
--- a/review/standins/src/withdrawn_key.rs
+++ b/review/standins/src/withdrawn_key.rs
@@ -161,7 +161,11 @@
         caller.join().map_err(|_| io::Error::other("a caller's thread ended"))?;
     }
     drop(routers);
-    Ok(judge(&all.lock().unwrap(), &runs, confirmed_ms, record))
+    let all = all.lock().unwrap();
+    if !all.iter().any(|sent| sent.key == KEPT_KEY && sent.status == Some(200)) {
+        return Err(io::Error::other("no request was served"));
+    }
+    Ok(judge(&all, &runs, confirmed_ms, record))
 }
 
 /// CONFIG: no request runs that was sent with the key later than the bound after the confirmation of
