--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -1,9 +1,11 @@
 //! The scripted cases of the second review. The first argument names the case, the second its folder.
 
 mod client;
+mod entries;
 mod memory;
 mod record;
 mod site;
+mod store;
 mod upgrade;
 mod worker;
 
@@ -17,6 +19,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let is_broken = match case.as_str() {
         "memory" => memory::run(&folder, has_trouble).await,
+        "entries" => entries::run(&folder, has_trouble).await,
         "upgrade" => upgrade::run(&folder, has_trouble).await,
         _ => site::cant_run("no such case"),
     };
--- a/review/cases-2/src/memory.rs
+++ b/review/cases-2/src/memory.rs
@@ -18,7 +18,7 @@
 };
 
 const ENGINES: u8 = 8;
-const MEMORY_LIMIT_BYTES: u64 = 110_000_000;
+pub const MEMORY_LIMIT_BYTES: u64 = 110_000_000;
 const TROUBLE_S: f64 = 24.0;
 /// A process that ended is started again after this.
 const RESTART_MS: u64 = 500;
@@ -197,7 +197,7 @@
 }
 
 /// Plays the platform's part: kills a process over its limit, and starts it again.
-async fn limit_memory(
+pub async fn limit_memory(
     mut gateways: Vec<Process>,
     ends: Arc<Mutex<Vec<(usize, Instant)>>>,
     peaks: Arc<Mutex<Vec<u64>>>,
