--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -2,6 +2,7 @@
 
 mod client;
 mod entries;
+mod ghosts;
 mod memory;
 mod record;
 mod site;
@@ -19,6 +20,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let is_broken = match case.as_str() {
         "memory" => memory::run(&folder, has_trouble).await,
+        "ghosts" => ghosts::run(&folder, has_trouble).await,
         "entries" => entries::run(&folder, has_trouble).await,
         "upgrade" => upgrade::run(&folder, has_trouble).await,
         _ => site::cant_run("no such case"),
--- a/review/cases-2/src/store.rs
+++ b/review/cases-2/src/store.rs
@@ -163,6 +163,11 @@
         self.address
     }
 
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.shared.objects.lock().unwrap().remove(kind, name);
+        self.shared.changed.notify_waiters();
+    }
+
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         self.shared.objects.lock().unwrap().put(kind, name, Some(spec), None);
         self.shared.changed.notify_waiters();
