--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")" || exit 2
 case_program=../cases-2/target/release/review-cases-2
 [ -x "$case_program" ] || { echo "review/build-2.sh has to run first" >&2; exit 2; }
-exec "$case_program" upgrade .
+exec "$case_program" entries .
--- a/review/cases-2/src/client.rs
+++ b/review/cases-2/src/client.rs
@@ -69,6 +69,37 @@
     answer
 }
 
+/// Sends two requests, one after the other on one channel. Returns what came of the second; the first has to
+/// be answered whole.
+pub async fn send_kept(address: SocketAddr, first: &Call, second: &Call) -> Option<Answer> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    let mut answers = Vec::new();
+    for call in [first, second] {
+        let mut answer = Answer {
+            sent: Instant::now(),
+            ended: Instant::now(),
+            status: None,
+            head: String::new(),
+            body: Vec::new(),
+            is_whole: false,
+            connected: true,
+        };
+        let limit = Duration::from_millis(call.deadline_ms);
+        let exchange = async {
+            stream.write_all(text_of(call).as_bytes()).await.ok()?;
+            read_answer(&mut stream, None, &mut answer).await
+        };
+        let _ = time::timeout(limit, exchange).await;
+        answer.ended = Instant::now();
+        let is_whole = answer.is_whole;
+        answers.push(answer);
+        if !is_whole {
+            break;
+        }
+    }
+    (answers.len() == 2).then(|| answers.pop())?
+}
+
 async fn exchange(
     address: SocketAddr,
     call: &Call,
@@ -81,6 +112,11 @@
     }
     let mut stream = socket.connect(address).await.ok()?;
     answer.connected = true;
+    stream.write_all(text_of(call).as_bytes()).await.ok()?;
+    read_answer(&mut stream, reading, answer).await
+}
+
+fn text_of(call: &Call) -> String {
     let body = "a text";
     let generation = match call.is_generation {
         true => format!(
@@ -91,7 +127,7 @@
         ),
         false => String::new(),
     };
-    let text = format!(
+    format!(
         "POST {} HTTP/1.1\r\nHost: {HOST}\r\nX-Samphirespread-Attempt-Id: {}\r\n\
          X-Samphirespread-Deadline-Ms: {}\r\nAuthorization: Token {KEY}\r\n{generation}{}\
          Content-Length: {}\r\n\r\n{body}",
@@ -100,9 +136,7 @@
         call.deadline_ms,
         call.more,
         body.len()
-    );
-    stream.write_all(text.as_bytes()).await.ok()?;
-    read_answer(&mut stream, reading, answer).await
+    )
 }
 
 fn hash(text: &str) -> u32 {
--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -8,6 +8,7 @@
 mod site;
 mod store;
 mod upgrade;
+mod weights;
 mod worker;
 
 use std::path::PathBuf;
@@ -22,6 +23,7 @@
         "memory" => memory::run(&folder, has_trouble).await,
         "ghosts" => ghosts::run(&folder, has_trouble).await,
         "entries" => entries::run(&folder, has_trouble).await,
+        "weights" => weights::run(&folder, has_trouble).await,
         "upgrade" => upgrade::run(&folder, has_trouble).await,
         _ => site::cant_run("no such case"),
     };
--- a/review/cases-2/src/worker.rs
+++ b/review/cases-2/src/worker.rs
@@ -59,11 +59,24 @@
     software: Mutex<String>,
     born: AtomicU64,
     is_in_trouble: AtomicBool,
-    is_leaving: AtomicBool,
     arrivals: Mutex<Vec<Arrival>>,
     endless_bytes: AtomicU64,
+    /// The version of its weights.
+    weights: AtomicU64,
+    orders: AtomicU64,
+    /// Whether it carries out an order: its runs end first, then it loads.
+    is_busy: AtomicBool,
+    running: AtomicU64,
+    waiting: AtomicU64,
+    /// How long a request waits before it begins.
+    begin_ms: AtomicU64,
 }
 
+/// Events of an answer on a path that begins with `/verdict/`.
+const VERDICT_EVENTS: u64 = 9;
+/// Time to load weights.
+const LOAD_MS: u64 = 1_100;
+
 impl Worker {
     pub fn new(plan: WorkerPlan, ip: Ipv4Addr) -> Self {
         let shared = Shared {
@@ -71,9 +84,14 @@
             software: Mutex::new("v1".to_owned()),
             born: AtomicU64::new(unix_ms()),
             is_in_trouble: AtomicBool::new(false),
-            is_leaving: AtomicBool::new(false),
             arrivals: Mutex::default(),
             endless_bytes: AtomicU64::new(0),
+            weights: AtomicU64::new(1),
+            orders: AtomicU64::new(0),
+            is_busy: AtomicBool::new(false),
+            running: AtomicU64::new(0),
+            waiting: AtomicU64::new(0),
+            begin_ms: AtomicU64::new(0),
         };
         Self { plan, ip, shared: Arc::new(shared), running: None }
     }
@@ -109,8 +127,16 @@
         self.shared.is_in_trouble.store(is_in_trouble, SeqCst);
     }
 
-    pub fn set_leaving(&self) {
-        self.shared.is_leaving.store(true, SeqCst);
+    pub fn set_begin_ms(&self, begin_ms: u64) {
+        self.shared.begin_ms.store(begin_ms, SeqCst);
+    }
+
+    pub fn weights(&self) -> u64 {
+        self.shared.weights.load(SeqCst)
+    }
+
+    pub fn is_busy(&self) -> bool {
+        self.shared.is_busy.load(SeqCst)
     }
 
     pub fn arrivals(&self) -> Vec<Arrival> {
@@ -124,7 +150,7 @@
     /// Its entry in the store.
     pub fn entry(&self, state: &str) -> Value {
         let models = match self.plan.is_engine {
-            true => json!([{ "name": MODEL, "version": 1, "adapters": [] }]),
+            true => json!([{ "name": MODEL, "version": self.shared.weights.load(SeqCst), "adapters": [] }]),
             false => json!([]),
         };
         json!({ "service": self.plan.service, "address": self.address().to_string(),
@@ -158,6 +184,7 @@
 struct Request {
     path: String,
     headers: Vec<(String, String)>,
+    body: Vec<u8>,
 }
 
 impl Request {
@@ -177,11 +204,11 @@
                 .filter_map(|line| line.split_once(':'))
                 .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
                 .collect();
-            let request = Request { path, headers };
+            let mut request = Request { path, headers, body: Vec::new() };
             let length: usize =
                 request.header("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
             if bytes.len() >= end + 4 + length {
-                bytes.drain(..end + 4 + length);
+                request.body = bytes.drain(..end + 4 + length).skip(end + 4).collect();
                 return Some(request);
             }
         }
@@ -198,6 +225,7 @@
     while let Some(request) = read_request(&mut stream, &mut bytes).await {
         let goes_on = match request.path.as_str() {
             "/-/report" => report(&mut stream, &shared).await,
+            "/-/order" => order(&mut stream, &shared, &request).await,
             path if path.starts_with("/-/") => {
                 write(&mut stream, "404 Not Found", &[], "{}").await
             }
@@ -221,11 +249,54 @@
 
 async fn report(stream: &mut TcpStream, shared: &Shared) -> bool {
     let report = json!({ "stage": "unified", "born": shared.born.load(SeqCst),
-        "models": [{ "name": MODEL, "version": 1, "adapters": [] }], "busy": false, "seq": 0,
-        "numWaiting": 0, "numRunning": 0, "kvUsed": 0, "kvTotal": 164_393, "handles": 0 });
+        "models": [{ "name": MODEL, "version": shared.weights.load(SeqCst), "adapters": [] }],
+        "busy": shared.is_busy.load(SeqCst), "seq": shared.orders.load(SeqCst),
+        "numWaiting": shared.waiting.load(SeqCst), "numRunning": shared.running.load(SeqCst), "kvUsed": 0, "kvTotal": 164_393, "handles": 0 });
     write(stream, "200 OK", &[("content-type", "application/json")], &report.to_string()).await
 }
 
+/// Takes an order to load weights, in the mode `wait`.
+async fn order(stream: &mut TcpStream, shared: &Arc<Shared>, request: &Request) -> bool {
+    let order: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let version = order["version"].as_u64().unwrap_or(0);
+    let is_expected = order["expect"].as_u64().is_none_or(|expected| expected == shared.orders.load(SeqCst));
+    let status = if shared.is_busy.load(SeqCst) || !is_expected {
+        "409 Conflict"
+    } else if version <= shared.weights.load(SeqCst) {
+        "200 OK"
+    } else {
+        shared.orders.fetch_add(1, SeqCst);
+        shared.is_busy.store(true, SeqCst);
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            while shared.running.load(SeqCst) > 0 {
+                time::sleep(Duration::from_millis(5)).await;
+            }
+            time::sleep(Duration::from_millis(LOAD_MS)).await;
+            shared.weights.store(version, SeqCst);
+            shared.is_busy.store(false, SeqCst);
+        });
+        "202 Accepted"
+    };
+    write(stream, status, &[("content-type", "application/json")], "{}").await
+}
+
+/// Counts a request as waiting or running until it is dropped.
+struct Counted(Arc<Shared>, fn(&Shared) -> &AtomicU64);
+
+impl Counted {
+    fn new(shared: &Arc<Shared>, of: fn(&Shared) -> &AtomicU64) -> Self {
+        of(shared).fetch_add(1, SeqCst);
+        Self(shared.clone(), of)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        (self.1)(&self.0).fetch_sub(1, SeqCst);
+    }
+}
+
 async fn answer(stream: &mut TcpStream, shared: &Arc<Shared>, request: &Request) -> bool {
     let plan = &shared.plan;
     let attempt = request.header("x-samphirespread-attempt-id").unwrap_or_default().to_owned();
@@ -246,19 +317,23 @@
         });
         arrivals.len() - 1
     };
-    let leaving = shared.is_leaving.load(SeqCst);
     let mut headers = vec![
         ("x-samphirespread-attempt-id", attempt.as_str()),
         ("x-samphirespread-instance-id", plan.id.as_str()),
         ("x-samphirespread-instance-load", "1,0,64"),
     ];
-    if leaving {
-        headers.push(("server-leaving", "1"));
-    }
     if is_other {
         headers.push(("x-samphirespread-not-executed", "1"));
         return write(stream, "421 Misdirected Request", &headers, "").await;
     }
+    let version = request.header("x-samphirespread-expect-version").and_then(|it| it.parse().ok());
+    let is_other_version = version.is_some_and(|version: u64| version != shared.weights.load(SeqCst));
+    if plan.is_engine && (is_other_version || shared.is_busy.load(SeqCst)) {
+        let status = if is_other_version { "421 Misdirected Request" } else { "503 Service Unavailable" };
+        headers.push(("x-samphirespread-not-executed", "1"));
+        shared.arrivals.lock().unwrap()[index].ran = false;
+        return write(stream, status, &headers, "").await;
+    }
     headers.push(("x-samphirespread-response-seal", "seal"));
     if !plan.is_engine {
         time::sleep(Duration::from_millis(plan.work_ms)).await;
@@ -281,7 +356,22 @@
         write_without_end(stream, shared).await;
         return false;
     }
-    for number in last_event.unwrap_or(0) + 1..=plan.events {
+    let begin_ms = shared.begin_ms.load(SeqCst);
+    if begin_ms > 0 {
+        let _waiting = Counted::new(shared, |shared| &shared.waiting);
+        let mut more = [0; 1];
+        // The end of the channel ends a request that waits.
+        tokio::select! {
+            () = time::sleep(Duration::from_millis(begin_ms)) => {}
+            _ = stream.read(&mut more) => {
+                shared.arrivals.lock().unwrap()[index].ran = false;
+                return false;
+            }
+        }
+    }
+    let _running = Counted::new(shared, |shared| &shared.running);
+    let events = if request.path.starts_with("/verdict/") { VERDICT_EVENTS } else { plan.events };
+    for number in last_event.unwrap_or(0) + 1..=events {
         time::sleep(Duration::from_millis(plan.event_ms)).await;
         let event = format!("id: {number}\ndata: {software} {attempt} {number}\n\n");
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
