--- a/review/cases-2/src/site.rs
+++ b/review/cases-2/src/site.rs
@@ -5,6 +5,7 @@
     net::Ipv4Addr,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::{Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
@@ -44,6 +45,19 @@
     here.ancestors().nth(2).expect("the crate is in review/").to_owned()
 }
 
+/// The ids of the processes that run. They stand in the file that `PIDS_FILE` names as well, so that `run-case.sh`
+/// can end them if this program is killed.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+fn change_running(change: impl FnOnce(&mut Vec<u32>)) {
+    let mut running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    change(&mut running);
+    let Some(file) = std::env::var_os("PIDS_FILE") else { return };
+    let lines: String = running.iter().map(|pid| format!("{pid}\n")).collect();
+    // Without the file, only a kill of this program leaves processes behind.
+    let _ = std::fs::write(file, lines);
+}
+
 /// A process of the project, started with the command of the deploy file.
 pub struct Process {
     program: &'static str,
@@ -98,23 +112,20 @@
             .stdout(log)
             .stderr(errors)
             .spawn();
-        self.child = Some(child.unwrap_or_else(|error| cant_run(&format!("{}: {error}", self.program))));
+        let child = child.unwrap_or_else(|error| cant_run(&format!("{}: {error}", self.program)));
+        change_running(|running| running.push(child.id()));
+        self.child = Some(child);
     }
 
     pub fn pid(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
     }
 
-    pub fn signal(&self, signal: Signal) {
-        let Some(pid) = self.pid().and_then(|pid| Pid::from_raw(i32::try_from(pid).ok()?)) else { return };
-        // The process may have ended.
-        let _ = kill_process(pid, signal);
-    }
-
     pub fn kill(&mut self) {
         let Some(mut child) = self.child.take() else { return };
         let _ = child.kill();
         let _ = child.wait();
+        change_running(|running| running.retain(|pid| *pid != child.id()));
     }
 
     /// Memory of the process that no file backs, in bytes.
@@ -158,5 +169,9 @@
 /// Ends the script as one that couldn't run.
 pub fn cant_run(why: &str) -> ! {
     eprintln!("could not run: {why}");
+    let running = RUNNING.lock().map(|running| running.clone()).unwrap_or_default();
+    for pid in running.into_iter().filter_map(|pid| Pid::from_raw(i32::try_from(pid).ok()?)) {
+        let _ = kill_process(pid, Signal::KILL);
+    }
     std::process::exit(2);
 }
