Gateway: a room for what is known of the servers (fleet)

The folder's nearly flat part loses two files: fleet.rs becomes fleet/mod.rs and fleet/server.rs, and the copy of the store's list goes there too.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,7 +49,6 @@
 mod select;
 mod serve;
 mod server_limits;
-mod server_list;
 mod server_speed;
 mod software_record;
 mod state;
--- a/crates/gateway/src/sync/lists.rs
+++ b/crates/gateway/src/sync/lists.rs
@@ -14,12 +14,11 @@
 use crate::{
     admin::HeldRevisions,
     copies, crashes,
-    fleet::FleetChange,
+    fleet::{FleetChange, ServerList, Unreadable},
     gateway::Core,
     metrics::count,
     reads::ListParts,
     routers,
-    server_list::{ServerList, Unreadable},
 };
 
 /// Rounds of reads between two reads of the list of routers.
