--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -5,7 +5,7 @@
 use axum::extract::Query;
 use bytes::Bytes;
 use http::{Method, Response, StatusCode, Uri};
-use samphirespread_adapter::Object;
+use samphirespread_adapter::{Object, backend_servers};
 use samphirespread_core::prelude::*;
 use samphirespread_routing::crash_causes::CauseKey;
 use serde::{Deserialize, Serialize};
@@ -15,8 +15,10 @@
     body::ResponseBody,
     cache_pull::{self, KnownPositions, VIEWS_PATH},
     crashes,
+    fleet::ListedServer,
     gateway::Core,
     rollout::{self, RolloutStatus},
+    routers::RouterEntry,
 };
 
 /// The path of a router's lists of servers and routers.
@@ -70,27 +72,30 @@
 
 /// A router's lists, without what the calling router has already.
 #[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Lists {
+pub(crate) struct Lists<S> {
     /// Time since the read that confirmed the list of servers began.
     pub(crate) servers_age_ms: u64,
     /// The names of all servers on the list.
     pub(crate) server_names: HashSet<String>,
     /// The servers that have changed since the revision that the caller has.
-    pub(crate) servers: Vec<Arc<Object>>,
+    pub(crate) servers: Vec<S>,
     /// The store's revision up to which the list of servers has all changes.
     pub(crate) servers_revision: Option<u64>,
     /// The era of the store in which the list of servers was read.
     #[serde(default)]
     pub(crate) servers_era: u64,
+    /// Whether entries of services that the configuration doesn't name were left out.
+    #[serde(default)]
+    pub(crate) is_partial: bool,
     /// Time since the read that confirmed the list of routers began.
     pub(crate) routers_age_ms: u64,
-    pub(crate) routers: Option<Arc<Vec<Object>>>,
+    pub(crate) routers: Option<Arc<Vec<Object<RouterEntry>>>>,
     /// The era of the store in which the list of routers was read.
     #[serde(default)]
     pub(crate) routers_era: u64,
 }
 
-impl Lists {
+impl<S> Lists<S> {
     /// The store's position up to which the list of servers has all changes.
     pub(crate) fn servers_position(&self) -> Option<StorePosition> {
         let revision = self.servers_revision?;
@@ -192,23 +197,27 @@
 }
 
 /// This router's lists, for a router that has not read them from the store itself.
-fn lists(core: &Core, held: HeldRevisions) -> Lists {
+fn lists(core: &Core, held: HeldRevisions) -> Lists<Object<impl Serialize + use<>>> {
     let now = core.now();
     let state = core.state();
-    let servers = state.server_objects.iter();
+    let servers = state.server_list.entries();
     let held_servers =
         held.servers.map(|held_as_of| StorePosition::new(held.servers_era, held_as_of));
     let era = state.reads.servers.era();
     let held_servers = held_servers.filter(|held| held.era() == era);
     let has_changed =
-        |server: &&Arc<Object>| held_servers.is_none_or(|held| server.position > held);
+        |server: &&Arc<ListedServer>| held_servers.is_none_or(|held| server.position > held);
     let has_routers = held.routers == Some(state.reads.routers.mark());
     Lists {
         servers_age_ms: state.reads.servers.age_ms(now),
         server_names: servers.clone().map(|server| server.name.clone()).collect(),
-        servers: servers.filter(has_changed).cloned().collect(),
-        servers_revision: state.servers_as_of.map(StorePosition::revision_in_era),
+        servers: servers
+            .filter(has_changed)
+            .map(|server| backend_servers::encode(server))
+            .collect(),
+        servers_revision: state.server_list.as_of().map(StorePosition::revision_in_era),
         servers_era: era,
+        is_partial: state.server_list.is_partial(),
         routers_age_ms: state.reads.routers.age_ms(now),
         routers: (!has_routers).then(|| state.router_objects.clone()),
         routers_era: state.reads.routers.era(),
--- a/crates/gateway/src/copies.rs
+++ b/crates/gateway/src/copies.rs
@@ -6,11 +6,14 @@
 use displaydoc::Display;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::Full;
+use samphirespread_adapter::{Object, backend_servers};
 use samphirespread_core::prelude::*;
 use samphirespread_outbound::{Connection, ExchangeLimits, OpenError, SendError};
+use serde_json::value::RawValue;
 
 use crate::{
     admin::{AGE_MS, AS_OF, CONFIGURATION_PATH, ERA, HeldRevisions, LISTS_PATH, Lists, REVISION},
+    fleet::ListedServer,
     packing::unpack,
 };
 
@@ -54,20 +57,47 @@
 }
 
 /// Fetches from the router with this admin address the lists that differ from those in `held`.
-/// Returns them with the size of the answer in bytes.
+/// Returns them with the size of the answer in bytes. Servers that can't be decoded are left out.
 pub(crate) async fn fetch_lists(
     address: SocketAddr,
     held: HeldRevisions,
-) -> Result<(Lists, usize), CopiesError> {
+) -> Result<(Lists<ListedServer>, usize), CopiesError> {
     let held = [
         ("servers", held.servers),
         ("servers_era", Some(held.servers_era)),
         ("routers", held.routers),
     ];
     let body = fetch(address, &path(LISTS_PATH, &held)).await?.into_body();
-    let lists = serde_json::from_slice(&body);
+    let lists = serde_json::from_slice::<Lists<Object<&RawValue>>>(&body);
     let lists = lists.map_err(|error| CopiesError::Malformed(error.to_string()))?;
-    Ok((lists, body.len()))
+    Ok((decoded(lists), body.len()))
+}
+
+/// Decodes the servers. Those for which that fails are dropped, with their names.
+fn decoded(lists: Lists<Object<&RawValue>>) -> Lists<ListedServer> {
+    let mut server_names = lists.server_names;
+    let mut servers = Vec::with_capacity(lists.servers.len());
+    for entry in &lists.servers {
+        match backend_servers::decode(&entry.name, entry.spec.get()) {
+            Ok(server) => servers.push(entry.map(|_| server)),
+            Err(_) => {
+                server_names.remove(&entry.name);
+            }
+        }
+    }
+    let Lists { servers_age_ms, servers_revision, servers_era, .. } = lists;
+    let Lists { is_partial, routers_age_ms, routers, routers_era, .. } = lists;
+    Lists {
+        servers_age_ms,
+        server_names,
+        servers,
+        servers_revision,
+        servers_era,
+        is_partial,
+        routers_age_ms,
+        routers,
+        routers_era,
+    }
 }
 
 /// Fetches the configuration of the router with this admin address, unless it is at the position
--- a/crates/gateway/src/crashes/verdict_record.rs
+++ b/crates/gateway/src/crashes/verdict_record.rs
@@ -6,7 +6,6 @@
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
 use samphirespread_routing::crash_causes::VerdictRecord;
-use serde::Deserialize;
 use serde_json::json;
 use slog::info;
 use tokio::time;
@@ -96,11 +95,12 @@
 
     /// Returns the record and its position; `None` if there is none. One that can't be read is empty.
     async fn read(&self) -> Result<Option<(StorePosition, VerdictRecord)>, StoreError> {
-        let Some(object) = self.core.store.get(Kind::CrashVerdicts, RECORD_NAME).await? else {
+        let Some(object) =
+            self.core.store.get::<VerdictRecord>(Kind::CrashVerdicts, RECORD_NAME).await?
+        else {
             return Ok(None);
         };
-        let record = VerdictRecord::deserialize(&object.spec).unwrap_or_default();
-        Ok(Some((object.position, record)))
+        Ok(Some((object.position, object.spec.unwrap_or_default())))
     }
 
     /// Writes the record. Returns false if another router wrote at the same time.
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 use self::server::rollout_facts;
 pub(crate) use self::{
     server::{Report, Server},
-    server_list::{ServerList, Unreadable},
+    server_list::{ListedServer, ServerList, Unreadable, UnreadableEntries},
 };
 
 /// A departure is remembered for this long. Entries that lapse are back on the list much earlier.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -72,6 +72,8 @@
     pub(crate) closed_callers: Causes,
     /// Failed calls to the store, by kind of failure.
     pub(crate) store_failures: Causes,
+    /// Entries of the list of servers that could not be decoded, each time that they were read.
+    pub(crate) unreadable_servers: Counter,
     /// Answers to readiness checks.
     pub(crate) readiness_checks: Causes,
     /// Connections opened to backend servers.
@@ -134,6 +136,7 @@
             lost_answers: Causes::default(),
             closed_callers: Causes::default(),
             store_failures: Causes::default(),
+            unreadable_servers: Counter::default(),
             readiness_checks: Causes::default(),
             connections: Counter::default(),
             received_bytes: Counter::default(),
@@ -183,6 +186,11 @@
         let closed = "Connections of callers closed here";
         registry.register("caller_connections_closed", closed, self.closed_callers.clone());
         registry.register("store_failures", "Failed store calls", self.store_failures.clone());
+        registry.register(
+            "unreadable_servers",
+            "Entries of the list of servers that could not be decoded, each time that they were read",
+            self.unreadable_servers.clone(),
+        );
         let answers = "Answers to readiness checks";
         registry.register("readiness_checks", answers, self.readiness_checks.clone());
         registry.register("server_connections", "Connections opened", self.connections.clone());
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -14,7 +14,6 @@
 use samphirespread_logging::event;
 use samphirespread_peer::EngineKey;
 use samphirespread_routing::lease::{Call, Lease, LeaseRecord, LeaseTimes, Orderer, fencing_token};
-use serde::Deserialize;
 use serde_json::json;
 use slog::{info, warn};
 use tokio::{task::JoinSet, time};
@@ -140,12 +139,14 @@
     }
 
     async fn read(&mut self) -> Result<(), StoreError> {
-        let Some(object) = self.core.store.get(Kind::OrderLeases, LEASE_NAME).await? else {
+        let Some(object) =
+            self.core.store.get::<LeaseRecord>(Kind::OrderLeases, LEASE_NAME).await?
+        else {
             self.lease.record_absent();
             self.learn_epoch(0);
             return Ok(());
         };
-        match LeaseRecord::deserialize(&object.spec) {
+        match object.spec {
             Ok(record) => {
                 self.lease.record_read(object.position, &record, self.core.now());
                 self.learn_epoch(record.epoch);
--- a/crates/gateway/src/rollout/controller.rs
+++ b/crates/gateway/src/rollout/controller.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use samphirespread_adapter::{DecodeError, Kind, Object, StoreError, Written, service_rollouts};
+use samphirespread_adapter::{
+    DecodeError, EncodedObject, Kind, StoreError, Written, service_rollouts,
+};
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
 use samphirespread_routing::{
@@ -45,7 +47,7 @@
     analysis.spawn(analyse(core.clone()));
     let mut controller = Controller {
         core,
-        objects: HashMap::new(),
+        orders: HashMap::new(),
         next_call: MonoTime::ZERO,
         era: None,
         keep_missing_until: MonoTime::ZERO,
@@ -108,10 +110,29 @@
     state.reads.is_up() && reads::reads_for_all(core, &state, now) && !state.is_draining
 }
 
+/// An order as the store holds it.
+struct StoredOrder {
+    name: String,
+    position: StorePosition,
+    status: Value,
+    order: Result<RolloutOrder, DecodeError>,
+}
+
+impl StoredOrder {
+    fn decode(entry: &EncodedObject<'_>) -> Self {
+        Self {
+            name: entry.name.to_owned(),
+            position: entry.position,
+            status: service_rollouts::decode_status(entry),
+            order: service_rollouts::decode(entry),
+        }
+    }
+}
+
 struct Controller {
     core: Arc<Core>,
     /// The orders as this router last read them.
-    objects: HashMap<ServiceName, Object>,
+    orders: HashMap<ServiceName, StoredOrder>,
     /// No call is made before this time, after one has failed.
     next_call: MonoTime,
     /// The era of the store at the last read.
@@ -138,29 +159,30 @@
 
     async fn read(&mut self) {
         let began = self.core.now();
-        let listing = match self.core.store.list(Kind::ServiceRollouts).await {
+        let decode = |entry: &EncodedObject<'_>| Some(StoredOrder::decode(entry));
+        let listing = match self.core.store.list(Kind::ServiceRollouts, decode).await {
             Ok(listing) => listing,
             Err(error) => return self.record_failure(&error),
         };
         for error in &listing.unreadable {
             log_unreadable(&self.core, "roll-out", error);
         }
-        let mut objects = HashMap::new();
+        let mut orders = HashMap::new();
         let mut read = OrdersRead::default();
-        for object in listing.objects {
-            match service_rollouts::decode(&object) {
+        for stored in listing.objects {
+            match &stored.order {
                 Ok(order) => {
-                    let verdict = service_rollouts::recorded_verdict(&order, &object.status);
-                    objects.insert(order.service.clone(), object);
-                    read.orders.push((order, verdict));
+                    let verdict = service_rollouts::recorded_verdict(order, &stored.status);
+                    read.orders.push((order.clone(), verdict));
+                    orders.insert(order.service.clone(), stored);
                 }
                 Err(error) => {
-                    read.kept.insert(object.name.as_str().into());
-                    self.report_bad_order(&object, &error).await;
+                    read.kept.insert(stored.name.as_str().into());
+                    self.report_bad_order(&stored, error).await;
                 }
             }
         }
-        self.objects = objects;
+        self.orders = orders;
         let now = self.core.now();
         let era = self.era.replace(listing.position.era());
         if era.is_some_and(|era| era != listing.position.era()) {
@@ -185,16 +207,14 @@
         let mut missing = Vec::new();
         {
             let state = self.core.state();
-            for object in self.objects.values() {
-                let Ok(order) = service_rollouts::decode(object) else {
-                    continue;
-                };
+            for stored in self.orders.values() {
+                let Ok(order) = &stored.order else { continue };
                 let has_verdict =
-                    service_rollouts::recorded_verdict(&order, &object.status).is_some();
-                let known = state.rollouts.phase(&order).filter(|phase| phase.is_final());
-                let status = service_rollouts::status(&order, known.unwrap_or(Phase::Canary));
-                if !has_verdict && object.status != status {
-                    missing.push((order.service, status));
+                    service_rollouts::recorded_verdict(order, &stored.status).is_some();
+                let known = state.rollouts.phase(order).filter(|phase| phase.is_final());
+                let status = service_rollouts::status(order, known.unwrap_or(Phase::Canary));
+                if !has_verdict && stored.status != status {
+                    missing.push((order.service.clone(), status));
                 }
             }
         }
@@ -205,15 +225,15 @@
         }
     }
 
-    async fn report_bad_order(&mut self, object: &Object, error: &DecodeError) {
-        log_unreadable(&self.core, &object.name, error);
-        let status = service_rollouts::status_of_error(error, &object.status);
-        if object.status == status || !decides(&self.core) {
+    async fn report_bad_order(&mut self, stored: &StoredOrder, error: &DecodeError) {
+        log_unreadable(&self.core, &stored.name, error);
+        let status = service_rollouts::status_of_error(error, &stored.status);
+        if stored.status == status || !decides(&self.core) {
             return;
         }
-        let at = object.position;
+        let at = stored.position;
         let kind = Kind::ServiceRollouts;
-        let written = self.core.store.replace_status(kind, &object.name, at, &status).await;
+        let written = self.core.store.replace_status(kind, &stored.name, at, &status).await;
         if let Err(error) = written {
             self.record_failure(&error);
         }
@@ -244,12 +264,12 @@
         service: &ServiceName,
         status: &Value,
     ) -> Result<bool, StoreError> {
-        let Some(object) = self.objects.get_mut(service) else { return Ok(false) };
-        let (kind, at) = (Kind::ServiceRollouts, object.position);
-        match self.core.store.replace_status(kind, &object.name, at, status).await? {
+        let Some(stored) = self.orders.get_mut(service) else { return Ok(false) };
+        let (kind, at) = (Kind::ServiceRollouts, stored.position);
+        match self.core.store.replace_status(kind, &stored.name, at, status).await? {
             Written::Done { position } => {
-                object.position = position;
-                object.status = status.clone();
+                stored.position = position;
+                stored.status = status.clone();
                 Ok(true)
             }
             Written::Conflict | Written::Missing => Ok(false),
--- a/crates/gateway/src/routers.rs
+++ b/crates/gateway/src/routers.rs
@@ -8,11 +8,12 @@
     time::Duration,
 };
 
-use samphirespread_adapter::{Kind, Listing, Object, Written};
+use samphirespread_adapter::{EncodedObject, Kind, Listing, Object, Written};
 use samphirespread_core::prelude::*;
 use samphirespread_fabric::Member;
 use samphirespread_logging::event;
-use serde_json::{Value, json};
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::{json, value::RawValue};
 use slog::info;
 use tokio::time;
 use xxhash_rust::xxh3::Xxh3;
@@ -26,9 +27,60 @@
 /// A router is removed from the list if it publishes nothing for this long.
 const MAX_ROUTER_SILENCE_MS: u64 = 12_000;
 
+/// The largest entry of a router that is decoded.
+const MAX_ENTRY_BYTES: usize = 4_096;
+
+/// The entry of a router. It is empty if it can't be decoded.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub(crate) struct RouterEntry {
+    /// Where it receives other routers' records.
+    address: Option<SocketAddr>,
+    /// Where it answers operators and other routers.
+    admin: Option<SocketAddr>,
+    /// Routers without failure domain and capacity come last in all duties.
+    failure_domain: Option<String>,
+    /// Its part of a processor.
+    processor_share: Option<f64>,
+}
+
+impl<'de> Deserialize<'de> for RouterEntry {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = Box::<RawValue>::deserialize(deserializer)?;
+        Ok(Self::decode(text.get()))
+    }
+}
+
+impl RouterEntry {
+    fn decode(text: &str) -> Self {
+        #[derive(Deserialize)]
+        struct Fields {
+            address: SocketAddr,
+            admin: Option<SocketAddr>,
+            failure_domain: Option<String>,
+            processor_share: Option<f64>,
+        }
+        let fields = (text.len() <= MAX_ENTRY_BYTES).then(|| serde_json::from_str(text).ok());
+        let Some(fields) = fields.flatten() else { return Self::default() };
+        let Fields { address, admin, failure_domain, processor_share } = fields;
+        Self { address: Some(address), admin, failure_domain, processor_share }
+    }
+}
+
+/// Decodes an entry of the list of routers. Returns none if it names no router, unless it has taken
+/// the place of this router's own.
+pub(crate) fn decode(core: &Core, entry: &EncodedObject<'_>) -> Option<Object<RouterEntry>> {
+    let decoded = RouterEntry::decode(entry.spec);
+    let is_kept = decoded.address.is_some() || entry.name == core.name.as_str();
+    is_kept.then(|| entry.with_spec(decoded))
+}
+
 /// Applies the list, adds this router to it if it is missing, and removes routers that are silent
 /// for too long.
-pub(crate) async fn apply_listing(core: &Arc<Core>, listing: &Listing, began: MonoTime) {
+pub(crate) async fn apply_listing(
+    core: &Arc<Core>,
+    listing: &Listing<Object<RouterEntry>>,
+    began: MonoTime,
+) {
     if !is_listed(core, &listing.objects) {
         register(core, listing).await;
     }
@@ -46,18 +98,18 @@
 }
 
 /// Returns this router's entry on the list.
-fn own_entry(core: &Core) -> Value {
-    json!({
-        "address": core.addresses.peers.to_string(),
-        "admin": core.addresses.admin.to_string(),
-        "failure_domain": &*core.member.failure_domain,
-        "processor_share": core.member.capacity,
-    })
+fn own_entry(core: &Core) -> RouterEntry {
+    RouterEntry {
+        address: Some(core.addresses.peers),
+        admin: Some(core.addresses.admin),
+        failure_domain: Some(core.member.failure_domain.to_string()),
+        processor_share: Some(core.member.capacity),
+    }
 }
 
-async fn register(core: &Arc<Core>, listing: &Listing) {
+async fn register(core: &Arc<Core>, listing: &Listing<Object<RouterEntry>>) {
     let own = core.name.as_str();
-    let spec = own_entry(core);
+    let spec = json!(own_entry(core));
     let known = listing.objects.iter().find(|object| object.name == own);
     let written = match known {
         Some(object) => core.store.replace(Kind::Routers, own, object.position, &spec).await,
@@ -84,7 +136,7 @@
 /// from it.
 fn replace_routers(
     core: &Core,
-    objects: &[Object],
+    objects: &[Object<RouterEntry>],
     era: u64,
     began: MonoTime,
 ) -> Vec<SilentRouter> {
@@ -95,7 +147,7 @@
     let mut before = std::mem::take(&mut state.routers);
     for object in objects {
         let name = InstanceName::new(&object.name);
-        let Some(address) = address_in(object, "address") else { continue };
+        let Some(address) = object.spec.address else { continue };
         if name == core.name {
             continue;
         }
@@ -106,7 +158,7 @@
             None => {
                 info!(core.log, "{}", event::ROUTER_APPEARED; "router" => %name,
                     "address" => %address);
-                let admin = address_in(object, "admin");
+                let admin = object.spec.admin;
                 let (last_state, echo) = (None, None);
                 OtherRouter { address, admin, position, member, last_state, echo, known_since: now }
             }
@@ -134,17 +186,21 @@
 
 /// Applies a list that another router has read in this era of the store. Returns whether this router
 /// is on it.
-pub(crate) fn apply_copy(core: &Core, objects: &[Object], era: u64, began: MonoTime) -> bool {
+pub(crate) fn apply_copy(
+    core: &Core,
+    objects: &[Object<RouterEntry>],
+    era: u64,
+    began: MonoTime,
+) -> bool {
     let is_listed = is_listed(core, objects);
     // Silent routers are removed by the router that reads the store.
     let _ = replace_routers(core, objects, era, began);
     is_listed
 }
 
-fn is_listed(core: &Core, objects: &[Object]) -> bool {
-    let is_own_entry = |object: &Object| {
-        address_in(object, "address") == Some(core.addresses.peers)
-            && member_in(object) == core.member
+fn is_listed(core: &Core, objects: &[Object<RouterEntry>]) -> bool {
+    let is_own_entry = |object: &Object<RouterEntry>| {
+        object.spec.address == Some(core.addresses.peers) && member_in(object) == core.member
     };
     objects.iter().any(is_own_entry)
 }
@@ -161,25 +217,20 @@
 
 /// Returns the router that an entry describes. One without failure domain and capacity comes last
 /// in all duties.
-fn member_in(object: &Object) -> Member {
-    let failure_domain = object.spec.get("failure_domain").and_then(Value::as_str);
+fn member_in(object: &Object<RouterEntry>) -> Member {
     Member {
         name: InstanceName::new(&object.name),
-        failure_domain: failure_domain.unwrap_or_default().into(),
-        capacity: object.spec.get("processor_share").and_then(Value::as_f64).unwrap_or(0.0),
+        failure_domain: object.spec.failure_domain.as_deref().unwrap_or_default().into(),
+        capacity: object.spec.processor_share.unwrap_or(0.0),
     }
 }
 
-fn address_in(object: &Object, field: &str) -> Option<SocketAddr> {
-    object.spec.get(field)?.as_str()?.parse().ok()
-}
-
 /// Returns a hash of the list, to tell whether two routers have equal lists.
-fn mark_of(objects: &[Object]) -> u64 {
+fn mark_of(objects: &[Object<RouterEntry>]) -> u64 {
     let mut hasher = Xxh3::new();
     for object in objects {
         object.name.hash(&mut hasher);
-        object.spec.to_string().hash(&mut hasher);
+        json!(object.spec).to_string().hash(&mut hasher);
     }
     hasher.finish()
 }
--- a/crates/gateway/src/software_record.rs
+++ b/crates/gateway/src/software_record.rs
@@ -10,7 +10,6 @@
 use samphirespread_adapter::{Kind, StoreError, Written};
 use samphirespread_core::prelude::*;
 use samphirespread_routing::software::SoftwareRecord;
-use serde::Deserialize;
 use serde_json::json;
 use tokio::time;
 
@@ -70,11 +69,12 @@
 
 /// Returns the record and its position; `None` if there is none that can be used.
 async fn read(core: &Core) -> Result<Option<(StorePosition, SoftwareRecord)>, StoreError> {
-    let Some(object) = core.store.get(Kind::SoftwareVersions, RECORD_NAME).await? else {
+    let Some(object) =
+        core.store.get::<SoftwareRecord>(Kind::SoftwareVersions, RECORD_NAME).await?
+    else {
         return Ok(None);
     };
-    let record = SoftwareRecord::deserialize(&object.spec).unwrap_or_default();
-    Ok(Some((object.position, record)))
+    Ok(Some((object.position, object.spec.unwrap_or_default())))
 }
 
 /// Writes the record. Returns false if another router wrote at the same time.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -37,11 +37,12 @@
     access::{self, Trust},
     conduct,
     crashes::BrokenRuns,
-    fleet::{Fleet, Server},
+    fleet::{Fleet, FleetChange, Server, ServerList},
     named_weights::NamedWeights,
     orders::Permit,
     reads::Reads,
     rollout::Rollouts,
+    routers::RouterEntry,
     select::DomainTraffic,
     server_limits,
     stream_versions::{self, Writer},
@@ -88,12 +89,10 @@
     pub(crate) left_out_configuration: Option<StorePosition>,
     /// The era of the store at the last check, to log changes.
     pub(crate) last_store_era: u64,
-    /// The store's objects of the list of backend servers.
-    pub(crate) server_objects: Arc<Vec<Arc<Object>>>,
-    /// The store's position up to which that list includes all changes.
-    pub(crate) servers_as_of: Option<StorePosition>,
+    /// This router's copy of the list of backend servers.
+    pub(crate) server_list: ServerList,
     /// The store's objects of the list of routers.
-    pub(crate) router_objects: Arc<Vec<Object>>,
+    pub(crate) router_objects: Arc<Vec<Object<RouterEntry>>>,
     /// The backend servers.
     pub(crate) fleet: Fleet,
     /// Whether the list of backend servers has ever been read.
@@ -307,8 +306,7 @@
             packed_configuration: None,
             left_out_configuration: None,
             last_store_era: 0,
-            server_objects: Arc::default(),
-            servers_as_of: None,
+            server_list: ServerList::default(),
             router_objects: Arc::default(),
             fleet: Fleet::default(),
             has_fleet: false,
@@ -407,6 +405,34 @@
         !self.routers.is_empty() && !self.routers.values().any(hears)
     }
 
+    /// Replaces the list of backend servers by one that was read as a whole.
+    pub(crate) fn replace_server_list(&mut self, mut list: ServerList) {
+        // The configuration may have changed since the read began.
+        if let Some(services) = self.server_list.services() {
+            list.set_services(services.clone());
+        }
+        self.server_list = list;
+    }
+
+    /// Records that the list of backend servers is as a read that began then showed it.
+    pub(crate) fn confirm_server_list(&mut self, began: MonoTime) {
+        self.reads.servers.read(self.server_list.era(), self.server_list.mark(), began);
+    }
+
+    /// Applies the list to the fleet. With `keeps_missing`, servers that are not on the list stay.
+    pub(crate) fn update_fleet(&mut self, keeps_missing: bool, now: MonoTime) -> Vec<FleetChange> {
+        let servers = self.server_list.entries().map(|entry| entry.spec.clone()).collect();
+        self.fleet.replace(servers, keeps_missing, now)
+    }
+
+    /// Follows the services that a new configuration names.
+    pub(crate) fn set_services(&mut self, services: HashSet<ServiceName>) {
+        self.server_list.set_services(services);
+        if let Some(confirmed) = self.reads.servers.confirmed() {
+            self.confirm_server_list(confirmed);
+        }
+    }
+
     /// Records the versions of the software of all servers that are listed now.
     /// `listed` is when the list was read.
     pub(crate) fn observe_software(&mut self, listed: MonoTime, now: MonoTime) {
--- a/crates/gateway/src/stream_segments.rs
+++ b/crates/gateway/src/stream_segments.rs
@@ -9,11 +9,10 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use samphirespread_adapter::{Kind, Listing, Object, StoreError, Written};
+use samphirespread_adapter::{EncodedObject, Kind, StoreError, Written};
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
 use samphirespread_routing::software::{KnownStream, StreamSegment};
-use serde::Deserialize;
 use serde_json::json;
 use slog::info;
 use tokio::{task::yield_now, time};
@@ -38,6 +37,8 @@
 const WRITES_UNTIL_REREAD: u64 = 2;
 /// Streams in one segment, some 55 KB. Others wait for the next one.
 const MAX_STREAMS_PER_SEGMENT: usize = 5_000;
+/// The largest segment that is read.
+const MAX_SEGMENT_BYTES: usize = 128 * 1024;
 /// Streams that wait to be written. Others are not written.
 pub(crate) const MAX_UNWRITTEN: usize = 20_000;
 /// Time between two looks for segments of writers that are gone.
@@ -135,20 +136,24 @@
 
     /// Remembers the streams of all segments that this router has to answer for.
     async fn read(&mut self, memory_ms: u64) -> Result<(), StoreError> {
-        let listing = self.core.store.list(Kind::StreamSegments).await?;
+        let decode = |entry: &EncodedObject<'_>| {
+            let segment = decode_segment(entry).map(|segment| entry.with_spec(segment));
+            if segment.is_none() {
+                count(&self.core.metrics.store_failures, "stream_segment_left_out");
+            }
+            segment
+        };
+        let listing = self.core.store.list(Kind::StreamSegments, decode).await?;
         let now = self.core.now();
         let mut remembered: usize = 0;
         self.positions.clear();
         for object in &listing.objects {
-            let Ok(segment) = StreamSegment::deserialize(&object.spec) else {
-                count(&self.core.metrics.store_failures, "stream_segment_left_out");
-                continue;
-            };
-            if writer_of(object) == Some(self.core.name.as_str()) {
+            let segment = &object.spec;
+            if writer_of(&object.name) == Some(self.core.name.as_str()) {
                 self.positions.insert(object.name.clone(), object.position);
                 self.next_sequence = self.next_sequence.max(segment.sequence + 1);
             }
-            remembered += self.remember(&segment, now.plus_ms(memory_ms));
+            remembered += self.remember(segment, now.plus_ms(memory_ms));
             // Requests are handled between two segments.
             yield_now().await;
         }
@@ -212,22 +217,25 @@
         if now.ms_since(self.core.state().started) <= 2 * memory_ms {
             return Ok(());
         }
-        let listing = self.core.store.list(Kind::StreamSegments).await?;
-        for object in self.abandoned(&listing).into_iter().take(MAX_REMOVED) {
-            self.core.store.remove(Kind::StreamSegments, &object.name, object.position).await?;
+        let mut abandoned = Vec::new();
+        let find_abandoned = |entry: &EncodedObject<'_>| {
+            if abandoned.len() < MAX_REMOVED && self.is_abandoned(entry.name) {
+                abandoned.push((entry.name.to_owned(), entry.position));
+            }
+            None::<()>
+        };
+        self.core.store.list(Kind::StreamSegments, find_abandoned).await?;
+        for (name, position) in abandoned {
+            self.core.store.remove(Kind::StreamSegments, &name, position).await?;
         }
         Ok(())
     }
 
-    fn abandoned<'a>(&self, listing: &'a Listing) -> Vec<&'a Object> {
-        let state = self.core.state();
-        let is_listed = |object: &&Object| {
-            writer_of(object).is_some_and(|writer| {
-                writer == self.core.name.as_str()
-                    || state.routers.contains_key(&InstanceName::new(writer))
-            })
-        };
-        listing.objects.iter().filter(|object| !is_listed(object)).collect()
+    /// Whether no listed router writes the object with this name.
+    fn is_abandoned(&self, name: &str) -> bool {
+        let Some(writer) = writer_of(name) else { return true };
+        let is_own = writer == self.core.name.as_str();
+        !is_own && !self.core.state().routers.contains_key(&InstanceName::new(writer))
     }
 }
 
@@ -235,9 +243,14 @@
     state.stream_writers.iter().any(|writer| writer.name == core.name)
 }
 
-/// The router that wrote a segment.
-fn writer_of(object: &Object) -> Option<&str> {
-    object.name.rsplit_once('.').map(|(writer, _)| writer)
+fn decode_segment(entry: &EncodedObject<'_>) -> Option<StreamSegment> {
+    let is_usual = entry.spec.len() <= MAX_SEGMENT_BYTES;
+    is_usual.then(|| entry.decode("a segment of streams").ok()).flatten()
+}
+
+/// The router that wrote the segment with this name.
+fn writer_of(name: &str) -> Option<&str> {
+    name.rsplit_once('.').map(|(writer, _)| writer)
 }
 
 fn put_back(state: &mut State, mut streams: Vec<KnownStream>) {
--- a/crates/gateway/src/sync/configuration.rs
+++ b/crates/gateway/src/sync/configuration.rs
@@ -276,10 +276,12 @@
         "before" => known, "routes" => configuration.routes.len(),
         "services" => configuration.services.len(), "teams" => configuration.teams.len(),
         "read_age_ms" => now.ms_since(read_began), "behind_ms" => behind_ms);
+    let services = configuration.services.iter().map(|service| service.name.clone()).collect();
     let quotas = configuration.teams.iter().map(|team| (&team.name, team.quota));
     state.quotas.set_teams(quotas, now);
     core.caller_timeouts
         .send_if_modified(|timeouts| timeouts.set(&configuration.caller_limits, now));
+    state.set_services(services);
     state.table = Some(Arc::new(table));
     state.observe_software(now, now);
     state.packed_configuration = Some(packed);
--- a/crates/gateway/src/sync/lists.rs
+++ b/crates/gateway/src/sync/lists.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use samphirespread_adapter::{Changes, DecodeError, Kind, Listing, StoreError};
+use samphirespread_adapter::{Changes, DecodeError, EncodedObject, Kind, StoreError};
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
 use slog::{info, warn};
@@ -14,7 +14,7 @@
 use crate::{
     admin::HeldRevisions,
     copies, crashes,
-    fleet::{FleetChange, ServerList, Unreadable},
+    fleet::{FleetChange, ListedServer, ServerList, Unreadable, UnreadableEntries},
     gateway::Core,
     metrics::count,
     reads::ListParts,
@@ -35,9 +35,17 @@
 }
 
 /// The result of a read of the servers.
-enum ServersRead {
-    Listed(Listing),
-    Changed(Changes),
+struct ServersRead {
+    entries: ServerEntries,
+    unreadable: UnreadableEntries,
+    /// The errors of entries without a readable name.
+    nameless: Vec<DecodeError>,
+}
+
+/// The entries that a read of the servers returned.
+enum ServerEntries {
+    Listed(ServerList),
+    Changed(Changes<ListedServer>),
 }
 
 /// Keeps the lists current for as long as the process runs.
@@ -45,11 +53,7 @@
 /// Reads at regular intervals if this router reads for all. Otherwise reads when another router
 /// announces a list that differs, and when nobody confirms this router's lists.
 pub(super) async fn follow(core: Arc<Core>) {
-    let mut reader = ListReader {
-        core: core.clone(),
-        servers: ServerList::default(),
-        keep_missing_until: MonoTime::ZERO,
-    };
+    let mut reader = ListReader { core: core.clone(), keep_missing_until: MonoTime::ZERO };
     let mut schedule = Schedule::new(
         |reads| reads.servers_up,
         |reads, now| reads.oldest_list_age_ms(ROUNDS_PER_ROUTERS_READ, now),
@@ -75,7 +79,6 @@
 
 struct ListReader {
     core: Arc<Core>,
-    servers: ServerList,
     /// Servers that are missing on the list are kept until then.
     keep_missing_until: MonoTime,
 }
@@ -98,7 +101,7 @@
         }
         if parts.routers && is_up {
             let began = core.now();
-            match core.store.list(Kind::Routers).await {
+            match core.store.list(Kind::Routers, |entry| routers::decode(&core, entry)).await {
                 Ok(listing) => routers::apply_listing(&core, &listing, began).await,
                 Err(error) => self.record_failure("routers", &error),
             }
@@ -139,18 +142,21 @@
         info!(self.core.log, "{}", event::COPIES_HAD; "router" => %address, "of" => "lists",
             "age_ms" => lists.servers_age_ms, "servers_changed" => lists.servers.len(),
             "bytes" => bytes, "took_ms" => took_ms);
-        if !lists.has_whole_servers() && lists.servers_era != self.servers.era() {
+        let era = lists.servers_era;
+        if !lists.has_whole_servers() && era != self.core.state().server_list.era() {
             // What has changed since a position means nothing for a list of another era.
             return false;
         }
         let read_began = began.minus_ms(lists.servers_age_ms);
         let servers = self.core.state().reads.servers;
-        if servers.is_superseded_by(lists.servers_era, read_began) {
-            self.note_era(lists.servers_era, read_began);
-            let (era, as_of) = (lists.servers_era, lists.servers_position());
-            let unreadable =
-                self.servers.apply_copy(lists.servers, &lists.server_names, era, as_of);
-            self.apply_server_list(&unreadable, ListSource::OtherRouter, read_began);
+        if servers.is_superseded_by(era, read_began) {
+            self.note_era(era, read_began);
+            self.core.state().server_list.apply_copy(&lists);
+            self.apply_server_list(
+                &UnreadableEntries::default(),
+                ListSource::OtherRouter,
+                read_began,
+            );
         }
         let read_began = began.minus_ms(lists.routers_age_ms);
         let Some(routers) = lists.routers else { return true };
@@ -162,8 +168,11 @@
     /// Notes the era of a list that was read. A copy that the store was restored from may lack
     /// servers that write their entries again within moments.
     fn note_era(&mut self, era: u64, began: MonoTime) {
-        let had_list = self.core.state().has_fleet;
-        if had_list && era != self.servers.era() {
+        let had_other_era = {
+            let state = self.core.state();
+            state.has_fleet && era != state.server_list.era()
+        };
+        if had_other_era {
             self.keep_missing_until = began.plus_ms(LAPSED_ENTRY_GRACE_MS);
         }
     }
@@ -173,8 +182,8 @@
     fn held(&self) -> HeldRevisions {
         let state = self.core.state();
         HeldRevisions {
-            servers: self.servers.as_of().map(StorePosition::revision_in_era),
-            servers_era: self.servers.era(),
+            servers: state.server_list.as_of().map(StorePosition::revision_in_era),
+            servers_era: state.server_list.era(),
             routers: state.reads.routers.confirmed().map(|_| state.reads.routers.mark()),
         }
     }
@@ -208,74 +217,78 @@
     /// available.
     async fn read_servers(&self) -> Result<ServersRead, StoreError> {
         let store = &self.core.store;
-        if let Some(as_of) = self.servers.as_of() {
-            match store.watch(Kind::BackendServers, as_of, 0).await {
+        let as_of = self.core.state().server_list.as_of();
+        let mut unreadable = UnreadableEntries::default();
+        if let Some(as_of) = as_of {
+            let keep = |entry: &EncodedObject<'_>| unreadable.decode(entry);
+            match store.watch(Kind::BackendServers, as_of, 0, keep).await {
                 Err(StoreError::HistoryGone) => {}
-                read => return read.map(ServersRead::Changed),
+                read => {
+                    let mut changes = read?;
+                    let nameless = std::mem::take(&mut changes.unreadable);
+                    let entries = ServerEntries::Changed(changes);
+                    return Ok(ServersRead { entries, unreadable, nameless });
+                }
             }
         }
-        store.list(Kind::BackendServers).await.map(ServersRead::Listed)
+        let mut list = self.core.state().server_list.emptied();
+        let mut unreadable = UnreadableEntries::default();
+        let listing = store.list(Kind::BackendServers, |entry| {
+            unreadable.decode(entry).into_iter().for_each(|server| list.set(server));
+            None::<()>
+        });
+        let listing = listing.await?;
+        list.read_up_to(listing.position);
+        let entries = ServerEntries::Listed(list);
+        Ok(ServersRead { entries, unreadable, nameless: listing.unreadable })
     }
 
     fn apply_servers_read(&mut self, read: Result<ServersRead, StoreError>, began: MonoTime) {
-        let read = match read {
+        let ServersRead { entries, unreadable, nameless } = match read {
             Ok(read) => read,
             Err(error) => return self.record_failure("servers", &error),
         };
+        for error in &nameless {
+            log_unreadable(&self.core, "server", error);
+        }
         let outage_ms = 2 * self.core.settings.store.poll_ms + UNCONFIRMED_GRACE_MS;
         let confirmed = self.core.state().reads.servers.confirmed();
         if confirmed.is_some_and(|confirmed| began.ms_since(confirmed) > outage_ms) {
             self.keep_missing_until = began.plus_ms(LAPSED_ENTRY_GRACE_MS);
         }
-        let unreadable = match read {
-            ServersRead::Changed(changes) if changes.changes.is_empty() && confirmed.is_some() => {
-                self.servers.apply(Vec::new(), changes.position);
-                self.handle_unnamed_changes(&changes.unreadable);
+        match entries {
+            ServerEntries::Changed(changes) => {
+                let has_changed = !changes.changes.is_empty();
                 let mut state = self.core.state();
-                state.servers_as_of = self.servers.as_of();
-                let mark = state.reads.servers.mark();
-                state.reads.servers.read(self.servers.era(), mark, began);
-                return;
-            }
-            ServersRead::Changed(changes) => {
-                let unreadable = self.servers.apply(changes.changes, changes.position);
-                self.handle_unnamed_changes(&changes.unreadable);
-                unreadable
-            }
-            ServersRead::Listed(listing) => {
-                for error in &listing.unreadable {
-                    log_unreadable(&self.core, "server", error);
+                state.server_list.apply(changes.changes, changes.position);
+                if !nameless.is_empty() {
+                    // It is not known which servers these change.
+                    state.server_list.forget_position();
+                }
+                if !has_changed && confirmed.is_some() {
+                    return state.confirm_server_list(began);
                 }
-                self.note_era(listing.position.era(), began);
-                let objects = listing.objects.into_iter().map(Arc::new);
-                let (servers, unreadable) = ServerList::new(objects, listing.position);
-                self.servers = servers;
-                unreadable
             }
-        };
-        self.apply_server_list(&unreadable, ListSource::Store, began);
-    }
-
-    /// Logs changes without a readable name. It is not known which servers they change, so the next
-    /// read lists all.
-    fn handle_unnamed_changes(&mut self, unreadable: &[DecodeError]) {
-        for error in unreadable {
-            log_unreadable(&self.core, "server", error);
-        }
-        if !unreadable.is_empty() {
-            self.servers.forget_position();
+            ServerEntries::Listed(list) => {
+                self.note_era(list.era(), began);
+                self.core.state().replace_server_list(list);
+            }
         }
+        self.apply_server_list(&unreadable, ListSource::Store, began);
     }
 
     /// Applies the list to the fleet, and logs what has changed.
-    fn apply_server_list(&self, unreadable: &[Unreadable], source: ListSource, began: MonoTime) {
-        for entry in unreadable {
-            log_unreadable(&self.core, &entry.name, &entry.error);
-        }
+    fn apply_server_list(
+        &self,
+        unreadable: &UnreadableEntries,
+        source: ListSource,
+        began: MonoTime,
+    ) {
+        count_unreadable(&self.core, unreadable);
         let keeps_missing = began < self.keep_missing_until;
         let now = self.core.now();
         let mut state = self.core.state();
-        let changes = state.fleet.replace(self.servers.servers(), keeps_missing, now);
+        let changes = state.update_fleet(keeps_missing, now);
         state.has_fleet = true;
         state.observe_software(began, now);
         if keeps_missing {
@@ -283,10 +296,8 @@
             // list.
             state.reads.servers.invalidate();
         } else {
-            state.reads.servers.read(self.servers.era(), self.servers.mark(), began);
+            state.confirm_server_list(began);
         }
-        state.server_objects = self.servers.objects();
-        state.servers_as_of = self.servers.as_of();
         crashes::count_ended(&self.core, &mut state);
         drop(state);
         let is_drain = |change: &FleetChange| matches!(change, FleetChange::Draining(_));
@@ -313,3 +324,11 @@
         }
     }
 }
+
+/// Counts and logs the entries that could not be decoded.
+fn count_unreadable(core: &Core, unreadable: &UnreadableEntries) {
+    core.metrics.unreadable_servers.inc_by(unreadable.count);
+    for Unreadable { name, error } in &unreadable.reported {
+        log_unreadable(core, name, error);
+    }
+}
--- a/crates/gateway/src/sync/mod.rs
+++ b/crates/gateway/src/sync/mod.rs
@@ -115,6 +115,12 @@
     warn!(core.log, "{}", event::STORE_CALL_FAILED; "call" => call, "error" => %error);
 }
 
+/// Returns the beginning of an object's name, which another writer may have chosen, for the log.
+pub(crate) fn short_name(name: &str) -> &str {
+    const MAX_LOGGED_BYTES: usize = 256;
+    &name[..name.floor_char_boundary(MAX_LOGGED_BYTES)]
+}
+
 /// Logs an entry that can't be decoded, once for each name and error.
 pub(crate) fn log_unreadable(core: &Core, name: &str, error: &DecodeError) {
     /// Above this number of remembered entries all are forgotten, and may be logged again.
@@ -123,6 +129,7 @@
     if state.unreadable.len() >= MAX_REMEMBERED {
         state.unreadable.clear();
     }
+    let name = short_name(name);
     if state.unreadable.insert(format!("{name}: {error}")) {
         warn!(core.log, "{}", event::ENTRY_LEFT_OUT; "entry" => name, "error" => %error);
     }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -7,16 +7,23 @@
 use std::{sync::Arc, time::Duration};
 
 use samphirespread_adapter::{
-    Changes, Kind, Object, StoreError, Written, objects::Change, weights,
+    Change, Changes, EncodedObject, Kind, Object, StoreError, Written, weights,
 };
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
+use samphirespread_routing::model::LoadedModel;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use slog::{info, warn};
 use tokio::time;
 
-use crate::{conduct, gateway::Core, metrics::count, reads, sync::log_unreadable};
+use crate::{
+    conduct,
+    gateway::Core,
+    metrics::count,
+    reads,
+    sync::{log_unreadable, short_name},
+};
 
 /// How long a watch waits for changes.
 const WATCH_WAIT_MS: u64 = 2_000;
@@ -62,7 +69,8 @@
         let result = match position {
             None => list(&core, current_as_of).await,
             Some(position) => {
-                let watched = core.store.watch(Kind::Weights, position, WATCH_WAIT_MS).await;
+                let keep = |entry: &EncodedObject<'_>| decode(&core, entry);
+                let watched = core.store.watch(Kind::Weights, position, WATCH_WAIT_MS, keep).await;
                 watched.map(|changes| apply_changes(&core, changes))
             }
         };
@@ -102,7 +110,7 @@
 }
 
 async fn list(core: &Core, current_as_of: Option<MonoTime>) -> Result<StorePosition, StoreError> {
-    let listing = core.store.list(Kind::Weights).await?;
+    let listing = core.store.list(Kind::Weights, |entry| decode(core, entry)).await?;
     let now = core.now();
     let named_by = match current_as_of {
         Some(time) => time,
@@ -111,26 +119,27 @@
             now.minus_ms(UNRECORDED_AGE_MS)
         }
     };
-    for object in &listing.objects {
-        learn_version(core, object, named_by);
+    for named in &listing.objects {
+        learn_version(core, named, named_by);
     }
     Ok(listing.position)
 }
 
-fn apply_changes(core: &Core, changes: Changes) -> StorePosition {
+fn apply_changes(core: &Core, changes: Changes<LoadedModel>) -> StorePosition {
     for change in changes.changes {
-        if let Change::Set(object) = change {
-            learn_version(core, &object, core.now());
+        if let Change::Set(named) = change {
+            learn_version(core, &named, core.now());
         }
     }
     changes.position
 }
 
-fn learn_version(core: &Core, object: &Object, named_by: MonoTime) {
-    let named = match weights::decode(&object.spec) {
-        Ok(named) => named,
-        Err(error) => return log_unreadable(core, &object.name, &error),
-    };
+fn decode(core: &Core, entry: &EncodedObject<'_>) -> Option<LoadedModel> {
+    let named = weights::decode(entry.spec);
+    named.inspect_err(|error| log_unreadable(core, entry.name, error)).ok()
+}
+
+fn learn_version(core: &Core, named: &LoadedModel, named_by: MonoTime) {
     let is_known = {
         let state = core.state();
         state.weights.get(&named.model).is_some_and(|known| known.newest() >= named.version)
@@ -145,19 +154,11 @@
 }
 
 async fn read_records(core: &Core) -> Result<(), StoreError> {
-    let listing = core.store.list(Kind::WeightTimes).await?;
+    let listing = core.store.list(Kind::WeightTimes, |entry| decode_record(core, entry)).await?;
     let (now, now_unix_ms) = (core.now(), core.unix_ms());
     for object in listing.objects {
-        let record = match VersionsRecord::deserialize(&object.spec) {
-            Ok(record) => record,
-            Err(error) => {
-                warn!(core.log, "{}", event::RECORD_LEFT_OUT; "model" => &object.name,
-                    "error" => %error);
-                continue;
-            }
-        };
         let model = ModelName::new(&object.name);
-        for recorded in record.versions {
+        for recorded in object.spec.versions {
             let age_ms = now_unix_ms.saturating_sub(recorded.named_unix_ms);
             let named_by = now.minus_ms(age_ms + CLOCK_TOLERANCE_MS);
             core.state().weights.learn(&model, recorded.version, named_by);
@@ -168,6 +169,17 @@
     Ok(())
 }
 
+fn decode_record(core: &Core, entry: &EncodedObject<'_>) -> Option<Object<VersionsRecord>> {
+    match entry.decode("the times of a model's versions") {
+        Ok(record) => Some(entry.with_spec(record)),
+        Err(error) => {
+            warn!(core.log, "{}", event::RECORD_LEFT_OUT; "model" => short_name(entry.name),
+                "error" => %error);
+            None
+        }
+    }
+}
+
 /// Records new versions while this router conducts the rollout, for as long as the process runs.
 pub(crate) async fn record_versions(core: Arc<Core>) {
     let mut recorded = std::collections::HashMap::new();
@@ -204,11 +216,14 @@
 }
 
 async fn write_record(core: &Core, model: &ModelName) -> Result<Written, StoreError> {
-    let record = json!(build_record(core, model));
-    let known = core.store.get(Kind::WeightTimes, model.as_str()).await?;
+    let built = build_record(core, model);
+    let record = json!(built);
+    let known = core.store.get::<VersionsRecord>(Kind::WeightTimes, model.as_str()).await?;
     match known {
         None => core.store.create(Kind::WeightTimes, model.as_str(), &record).await,
-        Some(object) if object.spec == record => Ok(Written::Done { position: object.position }),
+        Some(object) if object.spec.as_ref() == Ok(&built) => {
+            Ok(Written::Done { position: object.position })
+        }
         Some(object) => {
             core.store.replace(Kind::WeightTimes, model.as_str(), object.position, &record).await
         }
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
@@ -56,6 +56,11 @@
         /// The time limit, in milliseconds.
         limit_ms: u64,
     },
+    /// the answer is longer than {limit_bytes} bytes
+    TooLong {
+        /// The size limit, in bytes.
+        limit_bytes: usize,
+    },
 }
 
 impl Error for SendError {}
@@ -186,7 +191,10 @@
         let mut body = Limited::new(body, max_bytes);
         let mut whole = BytesMut::new();
         while let Some(frame) = within(limits.silence_ms, body.frame()).await? {
-            let frame = frame.map_err(|error| SendError::Broken(error.to_string()))?;
+            let frame = frame.map_err(|error| match error.is::<LengthLimitError>() {
+                true => SendError::TooLong { limit_bytes: max_bytes },
+                false => SendError::Broken(error.to_string()),
+            })?;
             whole.extend_from_slice(&frame.into_data().unwrap_or_default());
         }
         Ok(Response::from_parts(parts, whole.freeze()))
--- a/crates/platform/src/client/store_platform.rs
+++ b/crates/platform/src/client/store_platform.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use samphirespread_adapter::{
-    self as adapter, Change, Kind, Object as StoredObject, Store, StoreError, Written,
+    self as adapter, Change, DecodeError, EncodedObject, Kind, Object as StoredObject, Store,
+    StoreError, Written,
 };
 use samphirespread_core::prelude::*;
 use serde_json::Value;
@@ -33,31 +34,24 @@
     }
 
     async fn list_all(&self, prefix: &str) -> Result<Listing, PlatformError> {
-        let found = self.store.list(kind_of(prefix)).await?;
+        let found = self.store.list(kind_of(prefix), |entry| decode(entry, prefix)).await?;
         check_all_readable(&found.unreadable)?;
         let version = version_of(found.position)?;
-        let mut listing = Listing { version, objects: Vec::new() };
-        for object in found.objects {
-            if object.name.starts_with(prefix) {
-                listing.objects.push(to_object(object)?);
-            }
-        }
-        Ok(listing)
+        let objects = found.objects.into_iter().map(to_object).collect::<Result<_, _>>()?;
+        Ok(Listing { version, objects })
     }
 
     async fn live_list(&self) -> Result<LiveList, PlatformError> {
-        let found = self.store.list(Kind::Instances).await?;
         // An entry that another writer has left names no instance, and the others hold.
-        let instances = found.objects.into_iter();
-        let instances =
-            instances.filter_map(|object| serde_json::from_value::<LiveInstance>(object.spec).ok());
-        Ok(LiveList { version: version_of(found.position)?, instances: instances.collect() })
+        let decode = |entry: &EncodedObject<'_>| entry.decode::<LiveInstance>("an instance").ok();
+        let found = self.store.list(Kind::Instances, decode).await?;
+        Ok(LiveList { version: version_of(found.position)?, instances: found.objects })
     }
 }
 
 impl Platform for StorePlatform {
     async fn get(&self, key: &str) -> Result<Option<Object>, PlatformError> {
-        let found = self.store.get(kind_of(key), key).await?;
+        let found = self.store.get::<String>(kind_of(key), key).await?;
         found.map(to_object).transpose()
     }
 
@@ -91,7 +85,9 @@
         after: ObjectVersion,
         wait_ms: u64,
     ) -> Result<Listing, PlatformError> {
-        let found = match self.store.watch(kind_of(prefix), after.position(), wait_ms).await {
+        let decode = |entry: &EncodedObject<'_>| decode(entry, prefix);
+        let watched = self.store.watch(kind_of(prefix), after.position(), wait_ms, decode).await;
+        let found = match watched {
             Err(StoreError::HistoryGone) => return self.list_all(prefix).await,
             found => found?,
         };
@@ -100,14 +96,12 @@
         let mut listing = Listing { version, objects: Vec::new() };
         for change in found.changes {
             match change {
-                Change::Set(object) if object.name.starts_with(prefix) => {
-                    listing.objects.push(to_object(object)?);
-                }
+                Change::Set(object) => listing.objects.push(to_object(object)?),
                 Change::Removed(key) if key.starts_with(prefix) => {
                     listing.objects.push(Object { key, version, value: None });
                 }
                 // A document without the prefix was changed or deleted.
-                Change::Set(_) | Change::Removed(_) => {}
+                Change::Removed(_) => {}
             }
         }
         Ok(listing)
@@ -118,7 +112,8 @@
         after: Option<ObjectVersion>,
     ) -> Result<Option<LiveList>, PlatformError> {
         let Some(after) = after else { return self.live_list().await.map(Some) };
-        match self.store.watch(Kind::Instances, after.position(), 0).await {
+        let note_change = |_: &EncodedObject<'_>| None::<()>;
+        match self.store.watch(Kind::Instances, after.position(), 0, note_change).await {
             Ok(found) if found.changes.is_empty() && found.unreadable.is_empty() => Ok(None),
             Ok(_) | Err(StoreError::HistoryGone) => self.live_list().await.map(Some),
             Err(error) => Err(error.into()),
@@ -143,8 +138,17 @@
     ObjectVersion::of(position).ok_or_else(too_high)
 }
 
-fn to_object(object: StoredObject) -> Result<Object, PlatformError> {
-    let Value::String(value) = object.spec else {
+/// Decodes a document whose key begins with the prefix.
+fn decode(
+    entry: &EncodedObject<'_>,
+    prefix: &str,
+) -> Option<StoredObject<Result<String, DecodeError>>> {
+    let is_wanted = entry.name.starts_with(prefix);
+    is_wanted.then(|| entry.with_spec(entry.decode("a document")))
+}
+
+fn to_object(object: StoredObject<Result<String, DecodeError>>) -> Result<Object, PlatformError> {
+    let Ok(value) = object.spec else {
         return Err(malformed(&format!("{}: the object's spec is not a string", object.name)));
     };
     let version = version_of(object.position)?;
--- a/crates/standin/src/published/objects/http_api.rs
+++ b/crates/standin/src/published/objects/http_api.rs
@@ -20,7 +20,9 @@
 /// The header with the store's era.
 const ERA: &str = "store-era";
 /// Objects of one page.
-const PAGE: usize = 50;
+const MAX_PAGE_OBJECTS: usize = 200;
+/// The size from which on a page takes no further object.
+const PAGE_BYTES: usize = 1_000_000;
 
 #[derive(Debug, Default, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
@@ -70,6 +72,22 @@
         Ok(())
     }
 
+    /// Returns the text of the page of objects whose names come after this one.
+    fn page_after(&self, kind: &str, after: &str) -> String {
+        let mut rest = self.objects.of_kind_after(kind, after);
+        let mut items = Vec::new();
+        let mut page_bytes = 0;
+        while items.len() < MAX_PAGE_OBJECTS && page_bytes < PAGE_BYTES {
+            let Some((_, object)) = rest.next() else { break };
+            let item = self.text_of(object);
+            page_bytes += item.len();
+            items.push(item);
+        }
+        let (items, has_more) = (items.join(","), rest.next().is_some());
+        let as_of = self.objects.revision();
+        format!(r#"{{"items":[{items}],"hasMore":{has_more},"asOf":{as_of}}}"#)
+    }
+
     /// The revision of an object that a call may change: it exists, and is as the call expects.
     fn expect(&self, kind: &str, name: &str, expected: Option<u64>) -> Result<(), StatusCode> {
         let object = self.objects.get(kind, name).ok_or(StatusCode::NOT_FOUND)?;
@@ -102,11 +120,7 @@
     let mut state = shared.lock();
     state.calls.listings += 1;
     let after = parameters.after.unwrap_or_default();
-    let mut rest = state.objects.of_kind(&kind).filter(|(name, _)| **name > after);
-    let items: Vec<&Value> = rest.by_ref().take(PAGE).map(|(_, object)| object).collect();
-    let has_more = rest.next().is_some();
-    let page = json!({ "items": items, "hasMore": has_more, "asOf": state.objects.revision() });
-    Ok(json_response(state.text_of(&page)))
+    Ok(json_response(state.page_after(&kind, &after)))
 }
 
 fn json_response(text: String) -> Response {
--- a/crates/standin/src/published/objects/state.rs
+++ b/crates/standin/src/published/objects/state.rs
@@ -1,6 +1,6 @@
 //! The objects, with the history of their changes.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::Bound};
 
 use serde_json::{Value, json};
 
@@ -39,6 +39,16 @@
         self.kinds.get(kind).into_iter().flatten()
     }
 
+    /// The objects of a kind whose names come after this one.
+    pub(super) fn of_kind_after(
+        &self,
+        kind: &str,
+        after: &str,
+    ) -> impl Iterator<Item = (&String, &Value)> {
+        let names = (Bound::Excluded(after), Bound::Unbounded);
+        self.kinds.get(kind).into_iter().flat_map(move |objects| objects.range::<str, _>(names))
+    }
+
     /// Creates or replaces an object. The same spec again changes nothing.
     pub(super) fn put(&mut self, kind: &str, name: &str, spec: &Value) -> Value {
         let known = self.get(kind, name);
