Streams: count what waits for a slow caller until the caller has it

Cause: an event was counted in HeldMemory until it was whole. Whole ones waited in a queue that was bounded by their number alone, 16 of up to 1 MiB, and in the connection's buffer. Answers that are read whole gave their memory back before the caller had them.

Change: the queue of a stream holds 64 KiB and one event, counted until the connection has written them. An event over 64 KiB, and an answer that was read whole, take their memory along until then; where there is none for an event, its stream ends as with incomplete ones.

Evidence: memory_process streams (60 callers at 40 KB/s, debug build, x86-64) failed on with 477 MB at events of 700 KB, and passes with events of 700, 60 and 3 KB (110 MB allowed). Gateway tests: 246 of 246 before the last paragraph's change; after it 62 of 62 of those that touch lists and configurations.

Beside it: a list of servers from which entries were left out for want of room stays due for a listing until one has been read, also if a read is under way when the configuration changes, and doesn't make a router ready.

--- a/crates/gateway/src/fleet/server_list.rs
+++ b/crates/gateway/src/fleet/server_list.rs
@@ -37,9 +37,10 @@
     entries: BTreeMap<String, Arc<ListedServer>>,
     /// The era of the store in which the list was read.
     era: u64,
-    /// The store's position up to which the list includes all changes. None if all has to be read
-    /// again.
+    /// The store's position up to which the list includes all changes. None before the first read.
     as_of: Option<StorePosition>,
+    /// Whether the changes since then are not enough, as entries are missing.
+    needs_listing: bool,
     /// The services that the configuration in force names. None before there is one.
     services: Option<NamedServices>,
     /// What the entries of other services take.
@@ -112,6 +113,7 @@
         }
         copy.servers.iter().for_each(|entry| self.set(entry.clone()));
         self.is_partial |= copy.is_partial;
+        self.needs_listing &= copy.is_partial || !copy.has_whole_servers();
     }
 
     /// Whether entries of services that the configuration doesn't name were left out.
@@ -123,21 +125,26 @@
     /// out that is named now, the next read fetches the whole list.
     pub(crate) fn set_services(&mut self, services: NamedServices) {
         if self.is_partial && !services.all.iter().all(|service| self.names(service)) {
-            self.forget_position();
+            self.require_listing();
         }
         self.services = Some(services);
         let other = self.entries.values().filter(|entry| !self.names(&entry.spec.service));
         self.other_bytes = other.map(|entry| size_bytes(entry)).sum();
     }
 
-    /// Makes the next read fetch the whole list.
-    pub(crate) fn forget_position(&mut self) {
-        self.as_of = None;
+    /// Makes the reads fetch the whole list, until one has.
+    pub(crate) fn require_listing(&mut self) {
+        self.needs_listing = true;
     }
 
-    /// The store's position from which to ask for changes.
+    /// Whether entries are missing that only a listing shows.
+    pub(crate) fn needs_listing(&self) -> bool {
+        self.needs_listing
+    }
+
+    /// The store's position from which to ask for changes. None if all has to be read.
     pub(crate) fn as_of(&self) -> Option<StorePosition> {
-        self.as_of
+        self.as_of.filter(|_| !self.needs_listing)
     }
 
     /// The era of the store in which the list was read.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -8,7 +8,6 @@
 use samphirespread_adapter::headers::{self, RequestFacts};
 use samphirespread_core::prelude::*;
 use samphirespread_routing::{model::RouteKind, quota::OverQuota};
-use tokio::sync::mpsc;
 
 use crate::{
     access::{self, Denied, Grant},
@@ -21,6 +20,7 @@
     metrics,
     relay::relay,
     request_log::{Outcome, RequestLog, Step},
+    stream_queue,
 };
 
 /// Retry-After while the router has no configuration yet.
@@ -32,8 +32,6 @@
 /// Retry-After where nobody knows the version of a stream that is taken up. A router that knows it
 /// may have been cut off from this one.
 const UNKNOWN_STREAM_RETRY_AFTER_MS: u64 = 400;
-/// Number of stream chunks queued for a slow caller before reading from the server pauses.
-const MAX_QUEUED_CHUNKS: usize = 16;
 
 /// Answers one request.
 pub(crate) async fn handle(core: Arc<Core>, request: Request<Incoming>) -> Response<ResponseBody> {
@@ -273,8 +271,8 @@
 ) -> Result<Response<ResponseBody>, BodyError> {
     let read = request.core.held_memory.read(&mut answer.body, MAX_ANSWER_BYTES);
     let read = request.core.drain.timeout(request.left_ms(), read).await;
-    let (body, _hold) = read.map_err(|_| BodyError::TimeOver)??;
-    let mut response = Response::new(ResponseBody::whole(body));
+    let (body, hold) = read.map_err(|_| BodyError::TimeOver)??;
+    let mut response = Response::new(ResponseBody::whole(hold.attach_to(body)));
     *response.status_mut() = answer.status;
     *response.headers_mut() = headers::response_headers(&answer.headers);
     answer.keep_connection();
@@ -283,11 +281,11 @@
 
 fn stream(mut request: ActiveRequest, answer: Box<ServerAnswer>) -> Response<ResponseBody> {
     request.has_begun_answer = true;
-    let (chunks, receiver) = mpsc::channel(MAX_QUEUED_CHUNKS);
+    let (events, receiver) = stream_queue::channel();
     let mut response = Response::new(ResponseBody::Stream(receiver));
     *response.status_mut() = answer.status;
     *response.headers_mut() = headers::response_headers(&answer.headers);
-    tokio::spawn(relay(request, answer, chunks));
+    tokio::spawn(relay(request, answer, events));
     response
 }
 
--- a/crates/gateway/src/held_memory.rs
+++ b/crates/gateway/src/held_memory.rs
@@ -36,6 +36,28 @@
     permit: Option<OwnedSemaphorePermit>,
 }
 
+impl MemoryHold {
+    /// Returns the bytes with the memory that they take, which is given back with them.
+    pub(crate) fn attach_to(self, bytes: Bytes) -> Bytes {
+        match self.permit {
+            Some(permit) => Bytes::from_owner(HeldBytes { bytes, _permit: permit }),
+            None => bytes,
+        }
+    }
+}
+
+/// Bytes that the caller has yet to take, with the memory that they take.
+struct HeldBytes {
+    bytes: Bytes,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 impl HeldMemory {
     /// Creates the bound for a process that may use `memory_mb`.
     pub(crate) fn new(memory_mb: f64) -> Self {
@@ -68,6 +90,16 @@
         true
     }
 
+    /// Takes the part of a hold that covers `part_bytes`, and what it lacks. Returns none if that does not
+    /// fit beside the others.
+    pub(crate) fn split_off(&self, hold: &mut MemoryHold, part_bytes: usize) -> Option<MemoryHold> {
+        let held_kib = hold.permit.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        let part_kib = held_kib.min(part_bytes.div_ceil(KIB));
+        let permit = hold.permit.as_mut().and_then(|held| held.split(part_kib));
+        let mut part = MemoryHold { permit };
+        self.cover(&mut part, part_bytes).then_some(part)
+    }
+
     /// Reads a body of at most `max_bytes` to its end. The hold has to live as long as the bytes do.
     ///
     /// # Errors
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod server_speed;
 mod software_record;
 mod state;
+mod stream_queue;
 mod stream_segments;
 mod stream_versions;
 mod sync;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,18 +3,16 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{HeaderValue, header};
 use http_body_util::BodyExt;
 use samphirespread_routing::{
     events::EventSplitter,
     stopping::{Try, pause_after_ms},
 };
-use tokio::{sync::mpsc, task::consume_budget, time};
+use tokio::{task::consume_budget, time};
 
 use crate::{
     active_request::{ActiveRequest, AttemptOutcome, Continued, ServerAnswer, WEIGHTS_TOO_OLD},
-    body::{StreamBroken, StreamChunk},
     crashes,
     drain::CUT_BY_DRAIN,
     held_memory::MemoryHold,
@@ -23,6 +21,7 @@
     relocate::{EndedMove, Moves, may_still_take},
     request_log::{LeftRun, Outcome, RunObstacle, Step},
     select::Selected,
+    stream_queue::EventSender,
 };
 
 /// After its run has stopped, a stream that is silent for this long counts as ended.
@@ -53,6 +52,8 @@
     All,
     /// The server repeats what the caller has, more often than it can have sent it.
     Repeats,
+    /// There is no memory for an event that the caller has yet to take.
+    NoMemory,
     /// The caller closed the connection.
     CallerGone,
 }
@@ -82,11 +83,11 @@
 pub(crate) async fn relay(
     mut request: ActiveRequest,
     answer: Box<ServerAnswer>,
-    chunks: mpsc::Sender<StreamChunk>,
+    events: EventSender,
 ) {
     let status = answer.status.as_u16();
     let mut relay = Relay {
-        chunks,
+        events,
         splitter: EventSplitter::default(),
         memory: MemoryHold::default(),
         last_id: request.facts.last_event_id,
@@ -158,17 +159,22 @@
     let outcome =
         if is_cut && ended_by_drain { Outcome::Cut { cause: CUT_BY_DRAIN } } else { outcome };
     if is_cut {
-        // If the receiver is gone already, nobody needs this error.
-        let _ = relay.chunks.send(Err(StreamBroken::Cut)).await;
+        relay.events.break_off().await;
     }
     crate::handle::finish(&mut request, &outcome);
 }
 
+/// Gives a stream up for whose events there is no memory, which need not be its server's fault.
+fn give_up_for_memory(answer: &mut ServerAnswer) -> CopyEnd {
+    answer.guard.leave_out();
+    CopyEnd::GivenUp("no memory for its events".to_owned())
+}
+
 /// The state of one relayed stream.
 struct Relay {
-    chunks: mpsc::Sender<StreamChunk>,
+    events: EventSender,
     splitter: EventSplitter,
-    /// What an incomplete event takes of the memory for what is held.
+    /// What incomplete events take of the memory for what is held.
     memory: MemoryHold,
     /// Id of the last event sent to the caller, if events have ids.
     last_id: Option<u64>,
@@ -197,7 +203,7 @@
             let has_stopped = self.moves.has_stopped_run();
             let frame = tokio::select! {
                 biased;
-                () = self.chunks.closed() => return CopyEnd::CallerGone,
+                () = self.events.closed() => return CopyEnd::CallerGone,
                 frame = answer.body.frame() => frame,
                 () = self.moves.settled() => continue,
                 () = time::sleep(Duration::from_millis(STOPPED_STREAM_END_MS)), if has_stopped => {
@@ -224,14 +230,14 @@
                                     "events that repeat without end".to_owned(),
                                 );
                             }
+                            Forwarded::NoMemory => return give_up_for_memory(answer),
                             Forwarded::CallerGone => return CopyEnd::CallerGone,
                         }
                     }
                     // The buffer grows by doubling.
                     let buffer_bytes = 2 * self.splitter.buffered_bytes();
                     if !core.held_memory.cover(&mut self.memory, buffer_bytes) {
-                        answer.guard.leave_out();
-                        return CopyEnd::GivenUp("no memory for its events".to_owned());
+                        return give_up_for_memory(answer);
                     }
                     if self.splitter.exceeds_max_size() {
                         return CopyEnd::GivenUp("an event without an end".to_owned());
@@ -290,7 +296,11 @@
                 crashes::parts_survived(request, first_event);
             }
             request.record_event(now);
-            if !self.send(event.bytes).await {
+            let held_memory = &request.core.held_memory;
+            let Some(memory) = held_memory.split_off(&mut self.memory, event.bytes.len()) else {
+                return Forwarded::NoMemory;
+            };
+            if !self.events.send(event.bytes, memory).await {
                 return Forwarded::CallerGone;
             }
             if self.last_id.is_some() {
@@ -300,10 +310,6 @@
         Forwarded::All
     }
 
-    async fn send(&self, bytes: Bytes) -> bool {
-        self.chunks.send(Ok(bytes)).await.is_ok()
-    }
-
     /// Continues the run from a copy of its memory, if the stream ended because the run was stopped
     /// to be moved.
     async fn continue_moved_run(&mut self, request: &mut ActiveRequest) -> MovedRun {
@@ -312,13 +318,13 @@
             let next = tokio::select! {
                 biased;
                 next = self.moves.next_server(request) => next,
-                () = self.chunks.closed() => return MovedRun::CallerGone,
+                () = self.events.closed() => return MovedRun::CallerGone,
             };
             let Some(server) = next else { break };
             self.splitter.clear();
             let continued = tokio::select! {
                 biased;
-                () = self.chunks.closed() => return MovedRun::CallerGone,
+                () = self.events.closed() => return MovedRun::CallerGone,
                 continued = request.continue_run(&server, last_id) => continued,
             };
             match continued {
@@ -356,7 +362,7 @@
         while let Some(pause_ms) = pause_after_ms(Try::NotYet, request.left_ms()) {
             tokio::select! {
                 biased;
-                () = self.chunks.closed() => return MovedRun::CallerGone,
+                () = self.events.closed() => return MovedRun::CallerGone,
                 () = time::sleep(Duration::from_millis(pause_ms)) => {}
             }
             if !may_still_take(request, destination) {
@@ -367,7 +373,7 @@
             }
             let continued = tokio::select! {
                 biased;
-                () = self.chunks.closed() => return MovedRun::CallerGone,
+                () = self.events.closed() => return MovedRun::CallerGone,
                 continued = request.continue_run(destination, last_id) => continued,
             };
             match continued {
@@ -431,7 +437,7 @@
             let Some(pause_ms) = pause_after_ms(result, request.left_ms()) else { break resumed };
             tokio::select! {
                 biased;
-                () = self.chunks.closed() => break Resumed::CallerGone,
+                () = self.events.closed() => break Resumed::CallerGone,
                 () = time::sleep(Duration::from_millis(pause_ms)) => request.forget_tried(),
             }
         };
@@ -445,7 +451,7 @@
     async fn resume(&mut self, request: &mut ActiveRequest) -> Resumed {
         let attempt = tokio::select! {
             biased;
-            () = self.chunks.closed() => return Resumed::CallerGone,
+            () = self.events.closed() => return Resumed::CallerGone,
             attempt = request.attempt(self.last_id) => attempt,
         };
         match attempt {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -443,7 +443,7 @@
         };
         let servers = servers.filter(is_known).cloned().collect();
         let changes = self.fleet.replace(servers, keeps_missing, now);
-        self.has_fleet = true;
+        self.has_fleet |= !self.server_list.needs_listing();
         self.observe_software(began, now);
         changes
     }
--- a/crates/gateway/src/sync/configuration.rs
+++ b/crates/gateway/src/sync/configuration.rs
@@ -289,6 +289,10 @@
     state.observe_software(now, now);
     state.packed_configuration = Some(packed);
     crashes::count_ended(core, &mut state);
+    if state.server_list.needs_listing() {
+        state.reads.news.servers = true;
+        core.wake_list_reader.notify_one();
+    }
     drop(state);
     log_fleet_changes(core, changes);
 }
--- a/crates/gateway/src/sync/lists.rs
+++ b/crates/gateway/src/sync/lists.rs
@@ -263,7 +263,7 @@
                 state.server_list.apply(changes.changes, changes.position);
                 if !nameless.is_empty() {
                     // It is not known which servers these change.
-                    state.server_list.forget_position();
+                    state.server_list.require_listing();
                 }
                 if !has_changed && confirmed.is_some() {
                     return state.confirm_server_list(began);
--- a/crates/gateway/tests/entry_memory_process.rs
+++ b/crates/gateway/tests/memory_process/entries.rs
@@ -1,91 +1,15 @@
-//! The memory of a `samphirespread-gateway` process whose lists in the store have entries of another
-//! writer.
+//! Gateways whose lists in the store have entries of another writer.
 
-use std::{
-    io::{BufRead, BufReader},
-    net::SocketAddr,
-    path::PathBuf,
-    process::{Child, Command, Stdio},
-    sync::mpsc::{Receiver, channel},
-    thread,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use samphirespread_standin::published::{ObjectStore, Worker, WorkerConfig};
 use serde_json::{Value, json};
 
-/// The memory of the smallest machine that gateways are given, as in the test's settings.
-const MEMORY_BYTES: u64 = 110_000_000;
+use crate::process::Gateway;
+
 /// Entries of the other writer, and their size, which is what the store takes at most.
 const FOREIGN_ENTRIES: usize = 8;
 const FOREIGN_BYTES: usize = 1_000_000;
-/// How long a test waits for anything before it fails.
-const TIMEOUT: Duration = Duration::from_secs(20);
-
-/// A gateway process.
-struct Gateway {
-    child: Child,
-    lines: Receiver<Value>,
-    settings: PathBuf,
-}
-
-impl Gateway {
-    /// Starts the process and waits until it knows the first server.
-    fn start(name: &str, store: SocketAddr) -> Self {
-        let text = format!(
-            "[instance]\nname = {name}\nregion = khomas\nfailure_domain = khomas-1\n\
-             [capacity]\nmemory_mb = 110\n\
-             [listen]\ncallers = 127.0.0.1:0\nreadiness = 127.0.0.1:0\npeers = 127.0.0.1:0\n\
-             admin = 127.0.0.1:0\n[store]\naddress = {store}\npoll_ms = 50\n"
-        );
-        let file = format!("samphirespread-entries-{name}-{}.ini", std::process::id());
-        let settings = std::env::temp_dir().join(file);
-        std::fs::write(&settings, text).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_samphirespread-gateway"))
-            .arg("--settings")
-            .arg(&settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let log = BufReader::new(child.stdout.take().unwrap());
-        let (sender, lines) = channel();
-        thread::spawn(move || {
-            let read = log.lines().map_while(Result::ok);
-            let mut read = read.filter_map(|line| serde_json::from_str(&line).ok());
-            while read.next().is_some_and(|line| sender.send(line).is_ok()) {}
-        });
-        let gateway = Self { child, lines, settings };
-        gateway.logged("server appeared", |line| line["server"] == "d1");
-        gateway
-    }
-
-    /// Reads the log until a line with `message` that `is_it` accepts comes.
-    fn logged(&self, message: &str, is_it: impl Fn(&Value) -> bool) {
-        loop {
-            let line = self.lines.recv_timeout(TIMEOUT);
-            let line = line.unwrap_or_else(|error| panic!("no line `{message}`: {error}"));
-            if line["msg"] == message && is_it(&line) {
-                return;
-            }
-        }
-    }
-
-    /// The most memory that the process has had, in bytes.
-    fn peak_bytes(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-        peak.trim().trim_end_matches("kB").trim().parse::<u64>().unwrap() * 1_024
-    }
-}
-
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        // The process may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
 
 fn configuration() -> Value {
     json!({ "version": 1,
@@ -140,12 +64,6 @@
     }
 }
 
-/// Asserts that a gateway has stayed within its memory.
-fn assert_within_memory(gateway: &Gateway, what: &str) {
-    let peak_bytes = gateway.peak_bytes();
-    assert!(peak_bytes < MEMORY_BYTES, "{what}: {} MB", peak_bytes / 1_000_000);
-}
-
 /// Guards against gateways that keep what another writer has in the list of servers, in place of
 /// what they need of it, and end over their memory.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -161,8 +79,8 @@
         let started_among = Gateway::start("r2", site.store.address());
         site.list_server("last", &started_among);
 
-        assert_within_memory(&told, &format!("{kind}, told one by one"));
-        assert_within_memory(&started_among, &format!("{kind}, started among them"));
+        told.assert_within_memory(&format!("{kind}, told one by one"));
+        started_among.assert_within_memory(&format!("{kind}, started among them"));
     }
 }
 
@@ -192,8 +110,8 @@
         let started_among = Gateway::start("r4", site.store.address());
         site.list_server("last", &started_among);
 
-        assert_within_memory(&told, &format!("{kind}, told"));
-        assert_within_memory(&started_among, &format!("{kind}, started among them"));
+        told.assert_within_memory(&format!("{kind}, told"));
+        started_among.assert_within_memory(&format!("{kind}, started among them"));
     }
 }
 
@@ -211,7 +129,7 @@
     site.store.set_frozen(false);
 
     site.list_server("after", &gateway);
-    assert_within_memory(&gateway, "16 entries at once");
+    gateway.assert_within_memory("16 entries at once");
 }
 
 /// Guards against the memory for the errors of entries, which quote what another writer has stored.
@@ -230,7 +148,7 @@
         site.store.remove("servers", &format!("meter-{number}"));
     }
 
-    assert_within_memory(&gateway, "errors");
+    gateway.assert_within_memory("errors");
 }
 
 /// Guards against gateways that many small entries of another writer take over their memory.
@@ -249,7 +167,7 @@
         let gateway = Gateway::start("r7", site.store.address());
         site.list_server("z-last", &gateway);
 
-        assert_within_memory(&gateway, kind);
+        gateway.assert_within_memory(kind);
     }
 }
 
