Soak: another writer of the list of servers

Change: half of the drawn runs, planned work too, have entries without a server's fields, with fields of another type or an unknown state, that can't be read, of a service that isn't named (at one server's address, at those of all at once, with another port; with starts before, after and at no time), and of the largest size. They come, go and stay, and explain nothing, so all promises are judged as without them.

--- a/crates/soak/src/plan/mod.rs
+++ b/crates/soak/src/plan/mod.rs
@@ -1,5 +1,6 @@
 //! The faults of a run, drawn from a seed.
 
+mod foreign;
 mod overload;
 mod pressure;
 mod rollout;
@@ -10,7 +11,10 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use serde::{Deserialize, Serialize};
 
-pub use self::rollout::Quality;
+pub use self::{
+    foreign::{ForeignEntry, ForeignKind, ForeignStart},
+    rollout::Quality,
+};
 
 /// Calm before the first fault, in which all processes find each other.
 const CALM_AT_START_MS: u64 = 1_500;
@@ -269,6 +273,8 @@
     Reconfigured,
     /// A new configuration.
     Configured(Setting),
+    /// Another writer leaves an entry in the list of servers, and removes it at the end or never.
+    ForeignEntry(ForeignEntry),
     /// New weights are named.
     WeightsNamed,
     /// The plain service is to move to a new version, whose servers start at that moment.
@@ -321,6 +327,7 @@
         faults.extend(pressure::draw_endless_answers(seed, CALM_AT_START_MS..last_ms, size));
         faults.extend(work::draw(seed, CALM_AT_START_MS..last_ms, work::Pace::Rare, size));
         faults.extend(rollout::draw(seed, CALM_AT_START_MS..last_ms, size));
+        faults.extend(foreign::draw(seed, CALM_AT_START_MS..last_ms, size));
         Self::new(seed, length_ms, size, faults)
     }
 
@@ -329,7 +336,8 @@
         let span = work::CALM_AT_START_MS..length_ms.saturating_sub(CALM_AT_END_MS);
         let mut faults = work::draw(seed, span.clone(), work::Pace::Dense, size);
         faults.extend(pressure::draw_late_beginnings(seed, span.clone(), size));
-        faults.extend(rollout::draw(seed, span, size));
+        faults.extend(rollout::draw(seed, span.clone(), size));
+        faults.extend(foreign::draw(seed, span, size));
         Self::new(seed, length_ms, size, faults)
     }
 
--- a/crates/soak/src/site/faults.rs
+++ b/crates/soak/src/site/faults.rs
@@ -80,6 +80,8 @@
                 self.configuration.change(*setting);
                 self.reconfigure();
             }
+            // It names no server, so it explains nothing.
+            Fault::ForeignEntry(foreign) => self.write_foreign(foreign),
             Fault::WeightsNamed => {
                 self.version += 1;
                 self.name_weights();
@@ -127,6 +129,7 @@
                 link.set_rate_bytes_per_s(0);
             }
             Fault::KeyWithdrawn => self.set_key(true),
+            Fault::ForeignEntry(foreign) => self.remove_foreign(foreign),
             Fault::StoreDown | Fault::StoreOverRate | Fault::StoreLosesAnswers => {
                 self.store.set_fault(StoreFault::None);
             }
--- a/crates/soak/src/site/mod.rs
+++ b/crates/soak/src/site/mod.rs
@@ -2,6 +2,7 @@
 
 mod documents;
 mod faults;
+mod foreign;
 mod process;
 mod rollout;
 
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -1,6 +1,6 @@
 //! Plans follow from their seeds.
 
-use samphirespread_soak::plan::{Fault, Plan, Quality, Size};
+use samphirespread_soak::plan::{Fault, ForeignKind, Plan, Quality, Size};
 
 const LENGTH_MS: u64 = 60_000;
 
@@ -45,3 +45,29 @@
     assert!(qualities.iter().any(|quality| matches!(quality, Quality::Fails { .. })));
     assert!(qualities.iter().any(|quality| matches!(quality, Quality::Slow { .. })));
 }
+
+/// Guards against a draw that leaves out one kind of entry of another writer, or entries that stay.
+#[test]
+fn plans_have_entries_of_another_writer_of_all_kinds() {
+    let faults = (0..50).flat_map(|seed| plan(seed).faults);
+    let foreign: Vec<_> = faults
+        .filter_map(|planned| match planned.fault {
+            Fault::ForeignEntry(foreign) => Some(foreign),
+            _ => None,
+        })
+        .collect();
+
+    for kind in [
+        ForeignKind::NoServer,
+        ForeignKind::WrongType,
+        ForeignKind::UnknownState,
+        ForeignKind::Unreadable,
+        ForeignKind::UnnamedService,
+        ForeignKind::OtherPort,
+        ForeignKind::LargeValues,
+        ForeignKind::LargeText,
+    ] {
+        assert!(foreign.iter().any(|entry| entry.kind == kind && entry.stays), "{kind:?}");
+        assert!(foreign.iter().any(|entry| entry.kind == kind && !entry.stays), "{kind:?}");
+    }
+}
