--- a/crates/gateway/tests/gateway/fleet.rs
+++ b/crates/gateway/tests/gateway/fleet.rs
@@ -22,7 +22,13 @@
 /// Long enough that a copy which no other router confirms would count as unread during an outage.
 const LONG_WITHOUT_OWN_READ: Duration = Duration::from_millis(1_500);
 
-async fn logged(gateway: &Running, message: &str, field: &str, value: serde_json::Value) {
+/// Waits for a line with `message` in which a field has this value.
+pub(crate) async fn logged(
+    gateway: &Running,
+    message: &str,
+    field: &str,
+    value: serde_json::Value,
+) {
     eventually(|| {
         let is_it = |line: &serde_json::Value| line["msg"] == message && line[field] == value;
         gateway.log.lines().into_iter().find(is_it)
@@ -103,7 +109,11 @@
 /// and sends a request.
 ///
 /// All servers have the same IP address here, so a sidecar's report counts for the last engine.
-async fn report_new_run_and_send(site: &Site, sidecar: &UdpSocket, number: u64) -> Answer {
+pub(crate) async fn report_new_run_and_send(
+    site: &Site,
+    sidecar: &UdpSocket,
+    number: u64,
+) -> Answer {
     let held = LoadedModel { model: ModelName::new(MODEL), version: 1 };
     let report = EngineReport {
         from: InstanceName::new("s2"),
--- a/crates/gateway/tests/gateway/foreign_entries.rs
+++ b/crates/gateway/tests/gateway/foreign_entries.rs
@@ -1,16 +1,16 @@
 //! Entries of another writer in the list of servers, at the addresses of true servers.
 
 use http::StatusCode;
-use samphirespread_core::prelude::*;
-use samphirespread_peer::{Datagram, EngineReport, encode};
-use samphirespread_routing::model::{EngineState, LoadedModel};
 use samphirespread_standin::published::Behaviour;
 use serde_json::{Value, json};
 use tokio::net::UdpSocket;
 
-use crate::support::{
-    Answer, MODEL, Running, Site, call, configuration, eventually, generation, send, settings_of,
-    start_gateway, start_site,
+use crate::{
+    fleet::{logged, report_new_run_and_send},
+    support::{
+        Answer, Running, Site, call, configuration, eventually, generation, send, settings_of,
+        start_gateway, start_site,
+    },
 };
 
 /// A service that the configuration doesn't name.
@@ -33,11 +33,7 @@
     let entry = json!({ "service": "desk", "address": "127.0.0.1:9", "zone": "khomas-1", "version": "v1",
         "slots": 1, "state": "draining", "models": [], "seq": 1, "born": 1 });
     site.store.put("servers", id, entry);
-    eventually(|| {
-        let is_it = |line: &Value| line["msg"] == "server appeared" && line["server"] == id;
-        gateway.log.lines().iter().any(is_it).then_some(())
-    })
-    .await;
+    logged(gateway, "server appeared", "server", json!(id)).await;
 }
 
 /// Writes an entry of another writer for each server.
@@ -139,12 +135,7 @@
         .push(json!({ "name": "new-desk", "maxConns": 100 }));
     changed["routes"][1]["service"] = json!("new-desk");
     site.store.put("config", "main", changed);
-    eventually(|| {
-        let is_it =
-            |line: &Value| line["msg"] == "configuration adopted" && line["generation"] == 2;
-        site.gateway.log.lines().iter().any(is_it).then_some(())
-    })
-    .await;
+    logged(&site.gateway, "configuration adopted", "generation", json!(2)).await;
 
     let answer = site.send(call("/issue/a", "q1")).await;
     assert_eq!(answer.status, StatusCode::OK, "{}", answer.body);
@@ -162,12 +153,7 @@
     let mut changed = configuration();
     changed["version"] = json!(2);
     site.store.put("config", "main", changed);
-    eventually(|| {
-        let is_it =
-            |line: &Value| line["msg"] == "configuration adopted" && line["generation"] == 2;
-        site.gateway.log.lines().iter().any(is_it).then_some(())
-    })
-    .await;
+    logged(&site.gateway, "configuration adopted", "generation", json!(2)).await;
 
     let failed = not_served(&site.gateway, "q").await;
     assert!(failed.is_empty(), "{failed:?}");
@@ -213,37 +199,11 @@
         site.store.put("servers", "x1", foreign);
         until_read(&site, &site.gateway, "z1").await;
 
-        for number in 0..REQUESTS {
-            let bytes = encode(&Datagram::Engine(report_of_unlisted_run(number)));
-            sidecar.send_to(&bytes, site.gateway.addresses.peers).await.unwrap();
-            // The gateway has to receive the datagram before the request.
-            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-            let mut request = generation("/stream/a", &format!("q{number}"));
-            let subject = format!("subject-{number}:10").parse().unwrap();
-            request.headers_mut().insert("x-samphirespread-prompt-prefix", subject);
-            site.send(request).await;
+        for number in 0..u64::try_from(REQUESTS).unwrap() {
+            report_new_run_and_send(&site, &sidecar, number).await;
         }
 
         // All servers have one IP address here, so the reports are about the last engine.
         assert_eq!(site.workers[3].received().len(), 0, "{service}");
     }
 }
-
-/// A report of a run that the list doesn't show.
-fn report_of_unlisted_run(number: usize) -> EngineReport {
-    let held = LoadedModel { model: ModelName::new(MODEL), version: 1 };
-    EngineReport {
-        from: InstanceName::new("s2"),
-        incarnation: Incarnation(1),
-        sequence: u64::try_from(number).unwrap() + 1,
-        state: Some(EngineState {
-            started_unix_ms: Some(99),
-            models: vec![held],
-            is_loading: false,
-            running: 0,
-            waiting: 0,
-            used_tokens: 0,
-            memory_tokens: 90_000,
-        }),
-    }
-}
--- a/crates/soak/src/plan/mod.rs
+++ b/crates/soak/src/plan/mod.rs
@@ -1,14 +1,18 @@
 //! The faults of a run, drawn from a seed.
 
+mod drills;
 mod foreign;
+mod large;
+mod limits;
 mod overload;
 mod pressure;
 mod rollout;
+mod single;
 mod work;
 
 use std::ops::Range;
 
-use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
 
 pub use self::{
@@ -29,38 +33,6 @@
 /// How often, and how soon again, a fault of a series comes.
 const SERIES_LENGTH: Range<u32> = 2..5;
 const SERIES_GAP_MS: Range<u64> = 60..900;
-/// Requests that a server treats in odd ways.
-const ODD_REQUESTS: Range<usize> = 10..200;
-/// How long a server names a limit.
-const LIMIT_LENGTH_MS: Range<u64> = 6_000..14_000;
-/// The limits that servers name, in requests in 1,000 seconds.
-const LIMITS_PER_1000_S: Range<u64> = 300..4_000;
-/// One server in this many names a limit at some time; several do so at once.
-const LIMITED_ONE_IN: u32 = 2;
-/// One of this many limits lets nothing pass.
-const ZERO_LIMIT_ONE_IN: u32 = 8;
-/// Sets the draw of limits apart from that of the other faults, so that these stay as they were.
-const LIMITS_SEED: u64 = 0x11;
-/// Routes of a large configuration.
-const MANY_ROUTES: Range<u64> = 400..2_000;
-/// What a narrow path to the store carries, in bytes a second.
-const NARROW_BYTES_PER_S: Range<u64> = 50_000..400_000;
-/// How long it stays narrow.
-const NARROW_LENGTH_MS: Range<u64> = 2_000..8_000;
-/// One run in this many has large configurations on narrow paths.
-const LARGE_ONE_IN: u32 = 2;
-/// Sets the draw of large configurations apart.
-const LARGE_SEED: u64 = 0x55;
-/// One run in this many has a store that comes back from copies, and kills of all processes at once.
-const DRILLS_ONE_IN: u32 = 2;
-/// How often each of both happens in such a run.
-const DRILLS: Range<u32> = 1..4;
-/// How old a copy is when the store comes back from it.
-const COPY_AGE_MS: Range<u64> = 500..6_000;
-/// Sets the draw of these apart.
-const DRILLS_SEED: u64 = 0x77;
-/// Clocks are set wrong by up to this much.
-const WRONG_CLOCK_MS: i64 = 120_000;
 
 /// The grace period of plans that name none.
 const USUAL_GRACE_S: u64 = 8;
@@ -305,7 +277,7 @@
         let mut faults = Vec::new();
         let mut at_ms = CALM_AT_START_MS;
         while at_ms < last_ms {
-            let fault = draw_fault(&mut random, size);
+            let fault = single::draw(&mut random, size);
             let times = if random.random_ratio(1, SERIES_ONE_IN) {
                 random.random_range(SERIES_LENGTH)
             } else {
@@ -319,9 +291,9 @@
             }
             at_ms += random.random_range(GAP_MS);
         }
-        faults.extend(draw_limits(seed, last_ms, size));
-        faults.extend(draw_large_configurations(seed, last_ms, size));
-        faults.extend(draw_drills(seed, last_ms, size));
+        faults.extend(limits::draw(seed, last_ms, size));
+        faults.extend(large::draw(seed, last_ms, size));
+        faults.extend(drills::draw(seed, last_ms, size));
         faults.extend(pressure::draw_refusals(seed, CALM_AT_START_MS..last_ms, size));
         faults.extend(pressure::draw_late_beginnings(seed, CALM_AT_START_MS..last_ms, size));
         faults.extend(pressure::draw_endless_answers(seed, CALM_AT_START_MS..last_ms, size));
@@ -377,128 +349,3 @@
         self.faults.iter().any(|planned| matches!(planned.fault, Fault::ServiceRollout { .. }))
     }
 }
-
-fn draw_limits(seed: u64, last_ms: u64, size: Size) -> Vec<Planned> {
-    let mut random = SmallRng::seed_from_u64(seed ^ LIMITS_SEED);
-    let mut limits = Vec::new();
-    for server in 0..size.engines + size.desks {
-        if !random.random_ratio(1, LIMITED_ONE_IN) || last_ms <= CALM_AT_START_MS {
-            continue;
-        }
-        let is_zero = random.random_ratio(1, ZERO_LIMIT_ONE_IN);
-        let per_1000_s = if is_zero { 0 } else { random.random_range(LIMITS_PER_1000_S) };
-        let at_ms = random.random_range(CALM_AT_START_MS..last_ms);
-        let for_ms = random.random_range(LIMIT_LENGTH_MS).min(last_ms - at_ms);
-        limits.push(Planned { at_ms, for_ms, fault: Fault::ServerLimits { server, per_1000_s } });
-    }
-    limits
-}
-
-/// Draws two large configurations while the paths of some gateways to the store are narrow.
-fn draw_large_configurations(seed: u64, last_ms: u64, size: Size) -> Vec<Planned> {
-    let mut random = SmallRng::seed_from_u64(seed ^ LARGE_SEED);
-    if !random.random_ratio(1, LARGE_ONE_IN) || last_ms <= CALM_AT_START_MS {
-        return Vec::new();
-    }
-    let mut faults = Vec::new();
-    let mut at_ms = random.random_range(CALM_AT_START_MS..last_ms);
-    for gateway in 0..size.gateways.div_ceil(2) {
-        let narrow = PathFault::Narrow(random.random_range(NARROW_BYTES_PER_S));
-        let for_ms = random.random_range(NARROW_LENGTH_MS).min(last_ms - at_ms);
-        faults.push(Planned { at_ms, for_ms, fault: Fault::Path(Path::Store(gateway), narrow) });
-    }
-    for _ in 0..2 {
-        let routes = Setting::ManyRoutes(random.random_range(MANY_ROUTES));
-        faults.push(Planned { at_ms, for_ms: 0, fault: Fault::Configured(routes) });
-        at_ms = (at_ms + random.random_range(SERIES_GAP_MS)).min(last_ms);
-    }
-    faults
-}
-
-/// Draws returns of the store from copies, and kills of all processes at the same moment.
-fn draw_drills(seed: u64, last_ms: u64, size: Size) -> Vec<Planned> {
-    let mut random = SmallRng::seed_from_u64(seed ^ DRILLS_SEED);
-    if !random.random_ratio(1, DRILLS_ONE_IN) || last_ms <= CALM_AT_START_MS {
-        return Vec::new();
-    }
-    let mut faults = Vec::new();
-    for _ in 0..random.random_range(DRILLS) {
-        let at_ms = random.random_range(CALM_AT_START_MS..last_ms);
-        let for_ms = random.random_range(COPY_AGE_MS).min(last_ms - at_ms);
-        faults.push(Planned { at_ms, for_ms, fault: Fault::StoreReturns });
-    }
-    for _ in 0..random.random_range(DRILLS) {
-        let at_ms = random.random_range(CALM_AT_START_MS..last_ms);
-        let for_ms = random.random_range(LENGTH_MS).min(last_ms - at_ms);
-        let gateways = (0..size.gateways).map(Process::Gateway);
-        let all = gateways.chain((0..size.engines).map(Process::Sidecar));
-        faults.extend(all.map(|process| Planned { at_ms, for_ms, fault: Fault::Dies(process) }));
-    }
-    faults
-}
-
-fn draw_fault(random: &mut SmallRng, size: Size) -> Fault {
-    let gateway = random.random_range(0..size.gateways);
-    let engine = random.random_range(0..size.engines);
-    let servers = size.engines + size.desks;
-    let server = random.random_range(0..servers);
-    let other = (server + random.random_range(1..servers)) % servers;
-    let process = if random.random_ratio(2, 3) {
-        Process::Gateway(gateway)
-    } else {
-        Process::Sidecar(engine)
-    };
-    match random.random_range(0..24_u32) {
-        0 | 1 => Fault::Leaves(process),
-        2 | 3 => Fault::Dies(process),
-        4 | 5 => Fault::Freezes(process),
-        6 => Fault::HangUp(process),
-        7 => Fault::SettingsChange { gateway, signalled: random.random() },
-        8 => {
-            let ahead_ms = random.random_range(-WRONG_CLOCK_MS..WRONG_CLOCK_MS);
-            Fault::WrongClock { gateway, ahead_ms }
-        }
-        9..=12 => {
-            let paths = [Path::Callers(gateway), Path::Store(gateway), Path::Server(server)];
-            let path = *paths.choose(random).unwrap_or(&Path::Server(server));
-            Fault::Path(path, draw_path_fault(random))
-        }
-        13 | 14 => draw_store_fault(random),
-        15 => Fault::ServerDown(server),
-        16 => Fault::ServerFrozen(server),
-        17..=19 => Fault::ServerMisbehaves { server, requests: random.random_range(ODD_REQUESTS) },
-        20 => Fault::ServerDrains(server),
-        21 => [Fault::EntryLapses(server), Fault::AddressReused { server, by: other }]
-            .choose(random)
-            .cloned()
-            .unwrap_or(Fault::EntryLapses(server)),
-        22 => [Fault::KeyWithdrawn, Fault::Reconfigured]
-            .choose(random)
-            .cloned()
-            .unwrap_or(Fault::Reconfigured),
-        _ => Fault::WeightsNamed,
-    }
-}
-
-fn draw_path_fault(random: &mut SmallRng) -> PathFault {
-    match random.random_range(0..7_u32) {
-        0 => PathFault::Closed,
-        1 => PathFault::Reset,
-        2 => PathFault::Silent,
-        3 => PathFault::SilentToServer,
-        4 => PathFault::SilentFromServer,
-        5 => PathFault::Down,
-        _ => PathFault::Slow(random.random_range(5..400)),
-    }
-}
-
-fn draw_store_fault(random: &mut SmallRng) -> Fault {
-    match random.random_range(0..6_u32) {
-        0 => Fault::StoreDown,
-        1 => Fault::StoreOverRate,
-        2 => Fault::StoreFrozen,
-        3 => Fault::StoreSlow(random.random_range(50..900)),
-        4 => Fault::StoreLosesAnswers,
-        _ => Fault::StoreForgets,
-    }
-}
