--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -4,6 +4,7 @@
 //! it was broken, 2 if the case could not run. With `TROUBLE=0` nothing is disturbed.
 
 mod client;
+mod crashes;
 mod engine;
 mod http;
 mod programs;
@@ -63,6 +64,7 @@
     let record = Record::create(record_path)?;
     let judged = async {
         match case {
+            "crashes" => crashes::run(directory, &record, has_trouble).await,
             "versions" => versions::run(directory, &record, has_trouble).await,
             _ => Err(std::io::Error::other("no such case")),
         }
