Review, case 13: a stopped run is sent to a worker that drains

Shown: DRAIN is broken. After the call that stops a run is answered, nothing asks again whether the destination still takes requests.

--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod crashes;
+mod drain;
 mod engine;
 mod http;
 mod programs;
@@ -65,6 +66,7 @@
     let judged = async {
         match case {
             "crashes" => crashes::run(directory, &record, has_trouble).await,
+            "drain" => drain::run(directory, &record, has_trouble).await,
             "versions" => versions::run(directory, &record, has_trouble).await,
             _ => Err(std::io::Error::other("no such case")),
         }
