Review, case 11: a stopped run is lost on a kept connection that its destination has dropped

Shown: LOST around planned work is broken. A gateway that is told to stop moves runs off a worker that leaves, and sends them on over the connection that has been idle longest; when that is reset, the stream is cut.

How: review/11/run.sh, real gateways and sidecars; workers drop channels that were idle for 1 s.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -7,4 +7,4 @@
 for program in "$driver" target/release/samphirespread-gateway target/release/samphirespread-sidecar; do
     [ -x "$program" ] || { echo "$program is missing"; exit 2; }
 done
-exec "$driver" versions "$case_directory/record.txt"
+exec "$driver" idle "$case_directory/record.txt"
--- a/review/cases-3/src/drain.rs
+++ b/review/cases-3/src/drain.rs
@@ -41,8 +41,8 @@
     prompt_tokens: 9_190,
     events: 50,
     deadline_ms: 6_000,
-    count: 55,
-    interval_ms: 455,
+    count: 60,
+    interval_ms: 416,
 };
 /// Short streams on other parts.
 const SHORT: Kind = Kind {
@@ -55,9 +55,9 @@
     interval_ms: 125,
 };
 /// The first worker is emptied once it runs that many long streams.
-const RUNS_AT_FIRST: usize = 11;
+const RUNS_AT_FIRST: usize = 12;
 /// The second worker is emptied that long after the first call that stops a run to move it there.
-const SECOND_AFTER_MS: u64 = 100;
+const SECOND_AFTER_MS: u64 = 50;
 
 /// A kind of streams that clients ask for.
 #[derive(Clone, Copy)]
--- a/review/cases-3/src/engine.rs
+++ b/review/cases-3/src/engine.rs
@@ -96,6 +96,8 @@
     pub first_stop: watch::Sender<Option<String>>,
     /// A part of prompts that crashes this worker when it begins to write an answer on it.
     pub crashing_part: Mutex<Option<String>>,
+    /// After this time it drops an idle channel without notice: what is sent next there is reset.
+    pub idle_drop_ms: Mutex<Option<u64>>,
     /// Told when that happens.
     pub crashed: watch::Sender<u64>,
 }
@@ -123,6 +125,7 @@
             process: Mutex::default(),
             first_stop: watch::Sender::new(None),
             crashing_part: Mutex::default(),
+            idle_drop_ms: Mutex::default(),
             crashed: watch::Sender::new(0),
         })
     }
@@ -204,13 +207,21 @@
         }
     }
 
-    /// Ends its process at once: all its connections are reset, and nothing listens.
-    pub async fn crash(&self) {
-        let process = self.process.lock().unwrap().take();
-        let Some((ended, task)) = process else { return };
-        self.record.line(&format!("worker {} crashes", self.id));
-        ended.send_replace(true);
-        let _ = task.await;
+    /// Reads the head of the next request, unless the channel was idle for too long before.
+    async fn next_head(
+        &self,
+        wire: &mut Wire,
+        idle_since: Option<time::Instant>,
+    ) -> io::Result<Option<Head>> {
+        wire.stream.readable().await?;
+        let drop_ms = *self.idle_drop_ms.lock().unwrap();
+        let idle = idle_since.map(|since| since.elapsed());
+        if drop_ms.zip(idle).is_some_and(|(ms, idle)| idle > Duration::from_millis(ms)) {
+            self.record
+                .line(&format!("worker {}: a channel that it had dropped is reset", self.id));
+            return Err(io::Error::other("the channel was dropped"));
+        }
+        wire.head().await
     }
 
     /// What it writes of itself into the store.
@@ -270,7 +281,8 @@
 async fn serve(engine: &Arc<Engine>, wire: &mut Wire) -> io::Result<()> {
     let boot = engine.lock().boot;
     engine.hang_if_dark(boot).await;
-    while let Some(head) = wire.head().await? {
+    let mut idle_since = None;
+    while let Some(head) = engine.next_head(wire, idle_since).await? {
         engine.hang_if_dark(boot).await;
         let length = head.header("content-length").parse().unwrap_or(0);
         let body = wire.body(length).await?;
@@ -281,6 +293,7 @@
             path if path.starts_with("/-/") => answer(wire, "200 OK", "", "{}".to_owned()).await?,
             _ => generate(engine, wire, &head, boot).await?,
         }
+        idle_since = Some(time::Instant::now());
     }
     Ok(())
 }
--- a/review/cases-3/src/main.rs
+++ b/review/cases-3/src/main.rs
@@ -8,10 +8,10 @@
 mod drain;
 mod engine;
 mod http;
+mod idle;
 mod programs;
 mod record;
 mod site;
-mod versions;
 
 use std::{path::Path, process::ExitCode, time::Duration};
 
@@ -67,7 +67,7 @@
         match case {
             "crashes" => crashes::run(directory, &record, has_trouble).await,
             "drain" => drain::run(directory, &record, has_trouble).await,
-            "versions" => versions::run(directory, &record, has_trouble).await,
+            "idle" => idle::run(directory, &record, has_trouble).await,
             _ => Err(std::io::Error::other("no such case")),
         }
     };
