--- a/review/cases-3/src/crashes.rs
+++ b/review/cases-3/src/crashes.rs
@@ -31,12 +31,12 @@
 /// Returns whether the rule held.
 pub async fn run(directory: &Path, record: &Record, has_trouble: bool) -> io::Result<bool> {
     let routes = [StreamRoute {
-        name: "notice-draft",
-        is_resumable: true,
-        max_attempts: 2,
-        timeout_ms: 12_000,
-        target_ms: 250,
-        gap_target_ms: 250,
+        name: "report-verdict",
+        is_resumable: false,
+        max_attempts: 1,
+        timeout_ms: 4_000,
+        target_ms: 300,
+        gap_target_ms: 300,
     }];
     let plan = Plan {
         gateways: vec!["windhoek-a", "windhoek-b"],
@@ -51,6 +51,7 @@
         event_ms: 50,
         copy_link: CopyLink { token_us: 0.5 },
         size: NOTICES,
+        backlog: 8,
         software: "v1",
     };
     let tenants = json!([tenant("clerks", "key-of-the-clerks", false)]);
@@ -71,12 +72,12 @@
                 time::sleep_until(began + Duration::from_millis(number * interval_ms)).await;
                 let request = Request {
                     id: format!("{prefix}{number:05}"),
-                    path: "/notice-draft/1".to_owned(),
+                    path: "/report-verdict/1".to_owned(),
                     key: "key-of-the-clerks".to_owned(),
                     parts: format!("{shared}{number:08x}:602"),
                     prompt_tokens: 800,
                     events: 20,
-                    deadline_ms: 12_000,
+                    deadline_ms: 4_000,
                     gap_ms: 2_000,
                 };
                 let gateway = addresses[number as usize % addresses.len()];
--- a/review/cases-3/src/drain.rs
+++ b/review/cases-3/src/drain.rs
@@ -96,6 +96,7 @@
         event_ms: 100,
         copy_link: CopyLink { token_us },
         size: MILL,
+        backlog: 1_024,
         software: "v1",
     };
     let tenants = json!([tenant("mills", "key-of-the-mills", false)]);
--- a/review/cases-3/src/engine.rs
+++ b/review/cases-3/src/engine.rs
@@ -10,7 +10,7 @@
 
 use serde_json::{Value, json};
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpSocket, TcpStream},
     sync::watch,
     task::JoinHandle,
     time,
@@ -22,6 +22,8 @@
 };
 
 pub const MODEL: &str = "reader";
+/// Time limit for a connection that fills up the queue of a dark worker.
+const FILLER_TIMEOUT: Duration = Duration::from_millis(20);
 /// A prompt is long from this length on.
 pub const LONG_PROMPT_TOKENS: u64 = 9_000;
 
@@ -86,6 +88,10 @@
     copies: Copies,
     copy_link: CopyLink,
     size: EngineSize,
+    /// Connections that may wait to be accepted.
+    backlog: u32,
+    /// Connections that fill up that queue while it is dark, so that nobody else connects.
+    fillers: Mutex<Vec<std::net::TcpStream>>,
     /// One copy at a time.
     link: tokio::sync::Mutex<()>,
     state: Mutex<State>,
@@ -108,7 +114,7 @@
         address: SocketAddr,
         zone: &str,
         event_ms: u64,
-        (copies, copy_link, size): (Copies, CopyLink, EngineSize),
+        (copies, copy_link, size, backlog): (Copies, CopyLink, EngineSize, u32),
         record: &Record,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -119,6 +125,8 @@
             copies,
             copy_link,
             size,
+            backlog,
+            fillers: Mutex::default(),
             link: tokio::sync::Mutex::default(),
             state: Mutex::default(),
             record: record.clone(),
@@ -136,7 +144,10 @@
 
     /// Starts its process with a version of its software. It knows nothing of before.
     pub async fn start(self: &Arc<Self>, software: &str) -> io::Result<()> {
-        let listener = TcpListener::bind(self.address).await?;
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(self.address)?;
+        let listener = socket.listen(self.backlog)?;
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         {
             let mut state = self.lock();
@@ -153,6 +164,9 @@
         let task = tokio::spawn(async move {
             let mut has_ended = end.subscribe();
             loop {
+                while engine.is_dark() {
+                    time::sleep(Duration::from_millis(10)).await;
+                }
                 tokio::select! {
                     accepted = listener.accept() => {
                         if let Ok((stream, _)) = accepted {
@@ -171,13 +185,20 @@
         Ok(())
     }
 
-    /// Loses power: nothing is sent any more, not even the end of its connections. What connects hangs.
+    /// Loses power: nothing is sent any more, not even the end of its connections, and connecting is not
+    /// answered.
     /// [`start_again`](Self::start_again) ends that.
     pub fn go_dark(&self) {
         let mut state = self.lock();
         state.is_dark = true;
         state.running.clear();
         drop(state);
+        for _ in 0..=self.backlog {
+            // The kernel answers the first ones, which nobody accepts.
+            let filler = std::net::TcpStream::connect_timeout(&self.address, FILLER_TIMEOUT);
+            let Ok(filler) = filler else { break };
+            self.fillers.lock().unwrap().push(filler);
+        }
         self.record.line(&format!("worker {} goes dark", self.id));
     }
 
@@ -189,6 +210,7 @@
         state.born_unix_ms = unix.as_millis() as u64;
         state.sequence = 0;
         drop(state);
+        self.fillers.lock().unwrap().clear();
         self.record.line(&format!("worker {} is back", self.id));
     }
 
--- a/review/cases-3/src/idle.rs
+++ b/review/cases-3/src/idle.rs
@@ -60,6 +60,7 @@
         event_ms: 100,
         copy_link: CopyLink { token_us: 0.5 },
         size: NOTICES,
+        backlog: 1_024,
         software: "v1",
     };
     let tenants = json!([tenant("clerks", "key-of-the-clerks", false)]);
--- a/review/cases-3/src/site.rs
+++ b/review/cases-3/src/site.rs
@@ -25,6 +25,8 @@
     pub event_ms: u64,
     pub copy_link: CopyLink,
     pub size: EngineSize,
+    /// Connections that may wait at a worker to be accepted.
+    pub backlog: u32,
     pub software: &'static str,
 }
 
@@ -49,7 +51,7 @@
         let (mut engines, mut sidecars) = (Vec::new(), Vec::new());
         for (index, zone) in plan.engines.iter().enumerate() {
             let address = free_address(block.side(index))?;
-            let parts = (copies.clone(), plan.copy_link, plan.size);
+            let parts = (copies.clone(), plan.copy_link, plan.size, plan.backlog);
             let engine =
                 Engine::new(&format!("i-{index}"), address, zone, plan.event_ms, parts, record);
             engine.start(plan.software).await?;
