--- a/review/cases-3/src/drain.rs
+++ b/review/cases-3/src/drain.rs
@@ -41,8 +41,8 @@
     prompt_tokens: 9_190,
     events: 50,
     deadline_ms: 6_000,
-    count: 60,
-    interval_ms: 416,
+    count: 55,
+    interval_ms: 455,
 };
 /// Short streams on other parts.
 const SHORT: Kind = Kind {
@@ -55,7 +55,7 @@
     interval_ms: 125,
 };
 /// The first worker is emptied once it runs that many long streams.
-const RUNS_AT_FIRST: usize = 12;
+const RUNS_AT_FIRST: usize = 11;
 /// The second worker is emptied that long after the first call that stops a run to move it there.
 const SECOND_AFTER_MS: u64 = 50;
 
@@ -170,7 +170,7 @@
 /// Waits for a worker that runs as many long streams as wanted.
 async fn busy_worker(site: &Site) -> io::Result<Arc<Engine>> {
     for _ in 0..1_000 {
-        let is_busy = |it: &&Arc<Engine>| it.running(LONG.prompt_tokens) >= RUNS_AT_FIRST;
+        let is_busy = |it: &&Arc<Engine>| it.running(LONG.prompt_tokens) == RUNS_AT_FIRST;
         if let Some(found) = site.engines.iter().find(is_busy) {
             return Ok(found.clone());
         }
