--- a/review/cases-3/src/crashes.rs
+++ b/review/cases-3/src/crashes.rs
@@ -14,6 +14,8 @@
 
 /// The part that crashes workers.
 const CRASHING_PART: &str = "bad0bad0";
+/// At most two of them are down at a time.
+const WORKERS: usize = 8;
 /// A worker is back that long after it crashed.
 const DOWN_MS: u64 = 3_000;
 /// Time between two requests with the part.
@@ -40,14 +42,8 @@
     }];
     let plan = Plan {
         gateways: vec!["windhoek-a", "windhoek-b"],
-        engines: vec![
-            "windhoek-a",
-            "windhoek-a",
-            "windhoek-b",
-            "windhoek-b",
-            "okahandja",
-            "okahandja",
-        ],
+        engines: [["windhoek-a"; 3], ["windhoek-b"; 3], ["okahandja"; 3]].concat()[..WORKERS]
+            .to_vec(),
         event_ms: 50,
         copy_link: CopyLink { token_us: 0.5 },
         size: NOTICES,
--- a/review/cases-3/src/drain.rs
+++ b/review/cases-3/src/drain.rs
@@ -32,8 +32,11 @@
 };
 /// The time that the memory of one token takes: 327,680 bytes at 740 Gbit/s.
 const TOKEN_US: f64 = 327_680.0 * 8.0 / 740_000.0;
-/// How much slower moves of memory are while links are slow.
+/// How much slower moves of memory are while a worker's links are slow, and for how long they are.
 const SLOWER: f64 = 8.0;
+const SLOW_MS: u64 = 5_500;
+/// Two of them are emptied, and the links of one are slow.
+const WORKERS: usize = 14;
 /// Long streams, on one and the same shared part, each with 50 events in 5 s.
 const LONG: Kind = Kind {
     prefix: "q",
@@ -89,12 +92,11 @@
         target_ms: 400,
         gap_target_ms: 400,
     };
-    let token_us = if has_trouble { TOKEN_US * SLOWER } else { TOKEN_US };
     let plan = Plan {
         gateways: vec!["plovdiv-a", "plovdiv-a"],
-        engines: vec!["plovdiv-a"; 4],
+        engines: vec!["plovdiv-a"; WORKERS],
         event_ms: 100,
-        copy_link: CopyLink { token_us },
+        copy_link: CopyLink { token_us: TOKEN_US },
         size: MILL,
         backlog: 1_024,
         software: "v1",
@@ -110,6 +112,16 @@
     }
     time::sleep(Duration::from_millis(13_000)).await;
     let first = busy_worker(&site).await?;
+    if has_trouble {
+        record.line(&format!("the links of {} are slow", first.id));
+        first.set_copy_link(CopyLink { token_us: TOKEN_US * SLOWER });
+        let (slow, record) = (first.clone(), record.clone());
+        tokio::spawn(async move {
+            time::sleep(Duration::from_millis(SLOW_MS)).await;
+            slow.set_copy_link(CopyLink { token_us: TOKEN_US });
+            record.line(&format!("the links of {} are as usual", slow.id));
+        });
+    }
     let first_drained_ms = empty(&site, &first, record);
     let mut stops = first.first_stop.subscribe();
     let stopped = time::timeout(Duration::from_secs(10), stops.wait_for(Option::is_some)).await;
--- a/review/cases-3/src/engine.rs
+++ b/review/cases-3/src/engine.rs
@@ -86,7 +86,7 @@
     pub zone: String,
     pub event_ms: u64,
     copies: Copies,
-    copy_link: CopyLink,
+    copy_link: Mutex<CopyLink>,
     size: EngineSize,
     /// Connections that may wait to be accepted.
     backlog: u32,
@@ -123,7 +123,7 @@
             zone: zone.to_owned(),
             event_ms,
             copies,
-            copy_link,
+            copy_link: Mutex::new(copy_link),
             size,
             backlog,
             fillers: Mutex::default(),
@@ -270,6 +270,10 @@
         state.running.keys().filter(is_long).count()
     }
 
+    pub fn set_copy_link(&self, copy_link: CopyLink) {
+        *self.copy_link.lock().unwrap() = copy_link;
+    }
+
     pub fn begin_to_drain(&self) {
         self.lock().is_draining = true;
     }
@@ -360,7 +364,7 @@
         let tokens = copying.lock().prompt_tokens.get(&id).copied().unwrap_or(0);
         // A second copy has only what is new.
         let copied_tokens = if is_new { tokens } else { 10 };
-        let copy_us = copied_tokens as f64 * copying.copy_link.token_us;
+        let copy_us = copied_tokens as f64 * copying.copy_link.lock().unwrap().token_us;
         time::sleep(Duration::from_micros(copy_us as u64)).await;
         copying.lock().copied_once.push(id);
     });
--- a/review/cases-3/src/idle.rs
+++ b/review/cases-3/src/idle.rs
@@ -27,12 +27,12 @@
 /// Long streams, which may run once: 45 events in 4.5 s.
 const LONG_EVENTS: u64 = 45;
 const LONG_INTERVAL_MS: u64 = 250;
-/// Short streams, one event.
-const SHORT_INTERVAL_MS: u64 = 60;
+/// Short streams, each with seven events in 0.7 s.
+const SHORT_EVENTS: u64 = 7;
+const SHORT_INTERVAL_MS: u64 = 23;
+/// One of them is emptied.
+const WORKERS: usize = 8;
 const DEADLINE_MS: u64 = 6_000;
-/// When more requests come at once, and how many.
-const BURST_MS: u64 = 11_500;
-const BURST_REQUESTS: u64 = 160;
 /// When the gateway is told to stop, after the first request.
 const STOP_MS: u64 = 12_000;
 /// When a worker is emptied.
@@ -40,8 +40,8 @@
 /// When clients send nothing more.
 const END_MS: u64 = 16_000;
 
-/// An answer, with its request's number, gateway and time.
-type Got = (String, usize, u64, Answer);
+/// An answer, with its request's number, its gateway, and when it was sent and ended.
+type Got = (String, usize, (u64, u64), Answer);
 
 /// Returns whether the rule held.
 pub async fn run(directory: &Path, record: &Record, has_trouble: bool) -> io::Result<bool> {
@@ -56,7 +56,7 @@
     let routes = [route("report-verdict", false, 1), route("notice-draft", true, 2)];
     let plan = Plan {
         gateways: vec!["windhoek-a", "windhoek-a"],
-        engines: vec!["windhoek-a"; 4],
+        engines: vec!["windhoek-a"; WORKERS],
         event_ms: 100,
         copy_link: CopyLink { token_us: 0.5 },
         size: NOTICES,
@@ -78,25 +78,13 @@
     let mut clients = JoinSet::new();
     for (prefix, path, events, interval_ms) in [
         ("q", "/report-verdict/1", LONG_EVENTS, LONG_INTERVAL_MS),
-        ("r", "/notice-draft/1", 1, SHORT_INTERVAL_MS),
+        ("r", "/notice-draft/1", SHORT_EVENTS, SHORT_INTERVAL_MS),
     ] {
         let asked = Asked { prefix, path, events, interval_ms };
         let parts = (addresses.clone(), is_first_stopping.clone(), got.clone(), record.clone());
         clients.spawn(ask(asked, parts));
     }
     let began = time::Instant::now();
-    time::sleep_until(began + Duration::from_millis(BURST_MS)).await;
-    record.line("a burst of short requests at front-0");
-    for number in 0..BURST_REQUESTS {
-        let parts = (addresses.clone(), got.clone(), record.clone());
-        clients.spawn(async move {
-            let (addresses, got, record) = parts;
-            let request = short_request(format!("b{number:05}"), number);
-            let sent_ms = record.now_ms();
-            let answer = send(addresses[0], &request, &record).await;
-            got.lock().unwrap().push((request.id, 0, sent_ms, answer));
-        });
-    }
     time::sleep_until(began + Duration::from_millis(STOP_MS)).await;
     is_first_stopping.store(true, Ordering::Relaxed);
     site.gateways[0].program.signal(Signal::TERM);
@@ -113,16 +101,19 @@
     let got = got.lock().unwrap();
     let is_complete = |answer: &Answer| answer.is_whole;
     let complete = got.iter().filter(|(_, _, _, answer)| is_complete(answer)).count();
-    // Requests that the stopping gateway has read and passed on, from contactMs before the signal.
+    // Answers of the stopping gateway that had begun and ended early, from the signal on, before their
+    // deadline, and not as their client had left.
     let lost: Vec<&Got> = got
         .iter()
-        .filter(|(_, gateway, sent_ms, answer)| {
-            *gateway == 0 && sent_ms + DEADLINE_MS > stop_ms && !is_complete(answer)
+        .filter(|(_, gateway, (sent_ms, ended_ms), answer)| {
+            let ended_early = *ended_ms >= stop_ms && *ended_ms < sent_ms + DEADLINE_MS;
+            let had_begun = answer.status == 200 && !answer.left;
+            *gateway == 0 && ended_early && had_begun && !is_complete(answer)
         })
         .collect();
-    for (id, _, sent_ms, answer) in &lost {
+    for (id, _, (sent_ms, ended_ms), answer) in &lost {
         record.line(&format!(
-            "LOST: {id}, sent at {sent_ms} ms to front-0, got {} events and no end",
+            "LOST: {id}, sent at {sent_ms} ms to front-0, got {} events and broke off at {ended_ms} ms",
             answer.events.len()
         ));
     }
@@ -137,19 +128,6 @@
     Ok(lost.is_empty())
 }
 
-fn short_request(id: String, number: u64) -> Request {
-    Request {
-        id,
-        path: "/notice-draft/1".to_owned(),
-        key: "key-of-the-clerks".to_owned(),
-        parts: format!("{:08x}:198,b{number:07x}:628", number * 7 % 61),
-        prompt_tokens: 826,
-        events: 1,
-        deadline_ms: DEADLINE_MS,
-        gap_ms: 2_000,
-    }
-}
-
 /// What a group of clients asks for.
 struct Asked {
     prefix: &'static str,
@@ -169,7 +147,7 @@
 ) {
     let mut open = JoinSet::new();
     for number in 0..END_MS / asked.interval_ms {
-        let is_long = asked.events > 1;
+        let is_long = asked.events > SHORT_EVENTS;
         let gateway = match is_first_stopping.load(Ordering::Relaxed) {
             true => 1,
             false if is_long => 0,
@@ -189,7 +167,8 @@
         open.spawn(async move {
             let sent_ms = record.now_ms();
             let answer = send(address, &request, &record).await;
-            got.lock().unwrap().push((request.id, gateway, sent_ms, answer));
+            let times_ms = (sent_ms, record.now_ms());
+            got.lock().unwrap().push((request.id, gateway, times_ms, answer));
         });
         time::sleep(Duration::from_millis(asked.interval_ms)).await;
     }
