Log connections to servers that break before an answer, and how long they were idle

Nothing told a request that broke off on a kept connection from one on a new connection, so a server that drops idle connections looked like one that breaks requests off. The line connection broke has the idle time and the time since the send; a counter has kept and new ones.

--- a/crates/gateway/src/active_request/send.rs
+++ b/crates/gateway/src/active_request/send.rs
@@ -6,8 +6,9 @@
 use http::{HeaderMap, Request, header};
 use http_body_util::Full;
 use samphirespread_adapter::headers::{self, AnswerFacts, Instructions, RunMemory};
+use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
-use samphirespread_outbound::{Connection, OpenError, SendError};
+use samphirespread_outbound::{Connection, IdleConnection, OpenError, SendError};
 use samphirespread_routing::model::{Generation, RouteKind};
 use slog::info;
 use tokio::{select, time};
@@ -54,12 +55,10 @@
             return Sent::NotRun;
         };
         self.tried.push(selected.id.clone());
-        let idle = self.idle_connection(selected);
-        let is_reused = idle.is_some();
-        let connection = match idle {
-            Some(connection) => connection,
+        let (connection, idle_ms) = match self.idle_connection(selected) {
+            Some(IdleConnection { connection, idle_ms }) => (connection, Some(idle_ms)),
             None => match self.open(selected).await {
-                Some(connection) => connection,
+                Some(connection) => (connection, None),
                 None => {
                     guard.leave_out();
                     return Sent::NotRun;
@@ -71,23 +70,23 @@
             // queued up. The pause lets that connection notice its end, which drops this request.
             time::sleep(Duration::from_millis(POST_FREEZE_PAUSE_MS)).await;
         }
-        match self.exchange(connection, is_reused, selected, guard, last_event_id).await {
+        match self.exchange(connection, idle_ms, selected, guard, last_event_id).await {
             Ok(sent) => sent,
-            Err(mut guard) if is_reused => {
+            Err(mut guard) if idle_ms.is_some() => {
                 // The server closed the idle connection before the request was written.
                 let Some(connection) = self.open(selected).await else {
                     guard.leave_out();
                     return Sent::NotRun;
                 };
                 let exchanged =
-                    self.exchange(connection, false, selected, guard, last_event_id).await;
+                    self.exchange(connection, None, selected, guard, last_event_id).await;
                 exchanged.unwrap_or_else(not_sent)
             }
             Err(guard) => not_sent(guard),
         }
     }
 
-    fn idle_connection(&self, selected: &Selected) -> Option<Connection> {
+    fn idle_connection(&self, selected: &Selected) -> Option<IdleConnection> {
         let now_ms = self.core.now().as_ms();
         self.core.state().fleet.get_mut(&selected.id)?.idle.take(now_ms)
     }
@@ -116,17 +115,18 @@
     }
 
     /// Sends the request and reads the head of the answer. Returns the guard if no byte was sent.
+    /// `idle_ms` is how long the connection was idle, if it was kept.
     async fn exchange(
         &mut self,
         mut connection: Connection,
-        is_reused: bool,
+        idle_ms: Option<u64>,
         selected: &Selected,
         mut guard: InFlightGuard,
         last_event_id: Option<u64>,
     ) -> Result<Sent, InFlightGuard> {
         match self.check_process(&mut connection, selected).await {
             ProcessCheck::Listed => {}
-            ProcessCheck::NoAnswer if is_reused => return Err(guard),
+            ProcessCheck::NoAnswer if idle_ms.is_some() => return Err(guard),
             ProcessCheck::Other | ProcessCheck::NoAnswer => {
                 guard.leave_out();
                 let (server, error) = (selected.id.clone(), NOT_LISTED_PROCESS.to_owned());
@@ -170,6 +170,7 @@
                 return Err(guard);
             }
             Ok(Err(error)) => {
+                self.log_broken_connection(selected, idle_ms, sent, &error);
                 guard.failed();
                 let server = RunningServer::of(selected);
                 crashes::run_broke_off(self, &selected.id, server, RunStage::Sent);
@@ -186,7 +187,7 @@
             guard.failed();
             return Ok(self.server_failed(selected, "the answer is to another request".to_owned()));
         }
-        if facts.not_run && is_reused && facts.request_id.is_none() {
+        if facts.not_run && idle_ms.is_some() && facts.request_id.is_none() {
             guard.failed();
             // It may be left over from an earlier request on this connection.
             return Ok(self.server_failed(selected, "a refusal without an id".to_owned()));
@@ -298,6 +299,21 @@
         Some(request)
     }
 
+    /// Logs that a connection broke after the request was sent and before an answer.
+    fn log_broken_connection(
+        &self,
+        selected: &Selected,
+        idle_ms: Option<u64>,
+        sent: MonoTime,
+        error: &SendError,
+    ) {
+        let kind = if idle_ms.is_some() { "kept" } else { "new" };
+        count(&self.core.metrics.broken_connections, kind);
+        info!(self.core.log, "{}", event::CONNECTION_BROKE; "server" => &*selected.id,
+            "request" => self.facts.id.as_deref().unwrap_or("-"), "idle_ms" => idle_ms,
+            "after_ms" => self.core.now().ms_since(sent), "error" => %error);
+    }
+
     fn server_failed(&mut self, selected: &Selected, cause: String) -> Sent {
         let now = self.core.now();
         let avoid_ms = {
--- a/crates/gateway/src/active_request/server_answer.rs
+++ b/crates/gateway/src/active_request/server_answer.rs
@@ -98,7 +98,7 @@
             // This request still counts as one in flight.
             let in_use = usize::try_from(server.in_flight).unwrap_or(usize::MAX).saturating_sub(1);
             let limits = IdleLimits { max_connections: max_connections.saturating_sub(in_use) };
-            server.idle.put(connection, now_ms + idle_lifetime_ms, limits);
+            server.idle.put(connection, idle_lifetime_ms, limits, now_ms);
         }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -78,6 +78,9 @@
     pub(crate) readiness_checks: Causes,
     /// Connections opened to backend servers.
     pub(crate) connections: Counter,
+    /// Connections to backend servers that broke after a request was sent and before an answer, by whether
+    /// they had carried another request before.
+    pub(crate) broken_connections: Causes,
     /// Bytes of datagrams from other processes of the system.
     pub(crate) received_bytes: Counter,
     /// Bytes of datagrams to other processes of the system, by content and receiver, without questions and
@@ -139,6 +142,7 @@
             unreadable_servers: Counter::default(),
             readiness_checks: Causes::default(),
             connections: Counter::default(),
+            broken_connections: Causes::default(),
             received_bytes: Counter::default(),
             sent_bytes: Family::default(),
             in_flight: Gauge::default(),
@@ -194,6 +198,8 @@
         let answers = "Answers to readiness checks";
         registry.register("readiness_checks", answers, self.readiness_checks.clone());
         registry.register("server_connections", "Connections opened", self.connections.clone());
+        let broken = "Broken before an answer";
+        registry.register("server_connections_broken", broken, self.broken_connections.clone());
         registry.register("datagrams_in_bytes", "From processes", self.received_bytes.clone());
         registry.register("datagrams_out_bytes", "To processes", self.sent_bytes.clone());
         registry.register("in_flight", "Requests that run", self.in_flight.clone());
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -27,5 +27,5 @@
 
 pub use crate::{
     connection::{Connection, ExchangeLimits, OpenError, SendError},
-    pool::{IdleLimits, IdlePool},
+    pool::{IdleConnection, IdleLimits, IdlePool},
 };
--- a/crates/outbound/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -19,30 +19,51 @@
 /// Times are milliseconds of the caller's monotonic clock.
 #[derive(Debug, Default)]
 pub struct IdlePool {
-    connections: VecDeque<IdleConnection>,
+    connections: VecDeque<Pooled>,
 }
 
 #[derive(Debug)]
-struct IdleConnection {
+struct Pooled {
     connection: Connection,
+    since_ms: u64,
     expires_ms: u64,
 }
 
+/// A connection out of a pool.
+#[derive(Debug)]
+pub struct IdleConnection {
+    /// The connection.
+    pub connection: Connection,
+    /// How long it has been idle, in milliseconds.
+    pub idle_ms: u64,
+}
+
 impl IdlePool {
     /// Takes a reusable connection out of the pool. Drops the expired and closed ones before it.
-    pub fn take(&mut self, now_ms: u64) -> Option<Connection> {
-        while let Some(idle) = self.connections.pop_front() {
-            if idle.expires_ms > now_ms && idle.connection.is_reusable() {
-                return Some(idle.connection);
+    pub fn take(&mut self, now_ms: u64) -> Option<IdleConnection> {
+        while let Some(Pooled { connection, since_ms, expires_ms }) = self.connections.pop_front() {
+            if expires_ms > now_ms && connection.is_reusable() {
+                return Some(IdleConnection {
+                    connection,
+                    idle_ms: now_ms.saturating_sub(since_ms),
+                });
             }
         }
         None
     }
 
-    /// Adds a connection that expires at `expires_ms`, or drops it if the pool is full.
-    pub fn put(&mut self, connection: Connection, expires_ms: u64, limits: IdleLimits) {
+    /// Adds a connection that is idle from now on, for `lifetime_ms` at most, or drops it if the pool is
+    /// full.
+    pub fn put(
+        &mut self,
+        connection: Connection,
+        lifetime_ms: u64,
+        limits: IdleLimits,
+        now_ms: u64,
+    ) {
         if self.connections.len() < limits.max_connections {
-            self.connections.push_back(IdleConnection { connection, expires_ms });
+            let expires_ms = now_ms.saturating_add(lifetime_ms);
+            self.connections.push_back(Pooled { connection, since_ms: now_ms, expires_ms });
         }
     }
 
