Stand-in: workers that drop idle connections, or are silent on open ones

The stand-in's workers kept every idle connection, so no test could meet one that was dropped. A connection that is read or written is not idle.

--- a/crates/standin/src/published/worker/mod.rs
+++ b/crates/standin/src/published/worker/mod.rs
@@ -242,6 +242,17 @@
     pub fn set_frozen(&self, frozen: bool) {
         self.server.set_frozen(frozen);
     }
+
+    /// Silences the open connections for good. New connections work.
+    pub fn silence_open_connections(&self) {
+        self.server.silence_open_connections();
+    }
+
+    /// Drops connections that were idle for that many milliseconds, without notice: what arrives on one
+    /// next resets it unread. `None` keeps them.
+    pub fn drop_idle_after(&self, after_ms: Option<u64>) {
+        self.server.drop_idle_after(after_ms);
+    }
 }
 
 impl Inner {
--- a/crates/standin/src/server/gate.rs
+++ b/crates/standin/src/server/gate.rs
@@ -1,13 +1,15 @@
-//! A connection that can be frozen: it stays open and neither reads nor writes.
+//! A connection that can be frozen, so that it stays open and neither reads nor writes, and that can be
+//! dropped while it is idle.
 
 use std::{
     io,
     pin::Pin,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll, Waker},
+    time::{Duration, Instant},
 };
 
 use tokio::{
@@ -53,17 +55,57 @@
     }
 }
 
+/// After how long a server drops idle connections. Connections share it.
+#[derive(Clone, Debug)]
+pub(crate) struct IdleDrop {
+    after_ms: Arc<AtomicU64>,
+}
+
+impl Default for IdleDrop {
+    fn default() -> Self {
+        Self { after_ms: Arc::new(AtomicU64::new(Self::NEVER_MS)) }
+    }
+}
+
+impl IdleDrop {
+    const NEVER_MS: u64 = u64::MAX;
+
+    pub(crate) fn set(&self, after_ms: Option<u64>) {
+        self.after_ms.store(after_ms.unwrap_or(Self::NEVER_MS), Ordering::SeqCst);
+    }
+
+    fn has_dropped(&self, idle: Duration) -> bool {
+        idle.as_millis() >= u128::from(self.after_ms.load(Ordering::SeqCst))
+    }
+}
+
 /// A connection behind a gate.
 #[derive(Debug)]
 pub(crate) struct Gated {
     gate: Gate,
+    idle_drop: IdleDrop,
     stream: TcpStream,
+    /// When the last byte was read or written.
+    active: Instant,
+    /// Whether an answer has been written, so that the connection may be idle.
+    has_answered: bool,
 }
 
 impl Gated {
     /// Puts a connection behind a gate.
-    pub(crate) fn new(gate: Gate, stream: TcpStream) -> Self {
-        Self { gate, stream }
+    pub(crate) fn new(gate: Gate, idle_drop: IdleDrop, stream: TcpStream) -> Self {
+        Self { gate, idle_drop, stream, active: Instant::now(), has_answered: false }
+    }
+
+    /// Records that bytes have arrived. Returns an error, and lets the connection end with a reset, if it
+    /// was dropped before.
+    fn record_read(&mut self) -> io::Result<()> {
+        let idle = std::mem::replace(&mut self.active, Instant::now()).elapsed();
+        if self.has_answered && self.idle_drop.has_dropped(idle) {
+            self.stream.set_zero_linger()?;
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        Ok(())
     }
 }
 
@@ -76,7 +118,12 @@
         if self.gate.poll_open(cx).is_pending() {
             return Poll::Pending;
         }
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let had_bytes = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > had_bytes {
+            self.record_read()?;
+        }
+        read
     }
 }
 
@@ -89,6 +136,8 @@
         if self.gate.poll_open(cx).is_pending() {
             return Poll::Pending;
         }
+        self.active = Instant::now();
+        self.has_answered = true;
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
--- a/crates/standin/src/server/mod.rs
+++ b/crates/standin/src/server/mod.rs
@@ -23,7 +23,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use self::gate::{Gate, Gated};
+use self::gate::{Gate, Gated, IdleDrop};
 
 const BACKLOG: u32 = 1024;
 
@@ -47,6 +47,7 @@
     /// The gate of the connections to come.
     gate: Arc<Mutex<Gate>>,
     slow_ms: Arc<AtomicU64>,
+    idle_drop: IdleDrop,
 }
 
 impl Faults {
@@ -135,6 +136,12 @@
         silenced.set_frozen(true);
     }
 
+    /// Drops connections that were idle for this long, without notice: what arrives on one next resets it
+    /// unread. `None` keeps them.
+    pub(crate) fn drop_idle_after(&self, after_ms: Option<u64>) {
+        self.faults.idle_drop.set(after_ms);
+    }
+
     /// Delays every answer.
     pub(crate) fn set_slow_ms(&self, slow_ms: u64) {
         self.faults.slow_ms.store(slow_ms, Ordering::SeqCst);
@@ -187,7 +194,7 @@
         async move { finish(answer.await, slow_ms).await }
     });
     let gate = faults.gate().clone();
-    let io = TokioIo::new(Gated::new(gate, stream));
+    let io = TokioIo::new(Gated::new(gate, faults.idle_drop, stream));
     let serving = http1::Builder::new().serve_connection(io, service);
     tokio::select! {
         () = stop.cancelled() => {}
