Tell an answer that is no HTTP from a connection that broke before one

SendError::Broken stood for both, so a caller could not tell a reset without a byte from bytes that can't be read. The tests of raw answers pass as before.

--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -46,6 +46,8 @@
     NotSent,
     /// the connection broke after the request was sent: {0}
     Broken(String),
+    /// the bytes of the answer are none that HTTP knows: {0}
+    Malformed(String),
     /// nothing arrived for {limit_ms} ms
     Silent {
         /// The time limit, in milliseconds.
@@ -124,8 +126,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendError::NotSent`] if it is certain that no byte was written, and
-    /// [`SendError::Broken`] if the connection breaks or the head is none that HTTP knows.
+    /// Returns [`SendError::NotSent`] if it is certain that no byte was written,
+    /// [`SendError::Broken`] if the connection breaks before the head is whole, and
+    /// [`SendError::Malformed`] if the head is none that HTTP knows.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
@@ -134,12 +137,15 @@
         let response = self.sender.try_send_request(request).await.map_err(|mut failure| {
             match failure.take_message() {
                 Some(_) => SendError::NotSent,
+                None if failure.error().is_parse() => {
+                    SendError::Malformed(failure.error().to_string())
+                }
                 None => SendError::Broken(failure.error().to_string()),
             }
         })?;
         match response.status().as_u16() {
             ..=MAX_STATUS => Ok(response),
-            status => Err(SendError::Broken(format!("an answer with the status {status}"))),
+            status => Err(SendError::Malformed(format!("the status {status}"))),
         }
     }
 
