--- a/crates/gateway/src/active_request/mod.rs
+++ b/crates/gateway/src/active_request/mod.rs
@@ -1,11 +1,13 @@
 //! Carries one request through its attempts: chooses a backend server, sends the request, and
 //! decides after a failure whether it may be sent again.
 
+mod dropped_connection;
 mod in_flight;
 mod process_check;
 mod retry_budget;
 mod send;
 mod server_answer;
+mod server_connection;
 mod set_aside;
 mod stream_version;
 mod timing;
--- a/crates/gateway/src/active_request/send.rs
+++ b/crates/gateway/src/active_request/send.rs
@@ -8,16 +8,20 @@
 use samphirespread_adapter::headers::{self, AnswerFacts, Instructions, RunMemory};
 use samphirespread_core::prelude::*;
 use samphirespread_logging::event;
-use samphirespread_outbound::{Connection, IdleConnection, OpenError, SendError};
+use samphirespread_outbound::SendError;
 use samphirespread_routing::model::{Generation, RouteKind};
 use slog::info;
 use tokio::{select, time};
 
 use super::{
-    ActiveRequest, ReadTiming, ServerAnswer, in_flight::InFlightGuard, process_check::ProcessCheck,
+    ActiveRequest, ReadTiming, ServerAnswer,
+    dropped_connection::{Reset, SentRequest},
+    in_flight::InFlightGuard,
+    process_check::ProcessCheck,
+    server_connection::ServerConnection,
 };
 use crate::{
-    crashes::{self, RunStage, RunningServer},
+    crashes::{self, RunningServer},
     fleet::DepartureSource,
     metrics::count,
     named_weights::{self, AwaitedWeights},
@@ -26,8 +30,6 @@
     server_limits, server_speed,
 };
 
-/// Timeout for opening a connection to a backend server.
-const CONNECT_TIMEOUT_MS: u64 = 300;
 /// Pause before a request is forwarded right after this process was frozen.
 const POST_FREEZE_PAUSE_MS: u64 = 20;
 
@@ -47,6 +49,23 @@
     TimedOut,
 }
 
+/// A request that was not answered, and that may be sent on another connection.
+#[derive(Debug)]
+pub(super) enum Unanswered {
+    /// No byte of it was written.
+    NotWritten(InFlightGuard),
+    /// It was written, and need not have been read.
+    Reset(Reset),
+}
+
+impl Unanswered {
+    pub(super) fn into_guard(self) -> InFlightGuard {
+        match self {
+            Self::NotWritten(guard) | Self::Reset(Reset { guard, .. }) => guard,
+        }
+    }
+}
+
 impl ActiveRequest {
     pub(super) async fn send(&mut self, selected: &Selected, last_event_id: Option<u64>) -> Sent {
         let footprint = self.facts.generation.as_ref().map_or(0, Generation::footprint_tokens);
@@ -55,78 +74,50 @@
             return Sent::NotRun;
         };
         self.tried.push(selected.id.clone());
-        let (connection, idle_ms) = match self.idle_connection(selected) {
-            Some(IdleConnection { connection, idle_ms }) => (connection, Some(idle_ms)),
-            None => match self.open(selected).await {
-                Some(connection) => (connection, None),
-                None => {
-                    guard.leave_out();
-                    return Sent::NotRun;
-                }
-            },
+        let Some(connection) = self.connect(selected).await else {
+            guard.leave_out();
+            return Sent::NotRun;
         };
+        let is_kept = connection.kept.is_some();
         if self.core.freeze_detector.is_after_freeze(self.core.now()) {
             // During the freeze, a request and the closing of its caller's connection may both have
             // queued up. The pause lets that connection notice its end, which drops this request.
             time::sleep(Duration::from_millis(POST_FREEZE_PAUSE_MS)).await;
         }
-        match self.exchange(connection, idle_ms, selected, guard, last_event_id).await {
-            Ok(sent) => sent,
-            Err(mut guard) if idle_ms.is_some() => {
-                // The server closed the idle connection before the request was written.
-                let Some(connection) = self.open(selected).await else {
-                    guard.leave_out();
-                    return Sent::NotRun;
-                };
-                let exchanged =
-                    self.exchange(connection, None, selected, guard, last_event_id).await;
-                exchanged.unwrap_or_else(not_sent)
-            }
-            Err(guard) => not_sent(guard),
+        let mut exchanged = self.exchange(connection, selected, guard, last_event_id).await;
+        if let Err(Unanswered::NotWritten(mut guard)) = exchanged {
+            // The server closed the idle connection before the request was written.
+            let opened = if is_kept { self.open(selected).await } else { None };
+            let Some(connection) = opened else {
+                guard.leave_out();
+                return Sent::NotRun;
+            };
+            exchanged = self.exchange(connection, selected, guard, last_event_id).await;
         }
-    }
-
-    fn idle_connection(&self, selected: &Selected) -> Option<IdleConnection> {
-        let now_ms = self.core.now().as_ms();
-        self.core.state().fleet.get_mut(&selected.id)?.idle.take(now_ms)
-    }
-
-    async fn open(&mut self, selected: &Selected) -> Option<Connection> {
-        self.core.metrics.connections.inc();
-        let timeout_ms = CONNECT_TIMEOUT_MS.min(self.left_ms());
-        match Connection::open(selected.address, timeout_ms).await {
-            Ok(connection) => Some(connection),
-            Err(error) => {
-                if matches!(error, OpenError::Refused(_)) {
-                    crashes::server_refused(&self.core, selected.run());
-                }
-                let now = self.core.now();
-                let mut state = self.core.state();
-                let server = state.fleet.get_mut(&selected.id);
-                let avoid_ms = server.map_or(0, |server| server.suspicion.record_unreachable(now));
-                drop(state);
-                let server = selected.id.clone();
-                let error = error.to_string();
-                self.log_avoided(selected, avoid_ms, &error);
-                self.request_log.step(now, Step::NoConnection { server, error, avoid_ms });
-                None
+        match exchanged {
+            Ok(sent) => sent,
+            Err(Unanswered::Reset(reset)) => self.after_reset(selected, reset, last_event_id).await,
+            Err(Unanswered::NotWritten(mut guard)) => {
+                guard.leave_out();
+                Sent::NotRun
             }
         }
     }
 
-    /// Sends the request and reads the head of the answer. Returns the guard if no byte was sent.
-    /// `idle_ms` is how long the connection was idle, if it was kept.
-    async fn exchange(
+    /// Sends the request and reads the head of the answer. Fails if the request may be sent on another
+    /// connection.
+    pub(super) async fn exchange(
         &mut self,
-        mut connection: Connection,
-        idle_ms: Option<u64>,
+        mut connection: ServerConnection,
         selected: &Selected,
         mut guard: InFlightGuard,
         last_event_id: Option<u64>,
-    ) -> Result<Sent, InFlightGuard> {
+    ) -> Result<Sent, Unanswered> {
         match self.check_process(&mut connection, selected).await {
             ProcessCheck::Listed => {}
-            ProcessCheck::NoAnswer if idle_ms.is_some() => return Err(guard),
+            ProcessCheck::NoAnswer if connection.kept.is_some() => {
+                return Err(Unanswered::NotWritten(guard));
+            }
             ProcessCheck::Other | ProcessCheck::NoAnswer => {
                 guard.leave_out();
                 let (server, error) = (selected.id.clone(), NOT_LISTED_PROCESS.to_owned());
@@ -151,8 +142,18 @@
         // From here on the server may receive the request, even if this task is cancelled.
         match selected.stopped_run {
             Some(_) => self.attempts.begin_resumption(),
+            None if connection.is_resend => self.attempts.begin_again(),
             None => self.attempts.begin(),
         }
+        let is_kept = connection.kept.is_some();
+        let (idle_ms, assumed_idle_ms) = (connection.idle_ms(), connection.assumed_idle_ms());
+        let sent_request = SentRequest {
+            at: sent,
+            assumed_idle_ms,
+            continues_stopped_run: selected.stopped_run.is_some(),
+            is_resend: connection.is_resend,
+        };
+        let mut connection = connection.connection;
         let sending = connection.send(request);
         let awaited_weights = self.awaited_weights(selected);
         let answer = select! {
@@ -167,27 +168,32 @@
             Ok(Ok(response)) => response,
             Ok(Err(SendError::NotSent)) => {
                 self.attempts.record_not_written();
-                return Err(guard);
+                return Err(Unanswered::NotWritten(guard));
             }
             Ok(Err(error)) => {
                 self.log_broken_connection(selected, idle_ms, sent, &error);
-                guard.failed();
-                let server = RunningServer::of(selected);
-                crashes::run_broke_off(self, &selected.id, server, RunStage::Sent);
-                return Ok(self.server_failed(selected, error.to_string()));
+                let may_be_unread = sent_request.may_be_unread(&error, self.core.now());
+                let error = error.to_string();
+                if may_be_unread {
+                    return Err(Unanswered::Reset(Reset { guard, error, assumed_idle_ms }));
+                }
+                return Ok(self.broke_off(selected, guard, error));
             }
             Err(_) => {
                 guard.failed();
                 return Ok(Sent::TimedOut);
             }
         };
+        if let Some(idle_ms) = assumed_idle_ms {
+            self.record_idle_survived(selected, idle_ms);
+        }
         let (parts, body) = response.into_parts();
         let facts = headers::answer_facts(parts.status, &parts.headers);
         if facts.request_id.is_some() && facts.request_id != self.facts.id {
             guard.failed();
             return Ok(self.server_failed(selected, "the answer is to another request".to_owned()));
         }
-        if facts.not_run && idle_ms.is_some() && facts.request_id.is_none() {
+        if facts.not_run && is_kept && facts.request_id.is_none() {
             guard.failed();
             // It may be left over from an earlier request on this connection.
             return Ok(self.server_failed(selected, "a refusal without an id".to_owned()));
@@ -314,7 +320,7 @@
             "after_ms" => self.core.now().ms_since(sent), "error" => %error);
     }
 
-    fn server_failed(&mut self, selected: &Selected, cause: String) -> Sent {
+    pub(super) fn server_failed(&mut self, selected: &Selected, cause: String) -> Sent {
         let now = self.core.now();
         let avoid_ms = {
             let mut state = self.core.state();
@@ -365,7 +371,7 @@
         }
     }
 
-    fn log_avoided(&self, selected: &Selected, avoid_ms: u64, cause: &str) {
+    pub(super) fn log_avoided(&self, selected: &Selected, avoid_ms: u64, cause: &str) {
         if avoid_ms > 0 {
             info!(self.core.log, "{}", event::SERVER_AVOIDED; "server" => &*selected.id,
                 "for_ms" => avoid_ms, "cause" => cause);
@@ -389,12 +395,6 @@
     }
 }
 
-/// The outcome of a send of which no byte was written.
-fn not_sent(mut guard: InFlightGuard) -> Sent {
-    guard.leave_out();
-    Sent::NotRun
-}
-
 fn is_genuine(facts: &AnswerFacts, headers: &HeaderMap) -> bool {
     facts.is_sealed && !headers.contains_key(header::CONTENT_ENCODING)
 }
--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! What this router knows of the backend servers, from the store, from reports and from requests.
 
 mod addresses;
+mod idle_connections;
 mod server;
 mod server_list;
 
@@ -16,6 +17,7 @@
     read_parts::EngineTag,
     server_limit::ServerRun,
     software::SoftwareTag,
+    stale_connections::ServiceIdleTimes,
 };
 
 use self::{addresses::Addresses, server::rollout_facts};
@@ -86,6 +88,8 @@
     departures: HashMap<Departure, KnownDeparture>,
     /// What this router has sent to runs that are not listed, or no longer, and has not ended.
     unlisted: HashMap<ServerRun, UnlistedLoad>,
+    /// How long the servers of each named service keep idle connections.
+    idle_times: HashMap<ServiceName, ServiceIdleTimes>,
 }
 
 /// How this router knows that a run of a server drains.
@@ -113,6 +117,7 @@
 impl Fleet {
     /// Replaces the services that the configuration in force names.
     pub(crate) fn set_services(&mut self, services: NamedServices) {
+        self.idle_times.retain(|service, _| services.all.contains(service));
         self.services = services;
         self.rebuild_indexes();
     }
--- a/crates/gateway/src/fleet/server.rs
+++ b/crates/gateway/src/fleet/server.rs
@@ -10,6 +10,7 @@
     server_limit::ServerRun,
     server_speed::PaceHistory,
     software::SoftwareTag,
+    stale_connections::ServerIdleTimes,
 };
 
 use super::{Departure, UnlistedLoad};
@@ -30,6 +31,8 @@
     /// The version of its software.
     pub(crate) software: SoftwareTag,
     pub(crate) idle: IdlePool,
+    /// How long it keeps idle connections.
+    pub(super) idle_times: ServerIdleTimes,
     pub(crate) suspicion: FailureBackoff,
     /// Requests that this router has sent to it and that have not ended.
     pub(crate) in_flight: u32,
@@ -88,6 +91,7 @@
             warm_from: now.plus_ms(entry.cold_ms),
             entry,
             idle: IdlePool::default(),
+            idle_times: ServerIdleTimes::default(),
             suspicion: FailureBackoff::default(),
             in_flight: 0,
             unread_tokens: 0,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -81,6 +81,8 @@
     /// Connections to backend servers that broke after a request was sent and before an answer, by whether
     /// they had carried another request before.
     pub(crate) broken_connections: Causes,
+    /// Idle connections of which it was in doubt whether their server had dropped them, by what was found.
+    pub(crate) idle_connections: Causes,
     /// Bytes of datagrams from other processes of the system.
     pub(crate) received_bytes: Counter,
     /// Bytes of datagrams to other processes of the system, by content and receiver, without questions and
@@ -143,6 +145,7 @@
             readiness_checks: Causes::default(),
             connections: Counter::default(),
             broken_connections: Causes::default(),
+            idle_connections: Causes::default(),
             received_bytes: Counter::default(),
             sent_bytes: Family::default(),
             in_flight: Gauge::default(),
@@ -200,6 +203,8 @@
         registry.register("server_connections", "Connections opened", self.connections.clone());
         let broken = "Broken before an answer";
         registry.register("server_connections_broken", broken, self.broken_connections.clone());
+        let checked = "Idle connections in doubt";
+        registry.register("idle_connections", checked, self.idle_connections.clone());
         registry.register("datagrams_in_bytes", "From processes", self.received_bytes.clone());
         registry.register("datagrams_out_bytes", "To processes", self.sent_bytes.clone());
         registry.register("in_flight", "Requests that run", self.in_flight.clone());
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod drain_edges;
 mod drain_grid;
 mod drain_share;
+mod dropped_connections;
 mod early_answers;
 mod explained;
 mod fleet;
--- a/crates/logging/src/event.rs
+++ b/crates/logging/src/event.rs
@@ -38,6 +38,7 @@
     SERVER_REFUSED, "server refused", "A backend server refused a request without running it", "request, server, status";
     SERVER_FAILED, "server failed", "A backend server closed the connection early, or its answer was invalid", "request, server, cause, may_repeat";
     CONNECTION_BROKE, "connection broke", "A connection to a backend server broke after a request was sent and before an answer; idle_ms: how long it had been idle, null for a new one; after_ms: the time since the send", "server, request, idle_ms, after_ms, error";
+    IDLE_CONNECTION_DROPPED, "idle connection dropped", "A backend server had dropped a connection while it was idle; outcome: found by a check, or a request had met it, which was sent again or is lost", "server, idle_ms, outcome, request";
     BUDGET_SPENT, "no repeat: budget spent", "A retry was skipped because the retry budget is used up", "request, slack";
     STREAM_TAKEN_UP, "stream taken up", "A caller takes up a stream that has broken off; resumes: the request that brought its first event", "request, resumes, after_event";
     STREAM_RESUMES, "stream resumes", "A stream resumes at another engine", "request, after_event";
--- a/crates/outbound/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -29,6 +29,16 @@
     expires_ms: u64,
 }
 
+impl Pooled {
+    fn idle_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.since_ms)
+    }
+
+    fn is_usable(&self, now_ms: u64) -> bool {
+        self.expires_ms > now_ms && self.connection.is_reusable()
+    }
+}
+
 /// A connection out of a pool.
 #[derive(Debug)]
 pub struct IdleConnection {
@@ -39,17 +49,23 @@
 }
 
 impl IdlePool {
-    /// Takes a reusable connection out of the pool. Drops the expired and closed ones before it.
-    pub fn take(&mut self, now_ms: u64) -> Option<IdleConnection> {
-        while let Some(Pooled { connection, since_ms, expires_ms }) = self.connections.pop_front() {
-            if expires_ms > now_ms && connection.is_reusable() {
-                return Some(IdleConnection {
-                    connection,
-                    idle_ms: now_ms.saturating_sub(since_ms),
-                });
+    /// Takes the reusable connection out of the pool that has been idle longest of those whose idle time,
+    /// in milliseconds, is accepted. Drops expired and closed ones on the way.
+    pub fn take(&mut self, now_ms: u64, accepts: impl Fn(u64) -> bool) -> Option<IdleConnection> {
+        loop {
+            let accepted = |pooled: &Pooled| accepts(pooled.idle_ms(now_ms));
+            let index = self.connections.iter().position(accepted)?;
+            let pooled = self.connections.remove(index)?;
+            if pooled.is_usable(now_ms) {
+                let idle_ms = pooled.idle_ms(now_ms);
+                return Some(IdleConnection { connection: pooled.connection, idle_ms });
             }
         }
-        None
+    }
+
+    /// Drops the connections whose idle time, in milliseconds, is not accepted.
+    pub fn retain(&mut self, now_ms: u64, accepts: impl Fn(u64) -> bool) {
+        self.connections.retain(|pooled| accepts(pooled.idle_ms(now_ms)));
     }
 
     /// Adds a connection that is idle from now on, for `lifetime_ms` at most, or drops it if the pool is
@@ -69,7 +85,7 @@
 
     /// Drops the connections that have expired or were closed.
     pub fn prune(&mut self, now_ms: u64) {
-        self.connections.retain(|idle| idle.expires_ms > now_ms && idle.connection.is_reusable());
+        self.connections.retain(|pooled| pooled.is_usable(now_ms));
     }
 
     /// Returns the number of idle connections.
--- a/crates/routing/src/attempts.rs
+++ b/crates/routing/src/attempts.rs
@@ -21,12 +21,24 @@
 pub struct AttemptRules {
     /// Whether a request may run more than once.
     pub is_idempotent: bool,
-    /// The maximum number of servers on which an idempotent request may run.
+    /// The maximum number of servers on which an idempotent request may run. One server may run it
+    /// again.
     pub max_runs: u32,
     /// The maximum number of sends, including those that a server refused.
     pub max_sends: u32,
 }
 
+/// How the last send counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LastSend {
+    /// As a possible run of its own.
+    Run,
+    /// As one with the send before it, as both went to one server.
+    Again,
+    /// Not at all, as it resumed a run that was already counted.
+    Resumption,
+}
+
 /// The sends of one request.
 #[derive(Clone, Debug)]
 pub struct Attempts {
@@ -34,8 +46,7 @@
     sends: u32,
     /// The number of sends that have run or may have run.
     possible_runs: u32,
-    /// Whether the last send resumed a run that was already counted.
-    is_resumption: bool,
+    last_send: LastSend,
     /// Whether the limit on sends is lifted.
     is_owed: bool,
 }
@@ -43,7 +54,7 @@
 impl Attempts {
     /// Creates the record of a request that has not been sent yet.
     pub fn new(rules: AttemptRules) -> Self {
-        Self { rules, sends: 0, possible_runs: 0, is_resumption: false, is_owed: false }
+        Self { rules, sends: 0, possible_runs: 0, last_send: LastSend::Run, is_owed: false }
     }
 
     /// Whether the request may be sent now, to the first or to another server.
@@ -94,7 +105,24 @@
         assert!(self.may_send(), "a request is sent although it may not run again: {self:?}");
         self.sends += 1;
         self.possible_runs += 1;
-        self.is_resumption = false;
+        self.last_send = LastSend::Run;
+    }
+
+    /// Whether the request may be written again to the server of the last send, which may have run it.
+    pub fn may_send_again(&self) -> bool {
+        self.rules.is_idempotent && self.has_sends_left()
+    }
+
+    /// Records that the request is about to be written again to the server of the last send. Both count as
+    /// one run, since the limit on runs is one on servers.
+    ///
+    /// # Panics
+    ///
+    /// Panics if [`may_send_again`](Self::may_send_again) is false.
+    pub fn begin_again(&mut self) {
+        assert!(self.may_send_again(), "a request is sent again that may run once: {self:?}");
+        self.sends += 1;
+        self.last_send = LastSend::Again;
     }
 
     /// Records that the request is about to be written to a server that resumes a stopped run from
@@ -105,13 +133,15 @@
     /// Panics if the request has not been sent before.
     pub fn begin_resumption(&mut self) {
         assert!(self.possible_runs > 0, "a run is resumed that was never started: {self:?}");
-        self.is_resumption = true;
+        self.last_send = LastSend::Resumption;
     }
 
     /// Records that no byte of the last send was written.
     pub fn record_not_written(&mut self) {
-        if !self.is_resumption {
+        if self.last_send != LastSend::Resumption {
             self.sends -= 1;
+        }
+        if self.last_send == LastSend::Run {
             self.possible_runs -= 1;
         }
     }
@@ -119,7 +149,7 @@
     /// Records that the server of the last send responded that it has not run the request and will
     /// not run it.
     pub fn record_not_run(&mut self) {
-        if !self.is_resumption {
+        if self.last_send == LastSend::Run {
             self.possible_runs -= 1;
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod software;
 pub mod sources;
 pub mod speed;
+pub mod stale_connections;
 pub mod stopping;
 pub mod table;
 mod units;
--- a/crates/routing/tests/attempts.rs
+++ b/crates/routing/tests/attempts.rs
@@ -152,3 +152,35 @@
 
     assert!(!attempts.may_run() && !attempts.may_send());
 }
+
+/// Guards against a second send to the same server that uses up another server's turn, or that is allowed
+/// although it may run the request twice.
+#[test]
+fn a_send_to_the_same_server_counts_as_no_other_run() {
+    let mut repeatable = Attempts::new(rules(true, 2));
+    repeatable.begin();
+    assert!(repeatable.may_send_again());
+
+    repeatable.begin_again();
+    repeatable.record_not_run();
+
+    // The first send may have run it.
+    assert!(repeatable.may_have_run() && repeatable.may_send());
+    repeatable.begin();
+    assert!(!repeatable.may_send());
+    let mut once = Attempts::new(rules(false, 2));
+    once.begin();
+    assert!(!once.may_send_again());
+}
+
+/// Guards against sends to the same server that the limit on sends does not bind.
+#[test]
+fn sends_to_the_same_server_are_bounded() {
+    let mut attempts = Attempts::new(rules(true, 2));
+    attempts.begin();
+    for _ in 1..MAX_SENDS {
+        attempts.begin_again();
+    }
+
+    assert!(!attempts.may_send_again());
+}
