Make reads again whose kept connection was dropped, and calls that must not be repeated on fresh ones

What operators could see: with an engine that drops idle connections after less than the interval of the reads, each second report was not read (two failures in a row count as an engine that is gone), an order met a dropped connection and counted as unanswered, and a cache store was listed anew after each such break, which stalls it. A store of the platform that dropped connections would have failed up to four reads.

Cause: EngineClient, the followers of caches and the store's client each took an idle connection that looked open, and none made a read again.

Change: outbound::KeptConnection, which the three clients of one connection share in place of their own copies: a repeatable call whose kept connection breaks is made once more on a new one; any other call uses a kept one only within 100 ms of the last call. The store's client does the same for reads, and closes its other idle connections.

--- a/crates/gateway/src/cache_follow.rs
+++ b/crates/gateway/src/cache_follow.rs
@@ -15,7 +15,7 @@
     paths,
 };
 use samphirespread_logging::event;
-use samphirespread_outbound::Connection;
+use samphirespread_outbound::{CallLimits, KeptConnection, Repeatability};
 use samphirespread_routing::cache::Position;
 use slog::{info, warn};
 use tokio::{task::JoinSet, time};
@@ -77,10 +77,10 @@
 }
 
 async fn follow_one(core: Arc<Core>, address: SocketAddr) {
-    let mut follower = StoreFollower { core, address, connection: None };
+    let mut follower = StoreFollower { core, address, connection: KeptConnection::new(address) };
     loop {
         if follower.core.state().caches_pulled_from.is_some() {
-            follower.connection = None;
+            follower.connection = KeptConnection::new(address);
             time::sleep(Duration::from_millis(PULL_INTERVAL_MS)).await;
             continue;
         }
@@ -121,7 +121,7 @@
 struct StoreFollower {
     core: Arc<Core>,
     address: SocketAddr,
-    connection: Option<Connection>,
+    connection: KeptConnection,
 }
 
 impl StoreFollower {
@@ -177,10 +177,7 @@
 
     async fn call(&mut self, path: &str, waits: bool) -> Result<Bytes, FollowError> {
         let wait_ms = if waits { EVENTS_WAIT_MS } else { 0 };
-        // The connection is taken out, so that it is dropped if the call is cancelled.
-        let (connection, status, body) =
-            get(self.connection.take(), self.address, path, wait_ms).await?;
-        self.connection = Some(connection);
+        let (status, body) = get(&mut self.connection, path, wait_ms).await?;
         match status {
             StatusCode::OK => Ok(body),
             StatusCode::TOO_MANY_REQUESTS => Err(FollowError::TooMany),
@@ -189,28 +186,18 @@
     }
 }
 
-/// Makes a call on an idle connection if that is reusable, else on a new one. Returns the
-/// connection with the answer.
+/// Makes a call that asks the server to wait for that long.
 pub(crate) async fn get(
-    idle: Option<Connection>,
-    address: SocketAddr,
+    connection: &mut KeptConnection,
     path: &str,
     wait_ms: u64,
-) -> Result<(Connection, StatusCode, Bytes), FollowError> {
-    let mut connection = match idle.filter(Connection::is_reusable) {
-        Some(connection) => connection,
-        None => Connection::open(address, OPEN_TIMEOUT_MS)
-            .await
-            .map_err(|error| FollowError::failed(&error))?,
-    };
+) -> Result<(StatusCode, Bytes), FollowError> {
     let request = Request::get(path)
-        .header(header::HOST, address.to_string())
+        .header(header::HOST, connection.address().to_string())
         .header(WAIT_HEADER, wait_ms)
         .body(Full::new(Bytes::new()))
         .map_err(|error| FollowError::failed(&error))?;
-    let (status, body) = connection
-        .exchange(request, MAX_ANSWER_BYTES)
-        .await
-        .map_err(|error| FollowError::failed(&error))?;
-    Ok((connection, status, body))
+    let limits = CallLimits { open_ms: OPEN_TIMEOUT_MS, max_bytes: MAX_ANSWER_BYTES };
+    let response = connection.call(request, Repeatability::Repeatable, limits).await;
+    response.map_err(|error| FollowError::failed(&error))
 }
--- a/crates/gateway/src/cache_pull.rs
+++ b/crates/gateway/src/cache_pull.rs
@@ -6,7 +6,7 @@
 
 use http::StatusCode;
 use samphirespread_logging::event;
-use samphirespread_outbound::Connection;
+use samphirespread_outbound::KeptConnection;
 use samphirespread_routing::cache::{CacheUpdate, Position};
 use serde::{Deserialize, Serialize};
 use slog::{info, warn};
@@ -103,22 +103,22 @@
 
 struct Puller {
     core: Arc<Core>,
-    /// The address of the router that follows the stores, and an idle connection to it.
-    connection: Option<(SocketAddr, Connection)>,
+    /// A connection to the router that follows the stores.
+    connection: Option<KeptConnection>,
 }
 
 impl Puller {
     async fn step(&mut self, address: SocketAddr) -> Result<(), FollowError> {
-        let idle = self.connection.take().filter(|(to, _)| *to == address);
-        let idle = idle.map(|(_, connection)| connection);
         let path = format!("{VIEWS_PATH}?stores={}", self.known().stores);
-        let (connection, status, body) = get(idle, address, &path, 0).await?;
+        let kept = self.connection.take().filter(|kept| kept.address() == address);
+        let connection =
+            self.connection.insert(kept.unwrap_or_else(|| KeptConnection::new(address)));
+        let (status, body) = get(connection, &path, 0).await?;
         if status != StatusCode::OK {
             return Err(FollowError::Failed(format!("status {}", status.as_u16())));
         }
         let views: Vec<View> =
             serde_json::from_slice(&body).map_err(|error| FollowError::failed(&error))?;
-        self.connection = Some((address, connection));
         self.apply_views(views);
         Ok(())
     }
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -23,9 +23,11 @@
 //! knows how long its own caller waits.
 
 mod connection;
+mod kept;
 mod pool;
 
 pub use crate::{
     connection::{Connection, ExchangeLimits, OpenError, SendError},
+    kept::{CallError, CallLimits, KeptConnection, Repeatability},
     pool::{IdleConnection, IdleLimits, IdlePool},
 };
--- a/crates/standin/src/published/objects/mod.rs
+++ b/crates/standin/src/published/objects/mod.rs
@@ -247,6 +247,12 @@
         self.server.silence_open_connections();
     }
 
+    /// Drops connections that were idle for that many milliseconds, without notice: what arrives on one
+    /// next resets it unread. `None` keeps them.
+    pub fn drop_idle_after(&self, after_ms: Option<u64>) {
+        self.server.drop_idle_after(after_ms);
+    }
+
     /// Delays every answer.
     pub fn set_slow_ms(&self, slow_ms: u64) {
         self.server.set_slow_ms(slow_ms);
