--- a/crates/gateway/src/relocate.rs
+++ b/crates/gateway/src/relocate.rs
@@ -570,10 +570,11 @@
     state.fleet.get(id).is_some_and(|server| !server.declines(now) && !is_loading(server))
 }
 
-/// Whether runs may be moved to an engine. One that limits requests is in need.
+/// Whether runs may be moved to an engine. One that limits requests is in need, and one whose sidecar gets
+/// no answer would lose them.
 fn takes_moved_runs(state: &State, server: &Server, now: MonoTime) -> bool {
     let is_limited = state.server_limits.rate(server.run_tag()).is_some();
-    select::is_eligible(state, server, &[], now) && !is_limited
+    select::is_eligible(state, server, &[], now) && !is_limited && !server.is_reported_gone(now)
 }
 
 fn log_outcome(
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod fleet;
 mod foreign_entries;
 mod limits;
+mod move_destinations;
 mod moves;
 mod odd_entries;
 mod old_weights;
--- a/crates/gateway/tests/gateway/moves.rs
+++ b/crates/gateway/tests/gateway/moves.rs
@@ -21,7 +21,7 @@
 
 /// Starts a site where each engine streams its next request until the run is moved. `copies` says
 /// how an engine behaves at calls to copy a run.
-async fn site(copies: &[CopyBehaviour]) -> Site {
+pub(super) async fn site(copies: &[CopyBehaviour]) -> Site {
     let site = start_site(moving_configuration()).await;
     for number in 0..WARM_UP_REQUESTS {
         site.send(generation("/stream/a", &format!("before{number}"))).await;
@@ -33,7 +33,7 @@
     site
 }
 
-fn engines(site: &Site) -> &[Worker] {
+pub(super) fn engines(site: &Site) -> &[Worker] {
     &site.workers[2..]
 }
 
@@ -73,7 +73,7 @@
 }
 
 /// The messages of the request whose run is moved that an engine received.
-fn received(engine: &Worker) -> Vec<Received> {
+pub(super) fn received(engine: &Worker) -> Vec<Received> {
     engine.received().into_iter().filter(|received| received.request_id() == "q1").collect()
 }
 
@@ -82,7 +82,7 @@
     ids.map(|id| id.parse().unwrap()).collect()
 }
 
-fn assert_contiguous(answer: &Answer) {
+pub(super) fn assert_contiguous(answer: &Answer) {
     let ids = event_ids(answer);
     let expected: Vec<u64> = (1..=u64::try_from(ids.len()).unwrap()).collect();
     assert_eq!(ids, expected);
