Soak: servers that drop idle connections, and a promise about requests nobody has read

In half of the drawn plans, planned work too, some or all servers now drop connections that were idle for 0.12 to 1.5 s, in rounds that may overlap; sound servers may do so, so this explains nothing. The new promise: a 502 for a request that reached no server, while neither its gateway nor a server is disturbed, is allowed twice a gateway for each time that servers begin to drop connections, and three times more.

--- a/crates/soak/src/checker/mod.rs
+++ b/crates/soak/src/checker/mod.rs
@@ -7,6 +7,7 @@
 mod repeats;
 mod rollouts;
 mod runs;
+mod unread;
 
 use std::collections::BTreeMap;
 
@@ -63,6 +64,9 @@
     OneOrderer,
     /// a request is answered, and in time
     Answered,
+    /// a request that no server has read is not said to have run, but the first ones that meet a dropped
+    /// connection
+    Unread,
     /// planned work ends no accepted request without an answer
     Lost,
     /// a gateway stays within the memory of its machine
@@ -165,6 +169,7 @@
     answers::check(&seen, &mut broken);
     changes::check(&seen, &mut broken);
     lost::check(&seen, &mut broken);
+    unread::check(&seen, &mut broken);
     repeats::check(&seen, &mut broken);
     rollouts::check(&seen, &mut broken);
     overload::check(&seen, &mut broken);
--- a/crates/soak/src/history/mod.rs
+++ b/crates/soak/src/history/mod.rs
@@ -360,6 +360,8 @@
         /// Requests in a second, of all gateways together.
         per_s: Option<f64>,
     },
+    /// A server drops connections that are idle for a time.
+    DropsIdle(String),
     /// New weights were named.
     Weights(u64),
     /// Streams end after this many milliseconds.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -264,7 +264,7 @@
 }
 
 /// All promises, for those who list them.
-pub const PROMISES: [Promise; 28] = [
+pub const PROMISES: [Promise; 29] = [
     Promise::Memory,
     Promise::Repeats,
     Promise::OldWeights,
@@ -290,6 +290,7 @@
     Promise::OneOrderer,
     Promise::Answered,
     Promise::Lost,
+    Promise::Unread,
     Promise::Recovery,
     Promise::Starved,
     Promise::OverloadEnds,
--- a/crates/soak/src/plan/mod.rs
+++ b/crates/soak/src/plan/mod.rs
@@ -2,6 +2,7 @@
 
 mod drills;
 mod foreign;
+mod idle;
 mod large;
 mod limits;
 mod overload;
@@ -221,6 +222,13 @@
         /// How many requests.
         requests: usize,
     },
+    /// A backend server drops connections that were idle for a time, without notice.
+    ServerDropsIdle {
+        /// The server.
+        server: usize,
+        /// How long a connection was idle.
+        after_ms: u64,
+    },
     /// A backend server names a limit on the requests of all gateways.
     ServerLimits {
         /// The server.
@@ -300,6 +308,7 @@
         faults.extend(work::draw(seed, CALM_AT_START_MS..last_ms, work::Pace::Rare, size));
         faults.extend(rollout::draw(seed, CALM_AT_START_MS..last_ms, size));
         faults.extend(foreign::draw(seed, CALM_AT_START_MS..last_ms, size));
+        faults.extend(idle::draw(seed, CALM_AT_START_MS..last_ms, size));
         Self::new(seed, length_ms, size, faults)
     }
 
@@ -309,7 +318,8 @@
         let mut faults = work::draw(seed, span.clone(), work::Pace::Dense, size);
         faults.extend(pressure::draw_late_beginnings(seed, span.clone(), size));
         faults.extend(rollout::draw(seed, span.clone(), size));
-        faults.extend(foreign::draw(seed, span, size));
+        faults.extend(foreign::draw(seed, span.clone(), size));
+        faults.extend(idle::draw(seed, span, size));
         Self::new(seed, length_ms, size, faults)
     }
 
--- a/crates/soak/src/site/faults.rs
+++ b/crates/soak/src/site/faults.rs
@@ -105,6 +105,7 @@
             | Fault::ServerRefuses { server, .. }
             | Fault::ServerBeginsLate { server, .. }
             | Fault::ServerNeverEnds { server, .. }
+            | Fault::ServerDropsIdle { server, .. }
             | Fault::ServerDrains(server)
             | Fault::EntryLapses(server)
             | Fault::AddressReused { server, .. } => {
@@ -149,6 +150,9 @@
             | Fault::ServerNeverEnds { server, .. } => {
                 self.servers[*server].worker.expect_nothing();
             }
+            Fault::ServerDropsIdle { server, .. } => {
+                self.servers[*server].worker.drop_idle_after(None);
+            }
             Fault::ServerLimits { server, .. } => self.set_limit(*server, None),
             Fault::ServerDrains(server) | Fault::EntryLapses(server) => {
                 self.write_entry(*server, "ready");
@@ -297,7 +301,7 @@
             Fault::ServerNeverEnds { requests, .. } => {
                 self.servers[index].worker.expect(vec![Behaviour::Endless; *requests]);
             }
-            // Both are what a sound server may do, so they explain nothing.
+            // What a sound server may do explains nothing.
             Fault::ServerRefuses { requests, .. } => {
                 self.servers[index].worker.expect(vec![Behaviour::Refuse; *requests]);
                 return;
@@ -307,6 +311,11 @@
                 self.servers[index].worker.expect(late);
                 return;
             }
+            Fault::ServerDropsIdle { after_ms, .. } => {
+                self.servers[index].worker.drop_idle_after(Some(*after_ms));
+                self.change(Changed::DropsIdle(id));
+                return;
+            }
             Fault::ServerDrains(_) => {
                 self.write_entry(index, "draining");
                 self.change(Changed::Draining(id.clone()));
--- a/crates/soak/tests/checker/main.rs
+++ b/crates/soak/tests/checker/main.rs
@@ -4,6 +4,7 @@
 mod lost;
 mod overload;
 mod rollouts;
+mod unread;
 
 use std::collections::BTreeSet;
 
--- a/crates/soak/tests/plan.rs
+++ b/crates/soak/tests/plan.rs
@@ -46,6 +46,25 @@
     assert!(qualities.iter().any(|quality| matches!(quality, Quality::Slow { .. })));
 }
 
+/// Guards against a draw without servers that drop idle connections, beside other faults and beside planned
+/// work alone, or without short and long times until they do.
+#[test]
+fn plans_have_servers_that_drop_idle_connections() {
+    let size = Size { gateways: 3, engines: 4, desks: 3 };
+    for draw in [Plan::draw, Plan::draw_work] {
+        let faults = (0..50).flat_map(|seed| draw(seed, LENGTH_MS, size).faults);
+        let after_ms: Vec<u64> = faults
+            .filter_map(|planned| match planned.fault {
+                Fault::ServerDropsIdle { after_ms, .. } => Some(after_ms),
+                _ => None,
+            })
+            .collect();
+
+        assert!(after_ms.iter().any(|after_ms| *after_ms < 400));
+        assert!(after_ms.iter().any(|after_ms| *after_ms > 1_000));
+    }
+}
+
 /// Guards against a draw that leaves out one kind of entry of another writer, or entries that stay.
 #[test]
 fn plans_have_entries_of_another_writer_of_all_kinds() {
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -71,6 +71,33 @@
     soak(&plan).await;
 }
 
+/// Requests met connections that their servers had dropped, and got 502 although nobody had read them; runs
+/// were stopped and lost in the same way (issue 62).
+#[tokio::test]
+async fn servers_that_drop_idle_connections_lose_no_request_around_planned_work() {
+    let size = Size { gateways: 3, engines: 4, desks: 3 };
+    let drops = (0..size.engines + size.desks).map(|server| Planned {
+        at_ms: 6_000,
+        for_ms: 9_000,
+        fault: Fault::ServerDropsIdle { server, after_ms: 300 },
+    });
+    let stops = (0..).zip(0..size.gateways).map(|(number, gateway)| Planned {
+        at_ms: 8_000 + 1_500 * number,
+        for_ms: 0,
+        fault: Fault::Leaves(Process::Gateway(gateway)),
+    });
+    let drains = [0, 5].map(|server| Planned {
+        at_ms: 9_000,
+        for_ms: 3_000,
+        fault: Fault::ServerDrains(server),
+    });
+    let mut faults: Vec<Planned> = drops.chain(stops).chain(drains).collect();
+    faults.sort_by_key(|planned| planned.at_ms);
+    let plan = Plan { faults, ..Plan::draw_work(62, WORK_LENGTH_MS, size) };
+
+    soak(&plan).await;
+}
+
 /// A drain that had ended was remembered, so that its engine was neither used nor loaded. Two
 /// software versions, streams that callers take up, and large configurations on narrow paths.
 #[tokio::test]
