--- a/crates/gateway/tests/gateway/service_rollouts.rs
+++ b/crates/gateway/tests/gateway/service_rollouts.rs
@@ -122,6 +122,29 @@
     assert_eq!(status(&site), json!({ "state": "rolled_back", "to": "v2" }));
 }
 
+/// Guards against a sound version that is withdrawn as its servers drop idle connections, and requests that
+/// meet one count as bad answers.
+#[tokio::test]
+async fn a_sound_version_whose_servers_drop_idle_connections_is_released() {
+    let site = site().await;
+    let new = order(&site, 6);
+    for worker in &new {
+        worker.drop_idle_after(Some(120));
+    }
+    let has_verdict = || status(&site)["state"] != "running" && !status(&site).is_null();
+
+    for round in 0..200 {
+        if has_verdict() {
+            break;
+        }
+        call_many(&site.gateway, &format!("u{round}-"), 20).await;
+        // In this time, all idle connections to them are dropped.
+        time::sleep(Duration::from_millis(150)).await;
+    }
+
+    assert_eq!(status(&site)["state"], "completed", "{}", status(&site));
+}
+
 /// Guards against a sound version that is not released in its time, and against requests to servers
 /// that stop at that moment.
 #[tokio::test]
