--- a/crates/gateway/src/relocate.rs
+++ b/crates/gateway/src/relocate/mod.rs
@@ -3,39 +3,30 @@
 //! A run is moved by the router that relays its stream, as only that router can splice the stream.
 //! It may send the request to another engine once the source has answered that the run has stopped.
 
-use std::{collections::HashSet, net::SocketAddr, sync::Arc};
+mod calls;
+mod plan;
+mod stop_check;
+
+use std::sync::Arc;
 
-use samphirespread_adapter::{EngineClient, engine::RunCopy, headers::EngineInstructions};
 use samphirespread_core::prelude::*;
-use samphirespread_logging::event;
-use samphirespread_routing::{
-    cache_scope::CacheScope,
-    crash_causes::CauseKey,
-    destinations::{Destination, RunToMove, choose_destination},
-    model::{Generation, Service, ServiceName},
-    relocation::{Answer, Place, Relocation, Step as MoveStep},
-    rollout::NamedVersions,
-    software::SoftwareTag,
-    stopping::{Stay, StopFacts, may_stop},
-};
-use samphirespread_settings::Mechanism;
-use slog::info;
+use samphirespread_routing::relocation::{Place, Relocation, Step as MoveStep};
 use tokio::sync::oneshot;
 
+use self::{
+    calls::{Source, execute_move},
+    plan::{Plan, plan_move, run_to_move},
+    stop_check::StopCheck,
+};
 use crate::{
     active_request::{ActiveRequest, RepeatSetAside},
-    conduct, crashes,
     fleet::Server,
     gateway::Core,
     metrics::count,
     request_log::{LeftRun, Step},
-    select::{self, Selected, StoppedRun},
-    state::State,
+    select::{Selected, StoppedRun},
 };
 
-/// Timeout of a call to copy a run's memory. It allows for waiting, as one engine copies its runs
-/// one after the other.
-const COPY_CALL_TIMEOUT_MS: u64 = 1_000;
 /// Minimum time between two tries to move one run.
 const RETRY_INTERVAL_MS: u64 = 150;
 /// Maximum number of tries to move one run off one engine.
@@ -100,13 +91,6 @@
     Done(Relocation),
 }
 
-/// The engine that a run is moved off.
-#[derive(Clone, Debug)]
-struct Source {
-    id: Arc<str>,
-    address: SocketAddr,
-}
-
 impl Moves {
     /// Begins to move the run if its engine is about to load weights or leaves, and another engine
     /// can take the run.
@@ -292,256 +276,6 @@
     }
 }
 
-/// Whether and how a run is to be moved.
-enum Plan {
-    None,
-    /// The run is to be moved, but no engine can take it now.
-    NoDestination,
-    /// The run is to be moved from the first engine to the second.
-    Move(Box<(Selected, Selected)>),
-}
-
-fn plan_move(request: &ActiveRequest, server: &Arc<str>, now: MonoTime) -> Plan {
-    let Some((service, generation)) = request.service().zip(request.facts.generation.as_ref())
-    else {
-        return Plan::None;
-    };
-    let moves_runs = service.engine.is_some_and(|engine| engine.moves_runs)
-        && request.core.settings.decisions.uses(Mechanism::Relocations);
-    let state = request.core.state();
-    let Some(source) = state.fleet.get(server).filter(|_| moves_runs) else { return Plan::None };
-    if !source.is_leaving() && !source.fresh_state(now).is_some_and(|state| state.is_loading) {
-        return Plan::None;
-    }
-    let Some(version) = source.version(&generation.model) else { return Plan::None };
-    let to_move = run_to_move(&state, generation, version, now);
-    let destination = destination(&state, service, &generation.model, source, &to_move, now);
-    let Some(destination) = destination else { return Plan::NoDestination };
-    let scope = state.cache_scope(&request.grant, now);
-    if !request.is_run_in(&scope) {
-        return Plan::None;
-    }
-    let selected_for = |server: &Server| Selected {
-        is_near: *server.entry.failure_domain == *request.core.member.failure_domain,
-        ..selected(&state, service, server, version, &scope)
-    };
-    Plan::Move(Box::new((selected_for(source), selected_for(destination))))
-}
-
-fn run_to_move(state: &State, generation: &Generation, version: u64, now: MonoTime) -> RunToMove {
-    RunToMove {
-        version,
-        oldest_allowed: select::oldest_allowed(state, &generation.model, now),
-        footprint_tokens: generation.footprint_tokens(),
-    }
-}
-
-fn destination<'a>(
-    state: &'a State,
-    service: &Service,
-    model: &ModelName,
-    source: &Server,
-    to_move: &RunToMove,
-    now: MonoTime,
-) -> Option<&'a Server> {
-    let takers = takers(state, model, to_move.version, now);
-    let servers: Vec<&Server> = state.fleet.of_service(&service.name).collect();
-    let host = |server: &&Server| {
-        let takes_requests = server.entry.id != source.entry.id
-            && server.software == source.software
-            && takes_moved_runs(state, server, now)
-            && !server.suspicion.is_avoided(now);
-        if !takes_requests {
-            return None;
-        }
-        // An engine without a fresh report counts as empty; it refuses runs it has no room for.
-        let reported = server.fresh_state(now);
-        Some(Destination {
-            version: server.version(model)?,
-            is_far: server.entry.failure_domain != source.entry.failure_domain,
-            loads_soon: takers.as_ref().is_some_and(|takers| !takers.contains(&server.entry.id)),
-            used_tokens: reported.map_or(0, |state| state.used_tokens) + server.sent_tokens(),
-            memory_tokens: reported.map_or(u64::MAX, |state| state.memory_tokens),
-            waiting: reported.map_or(0, |state| state.waiting),
-            free_slots: server
-                .entry
-                .slots
-                .saturating_sub(reported.map_or(0, |state| state.running)),
-        })
-    };
-    let hosts: Vec<Option<Destination>> = servers.iter().map(host).collect();
-    choose_destination(&hosts, to_move).map(|index| servers[index])
-}
-
-/// The engines that may take over runs on a version, or `None` if no engine that holds it is to load,
-/// so that all may.
-fn takers(
-    state: &State,
-    model: &ModelName,
-    version: u64,
-    now: MonoTime,
-) -> Option<HashSet<Arc<str>>> {
-    let newest = state.weights.get(model).map_or(0, NamedVersions::newest);
-    (version < newest).then(|| conduct::takers_of_runs(state, model, version, newest, now))
-}
-
-/// What decides whether a run may be stopped. It is checked before the memory is copied and again
-/// right before the stop.
-#[derive(Clone, Debug)]
-struct StopCheck {
-    service: ServiceName,
-    model: ModelName,
-    version: u64,
-    source: Arc<str>,
-    destination: Arc<str>,
-    /// The version of the software that began the stream.
-    software: SoftwareTag,
-    /// Whether the request allows a new run.
-    may_resume: bool,
-    has_repeat: bool,
-    /// When the answer to the request is due.
-    deadline: MonoTime,
-    /// What in the request may crash servers.
-    causes: Vec<CauseKey>,
-}
-
-impl StopCheck {
-    fn new(
-        request: &ActiveRequest,
-        source: &Selected,
-        destination: &Selected,
-        has_repeat: bool,
-    ) -> Option<Self> {
-        let (service, generation) = request.service().zip(request.facts.generation.as_ref())?;
-        Some(Self {
-            service: service.name.clone(),
-            model: generation.model.clone(),
-            version: source.engine.as_ref()?.version?,
-            source: source.id.clone(),
-            destination: destination.id.clone(),
-            software: source.software,
-            may_resume: request.may_resume(),
-            has_repeat,
-            deadline: request.deadline,
-            causes: request.possible_causes().iter().map(|cause| cause.key).collect(),
-        })
-    }
-
-    fn decide(&self, core: &Core, now: MonoTime) -> Result<(), Stay> {
-        let state = &core.state();
-        let takers = takers(state, &self.model, self.version, now);
-        let loads_soon = takers.as_ref().is_some_and(|takers| !takers.contains(&self.destination));
-        let takes_runs = |server: &Server| {
-            takes_moved_runs(state, server, now)
-                && server.version(&self.model) == Some(self.version)
-        };
-        let source = state.fleet.get(&self.source);
-        let is_allowed = self.version >= select::oldest_allowed(state, &self.model, now);
-        may_stop(&StopFacts {
-            destination_takes_runs: is_allowed
-                && !loads_soon
-                && state.fleet.get(&self.destination).is_some_and(takes_runs),
-            newer_weights_named: takers.is_some(),
-            source_leaves: source.is_none_or(Server::is_leaving),
-            may_resume: self.may_resume && !crashes::is_suspected(state, &self.causes),
-            has_repeat: self.has_repeat,
-            has_third_server: self.has_third_server(state, now),
-            has_time: core.drain.due(self.deadline) == self.deadline,
-        })
-    }
-
-    fn has_third_server(&self, state: &State, now: MonoTime) -> bool {
-        let oldest_allowed = select::oldest_allowed(state, &self.model, now);
-        let both = [self.source.clone(), self.destination.clone()];
-        state.fleet.of_service(&self.service).any(|server| {
-            takes_moved_runs(state, server, now)
-                && server.software == self.software
-                && !both.contains(&server.entry.id)
-                && !server.suspicion.is_avoided(now)
-                && server.version(&self.model).is_some_and(|version| version >= oldest_allowed)
-        })
-    }
-}
-
-fn selected(
-    state: &State,
-    service: &Service,
-    server: &Server,
-    version: u64,
-    scope: &CacheScope,
-) -> Selected {
-    Selected {
-        id: server.entry.id.clone(),
-        address: server.entry.address,
-        engine: Some(EngineInstructions {
-            version: Some(version),
-            salt: scope.salt(version),
-            fetch_from: None,
-            save_to: None,
-        }),
-        software: server.software,
-        max_connections: select::max_connections(state, service, server),
-        part_keys: Vec::new(),
-        read_tokens: 0,
-        expected: None,
-        is_near: false,
-        leave_ratio: None,
-        last_report: None,
-        started_unix_ms: server.entry.started_unix_ms,
-        stopped_run: None,
-        step: Step::RunContinued { server: server.entry.id.clone() },
-    }
-}
-
-/// Makes the calls to the source. If nobody waits for the outcome, a copy that was made is freed.
-async fn execute_move(
-    core: Arc<Core>,
-    source: Source,
-    destination: Selected,
-    check: StopCheck,
-    request_id: String,
-    outcome: oneshot::Sender<Relocation>,
-) {
-    let mut client = EngineClient::new(source.address, COPY_CALL_TIMEOUT_MS);
-    let mut relocation = Relocation::new();
-    loop {
-        let stops = match relocation.step() {
-            MoveStep::Copy => false,
-            MoveStep::Stop => true,
-            _ => break,
-        };
-        let may_stop = || check.decide(&core, core.now()).is_ok();
-        if outcome.is_closed() || (stops && !may_stop()) {
-            relocation.record_withdrawal();
-            continue;
-        }
-        let copy = RunCopy { request_id: &request_id, destination: destination.address, stops };
-        if stops && !check.may_resume {
-            // Without the answer, the run is lost if it was stopped.
-            let left_ms = check.deadline.ms_since(core.now()).max(COPY_CALL_TIMEOUT_MS);
-            client = EngineClient::new(source.address, left_ms);
-        }
-        let answer = client.copy_run(&source.id, &copy).await.unwrap_or_else(|error| {
-            info!(core.log, "{}", event::RUN_NOT_COPIED; "request" => &request_id, "server" => &*source.id,
-                "to" => &*destination.id, "stops" => stops, "error" => %error);
-            Answer::Unknown
-        });
-        relocation.record_answer(answer);
-    }
-    let step = relocation.step();
-    log_outcome(&core, &request_id, &source, &destination, &step);
-    let unused = match (step, outcome.send(relocation)) {
-        (MoveStep::Stay { release }, _) => release,
-        (MoveStep::Resume { handle, .. }, Err(_)) => Some(handle),
-        _ => None,
-    };
-    let Some(handle) = unused else { return };
-    if let Err(error) = client.release_copy(&source.id, &handle).await {
-        info!(core.log, "{}", event::COPY_NOT_FREED; "request" => &request_id, "server" => &*source.id,
-            "error" => %error);
-    }
-}
-
 /// Whether a destination that has refused a stopped run may still take it: it neither leaves nor
 /// loads, and its weights are those of the run.
 pub(crate) fn may_still_take(request: &ActiveRequest, destination: &Selected) -> bool {
@@ -569,28 +303,3 @@
         |server: &Server| server.fresh_state(now).is_some_and(|state| state.is_loading);
     state.fleet.get(id).is_some_and(|server| !server.declines(now) && !is_loading(server))
 }
-
-/// Whether runs may be moved to an engine. One that limits requests is in need, and one whose sidecar gets
-/// no answer would lose them.
-fn takes_moved_runs(state: &State, server: &Server, now: MonoTime) -> bool {
-    let is_limited = state.server_limits.rate(server.run_tag()).is_some();
-    select::is_eligible(state, server, &[], now) && !is_limited && !server.is_reported_gone(now)
-}
-
-fn log_outcome(
-    core: &Core,
-    request_id: &str,
-    source: &Source,
-    destination: &Selected,
-    step: &MoveStep,
-) {
-    let outcome = match step {
-        MoveStep::Resume { place: Place::Destination, .. } => "stopped",
-        MoveStep::Resume { place: Place::Source, .. } => "given_back",
-        MoveStep::Stay { .. } => "stays",
-        _ => "unknown",
-    };
-    count(&core.metrics.moves, outcome);
-    info!(core.log, "{}", event::RUN_COPIED; "request" => request_id, "server" => &*source.id,
-        "to" => &*destination.id, "outcome" => outcome);
-}
