Move the runs of one engine in turns

Cause: a router began to copy all runs of the engine at once. The engine copies one after the other, so the call that stops a run waited behind the first copies of all others, with the run stopped; calls that had waited for 1 s were given up, and made again behind the copies that nobody waited for.

A router now moves two runs off an engine at once, in the order in which the moves begin, and looks again before the first copy whether the run may still be moved. Two, so that the engine copies one while the other is between its calls: a stop waits for one copy at most. Ruled out: a shorter timeout of the calls, which would not take the copies out of the engine's queue.

--- a/crates/gateway/src/relocate/calls.rs
+++ b/crates/gateway/src/relocate/calls.rs
@@ -8,7 +8,7 @@
 use slog::info;
 use tokio::sync::oneshot;
 
-use super::stop_check::StopCheck;
+use super::{stop_check::StopCheck, turns::Turn};
 use crate::{gateway::Core, metrics::count, select::Selected};
 
 /// Timeout of a call to copy a run's memory. It allows for waiting, as one engine copies its runs
@@ -29,8 +29,9 @@
     destination: Selected,
     check: StopCheck,
     request_id: String,
-    outcome: oneshot::Sender<Relocation>,
+    mut outcome: oneshot::Sender<Relocation>,
 ) {
+    let _turn = wait_for_turn(&core, &source, &mut outcome).await;
     let mut client = EngineClient::new(source.address, COPY_CALL_TIMEOUT_MS);
     let mut relocation = Relocation::new();
     loop {
@@ -39,8 +40,7 @@
             Step::Stop => true,
             _ => break,
         };
-        let may_stop = || check.decide(&core, core.now()).is_ok();
-        if outcome.is_closed() || (stops && !may_stop()) {
+        if outcome.is_closed() || check.decide(&core, core.now()).is_err() {
             relocation.record_withdrawal();
             continue;
         }
@@ -71,6 +71,20 @@
     }
 }
 
+/// Waits until the run may be moved off its engine. Returns `None` if nobody waits for the outcome any more.
+async fn wait_for_turn(
+    core: &Core,
+    source: &Source,
+    outcome: &mut oneshot::Sender<Relocation>,
+) -> Option<Turn> {
+    let turns = core.state().move_turns.at(&source.id);
+    tokio::select! {
+        biased;
+        () = outcome.closed() => None,
+        turn = turns.acquire_owned() => turn.ok(),
+    }
+}
+
 fn log_outcome(
     core: &Core,
     request_id: &str,
--- a/crates/gateway/src/relocate/mod.rs
+++ b/crates/gateway/src/relocate/mod.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod plan;
 mod stop_check;
+mod turns;
 
 use std::sync::Arc;
 
@@ -13,6 +14,7 @@
 use samphirespread_routing::relocation::{Place, Relocation, Step as MoveStep};
 use tokio::sync::oneshot;
 
+pub(crate) use self::turns::MoveTurns;
 use self::{
     calls::{Source, execute_move},
     plan::{Plan, plan_move, run_to_move},
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -41,6 +41,7 @@
     named_weights::NamedWeights,
     orders::Permit,
     reads::Reads,
+    relocate::MoveTurns,
     rollout::Rollouts,
     routers::RouterEntry,
     select::DomainTraffic,
@@ -115,6 +116,8 @@
     pub(crate) crash_causes: CrashCauses,
     /// Runs that servers broke off, until it is known whether they have crashed.
     pub(crate) broken_runs: BrokenRuns,
+    /// The runs that are moved off engines.
+    pub(crate) move_turns: MoveTurns,
     /// Runs of servers that crashed during a request of this router, and when it learned that.
     pub(crate) crashed_runs: HashMap<ServerRun, MonoTime>,
     /// The teams' quotas and what they have used of them.
@@ -322,6 +325,7 @@
             server_limits: ServerLimits::new(server_limits::holder(&own)),
             crash_causes: CrashCauses::new(own.name.clone()),
             broken_runs: BrokenRuns::default(),
+            move_turns: MoveTurns::default(),
             crashed_runs: HashMap::new(),
             quotas: quotas(settings, now),
             retries: HashMap::new(),
--- a/crates/gateway/tests/gateway/moves.rs
+++ b/crates/gateway/tests/gateway/moves.rs
@@ -10,7 +10,7 @@
 
 use crate::support::{Answer, Site, configuration, eventually, generation, start_site};
 
-fn moving_configuration() -> Value {
+pub(super) fn moving_configuration() -> Value {
     let mut configuration = configuration();
     configuration["services"][1]["engine"]["moves"] = json!(true);
     configuration
--- a/crates/standin/src/published/worker/generation.rs
+++ b/crates/standin/src/published/worker/generation.rs
@@ -34,7 +34,7 @@
     pub event_ms: u64,
     /// Time to load weights, after the runs have ended.
     pub load_ms: u64,
-    /// Time of each call that copies a run's memory.
+    /// Time of each call that copies a run's memory. An engine makes one copy after the other.
     pub copy_ms: u64,
     /// The copies of all engines that move runs to each other.
     pub copies: Copies,
@@ -164,7 +164,9 @@
     if copied.stops {
         stopped.cancel();
     }
+    let link = inner.link.lock().await;
     time::sleep(Duration::from_millis(pace.copy_ms)).await;
+    drop(link);
     let handle = {
         let mut state = inner.lock();
         state.copied.push(copied.clone());
--- a/crates/standin/src/published/worker/mod.rs
+++ b/crates/standin/src/published/worker/mod.rs
@@ -52,6 +52,8 @@
     config: WorkerConfig,
     /// Set right after the start.
     server: OnceLock<Weak<Server>>,
+    /// Held while the memory of a run is copied.
+    link: tokio::sync::Mutex<()>,
     state: Mutex<WorkerState>,
 }
 
@@ -97,7 +99,12 @@
     pub fn start(config: WorkerConfig) -> io::Result<Self> {
         let version = config.model.as_ref().map_or(0, |(_, version)| *version);
         let state = WorkerState { version, ..WorkerState::default() };
-        let inner = Arc::new(Inner { config, server: OnceLock::new(), state: Mutex::new(state) });
+        let inner = Arc::new(Inner {
+            config,
+            server: OnceLock::new(),
+            link: tokio::sync::Mutex::default(),
+            state: Mutex::new(state),
+        });
         let router = Router::new().fallback(serve).with_state(inner.clone());
         let server = Arc::new(Server::start(router)?);
         inner.server.get_or_init(|| Arc::downgrade(&server));
