--- a/crates/gateway/src/fleet/mod.rs
+++ b/crates/gateway/src/fleet/mod.rs
@@ -179,7 +179,10 @@
         }
         if server.entry.availability != entry.availability {
             server.availability_since = Some(now);
-            server.drains_elsewhere_until = MonoTime::ZERO;
+            match entry.availability {
+                Availability::Ready => server.end_drain(),
+                Availability::Draining => server.record_drain(now),
+            }
         }
         if server.entry.cold_ms != entry.cold_ms {
             server.warm_from = now.plus_ms(entry.cold_ms);
@@ -192,7 +195,13 @@
             self.unlisted.extend(former.load());
         }
         let mut server = Server::new(entry, now);
-        server.said_leaving = self.departures.contains_key(&server.run());
+        if let Some(known) = self.departures.get(&server.run()) {
+            server.said_leaving = true;
+            server.record_drain(known.since);
+        }
+        if server.is_leaving() {
+            server.record_drain(now);
+        }
         if let Some(load) = self.unlisted.remove(&server.run_tag) {
             server.in_flight = load.in_flight;
             server.unread_tokens = load.unread_tokens;
@@ -255,6 +264,10 @@
             return false;
         };
         let is_news = !server.declines(now);
+        if server.drains_since(now).is_none() {
+            server.end_drain();
+            server.record_drain(now);
+        }
         server.drains_elsewhere_until = now.plus_ms(LISTED_DEPARTURE_LIFETIME_MS);
         is_news
     }
@@ -279,8 +292,11 @@
         source: DepartureSource,
         now: MonoTime,
     ) -> bool {
-        if let Some(server) = self.servers.get_mut(&departure.id) {
-            server.said_leaving |= server.run() == departure;
+        if let Some(server) = self.servers.get_mut(&departure.id)
+            && server.run() == departure
+        {
+            server.said_leaving = true;
+            server.record_drain(now);
         }
         match self.departures.entry(departure) {
             Entry::Occupied(_) => false,
--- a/crates/gateway/src/fleet/server.rs
+++ b/crates/gateway/src/fleet/server.rs
@@ -64,6 +64,8 @@
     pub(crate) rests_until: MonoTime,
     /// Another router has it on its list as draining, until then. By then this router has the list.
     pub(super) drains_elsewhere_until: MonoTime,
+    /// When this router first knew that it drains, if it does.
+    drains_since: Option<MonoTime>,
     /// When it is no longer slow after its start.
     pub(super) warm_from: MonoTime,
     /// When the list was first seen with the availability that it has now, if it had another before.
@@ -107,6 +109,7 @@
             said_leaving: false,
             rests_until: MonoTime::ZERO,
             drains_elsewhere_until: MonoTime::ZERO,
+            drains_since: None,
             availability_since: None,
             parts: HashMap::new(),
         }
@@ -117,6 +120,23 @@
         self.is_leaving() || now < self.rests_until.max(self.drains_elsewhere_until)
     }
 
+    /// Records that it drains, according to the list, to its answers or to another router.
+    pub(super) fn record_drain(&mut self, now: MonoTime) {
+        self.drains_since.get_or_insert(now);
+    }
+
+    /// Forgets when it began to drain, unless its answers say that it does.
+    pub(super) fn end_drain(&mut self) {
+        self.drains_elsewhere_until = MonoTime::ZERO;
+        self.drains_since = self.drains_since.filter(|_| self.said_leaving);
+    }
+
+    /// When this router first knew that it drains. `None` if it does not.
+    pub(crate) fn drains_since(&self, now: MonoTime) -> Option<MonoTime> {
+        let drains = self.is_leaving() || now < self.drains_elsewhere_until;
+        self.drains_since.filter(|_| drains)
+    }
+
     /// Whether it drains, according to the list or to its answers.
     pub(crate) fn is_leaving(&self) -> bool {
         self.entry.availability != Availability::Ready || self.said_leaving
--- a/crates/gateway/src/relocate/mod.rs
+++ b/crates/gateway/src/relocate/mod.rs
@@ -34,6 +34,10 @@
 /// Maximum number of tries to move one run off one engine.
 const MAX_TRIES: u32 = 4;
 
+/// An engine that drains gets stopped runs for one part in this many of the time for which it serves on.
+/// The rest is for the age of what is known of it, and for the send.
+const DRAIN_PARTS: u64 = 2;
+
 /// Moves the run of one stream from engine to engine.
 #[derive(Debug, Default)]
 pub(crate) struct Moves {
@@ -196,15 +200,20 @@
         if self.pending.is_some() && !self.has_stopped_run() {
             self.settled().await;
         }
-        let pending = self.pending.as_ref()?;
-        let MoveCalls::Done(relocation) = &pending.calls else { return None };
-        let MoveStep::Resume { place, handle } = relocation.step() else { return None };
+        let pending = self.pending.as_mut()?;
+        let MoveCalls::Done(relocation) = &mut pending.calls else { return None };
+        let MoveStep::Resume { mut place, handle } = relocation.step() else { return None };
         let source = pending.source.address;
         let version = pending.source.engine.as_ref()?.version?;
         let generation = request.facts.generation.as_ref()?;
         if !run_to_move(&request.core.state(), generation, version, request.core.now()).may_move() {
             return None;
         }
+        // The destination was asked for before the call that stopped the run, which may have taken long.
+        if place == Place::Destination && !serves_on(&request.core, &pending.destination.id) {
+            relocation.record_refusal();
+            place = Place::Source;
+        }
         let mut selected = match place {
             Place::Destination => pending.destination.clone(),
             // A server that leaves gets no runs, not even its own back, and one that loads refuses it.
@@ -297,6 +306,17 @@
         })
 }
 
+/// Whether an engine to which a run was to be moved is still there, and does not drain or has only begun
+/// to: by the users' bound it serves on for a while, and the run may be moved on from there.
+fn serves_on(core: &Core, id: &str) -> bool {
+    let now = core.now();
+    let state = core.state();
+    let longest_ms = state.bounds.server_drain_ms / DRAIN_PARTS;
+    state.fleet.get(id).is_some_and(|server| {
+        server.drains_since(now).is_none_or(|since| now.ms_since(since) <= longest_ms)
+    })
+}
+
 /// Whether an engine may take back a run that it has stopped.
 fn takes_back(core: &Core, id: &str) -> bool {
     let now = core.now();
--- a/crates/gateway/tests/gateway/move_destinations.rs
+++ b/crates/gateway/tests/gateway/move_destinations.rs
@@ -5,7 +5,8 @@
 use samphirespread_core::prelude::*;
 use samphirespread_peer::{Datagram, EngineReport, encode};
 use samphirespread_standin::published::{
-    Behaviour, Copies, EVENTS as EVENTS_HEADER, ObjectStore, Pace, RunCopied, Worker, WorkerConfig,
+    Behaviour, Copies, CopyBehaviour, EVENTS as EVENTS_HEADER, ObjectStore, Pace, RunCopied,
+    Worker, WorkerConfig,
 };
 use serde_json::json;
 use tokio::{net::UdpSocket, task::JoinSet, time};
@@ -67,6 +68,44 @@
     assert!(first.copied().is_empty(), "{:?}", first.copied());
 }
 
+/// Sends a stream that may run once, and lets its engine drain. The call that stops its run is answered
+/// after `copy_ms`, and the other engine begins to drain when that call comes. Returns whether the stream is
+/// whole, and how often the other engine got it.
+async fn move_to_draining_engine(copy_ms: u64) -> (bool, usize) {
+    let site = site(&[CopyBehaviour::Copy, CopyBehaviour::CopyAfterMs(copy_ms)]).await;
+    let drain = async {
+        let is_asked = |engine: &Worker| !received(engine).is_empty();
+        let index = eventually(|| engines(&site).iter().position(is_asked)).await;
+        let (source, destination) = (&engines(&site)[index], &engines(&site)[1 - index]);
+        destination.expect_nothing();
+        site.store.put("servers", source.id(), source.entry("draining"));
+        eventually(|| source.copied().iter().any(|copy| copy.stops).then_some(())).await;
+        site.store.put("servers", destination.id(), destination.entry("draining"));
+        destination
+    };
+    let (answer, destination) = tokio::join!(site.send(generation("/stream/a", "q1")), drain);
+    (answer.is_whole, received(destination).len())
+}
+
+/// Guards against a stopped run that is sent to an engine that has been draining for long (review/13): it
+/// may be gone at any moment, and gets nothing any more by the users' rule.
+#[tokio::test]
+async fn a_stopped_run_is_not_sent_to_an_engine_that_has_drained_for_long() {
+    let (_, sends) = move_to_draining_engine(1_400).await;
+
+    assert_eq!(sends, 0);
+}
+
+/// Guards against a stream that is cut as its run may not go on at an engine that has just begun to drain.
+/// From there it is moved on.
+#[tokio::test]
+async fn a_stopped_run_goes_on_at_an_engine_that_has_just_begun_to_drain() {
+    let (is_whole, sends) = move_to_draining_engine(300).await;
+
+    assert!(is_whole);
+    assert_eq!(sends, 1);
+}
+
 /// Starts three engines that take time, and a gateway that may move all their runs.
 async fn site_of_paced_engines() -> Site {
     let store = ObjectStore::start().unwrap();
