--- a/crates/gateway/src/conduct.rs
+++ b/crates/gateway/src/conduct.rs
@@ -60,7 +60,7 @@
         Some(published) => published.can_conduct && precedes(&router.member, &core.member),
         None => false,
     };
-    can_conduct(state, now) && !state.routers.values().any(has_precedence)
+    state.has_routers && can_conduct(state, now) && !state.routers.values().any(has_precedence)
 }
 
 /// Grants loads to the engines that are next, if this router conducts. Returns whether there are
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -161,6 +161,12 @@
     let generation = table.as_ref().map_or(0, |table| table.configuration().generation);
     request_log.set_configuration(generation, age_ms);
     let grant = access::check(table.as_ref(), trust, host, path, key, facts.tokens)?;
+    // A quota can't be divided between an unknown number of routers.
+    if let Some(team) = &grant.team
+        && is_quota_undivided(core, &team.name)
+    {
+        return Err(Denied::RetryLater(NotRun::Starting));
+    }
     request_log.granted(&grant.route.name, grant.team.as_ref().map(|team| &team.name));
     if let Some(after) = facts.last_event_id {
         request_log.step(now, Step::TakenUp { resumes: facts.resumes.clone(), after });
@@ -168,6 +174,11 @@
     Ok(grant)
 }
 
+fn is_quota_undivided(core: &Core, team: &TeamName) -> bool {
+    let state = core.state();
+    !state.has_routers && state.quotas.is_limited(team)
+}
+
 fn deny(request_log: &mut RequestLog, denied: Denied) -> Response<ResponseBody> {
     match denied {
         Denied::Invalid(status) => {
--- a/crates/gateway/src/routers.rs
+++ b/crates/gateway/src/routers.rs
@@ -168,6 +168,7 @@
     for name in before.keys() {
         info!(core.log, "{}", event::ROUTER_GONE; "router" => %name);
     }
+    state.has_routers = true;
     let names: Vec<InstanceName> = state.routers.keys().cloned().collect();
     state.quotas.set_routers(&names, now);
     let window_ms = state.bounds.retry_window_ms;
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -148,6 +148,8 @@
     /// The records that processes publish of themselves, and the routers with which this one
     /// exchanges them.
     pub(crate) fabric: Fabric,
+    /// Whether the list of routers has been read, so that this one knows the others.
+    pub(crate) has_routers: bool,
     /// The other routers.
     pub(crate) routers: HashMap<InstanceName, OtherRouter>,
     /// Whether this router holds the lease on orders to engines without a sidecar.
@@ -196,6 +198,8 @@
     Ready,
     /// It has not read the configuration and the list of servers yet.
     Starting,
+    /// It does not know the other routers yet, which share quotas with it.
+    AwaitsRouters,
     /// It waits for the first reports of engines.
     AwaitsReports,
     /// It can't tell yet which versions of the servers' software are new.
@@ -215,6 +219,7 @@
         match self {
             Self::Ready => "ready",
             Self::Starting => "starting",
+            Self::AwaitsRouters => "awaits_routers",
             Self::AwaitsReports => "awaits_reports",
             Self::AwaitsVersions => "awaits_versions",
             Self::AwaitsRollouts => "awaits_rollouts",
@@ -339,6 +344,7 @@
             caches_pulled_from: None,
             pull_again: MonoTime::ZERO,
             fabric: Fabric::new(own, run),
+            has_routers: false,
             routers: HashMap::new(),
             holds_orders: false,
             permit: None,
@@ -358,6 +364,9 @@
         if self.table.is_none() || !self.has_fleet {
             return Readiness::Starting;
         }
+        if !self.has_routers {
+            return Readiness::AwaitsRouters;
+        }
         if !self.has_engine_reports(now) {
             return Readiness::AwaitsReports;
         }
--- a/crates/gateway/src/sync/lists.rs
+++ b/crates/gateway/src/sync/lists.rs
@@ -58,7 +58,7 @@
         |reads| reads.servers_up,
         |reads, now| reads.oldest_list_age_ms(ROUNDS_PER_ROUTERS_READ, now),
     );
-    let mut round: u64 = 0;
+    let mut rounds_without_routers = ROUNDS_PER_ROUTERS_READ;
     loop {
         let cause = schedule.next(&core, &core.wake_list_reader).await;
         log_role_changes(&core);
@@ -67,9 +67,12 @@
         let outdated = std::mem::take(&mut core.state().reads.news);
         match cause {
             Cause::ReadIsDue => {
-                let routers = outdated.routers || round.is_multiple_of(ROUNDS_PER_ROUTERS_READ);
-                reader.read(ListParts { servers: true, routers }).await;
-                round += 1;
+                // A list that could not be read stays due, so that a router that starts knows the
+                // others as soon as the store answers.
+                let is_due = rounds_without_routers + 1 >= ROUNDS_PER_ROUTERS_READ;
+                let routers = outdated.routers || is_due;
+                let read = reader.read(ListParts { servers: true, routers }).await;
+                rounds_without_routers = if read.routers { 0 } else { rounds_without_routers + 1 };
             }
             Cause::Announced if outdated.any() => reader.read_outdated(outdated).await,
             Cause::Announced => {}
@@ -84,11 +87,12 @@
 }
 
 impl ListReader {
-    /// Reads the requested lists from the store.
+    /// Reads the requested lists from the store. Returns those that were read.
     ///
     /// The servers come first, as requests must not go on to one that leaves. If the store was down,
     /// that call also shows whether it is back.
-    async fn read(&mut self, parts: ListParts) {
+    async fn read(&mut self, parts: ListParts) -> ListParts {
+        let mut read = ListParts::default();
         let core = self.core.clone();
         let began = core.now();
         let was_up = core.state().reads.servers_up;
@@ -96,13 +100,17 @@
         if parts.servers || !was_up {
             let servers = self.read_servers().await;
             is_up = servers.is_ok();
+            read.servers = is_up;
             self.apply_servers_read(servers, began);
             self.record_availability(is_up);
         }
         if parts.routers && is_up {
             let began = core.now();
             match core.store.list(Kind::Routers, |entry| routers::decode(&core, entry)).await {
-                Ok(listing) => routers::apply_listing(&core, &listing, began).await,
+                Ok(listing) => {
+                    routers::apply_listing(&core, &listing, began).await;
+                    read.routers = true;
+                }
                 Err(error) => self.record_failure("routers", &error),
             }
         }
@@ -110,6 +118,7 @@
         if let Some(address) = wanted_from.filter(|_| !is_up) {
             self.read_from_router(address).await;
         }
+        read
     }
 
     /// Updates the lists that differ from those of another router: from that router if it is known
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -31,6 +31,7 @@
 mod serving;
 mod slow_links;
 mod software_versions;
+mod startup;
 mod stopped_runs;
 mod store;
 mod support;
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -137,6 +137,13 @@
 
 /// Starts a gateway and waits until it is ready for callers.
 pub(crate) async fn start_gateway(settings: GatewaySettings) -> Running {
+    let running = bind_gateway(settings).await;
+    wait_until_ready(running.addresses.readiness).await;
+    running
+}
+
+/// Starts a gateway.
+pub(crate) async fn bind_gateway(settings: GatewaySettings) -> Running {
     let log = LogText::default();
     let log_settings = LogSettings { format: LogFormat::Json, level: LogLevel::Info };
     let root = samphirespread_logging::root_with_writer(&log_settings, log.clone());
@@ -145,9 +152,7 @@
     let settings = gateway.settings_handle();
     let shutdown = CancellationToken::new();
     let task = tokio::spawn(gateway.run(shutdown.clone()));
-    let running = Running { addresses, log, settings, shutdown, task };
-    wait_until_ready(addresses.readiness).await;
-    running
+    Running { addresses, log, settings, shutdown, task }
 }
 
 /// Starts a store with `configuration`, two servers without an engine, two engines, and a gateway.
@@ -212,7 +217,7 @@
     }
 }
 
-async fn wait_until_ready(readiness: SocketAddr) {
+pub(crate) async fn wait_until_ready(readiness: SocketAddr) {
     for _ in 0..2_000 {
         let request = Request::get("/-/ready").body(Full::default()).unwrap();
         if send(readiness, request).await.is_some_and(|answer| answer.status == StatusCode::OK) {
--- a/crates/routing/src/quota.rs
+++ b/crates/routing/src/quota.rs
@@ -68,6 +68,7 @@
     /// The sum of the levels with which the routers' buckets of a new team start.
     first_allowance: f64,
     keeps_use_rates: bool,
+    knows_routers: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -154,8 +155,17 @@
     }
 
     /// Sets the names of all other routers that may be running.
+    ///
+    /// With the first names, each bucket starts with this router's share of the first allowance. Until
+    /// then nothing should be admitted for teams with a quota, as all routers would admit a whole one.
     pub fn set_routers(&mut self, names: &[InstanceName], now: MonoTime) {
         self.fill_until(now);
+        if !std::mem::replace(&mut self.knows_routers, true) {
+            let first_allowance = self.first_allowance / count(names.len() + 1);
+            for bucket in self.buckets.values_mut() {
+                bucket.level = bucket.level.min(first_allowance);
+            }
+        }
         self.routers.retain(|name, _| names.contains(name));
         for name in names {
             self.routers.entry(name.clone()).or_default();
@@ -228,6 +238,12 @@
         }
     }
 
+    /// Whether a team has a quota.
+    pub fn is_limited(&self, team: &TeamName) -> bool {
+        let bucket = self.buckets.get(&TeamKey::of(team));
+        bucket.is_some_and(|bucket| bucket.quota.is_limited())
+    }
+
     /// Returns the rate at which all routers admit a team's use, by what this router has heard. None if
     /// the team has no quota, as reports then don't contain it.
     pub fn use_rate(&self, team: TeamKey, window: Window, now: MonoTime) -> Option<f64> {
--- a/crates/routing/tests/quota.rs
+++ b/crates/routing/tests/quota.rs
@@ -539,3 +539,17 @@
         router.apply_report(&name(other), Incarnation(1), &usage[other], now, now);
     }
 }
+
+/// Guards against a whole first allowance at each of several routers that begin without knowing the others.
+#[test]
+fn the_first_allowance_is_divided_when_the_routers_become_known() {
+    let names: Vec<InstanceName> = (0..4).map(name).collect();
+    let mut quotas = Quotas::new(MonoTime::ZERO, 5.0 * COST);
+    quotas.set_teams([(&team(), quota())], MonoTime::ZERO);
+    let known = MonoTime::from_ms(1_000);
+
+    quotas.set_routers(&names, known);
+
+    assert!(quotas.admit(&team(), COST, known).is_ok());
+    assert!(quotas.admit(&team(), COST, known).is_err());
+}
--- a/crates/standin/src/published/objects/http_api.rs
+++ b/crates/standin/src/published/objects/http_api.rs
@@ -119,6 +119,9 @@
 
     let mut state = shared.lock();
     state.calls.listings += 1;
+    if state.refused_kind.as_ref() == Some(&kind) {
+        return Err(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let after = parameters.after.unwrap_or_default();
     Ok(json_response(state.page_after(&kind, &after)))
 }
--- a/crates/standin/src/published/objects/mod.rs
+++ b/crates/standin/src/published/objects/mod.rs
@@ -88,6 +88,8 @@
     writes: CallRate,
     calls: StoreCalls,
     fault: StoreFault,
+    /// The kind whose listings are refused.
+    refused_kind: Option<String>,
     /// Writes to come whose answers are lost.
     lose_answers: u32,
     /// Specs that are sent as the text that they were written as, by what stands for them.
@@ -137,6 +139,7 @@
             writes: CallRate::new(rates.writes_per_s),
             calls: StoreCalls::default(),
             fault: StoreFault::None,
+            refused_kind: None,
             lose_answers: 0,
             texts: Vec::new(),
         };
@@ -232,6 +235,11 @@
         self.shared.notify_watches();
     }
 
+    /// Refuses listings of a kind, or of none any more.
+    pub fn refuse_listings_of(&self, kind: Option<&str>) {
+        self.shared.lock().refused_kind = kind.map(str::to_owned);
+    }
+
     /// The next writes that succeed take effect and get no answer: their connections are closed.
     pub fn lose_next_answers(&self, count: u32) {
         self.shared.lock().lose_answers = count;
